--- /dev/null
+++ b/src/support/HttpClient.cpp
@@ -0,0 +1,101 @@
+#include "support/HttpClient.h"
+
+#include <algorithm>
+#include <cctype>
+#include <memory>
+
+#include <curl/curl.h>
+
+namespace savorytrestle::support {
+
+namespace {
+
+// libcurl wants its global state made before any thread uses it.
+const CURLcode GlobalInit = curl_global_init(CURL_GLOBAL_DEFAULT);
+
+std::size_t appendBody(char *data, std::size_t size, std::size_t count,
+                       void *out) {
+  static_cast<std::string *>(out)->append(data, size * count);
+  return size * count;
+}
+
+std::size_t addHeader(char *data, std::size_t size, std::size_t count,
+                      void *out) {
+  const std::string line(data, size * count);
+  auto &headers = *static_cast<std::map<std::string, std::string> *>(out);
+  if (const auto colon = line.find(':'); colon != std::string::npos) {
+    std::string key = line.substr(0, colon);
+    std::transform(key.begin(), key.end(), key.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    const auto first = line.find_first_not_of(" \t", colon + 1);
+    const auto last = line.find_last_not_of(" \t\r\n");
+    headers[key] = first == std::string::npos || last < first
+                       ? ""
+                       : line.substr(first, last - first + 1);
+  }
+  return size * count;
+}
+
+/// A request that never got a connection cannot have taken effect; any other
+/// failure may come after the peer acted on it.
+core::ErrorCode classify(CURLcode ec, CURL *handle) {
+  if (ec == CURLE_COULDNT_CONNECT || ec == CURLE_COULDNT_RESOLVE_HOST ||
+      ec == CURLE_URL_MALFORMAT)
+    return core::ErrorCode::StoreUnavailable;
+  curl_off_t connect = 0;
+  curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connect);
+  long sent = 0;
+  curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sent);
+  if (connect == 0 && sent == 0)
+    return core::ErrorCode::StoreUnavailable;
+  return core::ErrorCode::OutcomeUnknown;
+}
+
+void setMethod(CURL *handle, const HttpCall &call) {
+  if (call.Method == "GET") {
+    curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
+    return;
+  }
+  curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(call.Body.size()));
+  curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.Body.c_str());
+  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.Method.c_str());
+}
+
+} // namespace
+
+HttpClient::HttpClient() : Handle(curl_easy_init()) {}
+
+HttpClient::~HttpClient() { curl_easy_cleanup(static_cast<CURL *>(Handle)); }
+
+core::Result<HttpReply> HttpClient::send(const HttpCall &call) {
+  CURL *handle = static_cast<CURL *>(Handle);
+  curl_easy_reset(handle);
+  HttpReply reply;
+  curl_slist *list = curl_slist_append(nullptr, "Expect:");
+  for (const auto &[key, value] : call.Headers)
+    list = curl_slist_append(list, (key + ": " + value).c_str());
+  const std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers(
+      list, &curl_slist_free_all);
+  curl_easy_setopt(handle, CURLOPT_URL, call.Url.c_str());
+  setMethod(handle, call);
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.get());
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(call.Timeout.count()));
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &reply.Body);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &addHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &reply.Headers);
+  if (const CURLcode ec = curl_easy_perform(handle); ec != CURLE_OK)
+    return core::makeError(classify(ec, handle),
+                           call.Url + ": " + curl_easy_strerror(ec));
+  long status = 0;
+  curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+  reply.Status = static_cast<int>(status);
+  return reply;
+}
+
+} // namespace savorytrestle::support
--- /dev/null
+++ b/tests/FakeKvStore.h
@@ -0,0 +1,114 @@
+#ifndef SAVORYTRESTLE_TESTS_FAKE_KV_STORE_H
+#define SAVORYTRESTLE_TESTS_FAKE_KV_STORE_H
+
+/// @file
+/// @brief In-process key-value store with faults, for unit tests.
+
+#include <atomic>
+#include <memory>
+
+#include "standins/KvState.h"
+
+namespace savorytrestle::standins {
+
+/// @brief Faults of the fake; each counts down with the calls it hits.
+struct KvFaults {
+  /// Every call fails without effect.
+  std::atomic<bool> Outage{false};
+  /// The next this many writes take effect but their reply is lost.
+  std::atomic<int> LoseWriteReplies{0};
+  /// The next this many writes are lost before taking effect, and the caller
+  /// can't tell.
+  std::atomic<int> LoseWrites{0};
+  std::atomic<int> Reads{0};
+  std::atomic<int> Writes{0};
+};
+
+/// @brief A client of a shared in-process store; copies see the same contents.
+class FakeKvStore {
+public:
+  using Millis = std::chrono::milliseconds;
+  template <typename T> using Result = core::Result<T>;
+
+  Result<std::optional<platform::KvEntry>> get(const std::string &key, Millis) {
+    if (!readable())
+      return down();
+    return State->get(key);
+  }
+  Result<std::vector<platform::KvEntry>> list(const std::string &prefix,
+                                              Millis) {
+    if (!readable())
+      return down();
+    return State->list(prefix);
+  }
+  Result<bool> compareAndSet(const std::string &key, const std::string &value,
+                             platform::Revision revision, Millis) {
+    return write([&] { return State->compareAndSet(key, value, revision); });
+  }
+  Result<bool> compareAndDelete(const std::string &key,
+                                platform::Revision revision, Millis) {
+    return write([&] { return State->compareAndDelete(key, revision); });
+  }
+  Result<platform::WatchResult> watch(const std::string &prefix,
+                                      platform::Revision after, Millis wait) {
+    if (!readable())
+      return down();
+    return State->watch(prefix, after, wait);
+  }
+  Result<platform::LeaseId> openLease(Millis timeToLive, Millis) {
+    if (!readable())
+      return down();
+    return State->openLease(timeToLive);
+  }
+  Result<bool> renewLease(const platform::LeaseId &lease, Millis) {
+    return write([&] { return State->renewLease(lease); });
+  }
+  Result<bool> endLease(const platform::LeaseId &lease, Millis) {
+    return write([&] {
+      State->endLease(lease);
+      return true;
+    });
+  }
+  Result<bool> acquire(const std::string &key, const std::string &value,
+                       const platform::LeaseId &lease, Millis) {
+    return write([&] { return State->acquire(key, value, lease); });
+  }
+
+  std::shared_ptr<KvState> State = std::make_shared<KvState>();
+  std::shared_ptr<KvFaults> Faults = std::make_shared<KvFaults>();
+
+private:
+  static tl::unexpected<core::Error> down() {
+    return core::makeError(core::ErrorCode::StoreUnavailable, "outage");
+  }
+  static tl::unexpected<core::Error> lost() {
+    return core::makeError(core::ErrorCode::OutcomeUnknown, "reply lost");
+  }
+  static bool take(std::atomic<int> &count) {
+    if (count.load() <= 0)
+      return false;
+    --count;
+    return true;
+  }
+  bool readable() {
+    ++Faults->Reads;
+    return !Faults->Outage;
+  }
+  template <typename F> Result<bool> write(F effect) {
+    ++Faults->Writes;
+    if (Faults->Outage)
+      return down();
+    if (take(Faults->LoseWrites))
+      return lost();
+    const bool done = effect();
+    if (take(Faults->LoseWriteReplies))
+      return lost();
+    return done;
+  }
+};
+
+static_assert(platform::KvStore<FakeKvStore>);
+
+} // namespace savorytrestle::standins
+
+#endif
--- /dev/null
+++ b/tests/standins/KvState.h
@@ -0,0 +1,169 @@
+#ifndef SAVORYTRESTLE_TESTS_STANDINS_KV_STATE_H
+#define SAVORYTRESTLE_TESTS_STANDINS_KV_STATE_H
+
+/// @file
+/// @brief Contents of the key-value stand-in: entries, leases and faults.
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+
+#include "platform/KvStore.h"
+#include "savorytrestle/core/Time.h"
+
+namespace savorytrestle::standins {
+
+/// @brief Entries and leases behind one lock; shared by the stand-in program
+/// and the in-process fake.
+class KvState {
+public:
+  using Entry = platform::KvEntry;
+
+  std::optional<Entry> get(const std::string &key) {
+    const std::lock_guard guard(Lock);
+    expireLeases();
+    const auto it = Entries.find(key);
+    return it == Entries.end() ? std::nullopt : std::optional(it->second);
+  }
+
+  std::vector<Entry> list(const std::string &prefix) {
+    const std::lock_guard guard(Lock);
+    expireLeases();
+    return under(prefix);
+  }
+
+  bool compareAndSet(const std::string &key, const std::string &value,
+                     platform::Revision revision) {
+    const std::lock_guard guard(Lock);
+    expireLeases();
+    const auto it = Entries.find(key);
+    const auto found =
+        it == Entries.end() ? platform::NoEntry : it->second.ModifyRevision;
+    if (found != revision)
+      return false;
+    put({key, value, 0, it == Entries.end() ? std::nullopt : it->second.Lease});
+    return true;
+  }
+
+  bool compareAndDelete(const std::string &key, platform::Revision revision) {
+    const std::lock_guard guard(Lock);
+    const auto it = Entries.find(key);
+    if (it == Entries.end() || it->second.ModifyRevision != revision)
+      return false;
+    Entries.erase(it);
+    bump();
+    return true;
+  }
+
+  platform::WatchResult watch(const std::string &prefix,
+                              platform::Revision after,
+                              std::chrono::milliseconds wait) {
+    std::unique_lock guard(Lock);
+    const auto until = std::chrono::steady_clock::now() + wait;
+    expireLeases();
+    while (after != 0 && lastChange(prefix) <= after) {
+      // Leases end by the clock, so the wait is cut into short pieces.
+      const auto piece = std::min(until, std::chrono::steady_clock::now() +
+                                             std::chrono::milliseconds(50));
+      Changed.wait_until(guard, piece);
+      expireLeases();
+      if (std::chrono::steady_clock::now() >= until)
+        break;
+    }
+    return {std::max(Index, platform::Revision(1)), under(prefix)};
+  }
+
+  platform::LeaseId openLease(std::chrono::milliseconds timeToLive) {
+    const std::lock_guard guard(Lock);
+    const auto id = "lease-" + std::to_string(++LastLease);
+    Leases[id] = {timeToLive, std::chrono::steady_clock::now() + timeToLive};
+    return id;
+  }
+
+  bool renewLease(const platform::LeaseId &id) {
+    const std::lock_guard guard(Lock);
+    expireLeases();
+    const auto it = Leases.find(id);
+    if (it == Leases.end())
+      return false;
+    it->second.Ends = std::chrono::steady_clock::now() + it->second.TimeToLive;
+    return true;
+  }
+
+  void endLease(const platform::LeaseId &id) {
+    const std::lock_guard guard(Lock);
+    dropLease(id);
+  }
+
+  bool acquire(const std::string &key, const std::string &value,
+               const platform::LeaseId &id) {
+    const std::lock_guard guard(Lock);
+    expireLeases();
+    if (Leases.count(id) == 0)
+      return false;
+    const auto it = Entries.find(key);
+    if (it != Entries.end() && it->second.Lease && it->second.Lease != id)
+      return false;
+    put({key, value, 0, id});
+    return true;
+  }
+
+private:
+  struct Lease {
+    std::chrono::milliseconds TimeToLive;
+    core::TimePoint Ends;
+  };
+
+  void bump() {
+    ++Index;
+    Changed.notify_all();
+  }
+
+  void put(Entry entry) {
+    entry.ModifyRevision = Index + 1;
+    Entries[entry.Key] = std::move(entry);
+    bump();
+  }
+
+  void dropLease(const platform::LeaseId &id) {
+    Leases.erase(id);
+    const auto gone = std::erase_if(
+        Entries, [&](const auto &item) { return item.second.Lease == id; });
+    if (gone > 0)
+      bump();
+  }
+
+  void expireLeases() {
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<platform::LeaseId> ended;
+    for (const auto &[id, lease] : Leases)
+      if (lease.Ends <= now)
+        ended.push_back(id);
+    for (const auto &id : ended)
+      dropLease(id);
+  }
+
+  std::vector<Entry> under(const std::string &prefix) const {
+    std::vector<Entry> found;
+    for (auto it = Entries.lower_bound(prefix);
+         it != Entries.end() && it->first.rfind(prefix, 0) == 0; ++it)
+      found.push_back(it->second);
+    return found;
+  }
+
+  // A deletion counts for every prefix: the index moves, and watchers look.
+  platform::Revision lastChange(const std::string & /*prefix*/) const {
+    return Index;
+  }
+
+  std::mutex Lock;
+  std::condition_variable Changed;
+  std::map<std::string, Entry> Entries;
+  std::map<platform::LeaseId, Lease> Leases;
+  platform::Revision Index = 1;
+  std::uint64_t LastLease = 0;
+};
+
+} // namespace savorytrestle::standins
+
+#endif
