Slot leases, slot choice and membership as pure decisions

A holder counts its lease from before the confirmed call was sent; an outage excuses a lapse only if it was seen before the lease ended, without a pause, and for a grace unless a peer confirms it. Ruled out: trusting an outage seen after the lapse (another host may have claimed in between).

--- /dev/null
+++ b/src/core/Membership.cpp
@@ -0,0 +1,195 @@
+#include "savorytrestle/core/Membership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace savorytrestle::core {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+/// Renewals a second that the store gives to slots, of the several hundred
+/// writes it takes for everything.
+constexpr std::uint32_t RenewalsPerSecond = 80;
+
+/// Failures in a row after which a host is left out.
+constexpr std::uint32_t SuspectAfter = 3;
+
+/// How long a host is left out before it is tried again.
+constexpr milliseconds SuspectFor{10000};
+
+std::string textOf(const json &parsed, const char *key) {
+  const auto it = parsed.find(key);
+  return it != parsed.end() && it->is_string() ? it->get<std::string>()
+                                               : std::string();
+}
+
+bool byId(const HostInfo &a, const HostInfo &b) { return a.Id < b.Id; }
+
+} // namespace
+
+std::string writeHost(const HostInfo &host) {
+  const json value = {{"id", host.Id},
+                      {"nonce", host.Nonce},
+                      {"failure_domain", host.FailureDomain},
+                      {"region", host.Region},
+                      {"peer_address", host.PeerAddress},
+                      {"caller_address", host.CallerAddress},
+                      {"draining", host.Draining}};
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<HostInfo> readHost(const std::string &text) {
+  const json parsed = json::parse(text, nullptr, false);
+  if (!parsed.is_object())
+    return std::nullopt;
+  HostInfo host;
+  host.Id = textOf(parsed, "id");
+  host.Nonce = textOf(parsed, "nonce");
+  host.FailureDomain = textOf(parsed, "failure_domain");
+  host.Region = textOf(parsed, "region");
+  host.PeerAddress = textOf(parsed, "peer_address");
+  host.CallerAddress = textOf(parsed, "caller_address");
+  const auto it = parsed.find("draining");
+  host.Draining = it != parsed.end() && it->is_boolean() && it->get<bool>();
+  if (host.Id.empty() || host.PeerAddress.empty())
+    return std::nullopt;
+  return host;
+}
+
+SlotTiming slotTiming(std::uint32_t hosts) {
+  SlotTiming timing;
+  const milliseconds affordable(3ULL * 1000 * hosts / RenewalsPerSecond);
+  timing.LeaseTime = std::max(timing.LeaseTime, affordable);
+  return timing;
+}
+
+void SlotLease::onConfirmed(SlotNumber slot, TimePoint sentAt) {
+  Slot = slot;
+  LeaseEnd = sentAt + Timing.LeaseTime;
+  FailingSince.reset();
+  PeerWordAt.reset();
+}
+
+void SlotLease::onEnded() {
+  Slot.reset();
+  FailingSince.reset();
+  PeerWordAt.reset();
+}
+
+void SlotLease::onStoreUnreachable(TimePoint now) {
+  // A gap between attempts means that this process was paused: whatever it saw
+  // before says nothing about the time in between.
+  if (!FailingSince || now - LastFailure > Timing.LeaseTime)
+    FailingSince = now;
+  LastFailure = now;
+}
+
+std::optional<SlotNumber> SlotLease::slot(TimePoint now) const {
+  if (!Slot || (now >= LeaseEnd && !outageExcuses(now)))
+    return std::nullopt;
+  return Slot;
+}
+
+// While nobody reaches the store nobody can claim the slot either. That the
+// store is down must have been seen before the lease ended: an outage that is
+// noticed only afterwards may have begun after another host's claim.
+bool SlotLease::outageExcuses(TimePoint now) const {
+  if (!FailingSince || *FailingSince >= LeaseEnd)
+    return false;
+  if (now - LastFailure > Timing.LeaseTime)
+    return false;
+  if (now < LeaseEnd + Timing.OutageGrace)
+    return true;
+  return PeerWordAt && now - *PeerWordAt <= Timing.PeerWordAge;
+}
+
+std::vector<SlotNumber> SlotChooser::order(const std::vector<SlotUse> &slots,
+                                           TimePoint now, Rng &rng) {
+  struct Candidate {
+    int Rank;
+    TimePoint FreeSince;
+    std::uint64_t Tie;
+    SlotNumber Number;
+  };
+  std::vector<Candidate> usable;
+  std::vector<Candidate> lapsed;
+  for (const auto &use : slots) {
+    if (use.Held) {
+      FreeSince.erase(use.Number);
+      continue;
+    }
+    const auto since = FreeSince.try_emplace(use.Number, now).first->second;
+    const bool fresh = !use.EverClaimed;
+    const bool rested = now - since >= Timing.LapseGrace;
+    const Candidate candidate{fresh ? 0 : (use.Released ? 1 : 2), since, rng(),
+                              use.Number};
+    (fresh || use.Released || rested ? usable : lapsed).push_back(candidate);
+  }
+  auto &chosen = usable.empty() ? lapsed : usable;
+  std::sort(chosen.begin(), chosen.end(), [](const auto &a, const auto &b) {
+    return std::tie(a.Rank, a.FreeSince, a.Tie) <
+           std::tie(b.Rank, b.FreeSince, b.Tie);
+  });
+  std::vector<SlotNumber> numbers;
+  numbers.reserve(chosen.size());
+  for (const auto &candidate : chosen)
+    numbers.push_back(candidate.Number);
+  return numbers;
+}
+
+void Membership::setHosts(std::vector<HostInfo> hosts) {
+  std::sort(hosts.begin(), hosts.end(), byId);
+  // A host that was replaced may hold two slots until its old lease ends.
+  hosts.erase(
+      std::unique(hosts.begin(), hosts.end(),
+                  [](const auto &a, const auto &b) { return a.Id == b.Id; }),
+      hosts.end());
+  Hosts = std::move(hosts);
+  std::erase_if(Unreachable, [&](const auto &item) {
+    return std::none_of(Hosts.begin(), Hosts.end(), [&](const auto &host) {
+      return host.Id == item.first;
+    });
+  });
+}
+
+void Membership::setLeaving(std::vector<std::string> leaving) {
+  Leaving = std::move(leaving);
+}
+
+void Membership::onUnreachable(const std::string &id, TimePoint now) {
+  auto &failures = Unreachable[id];
+  ++failures.Count;
+  failures.Last = now;
+}
+
+bool Membership::isSuspect(const std::string &id, TimePoint now) const {
+  const auto it = Unreachable.find(id);
+  return it != Unreachable.end() && it->second.Count >= SuspectAfter &&
+         now - it->second.Last < SuspectFor;
+}
+
+std::vector<HostInfo> Membership::live(TimePoint now) const {
+  std::vector<HostInfo> found;
+  for (const auto &host : Hosts) {
+    const bool leaving =
+        host.Draining ||
+        std::find(Leaving.begin(), Leaving.end(), host.Id) != Leaving.end();
+    if (!leaving && (host.Id == Self || !isSuspect(host.Id, now)))
+      found.push_back(host);
+  }
+  return found;
+}
+
+DomainCounts Membership::liveByDomain(TimePoint now) const {
+  DomainCounts counts;
+  for (const auto &host : live(now))
+    ++counts[host.FailureDomain];
+  return counts;
+}
+
+} // namespace savorytrestle::core
