Host slots: claimed, renewed and released through the store's leases

A record beside each slot, written before the slot is taken, tells a released slot from a lapsed one, since the store forgets a slot with its lease. A process takes its own lapsed slot back first when nobody claimed it since; else all hosts would wait out the grace after an outage. Ruled out: the slot's own key without a lease (needs a write a renewal and a wake-up of each watcher). Seen to fail against the fault: own slot not taken back, lost claim believed, lost reply not read back, release unmarked, slot used past its lease.

--- /dev/null
+++ b/src/hosts/HostSlotKeeper.h
@@ -0,0 +1,263 @@
+#ifndef SAVORYTRESTLE_HOSTS_HOST_SLOT_KEEPER_H
+#define SAVORYTRESTLE_HOSTS_HOST_SLOT_KEEPER_H
+
+/// @file
+/// @brief Claims one numbered host slot in the key-value service and keeps it.
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include "hosts/SlotKeys.h"
+#include "platform/KvStore.h"
+#include "savorytrestle/core/Membership.h"
+#include "support/Log.h"
+
+namespace savorytrestle::hosts {
+
+/// @brief What a slot keeper needs to know.
+struct SlotKeeperOptions {
+  /// Written to the slot for other hosts to read.
+  core::HostInfo Self;
+  /// Slots that exist: the most hosts, and spare ones.
+  std::uint32_t Slots = 10;
+  core::SlotTiming Timing;
+  /// Bound on each call to the store.
+  std::chrono::milliseconds CallTimeout{1000};
+  /// Whether a peer reached of late says that the store is down; may be empty.
+  std::function<bool()> PeersConfirmOutage;
+  /// The clock; tests replace it.
+  std::function<core::TimePoint()> Now = [] {
+    return std::chrono::steady_clock::now();
+  };
+  /// Seeds the choice between equally good slots.
+  std::uint64_t Seed = 1;
+};
+
+/// @brief Holds a slot by a lease and renews it on a thread of its own.
+///
+/// The slot is this host's share of every leaf. The keeper owns its client of
+/// the store; slot may be called by any thread.
+template <platform::KvStore Store> class HostSlotKeeper {
+public:
+  /// @brief Makes a keeper that holds nothing and makes no call yet.
+  /// @param store client that only this keeper uses
+  /// @param options identity, times and clock
+  HostSlotKeeper(Store store, SlotKeeperOptions options)
+      : Client(std::move(store)), Options(std::move(options)),
+        Lease(Options.Timing), Chooser(Options.Timing), Random(Options.Seed) {}
+  HostSlotKeeper(const HostSlotKeeper &) = delete;
+  HostSlotKeeper &operator=(const HostSlotKeeper &) = delete;
+  ~HostSlotKeeper() { stop(); }
+
+  /// @brief Starts the thread that claims and renews.
+  void start() {
+    Worker = std::thread([this] { run(); });
+  }
+
+  /// @brief Stops using the slot, releases it and joins the thread.
+  void stop() {
+    {
+      const std::lock_guard guard(Lock);
+      Stopping = true;
+    }
+    Wake.notify_all();
+    if (Worker.joinable()) {
+      Worker.join();
+      release();
+    }
+  }
+
+  /// @brief The slot that this host may use now.
+  /// @return the slot; nothing before the first claim, after a lapse, and once
+  ///   stopping
+  std::optional<core::SlotNumber> slot() const {
+    const std::lock_guard guard(Lock);
+    return Lease.slot(Options.Now());
+  }
+
+  /// @brief Tells other hosts, with the next renewal, that this one leaves.
+  void setDraining() {
+    {
+      const std::lock_guard guard(Lock);
+      Options.Self.Draining = true;
+      Rewrite = true;
+    }
+    Wake.notify_all();
+  }
+
+  /// @brief Renews or claims once; the thread calls it again and again.
+  /// @return how long to wait before the next step
+  std::chrono::milliseconds step() {
+    if (LeaseName.empty())
+      return claim();
+    return renew();
+  }
+
+  /// @brief Releases the slot for reuse at once.
+  void release() {
+    {
+      const std::lock_guard guard(Lock);
+      Lease.onEnded();
+    }
+    if (LeaseName.empty())
+      return;
+    // The mark goes first: without it the slot rests for the lapse grace.
+    const auto record = Client.get(recordKey(Held), Options.CallTimeout);
+    if (record && *record)
+      Client.compareAndSet(recordKey(Held), writeRecord({selfNonce(), true}),
+                           (*record)->ModifyRevision, Options.CallTimeout);
+    Client.endLease(LeaseName, Options.CallTimeout);
+    support::LogLine("slot_released").with("slot", Held);
+    LeaseName.clear();
+  }
+
+private:
+  using Millis = std::chrono::milliseconds;
+
+  void run() {
+    std::unique_lock guard(Lock);
+    while (!Stopping) {
+      guard.unlock();
+      const auto pause = step();
+      guard.lock();
+      Wake.wait_for(guard, pause, [this] { return Stopping || Rewrite; });
+    }
+  }
+
+  std::string selfNonce() const { return Options.Self.Nonce; }
+
+  std::string selfText() {
+    const std::lock_guard guard(Lock);
+    Rewrite = false;
+    return core::writeHost(Options.Self);
+  }
+
+  Millis renew() {
+    const auto sentAt = Options.Now();
+    const bool rewrite = [this] {
+      const std::lock_guard guard(Lock);
+      return Rewrite;
+    }();
+    if (rewrite)
+      Client.acquire(slotKey(Held), selfText(), LeaseName, Options.CallTimeout);
+    const auto renewed = Client.renewLease(LeaseName, Options.CallTimeout);
+    if (!renewed)
+      return onUnreachable();
+    const std::lock_guard guard(Lock);
+    if (*renewed) {
+      Lease.onConfirmed(Held, sentAt);
+      return Options.Timing.renewalInterval();
+    }
+    support::LogLine("slot_lapsed").with("slot", Held);
+    Lease.onEnded();
+    LeaseName.clear();
+    return claimDelay();
+  }
+
+  // After an outage many leases have lapsed at once; claims are spread over
+  // the time that the store needs for them.
+  Millis claimDelay() {
+    constexpr std::uint64_t ClaimsPerSecond = 50;
+    return Millis(Random() % (1 + 1000ULL * Options.Slots / ClaimsPerSecond));
+  }
+
+  Millis onUnreachable() {
+    const bool confirmed =
+        Options.PeersConfirmOutage && Options.PeersConfirmOutage();
+    const std::lock_guard guard(Lock);
+    const auto now = Options.Now();
+    Lease.onStoreUnreachable(now);
+    if (confirmed)
+      Lease.onPeerConfirmsOutage(now);
+    return Options.Timing.renewalInterval();
+  }
+
+  Millis claim() {
+    auto entries = Client.list(HostsPrefix, Options.CallTimeout);
+    if (!entries)
+      return retryDelay();
+    const auto sentAt = Options.Now();
+    const auto opened =
+        Client.openLease(Options.Timing.LeaseTime, Options.CallTimeout);
+    if (!opened)
+      return retryDelay();
+    const SlotTable table = readSlots(*entries, Options.Slots);
+    for (const auto number : candidates(table, sentAt)) {
+      if (!tryClaim(table.Records[number], number, *opened))
+        continue;
+      LeaseName = *opened;
+      Held = number;
+      const std::lock_guard guard(Lock);
+      Lease.onConfirmed(number, sentAt);
+      support::LogLine("slot_claimed").with("slot", number);
+      return Options.Timing.renewalInterval();
+    }
+    Client.endLease(*opened, Options.CallTimeout);
+    return retryDelay();
+  }
+
+  Millis retryDelay() { return claimDelay() + Millis(500); }
+
+  std::vector<core::SlotNumber> candidates(const SlotTable &table,
+                                           core::TimePoint now) {
+    constexpr std::size_t MostTries = 8;
+    auto numbers = Chooser.order(table.Slots, now, Random);
+    // A slot that nobody claimed since this process held it needs no rest: its
+    // old connections are this process's own.
+    for (const auto &use : table.Slots)
+      if (!use.Held && table.Records[use.Number].Record.Nonce == selfNonce())
+        numbers.insert(numbers.begin(), use.Number);
+    if (numbers.size() > MostTries)
+      numbers.resize(MostTries);
+    return numbers;
+  }
+
+  // The record is written before the slot is taken, so that a slot whose holder
+  // dies in between counts as lapsed and not as released.
+  bool tryClaim(const StoredRecord &seen, core::SlotNumber number,
+                const platform::LeaseId &lease) {
+    const std::string record = writeRecord({selfNonce(), false});
+    if (!tookEffect(Client.compareAndSet(recordKey(number), record,
+                                         seen.Revision, Options.CallTimeout),
+                    recordKey(number), record, std::nullopt))
+      return false;
+    const std::string text = selfText();
+    return tookEffect(
+        Client.acquire(slotKey(number), text, lease, Options.CallTimeout),
+        slotKey(number), text, lease);
+  }
+
+  /// Resolves a write whose reply was lost by reading back.
+  bool tookEffect(const core::Result<bool> &result, const std::string &key,
+                  const std::string &value,
+                  const std::optional<platform::LeaseId> &lease) {
+    if (result)
+      return *result;
+    if (result.error().Code != core::ErrorCode::OutcomeUnknown)
+      return false;
+    const auto found = Client.get(key, Options.CallTimeout);
+    return found && *found && (*found)->Value == value &&
+           (*found)->Lease == lease;
+  }
+
+  Store Client;
+  SlotKeeperOptions Options;
+  mutable std::mutex Lock;
+  std::condition_variable Wake;
+  std::thread Worker;
+  bool Stopping = false;
+  bool Rewrite = false;
+  core::SlotLease Lease;
+  // Used by the worker only.
+  core::SlotChooser Chooser;
+  core::Rng Random;
+  platform::LeaseId LeaseName;
+  core::SlotNumber Held = 0;
+};
+
+} // namespace savorytrestle::hosts
+
+#endif
--- /dev/null
+++ b/tests/unit-host-slots.cpp
@@ -0,0 +1,163 @@
+#include "hosts/HostSlotKeeper.h"
+
+#include <gtest/gtest.h>
+
+#include "FakeKvStore.h"
+
+using namespace savorytrestle;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Keeper = hosts::HostSlotKeeper<standins::FakeKvStore>;
+
+/// A store, and a clock that only the test moves.
+struct Fleet {
+  standins::FakeKvStore Store;
+  core::TimePoint Now = core::TimePoint() + 1h;
+  std::uint32_t Slots = 3;
+  bool PeersConfirm = false;
+
+  hosts::SlotKeeperOptions options(const std::string &id) {
+    hosts::SlotKeeperOptions options;
+    options.Self = {id, id + "-nonce", "Wien", "at", "127.0.0.1:1", "", false};
+    options.Slots = Slots;
+    options.Now = [this] { return Now; };
+    options.PeersConfirmOutage = [this] { return PeersConfirm; };
+    return options;
+  }
+
+  /// The lease of a slot ends, as it does when its holder is paused.
+  void lapse(core::SlotNumber slot) {
+    const auto entry = Store.get(hosts::slotKey(slot), 1s).value();
+    Store.endLease(*entry->Lease, 1s);
+  }
+};
+
+TEST(HostSlotKeeper, HostsHoldDifferentSlots) {
+  Fleet fleet;
+  Keeper a(fleet.Store, fleet.options("a"));
+  Keeper b(fleet.Store, fleet.options("b"));
+  a.step();
+  b.step();
+  ASSERT_TRUE(a.slot() && b.slot());
+  EXPECT_NE(*a.slot(), *b.slot());
+  const auto entries = fleet.Store.list(hosts::SlotPrefix, 1s).value();
+  EXPECT_EQ(hosts::readHolders(entries).size(), 2U);
+}
+
+TEST(HostSlotKeeper, ALostReplyToAClaimIsReadBack) {
+  Fleet fleet;
+  fleet.Slots = 1;
+  Keeper a(fleet.Store, fleet.options("a"));
+  fleet.Store.Faults->LoseWriteReplies = 2;
+  a.step();
+  EXPECT_TRUE(a.slot());
+}
+
+TEST(HostSlotKeeper, AClaimThatWasLostIsNotBelieved) {
+  Fleet fleet;
+  fleet.Slots = 1;
+  Keeper a(fleet.Store, fleet.options("a"));
+  fleet.Store.Faults->LoseWrites = 1;
+  a.step();
+  EXPECT_FALSE(a.slot());
+  a.step();
+  EXPECT_TRUE(a.slot());
+}
+
+TEST(HostSlotKeeper, APausedHolderStopsBeforeItAsksTheStore) {
+  Fleet fleet;
+  Keeper a(fleet.Store, fleet.options("a"));
+  a.step();
+  fleet.Now += 1min;
+  EXPECT_FALSE(a.slot());
+}
+
+TEST(HostSlotKeeper, AHolderWhoseSlotWasTakenTakesAnother) {
+  Fleet fleet;
+  fleet.Slots = 2;
+  Keeper a(fleet.Store, fleet.options("a"));
+  a.step();
+  const auto old = *a.slot();
+  fleet.lapse(old);
+  Keeper b(fleet.Store, fleet.options("b"));
+  Keeper c(fleet.Store, fleet.options("c"));
+  b.step();
+  EXPECT_NE(*b.slot(), old) << "a lapsed slot was reused without rest";
+  c.step();
+  EXPECT_EQ(*c.slot(), old);
+  b.release();
+  a.step();
+  EXPECT_FALSE(a.slot());
+  a.step();
+  ASSERT_TRUE(a.slot());
+  EXPECT_NE(*a.slot(), old);
+}
+
+TEST(HostSlotKeeper, TakesItsOwnLapsedSlotBack) {
+  Fleet fleet;
+  Keeper a(fleet.Store, fleet.options("a"));
+  a.step();
+  const auto old = *a.slot();
+  fleet.lapse(old);
+  a.step();
+  a.step();
+  EXPECT_EQ(a.slot(), old);
+}
+
+TEST(HostSlotKeeper, AReleasedSlotIsFreeAtOnce) {
+  Fleet fleet;
+  fleet.Slots = 2;
+  Keeper a(fleet.Store, fleet.options("a"));
+  Keeper b(fleet.Store, fleet.options("b"));
+  a.step();
+  b.step();
+  const auto old = *a.slot();
+  a.release();
+  EXPECT_FALSE(a.slot());
+  const auto entries = fleet.Store.list(hosts::HostsPrefix, 1s).value();
+  EXPECT_TRUE(hosts::readSlots(entries, 2).Slots[old].Released);
+  EXPECT_FALSE(hosts::readSlots(entries, 2).Slots[*b.slot()].Released);
+  Keeper c(fleet.Store, fleet.options("c"));
+  c.step();
+  EXPECT_EQ(c.slot(), old);
+}
+
+TEST(HostSlotKeeper, KeepsItsSlotInAnOutageOnlyWhilePeersConfirm) {
+  Fleet fleet;
+  Keeper a(fleet.Store, fleet.options("a"));
+  a.step();
+  fleet.Store.Faults->Outage = true;
+  fleet.PeersConfirm = true;
+  for (int n = 0; n < 60; ++n) {
+    fleet.Now += 5s;
+    a.step();
+    EXPECT_TRUE(a.slot());
+  }
+  fleet.PeersConfirm = false;
+  fleet.Now += 6s;
+  a.step();
+  EXPECT_FALSE(a.slot());
+}
+
+TEST(HostSlotKeeper, RenewalCostsOneWrite) {
+  Fleet fleet;
+  Keeper a(fleet.Store, fleet.options("a"));
+  a.step();
+  const int before = fleet.Store.Faults->Writes + fleet.Store.Faults->Reads;
+  a.step();
+  EXPECT_EQ(fleet.Store.Faults->Writes + fleet.Store.Faults->Reads, before + 1);
+}
+
+TEST(HostSlotKeeper, ADrainingHostSaysSoInItsSlot) {
+  Fleet fleet;
+  Keeper a(fleet.Store, fleet.options("a"));
+  a.step();
+  a.setDraining();
+  a.step();
+  const auto entries = fleet.Store.list(hosts::SlotPrefix, 1s).value();
+  EXPECT_TRUE(hosts::readHolders(entries).at(0).Draining);
+}
+
+} // namespace
