PeerNode: settings, slot holders and shared records spread among hosts

A few watchers per region, chosen by rendezvous hashing, hold the watches; new revisions are pushed to four peers chosen by the hash of revision and host, and every host compares itself with one random peer a second. A host that has not heard for long that the store has nothing newer looks at the store itself. A host that starts in an outage takes the settings from a peer. Ruled out: a fixed fan-out tree (a dead inner host cuts its subtree off until the next ask). Seen to fail against the fault: checksum unchecked, seeds unused in an outage, store always called down. Whole values only; parts come next.

--- /dev/null
+++ b/src/core/SpreadPolicy.cpp
@@ -0,0 +1,105 @@
+#include "savorytrestle/core/SpreadPolicy.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace savorytrestle::core {
+
+namespace {
+
+std::uint64_t weightOf(const std::string &id, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(id.data(), id.size(), seed);
+}
+
+/// Seed of the choice of watchers; any fixed value does.
+constexpr std::uint64_t WatcherSeed = 0x77617463;
+
+/// One ask in this many goes to another region, so that regions compare notes
+/// without the whole traffic crossing the expensive links.
+constexpr std::uint64_t OtherRegionEvery = 4;
+
+} // namespace
+
+bool isWatcher(const std::string &self, const std::vector<HostInfo> &live,
+               std::uint32_t perRegion) {
+  const auto me =
+      std::find_if(live.begin(), live.end(),
+                   [&](const HostInfo &host) { return host.Id == self; });
+  if (me == live.end())
+    return false;
+  const auto mine = weightOf(self, WatcherSeed);
+  const auto before =
+      std::count_if(live.begin(), live.end(), [&](const HostInfo &host) {
+        return host.Region == me->Region &&
+               weightOf(host.Id, WatcherSeed) > mine;
+      });
+  return before < static_cast<std::ptrdiff_t>(perRegion);
+}
+
+std::vector<HostInfo> pushTargets(const std::string &self,
+                                  const std::vector<HostInfo> &live,
+                                  std::uint64_t revision,
+                                  std::uint32_t fanout) {
+  const auto seed = weightOf(self, revision);
+  std::vector<std::pair<std::uint64_t, const HostInfo *>> weighted;
+  weighted.reserve(live.size());
+  for (const auto &host : live)
+    if (host.Id != self)
+      weighted.emplace_back(weightOf(host.Id, seed), &host);
+  const auto count = std::min<std::size_t>(fanout, weighted.size());
+  const auto middle = weighted.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(
+      weighted.begin(), middle, weighted.end(),
+      [](const auto &a, const auto &b) { return a.first > b.first; });
+  std::vector<HostInfo> targets;
+  targets.reserve(count);
+  for (auto it = weighted.begin(); it != middle; ++it)
+    targets.push_back(*it->second);
+  return targets;
+}
+
+std::optional<HostInfo> askTarget(const std::string &self,
+                                  const std::string &region,
+                                  const std::vector<HostInfo> &live, Rng &rng) {
+  std::vector<const HostInfo *> near;
+  std::vector<const HostInfo *> far;
+  for (const auto &host : live)
+    if (host.Id != self)
+      (host.Region == region ? near : far).push_back(&host);
+  const bool crosses = rng() % OtherRegionEvery == 0;
+  const auto &pool = near.empty() || (crosses && !far.empty()) ? far : near;
+  if (pool.empty())
+    return std::nullopt;
+  return *pool[rng() % pool.size()];
+}
+
+// Past the soft age each host looks with a chance that makes all of them
+// together look a fixed number of times a second, so the store's load does not
+// grow with the fleet. Past the hard age the host can't count on the others.
+bool StoreCheckTimer::due(Duration age, std::size_t liveHosts, TimePoint now,
+                          Rng &rng) const {
+  if (age < Timing.SoftAge || now < NotBefore)
+    return false;
+  if (age >= Timing.HardAge)
+    return true;
+  const std::chrono::duration<double> interval = Timing.AskInterval;
+  const double chance =
+      Timing.SharedChecksPerSecond * interval.count() /
+      static_cast<double>(std::max<std::size_t>(liveHosts, 1));
+  return std::uniform_real_distribution<double>()(rng) < chance;
+}
+
+void StoreCheckTimer::onChecked(bool reachable, TimePoint now, Rng &rng) {
+  const Duration least = Timing.AskInterval;
+  const Duration most = Timing.MaxBackoff;
+  Backoff = reachable ? Duration::zero()
+                      : std::min(std::max(2 * Backoff, least), most);
+  // Jitter over the second half keeps hosts that failed together apart.
+  const auto half = static_cast<std::uint64_t>(Backoff.count() / 2);
+  const auto jitter = half == 0 ? 0 : rng() % half;
+  NotBefore = now + Backoff / 2 + Duration(static_cast<Duration::rep>(jitter));
+}
+
+} // namespace savorytrestle::core
--- /dev/null
+++ b/src/hosts/StoreFeed.h
@@ -0,0 +1,78 @@
+#ifndef SAVORYTRESTLE_HOSTS_STORE_FEED_H
+#define SAVORYTRESTLE_HOSTS_STORE_FEED_H
+
+/// @file
+/// @brief What a peer node reads of the key-value service.
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "hosts/SlotKeys.h"
+#include "platform/KvStore.h"
+#include "savorytrestle/core/VersionedBlob.h"
+
+namespace savorytrestle::hosts {
+
+/// @brief Key that changes with each accepted change of the settings.
+inline const std::string ManifestKey = "settings/manifest";
+
+/// @brief State of the settings as a watch saw it.
+struct SettingsMark {
+  /// Revision of the tree; 0 when there is none yet.
+  std::uint64_t Revision = 0;
+  /// Store index to wait beyond in the next watch.
+  platform::Revision Index = 0;
+};
+
+/// @brief Reads of one thread; each thread of a node makes its own.
+struct StoreFeed {
+  /// Waits until the manifest may have changed; after 0 answers at once.
+  std::function<core::Result<SettingsMark>(platform::Revision after,
+                                           std::chrono::milliseconds wait)>
+      WatchSettings;
+  /// Reads the whole tree.
+  std::function<core::Result<core::VersionedBlob>()> ReadSettings;
+  /// Waits until a slot may have changed hands; after 0 answers at once.
+  std::function<core::Result<platform::WatchResult>(
+      platform::Revision after, std::chrono::milliseconds wait)>
+      WatchSlots;
+};
+
+/// @brief Makes a feed over a client of the store.
+/// @tparam Store type of the client
+/// @tparam ReadTree callable as Result<VersionedBlob>(Store &)
+/// @tparam RevisionOf callable as uint64_t(const std::string &manifest)
+/// @param store client that only this feed uses
+/// @param readTree reads the whole tree
+/// @param revisionOf reads the revision out of the manifest's value
+/// @return the feed
+template <platform::KvStore Store, typename ReadTree, typename RevisionOf>
+StoreFeed makeStoreFeed(std::shared_ptr<Store> store, ReadTree readTree,
+                        RevisionOf revisionOf) {
+  StoreFeed feed;
+  feed.WatchSettings =
+      [store, revisionOf](
+          platform::Revision after,
+          std::chrono::milliseconds wait) -> core::Result<SettingsMark> {
+    auto seen = store->watch(ManifestKey, after, wait);
+    if (!seen)
+      return tl::unexpected(seen.error());
+    SettingsMark mark{0, seen->Index};
+    for (const auto &entry : seen->Entries)
+      if (entry.Key == ManifestKey)
+        mark.Revision = revisionOf(entry.Value);
+    return mark;
+  };
+  feed.ReadSettings = [store, readTree] { return readTree(*store); };
+  feed.WatchSlots = [store](platform::Revision after,
+                            std::chrono::milliseconds wait) {
+    return store->watch(SlotPrefix, after, wait);
+  };
+  return feed;
+}
+
+} // namespace savorytrestle::hosts
+
+#endif
--- /dev/null
+++ b/tests/unit-peer-node.cpp
@@ -0,0 +1,282 @@
+#include "hosts/PeerNode.h"
+
+#include <atomic>
+#include <future>
+#include <set>
+#include <thread>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "FakeKvStore.h"
+#include "hosts/HostSlotKeeper.h"
+
+using namespace savorytrestle;
+using namespace std::chrono_literals;
+
+namespace {
+
+using nlohmann::json;
+
+core::Result<core::VersionedBlob> readTree(standins::FakeKvStore &store) {
+  const auto entry = store.get(hosts::ManifestKey, 1s);
+  if (!entry)
+    return tl::unexpected(entry.error());
+  if (!*entry)
+    return core::VersionedBlob{};
+  return core::makeBlob(std::stoull((*entry)->Value), (*entry)->Value);
+}
+
+/// One host with its listener; settings are the text of their revision.
+class Node {
+public:
+  Node(const standins::FakeKvStore &store, const std::string &id,
+       const std::string &region, std::vector<core::HostInfo> seeds = {})
+      : Store(store), Known(std::move(seeds)) {
+    support::HttpServerOptions options;
+    options.Listen = "127.0.0.1:0";
+    Server = std::move(*support::HttpServer::start(
+        options, [this](const support::HttpRequest &request) {
+          return Up ? Peer->handle(request)
+                    : support::HttpResponse{503, "", "", {}, false};
+        }));
+    Self = {id,
+            id + "-nonce",
+            region + "-1",
+            region,
+            "127.0.0.1:" + std::to_string(Server->port()),
+            "",
+            false};
+    hosts::PeerOptions peer;
+    peer.Self = Self;
+    peer.Timing.AskInterval = 50ms;
+    peer.Timing.WatchWait = 100ms;
+    peer.Seed = std::hash<std::string>()(id);
+    Peer = std::make_unique<hosts::PeerNode>(peer, callbacks());
+    Up = true;
+  }
+  ~Node() {
+    Up = false;
+    Server.reset();
+    Peer.reset();
+  }
+
+  void claimSlot() {
+    hosts::SlotKeeperOptions options;
+    options.Self = Self;
+    options.Slots = 8;
+    Keeper = std::make_unique<hosts::HostSlotKeeper<standins::FakeKvStore>>(
+        Store, options);
+    Keeper->step();
+  }
+
+  std::uint64_t revision() {
+    const std::lock_guard guard(Lock);
+    return Blob.Revision;
+  }
+
+  bool reverted() const { return Reverted; }
+
+  void addRecord(const std::string &record) {
+    {
+      const std::lock_guard guard(Lock);
+      Records.insert(record);
+    }
+    Peer->publishRecords();
+  }
+
+  std::size_t recordCount() {
+    const std::lock_guard guard(Lock);
+    return Records.size();
+  }
+
+  core::HostInfo Self;
+  std::unique_ptr<hosts::PeerNode> Peer;
+
+private:
+  hosts::PeerCallbacks callbacks() {
+    hosts::PeerCallbacks use;
+    use.CurrentBlob = [this] {
+      const std::lock_guard guard(Lock);
+      return Blob;
+    };
+    use.OfferBlob = [this](const core::VersionedBlob &blob) {
+      return offer(blob);
+    };
+    use.LocalRecords = [this] {
+      const std::lock_guard guard(Lock);
+      return json(Records).dump();
+    };
+    use.MergeRecords = [this](const std::string &text) {
+      const json parsed = json::parse(text, nullptr, false);
+      const std::lock_guard guard(Lock);
+      if (parsed.is_array())
+        Records.merge(parsed.get<std::set<std::string>>());
+    };
+    use.MakeFeed = [this] {
+      return hosts::makeStoreFeed(
+          std::make_shared<standins::FakeKvStore>(Store), readTree,
+          [](const std::string &text) { return std::stoull(text); });
+    };
+    use.Seeds = [this] { return Known; };
+    return use;
+  }
+
+  bool offer(const core::VersionedBlob &blob) {
+    const std::lock_guard guard(Lock);
+    if (blob.Revision <= Blob.Revision)
+      return false;
+    Reverted = Reverted || blob.Payload != std::to_string(blob.Revision);
+    Blob = blob;
+    return true;
+  }
+
+  standins::FakeKvStore Store;
+  std::vector<core::HostInfo> Known;
+  std::atomic<bool> Up{false};
+  std::atomic<bool> Reverted{false};
+  std::mutex Lock;
+  core::VersionedBlob Blob;
+  std::set<std::string> Records;
+  std::unique_ptr<hosts::HostSlotKeeper<standins::FakeKvStore>> Keeper;
+  std::unique_ptr<support::HttpServer> Server;
+};
+
+/// Waits for a condition that other threads bring about; the cap only ends a
+/// test that has failed.
+template <typename F> bool eventually(F condition) {
+  for (int n = 0; n < 2000; ++n) {
+    if (condition())
+      return true;
+    std::this_thread::sleep_for(10ms);
+  }
+  return false;
+}
+
+class PeerNodes : public testing::Test {
+protected:
+  void startNodes(int count) {
+    for (int n = 0; n < count; ++n) {
+      Nodes.push_back(std::make_unique<Node>(Store, "h" + std::to_string(n),
+                                             n % 2 == 0 ? "east" : "west"));
+      Nodes.back()->claimSlot();
+    }
+    for (auto &node : Nodes)
+      node->Peer->start();
+  }
+
+  void TearDown() override {
+    for (auto &node : Nodes)
+      node->Peer->stop();
+    for (const auto &node : Nodes)
+      EXPECT_FALSE(node->reverted());
+    // A listener takes a second to stop.
+    std::vector<std::future<void>> stops;
+    for (auto &node : Nodes)
+      stops.push_back(
+          std::async(std::launch::async, [&node] { node.reset(); }));
+  }
+
+  void setSettings(std::uint64_t revision) {
+    const auto entry = Store.get(hosts::ManifestKey, 1s).value();
+    Store.compareAndSet(hosts::ManifestKey, std::to_string(revision),
+                        entry ? entry->ModifyRevision : platform::NoEntry, 1s);
+  }
+
+  bool allAt(std::uint64_t revision) {
+    return eventually([&] {
+      for (auto &node : Nodes)
+        if (node->revision() != revision)
+          return false;
+      return true;
+    });
+  }
+
+  standins::FakeKvStore Store;
+  std::vector<std::unique_ptr<Node>> Nodes;
+};
+
+TEST_F(PeerNodes, AChangeReachesEveryHost) {
+  setSettings(1);
+  startNodes(6);
+  EXPECT_TRUE(allAt(1));
+  EXPECT_TRUE(eventually([&] { return Nodes[0]->Peer->live().size() == 6; }));
+  setSettings(2);
+  EXPECT_TRUE(allAt(2));
+}
+
+TEST_F(PeerNodes, AHostThatStartsInAnOutageTakesSettingsFromAPeer) {
+  setSettings(3);
+  startNodes(2);
+  ASSERT_TRUE(allAt(3));
+  Store.Faults->Outage = true;
+  Nodes.push_back(std::make_unique<Node>(
+      Store, "late", "east", std::vector<core::HostInfo>{Nodes[0]->Self}));
+  EXPECT_FALSE(Nodes.back()->Peer->ready());
+  Nodes.back()->Peer->start();
+  EXPECT_TRUE(allAt(3));
+  EXPECT_TRUE(Nodes.back()->Peer->ready());
+}
+
+TEST_F(PeerNodes, AnOutageIsConfirmedByPeersAndOnlyThen) {
+  setSettings(1);
+  startNodes(3);
+  ASSERT_TRUE(allAt(1));
+  // Each host has told the first one of its calls to the store.
+  ASSERT_TRUE(
+      eventually([&] { return Nodes[1]->Peer->statusOfAll().size() == 3; }));
+  EXPECT_FALSE(Nodes[0]->Peer->peersConfirmOutage());
+  Store.Faults->Outage = true;
+  EXPECT_TRUE(eventually([&] { return Nodes[0]->Peer->peersConfirmOutage(); }));
+}
+
+TEST_F(PeerNodes, SharedRecordsReachEveryHost) {
+  setSettings(1);
+  startNodes(5);
+  ASSERT_TRUE(allAt(1));
+  Nodes[0]->addRecord("a");
+  Nodes[4]->addRecord("b");
+  EXPECT_TRUE(eventually([&] {
+    for (auto &node : Nodes)
+      if (node->recordCount() != 2)
+        return false;
+    return true;
+  }));
+}
+
+TEST_F(PeerNodes, ABlobWithAWrongChecksumOrAnOldRevisionIsRefused) {
+  setSettings(5);
+  startNodes(1);
+  ASSERT_TRUE(allAt(5));
+  const auto push = [&](core::VersionedBlob blob) {
+    support::HttpRequest request;
+    request.Method = "POST";
+    request.Path = "/rpc";
+    request.Body = R"({"jsonrpc":"2.0","id":1,"method":"push","params":)" +
+                   hosts::writeBlob({hosts::Topic::Settings, std::move(blob)}) +
+                   "}";
+    return Nodes[0]->Peer->handle(request).Body;
+  };
+  auto broken = core::makeBlob(6, "6");
+  broken.Payload = "7";
+  push(broken);
+  EXPECT_EQ(Nodes[0]->revision(), 5U);
+  push(core::makeBlob(4, "4"));
+  EXPECT_EQ(Nodes[0]->revision(), 5U);
+  push(core::makeBlob(6, "6"));
+  EXPECT_EQ(Nodes[0]->revision(), 6U);
+}
+
+TEST_F(PeerNodes, StatusNamesTheRevisionOnEachHost) {
+  setSettings(2);
+  startNodes(3);
+  ASSERT_TRUE(allAt(2));
+  EXPECT_TRUE(eventually([&] {
+    int current = 0;
+    for (const auto &status : Nodes[1]->Peer->statusOfAll())
+      current += status.State && status.State->SettingsRevision == 2;
+    return current == 3;
+  }));
+}
+
+} // namespace
