--- /dev/null
+++ b/src/backend/FanOutLoop.cpp
@@ -0,0 +1,75 @@
+#include "backend/FanOutLoop.h"
+
+#include <algorithm>
+
+namespace savorytrestle::backend {
+
+using std::chrono::milliseconds;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr milliseconds LongestWait{50};
+
+} // namespace
+
+FanOutLoop::FanOutLoop(const LeafTransportOptions &options,
+                       std::size_t ringSize, std::uint64_t seed)
+    : RingSize(ringSize), Ring(ringSize), Calls(options), Random(seed),
+      Thread([this] { run(); }) {}
+
+FanOutLoop::~FanOutLoop() { stop(); }
+
+bool FanOutLoop::post(Task task) {
+  // The queue's own capacity is rounded up to whole blocks, so the bound is
+  // kept by this count.
+  if (Waiting.fetch_add(1) >= RingSize || !Ring.enqueue(std::move(task))) {
+    --Waiting;
+    return false;
+  }
+  Calls.wake();
+  return true;
+}
+
+void FanOutLoop::stop() {
+  Stopping = true;
+  Calls.wake();
+  if (Thread.joinable())
+    Thread.join();
+}
+
+void FanOutLoop::callAt(core::TimePoint when, Task task) {
+  Timers.emplace(when, std::move(task));
+}
+
+void FanOutLoop::run() {
+  while (!Stopping) {
+    runTasks();
+    const auto wait = runTimers();
+    Calls.turn(wait);
+  }
+}
+
+void FanOutLoop::runTasks() {
+  Task task;
+  while (Ring.try_dequeue(task)) {
+    --Waiting;
+    task();
+  }
+}
+
+milliseconds FanOutLoop::runTimers() {
+  const auto now = SteadyClock::now();
+  while (!Timers.empty() && Timers.begin()->first <= now) {
+    const Task task = std::move(Timers.begin()->second);
+    Timers.erase(Timers.begin());
+    task();
+  }
+  if (Timers.empty())
+    return LongestWait;
+  const auto left = std::chrono::ceil<milliseconds>(Timers.begin()->first -
+                                                    SteadyClock::now());
+  return std::clamp(left, milliseconds(0), LongestWait);
+}
+
+} // namespace savorytrestle::backend
--- /dev/null
+++ b/src/backend/FanOutLoop.h
@@ -0,0 +1,75 @@
+#ifndef SAVORYTRESTLE_BACKEND_FAN_OUT_LOOP_H
+#define SAVORYTRESTLE_BACKEND_FAN_OUT_LOOP_H
+
+/// @file
+/// @brief The thread that owns all calls to leaves, and its timers.
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <thread>
+
+#include <concurrentqueue/concurrentqueue.h>
+
+#include "backend/LeafTransport.h"
+#include "savorytrestle/core/SearchTypes.h"
+
+namespace savorytrestle::backend {
+
+/// @brief Runs tasks, timers and leaf calls on one thread.
+///
+/// Other threads hand work in through a bounded ring; a full ring refuses.
+class FanOutLoop {
+public:
+  /// @brief Work to run on the loop's thread.
+  using Task = std::function<void()>;
+
+  /// @brief Starts the thread.
+  /// @param options limits of the transport
+  /// @param ringSize tasks that may wait at once
+  /// @param seed seed of the loop's random source
+  FanOutLoop(const LeafTransportOptions &options, std::size_t ringSize,
+             std::uint64_t seed);
+  FanOutLoop(const FanOutLoop &) = delete;
+  FanOutLoop &operator=(const FanOutLoop &) = delete;
+  ~FanOutLoop();
+
+  /// @brief Hands a task to the loop; safe from any thread.
+  /// @param task runs on the loop's thread
+  /// @return false when the ring is full: the task won't run
+  bool post(Task task);
+
+  /// @brief Stops the thread; running calls are dropped.
+  void stop();
+
+  /// @brief Runs a task at a time; loop thread only.
+  /// @param when not before this
+  /// @param task what to run
+  void callAt(core::TimePoint when, Task task);
+
+  /// @brief The calls; loop thread only.
+  /// @return the transport
+  LeafTransport &transport() { return Calls; }
+
+  /// @brief The random source; loop thread only.
+  /// @return the source
+  core::Rng &rng() { return Random; }
+
+private:
+  void run();
+  void runTasks();
+  std::chrono::milliseconds runTimers();
+
+  const std::size_t RingSize;
+  moodycamel::ConcurrentQueue<Task> Ring;
+  std::atomic<std::size_t> Waiting{0};
+  std::atomic<bool> Stopping{false};
+  LeafTransport Calls;
+  std::multimap<core::TimePoint, Task> Timers;
+  core::Rng Random;
+  std::thread Thread;
+};
+
+} // namespace savorytrestle::backend
+
+#endif
--- /dev/null
+++ b/src/backend/LeafEngine.h
@@ -0,0 +1,76 @@
+#ifndef SAVORYTRESTLE_BACKEND_LEAF_ENGINE_H
+#define SAVORYTRESTLE_BACKEND_LEAF_ENGINE_H
+
+/// @file
+/// @brief Runs searches and writes against the leaves of all services.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "backend/ServiceRuntime.h"
+#include "savorytrestle/core/Error.h"
+#include "support/Metrics.h"
+
+namespace savorytrestle::backend {
+
+/// @brief One search to run.
+struct SearchJob {
+  std::string RequestId;
+  core::RouteSettings Route;
+  /// The query as JSON text.
+  std::string Query;
+  /// When the answer is due.
+  core::TimePoint Deadline;
+};
+
+/// @brief One write to send.
+struct WriteJob {
+  std::string RequestId;
+  core::RouteSettings Route;
+  /// Idempotency key; empty when the caller gave none.
+  std::string Key;
+  /// The body as JSON text.
+  std::string Body;
+  core::TimePoint Deadline;
+};
+
+/// @brief Hands searches and writes to the fan-out thread; thread-safe.
+class LeafEngine {
+public:
+  using SearchDone = std::function<void(core::Result<core::SearchAnswer>)>;
+  /// The leaf's result as JSON text; an error says whether the write ran.
+  using WriteDone = std::function<void(core::Result<std::string>)>;
+
+  /// @brief Makes an engine without services.
+  /// @param loop the fan-out thread; must outlive the engine
+  /// @param metrics takes the counts; must outlive the loop's thread
+  LeafEngine(FanOutLoop &loop, support::Metrics &metrics);
+
+  /// @brief Takes new settings over; running searches keep the old ones.
+  /// @param routes settings in force
+  void apply(std::shared_ptr<const core::RouteTable> routes);
+
+  /// @brief Runs a search.
+  /// @param job the search
+  /// @param done takes the answer on the fan-out thread, once
+  /// @return Overloaded when the ring is full; done isn't called then
+  core::Result<void> search(SearchJob job, SearchDone done);
+
+  /// @brief Sends a write to one leaf, once, over a connection of its own.
+  /// @param job the write
+  /// @param done takes the outcome on the fan-out thread, once
+  /// @return Overloaded when the ring is full; nothing was sent then
+  core::Result<void> write(WriteJob job, WriteDone done);
+
+private:
+  struct State;
+
+  FanOutLoop &Loop;
+  std::shared_ptr<State> Shared;
+};
+
+} // namespace savorytrestle::backend
+
+#endif
--- /dev/null
+++ b/src/backend/LeafProtocol.h
@@ -0,0 +1,96 @@
+#ifndef SAVORYTRESTLE_BACKEND_LEAF_PROTOCOL_H
+#define SAVORYTRESTLE_BACKEND_LEAF_PROTOCOL_H
+
+/// @file
+/// @brief Messages of the backend servers' HTTP/JSON interface.
+///
+/// POST /v1/search, POST /v1/write, POST /v1/cancel and GET /v1/status; see
+/// docs/BACKEND.md for the bodies.
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "savorytrestle/core/SearchTypes.h"
+
+namespace savorytrestle::backend {
+
+/// @brief A sub-request of a search.
+struct SearchMessage {
+  std::string RequestId;
+  core::AttemptId Attempt = 0;
+  core::IndexVersion Version = 0;
+  core::ShardIndex Shard = 0;
+  /// The caller's query as JSON text, passed through unread.
+  std::string Query;
+  /// What is left for the leaf.
+  std::chrono::milliseconds Deadline{};
+};
+
+/// @brief A filing or renewal.
+struct WriteMessage {
+  std::string RequestId;
+  /// The caller's idempotency key; empty when it gave none.
+  std::string Key;
+  /// The caller's body as JSON text.
+  std::string Body;
+  std::chrono::milliseconds Deadline{};
+};
+
+/// @brief Version and shard that a leaf serves.
+struct LeafIndexStatus {
+  core::IndexVersion Version = 0;
+  core::ShardIndex Shard = 0;
+  std::uint32_t ShardCount = 0;
+};
+
+/// @brief A leaf's answer to GET /v1/status.
+struct LeafStatus {
+  bool Draining = false;
+  core::LoadReport Load;
+  std::vector<LeafIndexStatus> Indexes;
+};
+
+/// @brief Body of POST /v1/search.
+/// @param message the sub-request
+/// @return JSON text
+std::string encode(const SearchMessage &message);
+
+/// @brief Body of POST /v1/write.
+/// @param message the write
+/// @return JSON text
+std::string encode(const WriteMessage &message);
+
+/// @brief Body of POST /v1/cancel.
+/// @param requestId the request
+/// @param attempt its attempt
+/// @return JSON text
+std::string encodeCancel(const std::string &requestId, core::AttemptId attempt);
+
+/// @brief A search reply, or why the attempt failed.
+using SearchOutcome = tl::expected<core::LeafReply, core::AttemptFailure>;
+
+/// @brief Reads a reply to POST /v1/search.
+/// @param status HTTP status
+/// @param body HTTP body
+/// @param requestId the request this reply must name
+/// @return the reply; Malformed when it is broken or belongs to another request
+SearchOutcome decodeSearch(int status, const std::string &body,
+                           const std::string &requestId);
+
+/// @brief Why a leaf refused, from the status and body of a reply.
+/// @param status HTTP status, not 200
+/// @param body HTTP body
+/// @return Shed, Draining, WrongVersion or Malformed
+core::AttemptFailure decodeRefusal(int status, const std::string &body);
+
+/// @brief Reads a reply to GET /v1/status.
+/// @param body HTTP body
+/// @return the status, or nothing when it is broken
+std::optional<LeafStatus> decodeStatus(const std::string &body);
+
+} // namespace savorytrestle::backend
+
+#endif
--- /dev/null
+++ b/src/backend/SearchSession.h
@@ -0,0 +1,195 @@
+#ifndef SAVORYTRESTLE_BACKEND_SEARCH_SESSION_H
+#define SAVORYTRESTLE_BACKEND_SEARCH_SESSION_H
+
+/// @file
+/// @brief Carries out the actions of a search policy on the fan-out loop.
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "backend/FanOutLoop.h"
+#include "backend/LeafProtocol.h"
+#include "savorytrestle/core/RouteSettings.h"
+
+namespace savorytrestle::backend {
+
+/// @brief What a session needs to know about its search.
+struct SearchContext {
+  std::string RequestId;
+  /// The caller's query as JSON text.
+  std::string Query;
+  std::shared_ptr<const core::ServiceSettings> Service;
+};
+
+/// @brief Observes how attempts end; called on the loop's thread.
+struct AttemptEvent {
+  core::LeafIndex Leaf = 0;
+  /// Nothing when the leaf answered.
+  std::optional<core::AttemptFailure> Failure;
+  core::Duration Latency{};
+};
+
+/// @brief One running search; keeps itself alive through the callbacks of its
+/// calls and timers. Loop thread only.
+template <core::SearchPolicy P>
+class SearchSession : public std::enable_shared_from_this<SearchSession<P>> {
+public:
+  using Done = std::function<void(core::SearchAnswer)>;
+  using Observer = std::function<void(const AttemptEvent &)>;
+
+  /// @brief Prepares a session; call @ref start next.
+  /// @param policy decides what is sent
+  /// @param context the search
+  /// @param loop runs the calls; must outlive the session
+  /// @param observer told how each attempt ended
+  /// @param done takes the answer, once
+  SearchSession(P policy, SearchContext context, FanOutLoop &loop,
+                Observer observer, Done done)
+      : Policy(std::move(policy)), Context(std::move(context)), Loop(loop),
+        Observe(std::move(observer)), OnDone(std::move(done)) {}
+
+  /// @brief Sends the first attempts.
+  void start() {
+    const auto now = std::chrono::steady_clock::now();
+    apply(Policy.start(now, Loop.rng()), now);
+  }
+
+private:
+  struct Attempt {
+    core::LeafIndex Leaf = 0;
+    CallId Call = 0;
+  };
+
+  void apply(std::vector<core::SearchAction> actions, core::TimePoint now) {
+    for (auto &action : actions)
+      std::visit([&](auto &item) { carryOut(item, now); }, action);
+    if (!Finished)
+      armTimer();
+  }
+
+  void carryOut(const core::SendAttempt &attempt, core::TimePoint now) {
+    SearchMessage message;
+    message.RequestId = Context.RequestId;
+    message.Attempt = attempt.Id;
+    message.Version = attempt.Version;
+    message.Shard = attempt.Shard;
+    message.Query = Context.Query;
+    message.Deadline = std::chrono::duration_cast<std::chrono::milliseconds>(
+        attempt.Deadline - now);
+    LeafCall call;
+    call.Url = leafUrl(attempt.Leaf, "/v1/search");
+    call.Body = encode(message);
+    call.Deadline = attempt.Deadline;
+    auto self = this->shared_from_this();
+    const auto id = attempt.Id;
+    const CallId callId = Loop.transport().send(
+        std::move(call), now, [self, id](LeafCallResult result) {
+          self->onResult(id, std::move(result));
+        });
+    Attempts[id] = {attempt.Leaf, callId};
+  }
+
+  // The call itself runs on: the leaf answers it as soon as it has seen the
+  // cancel, and the connection, which is dear to open, stays usable.
+  void carryOut(const core::CancelAttempt &cancel, core::TimePoint now) {
+    const auto it = Attempts.find(cancel.Id);
+    if (it == Attempts.end())
+      return;
+    LeafCall call;
+    call.Url = leafUrl(it->second.Leaf, "/v1/cancel");
+    call.Body = encodeCancel(Context.RequestId, cancel.Id);
+    call.Deadline = now + CancelTime;
+    Attempts.erase(it);
+    Loop.transport().send(std::move(call), now, [](const LeafCallResult &) {});
+  }
+
+  void carryOut(const core::FinishSearch & /*finish*/,
+                core::TimePoint /*now*/) {
+    if (Finished)
+      return;
+    Finished = true;
+    OnDone(Policy.takeAnswer());
+  }
+
+  void onResult(core::AttemptId id, LeafCallResult result) {
+    const auto it = Attempts.find(id);
+    if (it == Attempts.end())
+      return; // Cancelled; whatever came back is of no use.
+    const core::LeafIndex leaf = it->second.Leaf;
+    Attempts.erase(it);
+    const auto now = std::chrono::steady_clock::now();
+    SearchOutcome outcome =
+        result.Failure
+            ? SearchOutcome(tl::unexpected(toAttemptFailure(*result.Failure)))
+            : decodeSearch(result.Status, result.Body, Context.RequestId);
+    AttemptEvent event{leaf, {}, result.Latency};
+    if (!outcome)
+      event.Failure = outcome.error();
+    Observe(event);
+    if (Finished)
+      return;
+    // The policy answers for the attempt that this connection carried, so a
+    // reply that names another one is handed on under its own claim and fails
+    // the policy's check.
+    if (outcome && outcome->Id == id)
+      apply(Policy.onReply(std::move(*outcome), now, Loop.rng()), now);
+    else
+      apply(Policy.onFailure(
+                id, outcome ? core::AttemptFailure::Malformed : outcome.error(),
+                now, Loop.rng()),
+            now);
+  }
+
+  static core::AttemptFailure toAttemptFailure(CallFailure failure) {
+    switch (failure) {
+    case CallFailure::NotSent:
+      return core::AttemptFailure::Refused;
+    case CallFailure::Broken:
+      return core::AttemptFailure::Broken;
+    case CallFailure::Expired:
+      break;
+    }
+    return core::AttemptFailure::Expired;
+  }
+
+  void armTimer() {
+    const auto when = Policy.nextTimer();
+    if (!when || (Armed && *Armed <= *when))
+      return;
+    Armed = when;
+    // Strong on purpose: with no call running, the timer is all that keeps a
+    // search alive that still owes its answer.
+    auto self = this->shared_from_this();
+    Loop.callAt(*when, [self, when] { self->onTimer(*when); });
+  }
+
+  void onTimer(core::TimePoint when) {
+    if (Armed == when)
+      Armed.reset();
+    if (Finished)
+      return;
+    const auto now = std::chrono::steady_clock::now();
+    apply(Policy.onTimer(now, Loop.rng()), now);
+  }
+
+  std::string leafUrl(core::LeafIndex leaf, const char *path) const {
+    return "http://" + Context.Service->Leaves[leaf].Address + path;
+  }
+
+  static constexpr std::chrono::milliseconds CancelTime{1000};
+
+  P Policy;
+  const SearchContext Context;
+  FanOutLoop &Loop;
+  Observer Observe;
+  Done OnDone;
+  std::unordered_map<core::AttemptId, Attempt> Attempts;
+  std::optional<core::TimePoint> Armed;
+  bool Finished = false;
+};
+
+} // namespace savorytrestle::backend
+
+#endif
--- /dev/null
+++ b/src/caller/CallerApi.h
@@ -0,0 +1,95 @@
+#ifndef SAVORYTRESTLE_CALLER_CALLER_API_H
+#define SAVORYTRESTLE_CALLER_CALLER_API_H
+
+/// @file
+/// @brief The HTTP/JSON interface that callers use.
+///
+/// POST /v1/WORKSPACE/ROUTE with a JSON object as body and the header
+/// Deadline-Ms; see docs/CALLERS.md.
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "savorytrestle/core/RouteSettings.h"
+#include "savorytrestle/core/SearchTypes.h"
+#include "support/HttpServer.h"
+#include "support/Metrics.h"
+
+namespace savorytrestle::caller {
+
+/// @brief A checked caller request.
+struct CallerRequest {
+  std::string RequestId;
+  std::string Workspace;
+  core::RouteSettings Route;
+  /// The body as compact JSON text.
+  std::string Body;
+  /// Idempotency key of a write, if the caller gave one.
+  std::optional<std::string> Key;
+  core::TimePoint Received;
+  core::TimePoint Deadline;
+};
+
+/// @brief A write's outcome.
+struct WriteAnswer {
+  core::RunState Run = core::RunState::Ran;
+  /// The backend server's result as JSON text.
+  std::string Result;
+  /// Whether the outcome was recorded by an earlier request with the same key.
+  bool Replayed = false;
+};
+
+/// @brief What the interface needs of the process behind it; every function
+/// blocks the calling worker until the outcome is known or the deadline passed.
+struct CallerBackend {
+  std::function<std::shared_ptr<const core::RouteTable>()> Routes;
+  std::function<core::Result<core::SearchAnswer>(const CallerRequest &)> Search;
+  std::function<core::Result<WriteAnswer>(const CallerRequest &)> Write;
+  std::function<bool()> Ready;
+  std::function<bool()> Draining;
+};
+
+/// @brief Checks, runs and answers caller requests; thread-safe.
+class CallerApi {
+public:
+  /// @brief Makes the interface.
+  /// @param backend runs the requests
+  /// @param metrics takes the counts; must outlive the interface
+  CallerApi(CallerBackend backend, support::Metrics &metrics);
+
+  /// @brief Answers one HTTP request.
+  /// @param request the request
+  /// @return the response; every refusal has a typed body
+  support::HttpResponse handle(const support::HttpRequest &request);
+
+private:
+  support::HttpResponse health(const std::string &path) const;
+  support::HttpResponse run(const CallerRequest &request);
+  support::HttpResponse runSearch(const CallerRequest &request);
+  support::HttpResponse runWrite(const CallerRequest &request);
+
+  CallerBackend Backend;
+  support::Metrics &Counts;
+};
+
+/// @brief Checks a request against the settings in force.
+/// @param request the HTTP request
+/// @param routes settings in force
+/// @param now current time
+/// @return the checked request, or the refusal
+core::Result<CallerRequest> checkRequest(const support::HttpRequest &request,
+                                         const core::RouteTable &routes,
+                                         core::TimePoint now);
+
+/// @brief The response for an error.
+/// @param error the error
+/// @param requestId id of the request; may be empty
+/// @return status, typed body and Retry-After
+support::HttpResponse errorResponse(const core::Error &error,
+                                    const std::string &requestId);
+
+} // namespace savorytrestle::caller
+
+#endif
--- /dev/null
+++ b/src/serve/Host.h
@@ -0,0 +1,60 @@
+#ifndef SAVORYTRESTLE_SERVE_HOST_H
+#define SAVORYTRESTLE_SERVE_HOST_H
+
+/// @file
+/// @brief One entry host: assembles the packages and runs until it is stopped.
+
+#include <atomic>
+#include <memory>
+
+#include "backend/FanOutLoop.h"
+#include "backend/LeafEngine.h"
+#include "caller/CallerApi.h"
+#include "serve/HostConfig.h"
+#include "support/HttpServer.h"
+#include "support/Metrics.h"
+
+namespace savorytrestle::serve {
+
+/// @brief A running entry host.
+class Host {
+public:
+  /// @brief Starts every thread and listener of a host.
+  /// @param config its settings
+  /// @return the running host, or why it could not start
+  static core::Result<std::unique_ptr<Host>> start(const HostConfig &config);
+
+  Host(const Host &) = delete;
+  Host &operator=(const Host &) = delete;
+  ~Host();
+
+  /// @brief Graceful shutdown: reports not ready, refuses new requests, waits
+  /// for those in flight up to the drain time, then stops.
+  /// @return true when nothing was left running
+  bool drain();
+
+private:
+  explicit Host(const HostConfig &config);
+
+  core::Result<void> listen();
+  caller::CallerBackend backend();
+  core::Result<core::SearchAnswer> search(const caller::CallerRequest &request);
+  core::Result<caller::WriteAnswer> write(const caller::CallerRequest &request);
+  support::HttpResponse operatorRequest(const support::HttpRequest &request);
+  void publish(std::shared_ptr<const core::RouteTable> routes);
+
+  const HostConfig Config;
+  support::Metrics Counts;
+  backend::FanOutLoop Loop;
+  backend::LeafEngine Engine;
+  caller::CallerApi Callers;
+  std::shared_ptr<const core::RouteTable> Routes;
+  std::atomic<bool> Draining{false};
+  std::atomic<unsigned> InFlight{0};
+  std::unique_ptr<support::HttpServer> CallerListener;
+  std::unique_ptr<support::HttpServer> OperatorListener;
+};
+
+} // namespace savorytrestle::serve
+
+#endif
--- /dev/null
+++ b/src/serve/HostConfig.cpp
@@ -0,0 +1,84 @@
+#include "serve/HostConfig.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <absl/strings/str_join.h>
+
+#include "support/YamlReader.h"
+
+namespace savorytrestle::serve {
+
+using core::ErrorCode;
+using core::makeError;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+
+namespace {
+
+HostConfig readHost(support::YamlMap root) {
+  HostConfig config;
+  auto host = root.map("host");
+  config.Id = host.requiredText("id");
+  config.FailureDomain = host.requiredText("failure_domain");
+  config.Region = host.requiredText("region");
+  host.refuseOthers();
+  auto listen = root.map("listen");
+  config.Callers = listen.address("callers", "");
+  config.Operators = listen.address("operators", "");
+  config.Peers = listen.address("peers", "");
+  listen.refuseOthers();
+  auto platform = root.map("platform");
+  config.Store = platform.address("store", "");
+  config.HostList = platform.text("host_list", "");
+  platform.refuseOthers();
+  auto limits = root.map("limits");
+  config.CallerThreads =
+      static_cast<unsigned>(limits.number("caller_threads", 64, 1, 4096));
+  config.FanOutRing =
+      static_cast<std::size_t>(limits.number("fan_out_ring", 1024, 1, 1 << 20));
+  config.DrainTime = limits.duration("drain_time", config.DrainTime,
+                                     milliseconds(0), minutes(5));
+  limits.refuseOthers();
+  auto slots = root.map("host_slots");
+  config.MaxHosts = static_cast<unsigned>(slots.number("hosts", 7, 1, 2000));
+  config.SpareHosts = static_cast<unsigned>(slots.number("spare", 1, 0, 200));
+  slots.refuseOthers();
+  auto operators = root.map("operators");
+  config.RootTokenHash = operators.text("root_token_hash", "");
+  operators.refuseOthers();
+  const auto policy = root.word("search_policy", {"tail_aware", "baseline"});
+  config.Policy = policy == "baseline" ? SearchPolicyKind::Baseline
+                                       : SearchPolicyKind::TailAware;
+  root.refuseOthers();
+  return config;
+}
+
+} // namespace
+
+core::Result<HostConfig> parseHostConfig(const std::string &text,
+                                         const std::string &file) {
+  support::YamlFaults faults{file, {}};
+  HostConfig config;
+  try {
+    config = readHost({YAML::Load(text), "", faults});
+  } catch (const YAML::Exception &ex) {
+    faults.Messages.push_back(file + ":" + std::to_string(ex.mark.line + 1) +
+                              ": " + ex.msg);
+  }
+  if (!faults.Messages.empty())
+    return makeError(ErrorCode::InvalidSettings,
+                     absl::StrJoin(faults.Messages, "\n"));
+  return config;
+}
+
+core::Result<HostConfig> loadHostConfig(const std::string &path) {
+  std::ifstream file(path);
+  if (!file)
+    return makeError(ErrorCode::NotFound, path + ": cannot be read");
+  std::stringstream buf;
+  buf << file.rdbuf();
+  return parseHostConfig(buf.str(), path);
+}
+
+} // namespace savorytrestle::serve
--- a/src/support/HttpServer.cpp
+++ b/src/support/HttpServer.cpp
@@ -71,6 +71,19 @@
   mg_context *Context = nullptr;
 
   static int onRequest(mg_connection *connection, void *data);
+  static void countConnection(const mg_connection *connection, int change) {
+    const auto *self =
+        static_cast<const Impl *>(mg_get_user_data(mg_get_context(connection)));
+    if (self->Options.OnConnection)
+      self->Options.OnConnection(change);
+  }
+  static int onOpen(const mg_connection *connection, void ** /*data*/) {
+    countConnection(connection, 1);
+    return 0;
+  }
+  static void onClosed(const mg_connection *connection) {
+    countConnection(connection, -1);
+  }
 };
 
 int HttpServer::Impl::onRequest(mg_connection *connection, void *data) {
@@ -146,6 +159,8 @@
                                            "no",
                                            nullptr};
   mg_callbacks callbacks{};
+  callbacks.init_connection = &Impl::onOpen;
+  callbacks.connection_closed = &Impl::onClosed;
   state->Context = mg_start(&callbacks, state.get(), settings.data());
   if (!state->Context)
     return core::makeError(core::ErrorCode::Internal,
--- a/src/support/HttpServer.h
+++ b/src/support/HttpServer.h
@@ -55,6 +55,8 @@
   std::size_t MaxBodyBytes = 1 << 20;
   /// Idle keep-alive connections are closed after this.
   std::chrono::milliseconds KeepAlive{30000};
+  /// Told +1 when a connection opens and -1 when it has closed; may be empty.
+  std::function<void(int)> OnConnection;
 };
 
 /// @brief An HTTP listener; stops when destroyed.
--- /dev/null
+++ b/src/support/Metrics.h
@@ -0,0 +1,70 @@
+#ifndef SAVORYTRESTLE_SUPPORT_METRICS_H
+#define SAVORYTRESTLE_SUPPORT_METRICS_H
+
+/// @file
+/// @brief The process's metrics, kept by prometheus-cpp.
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace savorytrestle::support {
+
+/// @brief All metric families of a host; thread-safe.
+class Metrics {
+public:
+  Metrics();
+
+  /// @brief Counts a caller request.
+  /// @param workspace its workspace
+  /// @param route its route
+  /// @param outcome "ok" or the error code's name
+  /// @param latency from receipt to answer
+  void countRequest(const std::string &workspace, const std::string &route,
+                    const std::string &outcome,
+                    std::chrono::nanoseconds latency);
+
+  /// @brief Counts shards asked for and answered.
+  /// @param workspace the workspace
+  /// @param total shards of the snapshot
+  /// @param answered shards in the answer
+  void countShards(const std::string &workspace, std::uint32_t total,
+                   std::uint32_t answered);
+
+  /// @brief Counts an attempt on a leaf.
+  /// @param result "ok" or the failure's name
+  void countAttempt(const std::string &result);
+
+  /// @brief Counts extra attempts (hedges, retries, restarts).
+  /// @param workspace the workspace
+  /// @param count how many
+  void countExtra(const std::string &workspace, std::uint32_t count);
+
+  /// @brief Sets a gauge without labels.
+  /// @param name its name
+  /// @param help its help text
+  /// @param value its value
+  void setGauge(const std::string &name, const std::string &help, double value);
+
+  /// @brief All metrics in the Prometheus text format.
+  /// @return the text
+  std::string text() const;
+
+private:
+  prometheus::Registry Registry;
+  prometheus::Family<prometheus::Counter> &Requests;
+  prometheus::Family<prometheus::Histogram> &Latency;
+  prometheus::Family<prometheus::Counter> &ShardsTotal;
+  prometheus::Family<prometheus::Counter> &ShardsAnswered;
+  prometheus::Family<prometheus::Counter> &Attempts;
+  prometheus::Family<prometheus::Counter> &Extra;
+};
+
+} // namespace savorytrestle::support
+
+#endif
--- /dev/null
+++ b/src/support/YamlReader.cpp
@@ -0,0 +1,182 @@
+#include "support/YamlReader.h"
+
+#include <algorithm>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_join.h>
+#include <arpa/inet.h>
+
+namespace savorytrestle::support {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int HighestPort = 65535;
+
+std::string shown(const YAML::Node &node) {
+  return node.IsScalar() ? "'" + node.Scalar() + "'" : "this value";
+}
+
+} // namespace
+
+std::optional<milliseconds> parseDuration(const std::string &text) {
+  const auto end = text.find_first_not_of("0123456789");
+  std::int64_t count = 0;
+  if (end == std::string::npos || end == 0 ||
+      !absl::SimpleAtoi(text.substr(0, end), &count))
+    return std::nullopt;
+  const auto unit = absl::StripAsciiWhitespace(text.substr(end));
+  if (unit == "ms")
+    return milliseconds(count);
+  if (unit == "s")
+    return std::chrono::seconds(count);
+  if (unit == "min")
+    return std::chrono::minutes(count);
+  return std::nullopt;
+}
+
+bool isAddress(const std::string &text) {
+  const auto colon = text.rfind(':');
+  int port = 0;
+  if (colon == std::string::npos ||
+      !absl::SimpleAtoi(text.substr(colon + 1), &port) || port < 0 ||
+      port > HighestPort)
+    return false;
+  std::string host = text.substr(0, colon);
+  unsigned char buf[sizeof(in6_addr)];
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), buf) ==
+           1;
+  return inet_pton(AF_INET, host.c_str(), buf) == 1;
+}
+
+YamlMap::YamlMap(YAML::Node node, std::string path, YamlFaults &faults)
+    : Node(std::move(node)), Path(std::move(path)), Faults(faults) {
+  if (!Node.IsMap() && !Node.IsNull())
+    fault(Node, "", "a mapping of keys to values");
+}
+
+YAML::Node YamlMap::find(const std::string &key) {
+  Known.push_back(key);
+  // The lookup must not create the key, which operator[] on a mutable node
+  // would.
+  const YAML::Node &view = Node;
+  if (!view.IsMap())
+    return YAML::Node(YAML::NodeType::Undefined);
+  return view[key];
+}
+
+void YamlMap::fault(const YAML::Node &node, const std::string &key,
+                    const std::string &allowed) {
+  const int line = node.IsDefined() ? node.Mark().line : Node.Mark().line;
+  std::string path = Path;
+  if (!key.empty())
+    path += (path.empty() ? "" : ".") + key;
+  const std::string what =
+      node.IsDefined() ? shown(node) + " is not allowed" : "is missing";
+  Faults.Messages.push_back(Faults.File + ":" + std::to_string(line + 1) +
+                            ": " + path + ": " + what + "; expected " +
+                            allowed);
+}
+
+std::string YamlMap::text(const std::string &key, const std::string &fallback) {
+  const auto node = find(key);
+  if (!node.IsDefined())
+    return fallback;
+  if (!node.IsScalar()) {
+    fault(node, key, "text");
+    return fallback;
+  }
+  return node.Scalar();
+}
+
+std::string YamlMap::requiredText(const std::string &key) {
+  const auto node = find(key);
+  if (!node.IsDefined() || !node.IsScalar() || node.Scalar().empty()) {
+    fault(node, key, "text");
+    return {};
+  }
+  return node.Scalar();
+}
+
+std::string YamlMap::address(const std::string &key,
+                             const std::string &fallback) {
+  const auto node = find(key);
+  if (!node.IsDefined() && !fallback.empty())
+    return fallback;
+  if (!node.IsDefined() || !node.IsScalar() || !isAddress(node.Scalar())) {
+    fault(node, key, "an address such as 127.0.0.1:8080");
+    return fallback;
+  }
+  return node.Scalar();
+}
+
+std::int64_t YamlMap::number(const std::string &key, std::int64_t fallback,
+                             std::int64_t least, std::int64_t most) {
+  const auto node = find(key);
+  if (!node.IsDefined())
+    return fallback;
+  std::int64_t value = 0;
+  if (!node.IsScalar() || !absl::SimpleAtoi(node.Scalar(), &value) ||
+      value < least || value > most) {
+    fault(node, key,
+          "a whole number from " + std::to_string(least) + " to " +
+              std::to_string(most));
+    return fallback;
+  }
+  return value;
+}
+
+milliseconds YamlMap::duration(const std::string &key, milliseconds fallback,
+                               milliseconds least, milliseconds most) {
+  const auto node = find(key);
+  if (!node.IsDefined())
+    return fallback;
+  const auto value = node.IsScalar() ? parseDuration(node.Scalar())
+                                     : std::optional<milliseconds>();
+  if (!value || *value < least || *value > most) {
+    fault(node, key,
+          "a time from " + std::to_string(least.count()) + " ms to " +
+              std::to_string(most.count()) + " ms, such as '250 ms' or '2 s'");
+    return fallback;
+  }
+  return *value;
+}
+
+std::string YamlMap::word(const std::string &key,
+                          const std::vector<std::string> &allowed) {
+  const auto node = find(key);
+  if (!node.IsDefined())
+    return allowed.front();
+  if (!node.IsScalar() || std::find(allowed.begin(), allowed.end(),
+                                    node.Scalar()) == allowed.end()) {
+    fault(node, key, "one of " + absl::StrJoin(allowed, ", "));
+    return allowed.front();
+  }
+  return node.Scalar();
+}
+
+YamlMap YamlMap::map(const std::string &key) {
+  const auto node = find(key);
+  const std::string path = Path.empty() ? key : Path + "." + key;
+  if (!node.IsDefined())
+    return {YAML::Node(YAML::NodeType::Null), path, Faults};
+  return {node, path, Faults};
+}
+
+void YamlMap::refuseOthers() {
+  if (!Node.IsMap())
+    return;
+  for (const auto &item : Node) {
+    const std::string key = item.first.Scalar();
+    if (std::find(Known.begin(), Known.end(), key) == Known.end())
+      Faults.Messages.push_back(
+          Faults.File + ":" + std::to_string(item.first.Mark().line + 1) +
+          ": " + (Path.empty() ? key : Path + "." + key) +
+          ": unknown key; expected one of " + absl::StrJoin(Known, ", "));
+  }
+}
+
+} // namespace savorytrestle::support
--- /dev/null
+++ b/src/support/YamlReader.h
@@ -0,0 +1,114 @@
+#ifndef SAVORYTRESTLE_SUPPORT_YAML_READER_H
+#define SAVORYTRESTLE_SUPPORT_YAML_READER_H
+
+/// @file
+/// @brief Reads a YAML document key by key and reports every fault with file,
+/// line, key and what is allowed.
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <yaml-cpp/yaml.h>
+
+#include "savorytrestle/core/Error.h"
+
+namespace savorytrestle::support {
+
+/// @brief Collects the faults of one document.
+struct YamlFaults {
+  /// Name of the document, shown in each fault.
+  std::string File;
+  std::vector<std::string> Messages;
+};
+
+/// @brief One mapping of a document.
+///
+/// Each getter gives the fallback when the key is absent or wrong; wrong values
+/// are added to the faults. Call @ref refuseOthers last.
+class YamlMap {
+public:
+  /// @brief Reads a mapping.
+  /// @param node the node; anything but a mapping is a fault
+  /// @param path dotted path of the node, for messages
+  /// @param faults takes the faults
+  YamlMap(YAML::Node node, std::string path, YamlFaults &faults);
+
+  /// @brief Reads text.
+  /// @param key its key
+  /// @param fallback value when absent
+  /// @return the text
+  std::string text(const std::string &key, const std::string &fallback);
+
+  /// @brief Reads text that must be there.
+  /// @param key its key
+  /// @return the text
+  std::string requiredText(const std::string &key);
+
+  /// @brief Reads "ip:port".
+  /// @param key its key
+  /// @param fallback value when absent; empty makes the key required
+  /// @return the address
+  std::string address(const std::string &key, const std::string &fallback);
+
+  /// @brief Reads a whole number.
+  /// @param key its key
+  /// @param fallback value when absent
+  /// @param least smallest value allowed
+  /// @param most largest value allowed
+  /// @return the number
+  std::int64_t number(const std::string &key, std::int64_t fallback,
+                      std::int64_t least, std::int64_t most);
+
+  /// @brief Reads a span of time such as "250 ms" or "2 s".
+  /// @param key its key
+  /// @param fallback value when absent
+  /// @param least shortest value allowed
+  /// @param most longest value allowed
+  /// @return the span
+  std::chrono::milliseconds duration(const std::string &key,
+                                     std::chrono::milliseconds fallback,
+                                     std::chrono::milliseconds least,
+                                     std::chrono::milliseconds most);
+
+  /// @brief Reads one word of a list.
+  /// @param key its key
+  /// @param allowed the words; the first is the fallback
+  /// @return the word
+  std::string word(const std::string &key,
+                   const std::vector<std::string> &allowed);
+
+  /// @brief Reads a nested mapping; absent is empty.
+  /// @param key its key
+  /// @return the mapping
+  YamlMap map(const std::string &key);
+
+  /// @brief Reports the keys that no getter has asked for.
+  void refuseOthers();
+
+private:
+  YAML::Node find(const std::string &key);
+  void fault(const YAML::Node &node, const std::string &key,
+             const std::string &allowed);
+
+  YAML::Node Node;
+  std::string Path;
+  YamlFaults &Faults;
+  std::vector<std::string> Known;
+};
+
+/// @brief Reads "250 ms", "2 s" or "5 min".
+/// @param text the span with its unit
+/// @return the span, or nothing when it is not one
+std::optional<std::chrono::milliseconds> parseDuration(const std::string &text);
+
+/// @brief Whether the text is an IPv4 or bracketed IPv6 address with a port.
+/// @param text for example "127.0.0.1:8080"
+/// @return true when it is
+bool isAddress(const std::string &text);
+
+} // namespace savorytrestle::support
+
+#endif
--- /dev/null
+++ b/tests/standins/LeafModel.h
@@ -0,0 +1,127 @@
+#ifndef SAVORYTRESTLE_TESTS_STANDINS_LEAF_MODEL_H
+#define SAVORYTRESTLE_TESTS_STANDINS_LEAF_MODEL_H
+
+/// @file
+/// @brief State of one stand-in leaf: slots, queue, indexes, faults, counters.
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "backend/LeafProtocol.h"
+
+namespace savorytrestle::standins {
+
+/// @brief Faults and settings that /control changes while the leaf runs.
+struct LeafKnobs {
+  std::chrono::milliseconds Service{8};
+  double StragglePercent = 0;
+  std::chrono::milliseconds Straggle{400};
+  /// Requests that may wait for a slot before the leaf sheds.
+  unsigned QueueLimit = 32;
+  bool Draining = false;
+  bool Shedding = false;
+  /// The status endpoint says ready whatever the state is.
+  bool HealthLies = false;
+  /// One of "", "truncated", "crossed", "wrong_version", "empty", "garbage".
+  std::string ReplyFault;
+  /// Writes are executed, but their reply is lost.
+  bool LoseWriteReplies = false;
+};
+
+/// @brief What the leaf has seen.
+struct LeafCounters {
+  unsigned Connections = 0;
+  unsigned MostConnections = 0;
+  unsigned MostBusy = 0;
+  unsigned Searches = 0;
+  unsigned Sheds = 0;
+  unsigned Cancelled = 0;
+  /// Executions by idempotency key or request id.
+  std::map<std::string, unsigned> Writes;
+};
+
+/// @brief How a request's wait for a slot and its execution ended.
+enum class LeafRun { Done, Shed, Cancelled, Expired };
+
+/// @brief Slots and queue of a leaf.
+class LeafModel {
+public:
+  LeafModel(unsigned slots, std::uint64_t seed) : Slots(slots), Random(seed) {}
+
+  /// Waits for a slot, holds it for the service time, and says how it ended.
+  LeafRun execute(const std::pair<std::string, unsigned> &id,
+                  std::chrono::milliseconds deadline) {
+    std::unique_lock guard(Lock);
+    const auto until = std::chrono::steady_clock::now() + deadline;
+    if (Knobs.Shedding || Waiting >= Knobs.QueueLimit) {
+      ++Counters.Sheds;
+      return LeafRun::Shed;
+    }
+    ++Waiting;
+    const bool slot = Changed.wait_until(
+        guard, until, [&] { return Busy < Slots || Cancels.count(id) > 0; });
+    --Waiting;
+    if (Cancels.erase(id) > 0)
+      return LeafRun::Cancelled;
+    if (!slot)
+      return LeafRun::Expired;
+    Counters.MostBusy = std::max(Counters.MostBusy, ++Busy);
+    const auto ready =
+        std::min(std::chrono::steady_clock::now() + serviceTime(), until);
+    Changed.wait_until(guard, ready, [&] { return Cancels.count(id) > 0; });
+    --Busy;
+    Changed.notify_all();
+    if (Cancels.erase(id) > 0)
+      return LeafRun::Cancelled;
+    return ready == until ? LeafRun::Expired : LeafRun::Done;
+  }
+
+  void cancel(const std::pair<std::string, unsigned> &id) {
+    const std::lock_guard guard(Lock);
+    ++Counters.Cancelled;
+    Cancels.insert(id);
+    // Cancels of requests that have ended must not pile up.
+    if (Cancels.size() > 4096)
+      Cancels.erase(Cancels.begin());
+    Changed.notify_all();
+  }
+
+  core::LoadReport load() {
+    const std::lock_guard guard(Lock);
+    return {Busy, Waiting, Knobs.Draining};
+  }
+
+  /// Runs a function on the knobs, counters and indexes under the lock.
+  template <typename F> auto with(F f) {
+    const std::lock_guard guard(Lock);
+    return f(Knobs, Counters, Indexes);
+  }
+
+private:
+  std::chrono::milliseconds serviceTime() {
+    std::uniform_real_distribution<double> percent(0, 100);
+    return percent(Random) < Knobs.StragglePercent ? Knobs.Straggle
+                                                   : Knobs.Service;
+  }
+
+  const unsigned Slots;
+  std::mutex Lock;
+  std::condition_variable Changed;
+  unsigned Busy = 0;
+  unsigned Waiting = 0;
+  std::set<std::pair<std::string, unsigned>> Cancels;
+  std::mt19937_64 Random;
+  LeafKnobs Knobs;
+  LeafCounters Counters;
+  std::vector<backend::LeafIndexStatus> Indexes;
+};
+
+} // namespace savorytrestle::standins
+
+#endif
--- /dev/null
+++ b/tests/standins/leaf-standin.cpp
@@ -0,0 +1,280 @@
+// Stand-in for a backend server (leaf): the interface of
+// backend/LeafProtocol.h over a few slots, with faults set over /control.
+
+#include <csignal>
+#include <cstdio>
+#include <thread>
+
+#include <unistd.h>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+#include "standins/LeafModel.h"
+#include "support/HttpServer.h"
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
+ABSL_FLAG(std::string, name, "leaf", "name that its rows carry");
+ABSL_FLAG(std::string, indexes, "1:0:1",
+          "served indexes, version:shard:shard_count, comma-separated");
+ABSL_FLAG(int, slots, 5, "requests executed at once");
+ABSL_FLAG(int, connections, 40, "connections accepted at once");
+ABSL_FLAG(int, service_ms, 8, "execution time in milliseconds");
+ABSL_FLAG(double, straggle_percent, 0, "share of slow executions in percent");
+ABSL_FLAG(int, straggle_ms, 400, "time of a slow execution in milliseconds");
+ABSL_FLAG(int, seed, 1, "seed of the straggling");
+
+namespace {
+
+using namespace savorytrestle;
+using nlohmann::json;
+using standins::LeafCounters;
+using standins::LeafKnobs;
+using standins::LeafRun;
+using std::chrono::milliseconds;
+using support::HttpRequest;
+using support::HttpResponse;
+using Indexes = std::vector<backend::LeafIndexStatus>;
+
+constexpr int CrashExitCode = 9;
+
+Indexes parseIndexes(const std::string &text) {
+  Indexes indexes;
+  for (const absl::string_view item :
+       absl::StrSplit(text, ',', absl::SkipEmpty())) {
+    const std::vector<std::string> parts = absl::StrSplit(item, ':');
+    backend::LeafIndexStatus index;
+    if (parts.size() == 3 && absl::SimpleAtoi(parts[0], &index.Version) &&
+        absl::SimpleAtoi(parts[1], &index.Shard) &&
+        absl::SimpleAtoi(parts[2], &index.ShardCount))
+      indexes.push_back(index);
+  }
+  return indexes;
+}
+
+json loadJson(const core::LoadReport &load) {
+  return {{"busy", load.Busy},
+          {"queued", load.Queued},
+          {"draining", load.Draining}};
+}
+
+class Leaf {
+public:
+  Leaf(std::string name, unsigned slots, std::uint64_t seed)
+      : Name(std::move(name)), Model(slots, seed) {}
+
+  standins::LeafModel &model() { return Model; }
+
+  HttpResponse handle(const HttpRequest &request) {
+    if (request.Path == "/control")
+      return control(json::parse(request.Body, nullptr, false));
+    if (request.Path == "/v1/status")
+      return status();
+    const json body = json::parse(request.Body, nullptr, false);
+    if (!body.is_object())
+      return reply(400, {{"error", "malformed"}});
+    if (request.Path == "/v1/cancel") {
+      Model.cancel({body.value("request_id", ""), body.value("attempt", 0U)});
+      return reply(200, json::object());
+    }
+    if (request.Path == "/v1/search")
+      return search(body);
+    if (request.Path == "/v1/write")
+      return write(body);
+    return reply(404, {{"error", "unknown path"}});
+  }
+
+  /// Connections over the cap are closed without an answer.
+  bool overCap(unsigned cap) {
+    return Model.with([&](auto &, LeafCounters &counters, auto &) {
+      return counters.Connections > cap;
+    });
+  }
+
+private:
+  static HttpResponse reply(int status, const json &body) {
+    return {status, body.dump(), "application/json", {}, false};
+  }
+
+  HttpResponse refuse(const char *why) {
+    return reply(503, {{"error", why}, {"load", loadJson(Model.load())}});
+  }
+
+  HttpResponse status() {
+    return Model.with([&](LeafKnobs &knobs, auto &, Indexes &indexes) {
+      json list = json::array();
+      for (const auto &index : indexes)
+        list.push_back({{"version", index.Version},
+                        {"shard", index.Shard},
+                        {"shard_count", index.ShardCount}});
+      const bool draining = knobs.Draining && !knobs.HealthLies;
+      return reply(
+          200, {{"state", draining ? "draining" : "ready"}, {"indexes", list}});
+    });
+  }
+
+  static void crashIfMarked(const json &payload) {
+    if (payload.is_object() && payload.value("crash", false))
+      _exit(CrashExitCode);
+  }
+
+  HttpResponse search(const json &body) {
+    const auto version = body.value("index_version", 0ULL);
+    const auto shard = body.value("shard", 0U);
+    const auto attempt = body.value("attempt", 0U);
+    std::uint32_t shardCount = 0;
+    LeafKnobs knobs;
+    Model.with([&](LeafKnobs &now, LeafCounters &counters, Indexes &indexes) {
+      ++counters.Searches;
+      knobs = now;
+      for (const auto &index : indexes)
+        if (index.Version == version && index.Shard == shard)
+          shardCount = index.ShardCount;
+    });
+    if (knobs.Draining)
+      return refuse("draining");
+    if (shardCount == 0)
+      return reply(409, {{"error", "wrong_version"}});
+    crashIfMarked(body.value("query", json::object()));
+    const auto run = Model.execute({body.value("request_id", ""), attempt},
+                                   milliseconds(body.value("deadline_ms", 0)));
+    if (run == LeafRun::Shed)
+      return refuse("shed");
+    if (run != LeafRun::Done)
+      return reply(504, {{"error", "given up"}});
+    json answer = {{"request_id", body.value("request_id", "")},
+                   {"attempt", attempt},
+                   {"index_version", version},
+                   {"shard", shard},
+                   {"shard_count", shardCount},
+                   {"row_count", 2},
+                   {"load", loadJson(Model.load())}};
+    answer["rows"] = {{{"shard", shard}, {"version", version}, {"row", 0}},
+                      {{"shard", shard}, {"version", version}, {"row", 1}}};
+    return spoil(std::move(answer), knobs.ReplyFault);
+  }
+
+  static HttpResponse spoil(json answer, const std::string &fault) {
+    if (fault == "truncated")
+      answer["rows"].erase(1);
+    else if (fault == "crossed")
+      answer["request_id"] = "another-request";
+    else if (fault == "wrong_version")
+      answer["index_version"] = answer["index_version"].get<unsigned>() + 1;
+    else if (fault == "empty")
+      answer = json::object();
+    else if (fault == "garbage")
+      return {200, "<html>", "text/html", {}, false};
+    return reply(200, answer);
+  }
+
+  HttpResponse write(const json &body) {
+    const std::string id = body.value("request_id", "");
+    const std::string key = body.value("key", "");
+    crashIfMarked(body.value("body", json::object()));
+    if (Model.load().Draining)
+      return refuse("draining");
+    const auto run =
+        Model.execute({id, 0}, milliseconds(body.value("deadline_ms", 0)));
+    if (run == LeafRun::Shed)
+      return refuse("shed");
+    if (run != LeafRun::Done)
+      return reply(504, {{"error", "given up"}});
+    const bool lost =
+        Model.with([&](LeafKnobs &knobs, LeafCounters &counters, auto &) {
+          ++counters.Writes[key.empty() ? id : key];
+          return knobs.LoseWriteReplies;
+        });
+    HttpResponse response =
+        reply(200, {{"request_id", id}, {"result", {{"filed_by", Name}}}});
+    response.Abort = lost;
+    return response;
+  }
+
+  HttpResponse control(const json &change) {
+    return Model.with(
+        [&](LeafKnobs &knobs, LeafCounters &counters, Indexes &indexes) {
+          if (change.is_object())
+            apply(change, knobs, indexes);
+          return reply(200, {{"connections", counters.Connections},
+                             {"most_connections", counters.MostConnections},
+                             {"most_busy", counters.MostBusy},
+                             {"searches", counters.Searches},
+                             {"sheds", counters.Sheds},
+                             {"cancelled", counters.Cancelled},
+                             {"writes", counters.Writes}});
+        });
+  }
+
+  static void apply(const json &change, LeafKnobs &knobs, Indexes &indexes) {
+    knobs.Service = milliseconds(
+        change.value("service_ms", static_cast<int>(knobs.Service.count())));
+    knobs.StragglePercent =
+        change.value("straggle_percent", knobs.StragglePercent);
+    knobs.Straggle = milliseconds(
+        change.value("straggle_ms", static_cast<int>(knobs.Straggle.count())));
+    knobs.Draining = change.value("draining", knobs.Draining);
+    knobs.Shedding = change.value("shedding", knobs.Shedding);
+    knobs.HealthLies = change.value("health_lies", knobs.HealthLies);
+    knobs.ReplyFault = change.value("reply_fault", knobs.ReplyFault);
+    knobs.LoseWriteReplies =
+        change.value("lose_write_replies", knobs.LoseWriteReplies);
+    if (change.contains("indexes"))
+      indexes = parseIndexes(change.value("indexes", ""));
+  }
+
+  const std::string Name;
+  standins::LeafModel Model;
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+  absl::ParseCommandLine(argc, argv);
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  Leaf leaf(absl::GetFlag(FLAGS_name),
+            static_cast<unsigned>(absl::GetFlag(FLAGS_slots)),
+            static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed)));
+  leaf.model().with([](LeafKnobs &knobs, auto &, Indexes &indexes) {
+    knobs.Service = milliseconds(absl::GetFlag(FLAGS_service_ms));
+    knobs.StragglePercent = absl::GetFlag(FLAGS_straggle_percent);
+    knobs.Straggle = milliseconds(absl::GetFlag(FLAGS_straggle_ms));
+    indexes = parseIndexes(absl::GetFlag(FLAGS_indexes));
+  });
+  const auto cap = static_cast<unsigned>(absl::GetFlag(FLAGS_connections));
+  support::HttpServerOptions options;
+  options.Listen = absl::GetFlag(FLAGS_listen);
+  // A few threads over the cap answer the harness and close excess connections.
+  options.Threads = cap + 8;
+  options.OnConnection = [&](int change) {
+    leaf.model().with([&](auto &, LeafCounters &counters, auto &) {
+      counters.Connections += static_cast<unsigned>(change);
+      counters.MostConnections =
+          std::max(counters.MostConnections, counters.Connections);
+    });
+  };
+  auto server = support::HttpServer::start(
+      options, [&](const HttpRequest &request) -> HttpResponse {
+        if (request.Path != "/control" && leaf.overCap(cap + 1)) {
+          HttpResponse closed;
+          closed.Abort = true;
+          return closed;
+        }
+        return leaf.handle(request);
+      });
+  if (!server) {
+    std::fprintf(stderr, "%s\n", server.error().Message.c_str());
+    return 1;
+  }
+  std::printf("port=%d\n", (*server)->port());
+  std::fflush(stdout);
+  int received = 0;
+  sigwait(&signals, &received);
+  return 0;
+}
