--- /dev/null
+++ b/tests/ProcessHarness.h
@@ -0,0 +1,151 @@
+#ifndef SAVORYTRESTLE_TESTS_PROCESS_HARNESS_H
+#define SAVORYTRESTLE_TESTS_PROCESS_HARNESS_H
+
+/// @file
+/// @brief Starts stand-ins and hosts as processes, for the process tests.
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+#include <unistd.h>
+
+#include <nlohmann/json.hpp>
+
+#include "support/HttpClient.h"
+
+namespace savorytrestle::testing {
+
+/// @brief A child process; killed when it goes out of scope.
+class Process {
+public:
+  Process() = default;
+  /// @brief Starts a program of the build directory.
+  /// @param arguments program name and its arguments
+  /// @param logFile takes standard error; empty discards it
+  explicit Process(const std::vector<std::string> &arguments,
+                   const std::string &logFile = "");
+  Process(Process &&other) noexcept;
+  Process &operator=(Process &&other) noexcept;
+  ~Process();
+
+  /// @brief Waits for the line "port=N" on the program's standard output.
+  /// @return the port, 0 if the program ended without it
+  int readPort();
+
+  /// @brief Sends a signal.
+  /// @param number the signal
+  void signal(int number) const;
+
+  /// @brief Waits for the end.
+  /// @return the exit code, or minus the signal that ended it
+  int wait();
+
+  /// @brief Kills with SIGKILL and waits.
+  void kill();
+
+  bool running() const { return Pid > 0; }
+
+private:
+  pid_t Pid = 0;
+  int Output = -1;
+};
+
+/// @brief A JSON answer with its HTTP status; status 0 when there was none.
+struct JsonReply {
+  int Status = 0;
+  nlohmann::json Body;
+  std::map<std::string, std::string> Headers;
+};
+
+/// @brief Sends JSON and reads JSON.
+JsonReply
+sendJson(const std::string &method, const std::string &url,
+         const nlohmann::json &body,
+         const std::map<std::string, std::string> &headers = {},
+         std::chrono::milliseconds timeout = std::chrono::milliseconds(5000));
+
+/// @brief A port that was free a moment ago.
+int freePort();
+
+/// @brief Waits until a condition holds.
+/// @return false when the time ran out first
+template <typename F>
+bool eventually(F condition, std::chrono::milliseconds within =
+                                 std::chrono::milliseconds(10000)) {
+  const auto until = std::chrono::steady_clock::now() + within;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > until)
+      return false;
+    usleep(20000);
+  }
+  return true;
+}
+
+/// @brief One stand-in leaf.
+struct LeafProcess {
+  std::string Name;
+  std::string Address;
+  std::vector<std::string> Arguments;
+  Process Child;
+
+  /// @brief Changes knobs and reads counters.
+  nlohmann::json control(const nlohmann::json &change = nullptr) const;
+  /// @brief Starts the same leaf again on its port, after a crash or kill.
+  void restart();
+};
+
+/// @brief One entry host.
+struct HostProcess {
+  std::string Id;
+  std::string Callers;
+  std::string Operators;
+  std::string Peers;
+  std::string ConfigFile;
+  Process Child;
+
+  /// @brief Sends a caller request.
+  JsonReply call(const std::string &path, const nlohmann::json &body,
+                 std::chrono::milliseconds deadline,
+                 std::map<std::string, std::string> headers = {}) const;
+  bool ready() const;
+};
+
+/// @brief A whole deployment of stand-ins and hosts on loopback.
+class Deployment {
+public:
+  /// @brief Starts the key-value stand-in.
+  explicit Deployment(const std::vector<std::string> &kvArguments = {});
+  ~Deployment();
+
+  /// @brief Starts a leaf.
+  /// @param name its name
+  /// @param arguments flags of leaf-standin
+  LeafProcess &addLeaf(const std::string &name,
+                       const std::vector<std::string> &arguments);
+
+  /// @brief Starts a host; its id is "host-N".
+  /// @param failureDomain its failure domain
+  /// @param extra further lines of its YAML file
+  HostProcess &addHost(const std::string &failureDomain,
+                       const std::string &extra = "");
+
+  /// @brief Starts a host again from its file.
+  void restart(HostProcess &host) const;
+
+  /// @brief Changes the store's faults and reads its counters.
+  nlohmann::json storeControl(const nlohmann::json &change = nullptr) const;
+
+  std::string Folder;
+  std::string Store;
+  Process StoreChild;
+  std::vector<std::unique_ptr<LeafProcess>> Leaves;
+  std::vector<std::unique_ptr<HostProcess>> Hosts;
+};
+
+} // namespace savorytrestle::testing
+
+#endif
