A request whose reply was lost is never sent a second time by the HTTP library

Cause: libcurl silently repeats a request when a reused connection closes before any byte of the reply. For a leaf this doubles a filing or a crash; for the store it turns a compare-and-swap that took effect into a lost one. Ruled out: CURLOPT_FRESH_CONNECT for all calls (a connection costs 1 to 6 ms). The guard counts the sends and ends the transfer as broken at the second. Seen failing without the guard: LeafTransport.NeverSendsARequestTwice got 3 requests for 2 calls; with it 2, and the call ends as broken. Http.* and LeafTransport.*: 6 passed.

--- a/src/backend/LeafTransport.cpp
+++ b/src/backend/LeafTransport.cpp
@@ -4,7 +4,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include <curl/curl.h>
+#include "support/SendGuard.h"
 
 namespace savorytrestle::backend {
 
@@ -22,8 +22,7 @@
   LeafCallResult Result;
   TimePoint Started;
   std::size_t MaxReplyBytes = 0;
-  /// How often the request head was about to go out.
-  int Sends = 0;
+  support::SendGuard Guard;
 };
 
 std::size_t onData(char *data, std::size_t size, std::size_t count,
@@ -36,16 +35,8 @@
   return n;
 }
 
-// libcurl repeats a request by itself when a reused connection closes before
-// any byte of the reply. A leaf may have run the request by then (or crashed on
-// it), so the second send is refused here and the call ends as broken.
-int onBeforeSend(void *user, char *, char *, int, int) {
-  auto &call = *static_cast<RunningCall *>(user);
-  return ++call.Sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
-}
-
 CallFailure classify(CURLcode ec, const RunningCall &call) {
-  if (call.Sends == 0)
+  if (!call.Guard.mayHaveSent())
     return ec == CURLE_OPERATION_TIMEDOUT ? CallFailure::Expired
                                           : CallFailure::NotSent;
   if (ec == CURLE_OPERATION_TIMEDOUT)
@@ -93,8 +84,7 @@
                    static_cast<long>(std::max<long>(1, timeout.count())));
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &onData);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &call);
-  curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &onBeforeSend);
-  curl_easy_setopt(handle, CURLOPT_PREREQDATA, &call);
+  call.Guard.attach(handle);
   curl_easy_setopt(handle, CURLOPT_PRIVATE, &call);
   if (call.Call.FreshConnection) {
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
--- a/src/support/HttpClient.cpp
+++ b/src/support/HttpClient.cpp
@@ -4,7 +4,7 @@
 #include <cctype>
 #include <memory>
 
-#include <curl/curl.h>
+#include "support/SendGuard.h"
 
 namespace savorytrestle::support {
 
@@ -36,19 +36,11 @@
   return size * count;
 }
 
-/// A request that never got a connection cannot have taken effect; any other
-/// failure may come after the peer acted on it.
-core::ErrorCode classify(CURLcode ec, CURL *handle) {
-  if (ec == CURLE_COULDNT_CONNECT || ec == CURLE_COULDNT_RESOLVE_HOST ||
-      ec == CURLE_URL_MALFORMAT)
-    return core::ErrorCode::StoreUnavailable;
-  curl_off_t connect = 0;
-  curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connect);
-  long sent = 0;
-  curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sent);
-  if (connect == 0 && sent == 0)
-    return core::ErrorCode::StoreUnavailable;
-  return core::ErrorCode::OutcomeUnknown;
+/// A request that was not sent cannot have taken effect; any other failure may
+/// come after the peer acted on it.
+core::ErrorCode classify(const SendGuard &guard) {
+  return guard.mayHaveSent() ? core::ErrorCode::OutcomeUnknown
+                             : core::ErrorCode::StoreUnavailable;
 }
 
 void setMethod(CURL *handle, const HttpCall &call) {
@@ -89,8 +81,10 @@
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &reply.Body);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &addHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &reply.Headers);
+  SendGuard guard;
+  guard.attach(handle);
   if (const CURLcode ec = curl_easy_perform(handle); ec != CURLE_OK)
-    return core::makeError(classify(ec, handle),
+    return core::makeError(classify(guard),
                            call.Url + ": " + curl_easy_strerror(ec));
   long status = 0;
   curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
