--- /dev/null
+++ b/src/core/SearchProgress.cpp
@@ -0,0 +1,91 @@
+#include "savorytrestle/core/SearchProgress.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace savorytrestle::core {
+
+void SearchProgress::pin(const Snapshot &snapshot) {
+  Version = snapshot.Version;
+  Shards.assign(snapshot.Replicas.size(), {});
+  for (ShardIndex shard = 0; shard < Shards.size(); ++shard)
+    Shards[shard].Untried = snapshot.Replicas[shard];
+  Open = size();
+  Answered = 0;
+}
+
+double SearchProgress::coverage() const {
+  return Shards.empty() ? 0.0 : static_cast<double>(Answered) / size();
+}
+
+void SearchProgress::markSent(ShardIndex shard, LeafIndex leaf) {
+  ShardProgress &progress = Shards[shard];
+  std::erase(progress.Untried, leaf);
+  progress.State = ShardState::Pending;
+  progress.Sent = true;
+  ++progress.Outstanding;
+}
+
+void SearchProgress::answer(ShardIndex shard,
+                            std::vector<nlohmann::json> rows) {
+  Shards[shard].State = ShardState::Answered;
+  Shards[shard].Rows = std::move(rows);
+  --Open;
+  ++Answered;
+}
+
+void SearchProgress::lose(ShardIndex shard) {
+  Shards[shard].State = ShardState::Lost;
+  --Open;
+}
+
+SearchAnswer SearchProgress::takeAnswer(std::uint32_t extraAttempts) {
+  SearchAnswer answer;
+  answer.Version = Version;
+  answer.ShardsTotal = size();
+  answer.ShardsAnswered = Answered;
+  answer.ExtraAttempts = extraAttempts;
+  for (ShardIndex shard = 0; shard < Shards.size(); ++shard) {
+    ShardProgress &progress = Shards[shard];
+    if (progress.State != ShardState::Answered)
+      answer.Missing.push_back(shard);
+    std::move(progress.Rows.begin(), progress.Rows.end(),
+              std::back_inserter(answer.Rows));
+  }
+  return answer;
+}
+
+std::optional<AttemptFailure> findFault(const LeafReply &reply,
+                                        ShardIndex shard,
+                                        const SearchProgress &progress) {
+  if (reply.Version != progress.version() ||
+      reply.ShardCount != progress.size()) {
+    // Version 0 and count 0 stand for fields that were missing.
+    if (reply.Version == 0 || reply.ShardCount == 0)
+      return AttemptFailure::Malformed;
+    return AttemptFailure::WrongVersion;
+  }
+  const bool emptyRow =
+      std::any_of(reply.Rows.begin(), reply.Rows.end(),
+                  [](const nlohmann::json &row) { return row.is_null(); });
+  if (reply.Shard != shard || reply.RowCount != reply.Rows.size() || emptyRow)
+    return AttemptFailure::Malformed;
+  return std::nullopt;
+}
+
+bool isNotRun(AttemptFailure failure) {
+  switch (failure) {
+  case AttemptFailure::Refused:
+  case AttemptFailure::Shed:
+  case AttemptFailure::Draining:
+  case AttemptFailure::WrongVersion:
+    return true;
+  case AttemptFailure::Broken:
+  case AttemptFailure::Malformed:
+  case AttemptFailure::Expired:
+    return false;
+  }
+  return false;
+}
+
+} // namespace savorytrestle::core
--- /dev/null
+++ b/src/core/SnapshotCatalog.cpp
@@ -0,0 +1,132 @@
+#include "savorytrestle/core/SnapshotCatalog.h"
+
+#include <algorithm>
+
+namespace savorytrestle::core {
+
+namespace {
+
+/// Shards of one index; a larger count is taken for a corrupt status, which
+/// must not make this host allocate.
+constexpr std::uint32_t MaxShardCount = 65536;
+
+bool isMalformed(const ShardHolding &holding) {
+  return holding.Version == 0 || holding.Shard >= holding.ShardCount ||
+         holding.ShardCount > MaxShardCount;
+}
+
+/// The count most leaves name; one leaf that is wrong must not change the
+/// denominator of everybody's coverage.
+std::uint32_t mostNamed(const std::map<std::uint32_t, std::uint32_t> &votes) {
+  const auto it = std::max_element(
+      votes.begin(), votes.end(),
+      [](const auto &a, const auto &b) { return a.second < b.second; });
+  return it->first;
+}
+
+std::size_t covered(const Snapshot &snapshot) {
+  return static_cast<std::size_t>(
+      std::count_if(snapshot.Replicas.begin(), snapshot.Replicas.end(),
+                    [](const auto &leaves) { return !leaves.empty(); }));
+}
+
+double coverage(const Snapshot &snapshot) {
+  return static_cast<double>(covered(snapshot)) /
+         static_cast<double>(snapshot.Replicas.size());
+}
+
+} // namespace
+
+/// What all leaves together say of one version.
+struct SnapshotCatalog::Candidate {
+  struct Replica {
+    LeafIndex Leaf;
+    ShardHolding Holding;
+  };
+
+  std::map<std::uint32_t, std::uint32_t> CountVotes;
+  std::vector<Replica> Usable;
+
+  Snapshot snapshot(IndexVersion version) const {
+    Snapshot result{version, {}};
+    const std::uint32_t count = mostNamed(CountVotes);
+    result.Replicas.resize(count);
+    for (const auto &[leaf, holding] : Usable) {
+      if (holding.ShardCount != count)
+        continue;
+      auto &leaves = result.Replicas[holding.Shard];
+      // A leaf's holdings are adjacent, so one that names a shard twice shows.
+      if (leaves.empty() || leaves.back() != leaf)
+        leaves.push_back(leaf);
+    }
+    return result;
+  }
+};
+
+void SnapshotCatalog::update(LeafIndex leaf, LeafState state,
+                             std::vector<ShardHolding> holdings) {
+  std::erase_if(holdings, isMalformed);
+  Leaves[leaf] = {state, std::move(holdings)};
+  Stale = true;
+}
+
+void SnapshotCatalog::setState(LeafIndex leaf, LeafState state) {
+  const auto it = Leaves.find(leaf);
+  if (it == Leaves.end() || it->second.State == state)
+    return;
+  it->second.State = state;
+  Stale = true;
+}
+
+void SnapshotCatalog::dropVersion(LeafIndex leaf, IndexVersion version) {
+  const auto it = Leaves.find(leaf);
+  if (it == Leaves.end())
+    return;
+  const auto n =
+      std::erase_if(it->second.Holdings, [version](const ShardHolding &held) {
+        return held.Version == version;
+      });
+  Stale = Stale || n > 0;
+}
+
+void SnapshotCatalog::forget(LeafIndex leaf) {
+  if (Leaves.erase(leaf) > 0)
+    Stale = true;
+}
+
+std::map<IndexVersion, SnapshotCatalog::Candidate>
+SnapshotCatalog::collect() const {
+  std::map<IndexVersion, Candidate> versions;
+  for (const auto &[leaf, known] : Leaves) {
+    for (const ShardHolding &holding : known.Holdings) {
+      Candidate &candidate = versions[holding.Version];
+      // Leaves that are down or draining still tell how many shards there are.
+      ++candidate.CountVotes[holding.ShardCount];
+      if (known.State == LeafState::Usable)
+        candidate.Usable.push_back({leaf, holding});
+    }
+  }
+  return versions;
+}
+
+std::shared_ptr<const Snapshot> SnapshotCatalog::current() const {
+  if (!Stale)
+    return Cached;
+  std::shared_ptr<const Snapshot> best;
+  const auto versions = collect();
+  // From the newest down, so that of equal coverages the newest stays.
+  for (auto it = versions.rbegin(); it != versions.rend(); ++it) {
+    auto next =
+        std::make_shared<const Snapshot>(it->second.snapshot(it->first));
+    const bool complete = covered(*next) == next->Replicas.size();
+    if (!best || coverage(*next) > coverage(*best))
+      best = std::move(next);
+    if (complete)
+      break;
+  }
+  Cached = std::move(best);
+  Stale = false;
+  return Cached;
+}
+
+} // namespace savorytrestle::core
--- /dev/null
+++ b/tests/unit-extra-load-budget.cpp
@@ -0,0 +1,63 @@
+#include "savorytrestle/core/ExtraLoadBudget.h"
+
+#include <gtest/gtest.h>
+
+using namespace savorytrestle::core;
+
+namespace {
+
+int takeAll(ExtraLoadBudget &budget) {
+  int n = 0;
+  while (budget.take(1))
+    ++n;
+  return n;
+}
+
+TEST(ExtraLoadBudget, StaysWithinTheFractionOfFirstAttempts) {
+  ExtraLoadBudget budget(0.05);
+  int extra = 0;
+  for (int n = 0; n < 10000; ++n) {
+    budget.onFirstAttempt();
+    extra += takeAll(budget);
+  }
+  EXPECT_LE(extra, 500 + ExtraLoadBudget::InitialTokens);
+  EXPECT_GE(extra, 499);
+}
+
+TEST(ExtraLoadBudget, SavesUpNoMoreThanItsBurst) {
+  ExtraLoadBudget budget(0.05, 10);
+  for (int n = 0; n < 10000; ++n)
+    budget.onFirstAttempt();
+  EXPECT_EQ(takeAll(budget), 10);
+}
+
+TEST(ExtraLoadBudget, FallsToZeroWhileLeavesShed) {
+  ExtraLoadBudget budget(0.05, 64);
+  for (int n = 0; n < 10000; ++n)
+    budget.onFirstAttempt();
+  int extra = 0;
+  for (int n = 0; n < 1000; ++n) {
+    budget.onFirstAttempt();
+    if (n % 10 == 0)
+      budget.onShed();
+    if (n >= 100)
+      extra += takeAll(budget);
+  }
+  EXPECT_EQ(extra, 0);
+}
+
+TEST(ExtraLoadBudget, RefusesARestartThatItCannotPayWhole) {
+  ExtraLoadBudget budget(0.5, 64);
+  for (int n = 0; n < 10; ++n)
+    budget.onFirstAttempt();
+  EXPECT_FALSE(budget.take(10));
+  EXPECT_TRUE(budget.take(7));
+}
+
+TEST(ExtraLoadBudget, AFractionOfZeroAllowsNothing) {
+  ExtraLoadBudget budget(0);
+  budget.onFirstAttempt();
+  EXPECT_FALSE(budget.take(1));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit-tail-aware-search.cpp
@@ -0,0 +1,353 @@
+#include "savorytrestle/core/TailAwareSearch.h"
+
+#include <gtest/gtest.h>
+
+#include "FakeSelector.h"
+
+using namespace savorytrestle;
+using namespace savorytrestle::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{};
+constexpr IndexVersion Version = 7;
+
+/// A service of groups of two leaves; shard n is on leaves 2n and 2n + 1.
+class TailAwareSearchTest : public testing::Test {
+protected:
+  using Policy = TailAwareSearch<standins::FakeSelector>;
+  using Actions = std::vector<SearchAction>;
+
+  void publish(IndexVersion version, std::uint32_t shards) {
+    for (LeafIndex leaf = 0; leaf < 2 * shards; ++leaf)
+      Catalog.update(leaf, LeafState::Usable, {{version, leaf / 2, shards}});
+    Shards = shards;
+  }
+  Policy &search() {
+    Made.emplace(
+        ServiceState<standins::FakeSelector>{Leaves, Catalog, Budget, Latency},
+        Parameters);
+    return *Made;
+  }
+  Actions start() { return search().start(Start, Random); }
+  /// Starts and gives the attempts sent.
+  std::vector<SendAttempt> startAndSend() { return sent(start()); }
+  Actions reply(const SendAttempt &attempt, TimePoint now = Start + 1ms) {
+    return Made->onReply(replyTo(attempt), now, Random);
+  }
+  Actions fail(const SendAttempt &attempt, AttemptFailure failure,
+               TimePoint now = Start + 1ms) {
+    return Made->onFailure(attempt.Id, failure, now, Random);
+  }
+  Actions tick(TimePoint now) { return Made->onTimer(now, Random); }
+
+  static std::vector<SendAttempt> sent(const Actions &actions) {
+    std::vector<SendAttempt> result;
+    for (const auto &action : actions)
+      if (const auto *it = std::get_if<SendAttempt>(&action))
+        result.push_back(*it);
+    return result;
+  }
+  static std::size_t cancels(const Actions &actions) {
+    std::size_t n = 0;
+    for (const auto &action : actions)
+      n += std::holds_alternative<CancelAttempt>(action) ? 1 : 0;
+    return n;
+  }
+  static bool finished(const Actions &actions) {
+    return !actions.empty() &&
+           std::holds_alternative<FinishSearch>(actions.back());
+  }
+  LeafReply replyTo(const SendAttempt &attempt) const {
+    LeafReply result;
+    result.Id = attempt.Id;
+    result.Shard = attempt.Shard;
+    result.Version = attempt.Version;
+    result.ShardCount = Shards;
+    result.RowCount = 1;
+    result.Rows = {{{"shard", attempt.Shard}, {"version", attempt.Version}}};
+    return result;
+  }
+  void fillBudget() {
+    for (int n = 0; n < 10000; ++n)
+      Budget.onFirstAttempt();
+  }
+
+  standins::FakeSelector Leaves;
+  SnapshotCatalog Catalog;
+  ExtraLoadBudget Budget{0.05};
+  LatencyTracker Latency{0.95};
+  SearchParameters Parameters{.Deadline = Start + 1s};
+  Rng Random{1};
+  std::optional<Policy> Made;
+  std::uint32_t Shards = 0;
+};
+
+static_assert(SearchPolicy<TailAwareSearch<standins::FakeSelector>>);
+
+TEST_F(TailAwareSearchTest, AnswersWholeFromOneReplicaOfEachShard) {
+  publish(Version, 3);
+  const auto attempts = startAndSend();
+  ASSERT_EQ(attempts.size(), 3U);
+  reply(attempts[2]);
+  reply(attempts[0]);
+  EXPECT_TRUE(finished(reply(attempts[1])));
+  const auto answer = Made->takeAnswer();
+  EXPECT_EQ(answer.ShardsAnswered, 3U);
+  EXPECT_EQ(answer.Rows[0]["shard"], 0);
+  EXPECT_EQ(answer.Rows[2]["shard"], 2);
+  EXPECT_EQ(Leaves.inUse(), 0);
+}
+
+TEST_F(TailAwareSearchTest, LeafDeadlineLeavesTimeForTheWayBack) {
+  publish(Version, 1);
+  EXPECT_EQ(startAndSend()[0].Deadline, Start + 995ms);
+  Parameters.Deadline = Start + 4ms;
+  EXPECT_EQ(startAndSend()[0].Deadline, Start + 2ms);
+}
+
+TEST_F(TailAwareSearchTest, NoFaultyReplyCounts) {
+  publish(Version, 2);
+  const std::vector<void (*)(LeafReply &)> faults = {
+      [](LeafReply &it) { it.Id += 100; },
+      [](LeafReply &it) { it.Shard = 1; },
+      [](LeafReply &it) { it.Version = 6; },
+      [](LeafReply &it) { it.Version = 0; },
+      [](LeafReply &it) { it.ShardCount = 3; },
+      [](LeafReply &it) { it.ShardCount = 0; },
+      [](LeafReply &it) { it.RowCount = 2; },
+      [](LeafReply &it) { it.Rows.clear(); },
+      [](LeafReply &it) { it.Rows[0] = nullptr; },
+  };
+  for (std::size_t n = 0; n < faults.size(); ++n) {
+    const auto attempts = startAndSend();
+    auto faulty = replyTo(attempts[0]);
+    faults[n](faulty);
+    Made->onReply(faulty, Start + 1ms, Random);
+    reply(attempts[1]);
+    tick(Parameters.Deadline);
+    const auto answer = Made->takeAnswer();
+    EXPECT_EQ(answer.Missing, std::vector<ShardIndex>{0}) << "fault " << n;
+    EXPECT_EQ(answer.Rows.size(), 1U) << "fault " << n;
+    EXPECT_EQ(Leaves.inUse(), 0) << "fault " << n;
+  }
+}
+
+TEST_F(TailAwareSearchTest, ADuplicatedReplyCountsOnce) {
+  publish(Version, 2);
+  const auto attempts = startAndSend();
+  reply(attempts[0]);
+  EXPECT_TRUE(reply(attempts[0]).empty());
+  EXPECT_TRUE(finished(reply(attempts[1])));
+  EXPECT_EQ(Made->takeAnswer().Rows.size(), 2U);
+}
+
+TEST_F(TailAwareSearchTest, ALateReplyDoesNotCount) {
+  publish(Version, 1);
+  const auto attempts = startAndSend();
+  EXPECT_TRUE(finished(reply(attempts[0], Parameters.Deadline)));
+  EXPECT_EQ(Made->takeAnswer().ShardsAnswered, 0U);
+  EXPECT_EQ(Leaves.inUse(), 0);
+}
+
+TEST_F(TailAwareSearchTest, HedgesASlowAttemptAndCancelsTheLoser) {
+  publish(Version, 2);
+  for (int n = 0; n < 100; ++n)
+    Latency.record(10ms);
+  const auto attempts = startAndSend();
+  reply(attempts[0]);
+  const auto due = Made->nextTimer().value();
+  EXPECT_LT(due, Start + 50ms);
+  const auto hedges = sent(tick(due));
+  ASSERT_EQ(hedges.size(), 1U);
+  EXPECT_TRUE(hedges[0].Extra);
+  EXPECT_NE(hedges[0].Leaf, attempts[1].Leaf);
+  const auto actions = reply(hedges[0], due + 1ms);
+  EXPECT_EQ(cancels(actions), 1U);
+  EXPECT_TRUE(finished(actions));
+  EXPECT_EQ(Made->takeAnswer().ExtraAttempts, 1U);
+  EXPECT_EQ(Leaves.inUse(), 0);
+}
+
+TEST_F(TailAwareSearchTest, TheLoserOfAHedgeCannotAnswerAgain) {
+  publish(Version, 2);
+  const auto attempts = startAndSend();
+  const auto hedges = sent(tick(Start + 50ms));
+  ASSERT_EQ(hedges.size(), 2U);
+  EXPECT_EQ(cancels(reply(hedges[0], Start + 51ms)), 1U);
+  EXPECT_TRUE(reply(attempts[0], Start + 52ms).empty());
+  EXPECT_EQ(Leaves.inUse(), 2);
+}
+
+TEST_F(TailAwareSearchTest, DoesNotHedgeWithoutBudget) {
+  publish(Version, 8);
+  EXPECT_EQ(startAndSend().size(), 8U);
+  EXPECT_EQ(sent(tick(Start + 50ms)).size(), 2U);
+  EXPECT_EQ(sent(tick(Start + 100ms)).size(), 0U);
+}
+
+TEST_F(TailAwareSearchTest, RetriesOnAnotherReplica) {
+  publish(Version, 1);
+  for (const auto failure :
+       {AttemptFailure::Refused, AttemptFailure::Draining,
+        AttemptFailure::Broken, AttemptFailure::Malformed}) {
+    fillBudget();
+    const auto attempts = startAndSend();
+    const auto retries = sent(fail(attempts[0], failure));
+    ASSERT_EQ(retries.size(), 1U);
+    EXPECT_NE(retries[0].Leaf, attempts[0].Leaf);
+    EXPECT_TRUE(finished(reply(retries[0])));
+    EXPECT_EQ(Made->takeAnswer().ShardsAnswered, 1U);
+  }
+}
+
+TEST_F(TailAwareSearchTest, ShedsStopRetriesByThemselves) {
+  publish(Version, 4);
+  fillBudget();
+  std::size_t retries = 0;
+  for (int n = 0; n < 20; ++n)
+    for (const auto &attempt : startAndSend())
+      retries += sent(fail(attempt, AttemptFailure::Shed)).size();
+  EXPECT_LE(retries, 5U);
+}
+
+TEST_F(TailAwareSearchTest, FinishesAtOnceWhenNothingCanBeSent) {
+  publish(Version, 2);
+  Leaves.BlockAll = true;
+  EXPECT_TRUE(finished(start()));
+  EXPECT_EQ(Made->takeAnswer().Missing.size(), 2U);
+}
+
+TEST_F(TailAwareSearchTest, WaitsForALeafOfOneShard) {
+  publish(Version, 2);
+  Leaves.Blocked = {2, 3};
+  const auto attempts = startAndSend();
+  ASSERT_EQ(attempts.size(), 1U);
+  EXPECT_FALSE(finished(reply(attempts[0])));
+  Leaves.Blocked = {2};
+  const auto later = sent(tick(Made->nextTimer().value()));
+  ASSERT_EQ(later.size(), 1U);
+  EXPECT_FALSE(later[0].Extra);
+  EXPECT_TRUE(finished(reply(later[0])));
+}
+
+TEST_F(TailAwareSearchTest, RestartsOnceOnANewerSnapshot) {
+  publish(Version, 3);
+  fillBudget();
+  const auto old = startAndSend();
+  reply(old[0]);
+  publish(Version + 1, 4);
+  const auto other = sent(fail(old[1], AttemptFailure::WrongVersion));
+  ASSERT_EQ(other.size(), 1U);
+  EXPECT_EQ(other[0].Version, Version);
+  const auto restarted = fail(other[0], AttemptFailure::WrongVersion);
+  EXPECT_EQ(cancels(restarted), 1U);
+  const auto again = sent(restarted);
+  ASSERT_EQ(again.size(), 4U);
+  EXPECT_EQ(Leaves.inUse(), 4);
+  EXPECT_TRUE(reply(old[2]).empty());
+  for (const auto &attempt : again)
+    reply(attempt);
+  const auto answer = Made->takeAnswer();
+  EXPECT_EQ(answer.Version, Version + 1);
+  EXPECT_EQ(answer.ShardsTotal, 4U);
+  EXPECT_EQ(answer.ShardsAnswered, 4U);
+  for (const auto &row : answer.Rows)
+    EXPECT_EQ(row["version"], Version + 1);
+  EXPECT_EQ(answer.ExtraAttempts, 5U);
+  EXPECT_EQ(Leaves.inUse(), 0);
+}
+
+TEST_F(TailAwareSearchTest, WithoutBudgetAVersionChangeLowersCoverage) {
+  publish(Version, 2);
+  Catalog.forget(3);
+  const auto old = startAndSend();
+  reply(old[0]);
+  publish(Version + 1, 3);
+  EXPECT_TRUE(sent(fail(old[1], AttemptFailure::WrongVersion)).empty());
+  EXPECT_TRUE(finished(tick(Parameters.Deadline)));
+  const auto answer = Made->takeAnswer();
+  EXPECT_EQ(answer.Version, Version);
+  EXPECT_EQ(answer.ShardsTotal, 2U);
+  EXPECT_EQ(answer.Missing, std::vector<ShardIndex>{1});
+}
+
+TEST_F(TailAwareSearchTest, CoverageFirstWaitsToTheDeadlineAndNamesTheMissing) {
+  publish(Version, 2);
+  const auto attempts = startAndSend();
+  reply(attempts[0]);
+  EXPECT_FALSE(finished(tick(Start + 999ms)));
+  EXPECT_TRUE(finished(tick(Start + 1s)));
+  EXPECT_EQ(Made->takeAnswer().Missing, std::vector<ShardIndex>{1});
+  EXPECT_EQ(Leaves.inUse(), 0);
+  EXPECT_EQ(Leaves.Results.back().Failure, AttemptFailure::Expired);
+}
+
+TEST_F(TailAwareSearchTest, TailFirstAnswersAtTheTargetAboveTheFloor) {
+  publish(Version, 10);
+  Parameters.Policy = AnswerPolicy::TailFirst;
+  const auto attempts = startAndSend();
+  for (int n = 0; n < 8; ++n)
+    reply(attempts[n]);
+  EXPECT_FALSE(finished(tick(Start + 100ms)));
+  EXPECT_TRUE(finished(reply(attempts[8], Start + 120ms)));
+  EXPECT_EQ(Made->takeAnswer().ShardsAnswered, 9U);
+}
+
+TEST_F(TailAwareSearchTest, TailFirstWakesAtTheTarget) {
+  publish(Version, 10);
+  Parameters.Policy = AnswerPolicy::TailFirst;
+  Parameters.LatencyTarget = 20ms;
+  const auto attempts = startAndSend();
+  for (int n = 0; n < 9; ++n)
+    reply(attempts[n]);
+  EXPECT_EQ(Made->nextTimer(), Start + 20ms);
+  EXPECT_TRUE(finished(tick(Start + 20ms)));
+}
+
+TEST_F(TailAwareSearchTest, AnUnknownRequestCrashesAtMostTwoLeaves) {
+  publish(Version, 10);
+  Parameters.Canary = true;
+  fillBudget();
+  const auto first = startAndSend();
+  ASSERT_EQ(first.size(), 1U);
+  const auto second = sent(fail(first[0], AttemptFailure::Broken));
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_TRUE(finished(fail(second[0], AttemptFailure::Broken)));
+  EXPECT_EQ(Made->brokenAttempts(), 2U);
+  EXPECT_EQ(Made->takeAnswer().ShardsAnswered, 0U);
+}
+
+TEST_F(TailAwareSearchTest, ASlowCanaryIsHedgedOnceWithoutExtraLoad) {
+  publish(Version, 10);
+  Parameters.Canary = true;
+  startAndSend();
+  const auto hedge = sent(tick(Start + 50ms));
+  ASSERT_EQ(hedge.size(), 1U);
+  EXPECT_FALSE(hedge[0].Extra);
+  EXPECT_TRUE(sent(tick(Start + 100ms)).empty());
+  EXPECT_EQ(sent(reply(hedge[0], Start + 101ms)).size(), 8U);
+}
+
+TEST_F(TailAwareSearchTest, ACanaryThatWasNotRunIsSentAgain) {
+  publish(Version, 4);
+  Parameters.Canary = true;
+  auto attempts = startAndSend();
+  for (int n = 0; n < 3; ++n) {
+    attempts = sent(fail(attempts[0], AttemptFailure::Refused));
+    ASSERT_EQ(attempts.size(), 1U);
+  }
+  EXPECT_FALSE(sent(reply(attempts[0])).empty());
+}
+
+TEST_F(TailAwareSearchTest, AbandonCancelsWhatIsInFlight) {
+  publish(Version, 3);
+  startAndSend();
+  const auto actions = Made->abandon(Start + 1ms);
+  EXPECT_EQ(cancels(actions), 3U);
+  EXPECT_TRUE(finished(actions));
+  EXPECT_EQ(Leaves.inUse(), 0);
+}
+
+} // namespace
