--- a/include/savorytrestle/core/RouteSettings.h
+++ b/include/savorytrestle/core/RouteSettings.h
@@ -34,6 +34,8 @@
   std::string FailureDomain;
   /// Replicas of one group hold the same shards; a plain leaf is a group alone.
   std::string Group;
+
+  bool operator==(const LeafSettings &) const = default;
 };
 
 /// @brief A service: its leaves and what each of them bears.
@@ -67,6 +69,10 @@
   std::uint32_t MaxBodyBytes = 65536;
   /// Share of the hosts' capacity relative to other workspaces.
   double Weight = 1.0;
+  /// Sends a search to one leaf first and fans out once that has answered.
+  bool Canary = false;
+  /// How long the outcome of a keyed write is kept for resends.
+  std::chrono::milliseconds WriteKeyRetention{std::chrono::hours(24)};
 };
 
 /// @brief All routes in force, by workspace and route name.
--- /dev/null
+++ b/src/core/SettingsPath.cpp
@@ -0,0 +1,65 @@
+#include "savorytrestle/core/SettingsPath.h"
+
+namespace savorytrestle::core {
+
+namespace {
+
+constexpr std::size_t LongestName = 63;
+constexpr int DeepestLevel = static_cast<int>(SettingsLevel::Route);
+
+bool isName(std::string_view text) {
+  return !text.empty() && text.size() <= LongestName && text.front() != '-' &&
+         text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") ==
+             std::string_view::npos;
+}
+
+} // namespace
+
+Result<SettingsPath> SettingsPath::parse(const std::string &text) {
+  const auto bad = [&] {
+    return makeError(ErrorCode::InvalidSettings,
+                     "'" + text +
+                         "' is no path; allowed: /, /WORKSPACE, "
+                         "/WORKSPACE/SERVICE or /WORKSPACE/SERVICE/ROUTE, with "
+                         "names of lower-case letters, digits and '-'");
+  };
+  if (text == "/")
+    return SettingsPath();
+  if (text.empty() || text.front() != '/')
+    return bad();
+  std::string_view rest(text);
+  int depth = 0;
+  while (!rest.empty()) {
+    rest.remove_prefix(1);
+    const auto slash = std::min(rest.find('/'), rest.size());
+    if (++depth > DeepestLevel || !isName(rest.substr(0, slash)))
+      return bad();
+    rest.remove_prefix(slash);
+  }
+  return SettingsPath(text, static_cast<SettingsLevel>(depth));
+}
+
+SettingsPath SettingsPath::parent() const {
+  if (Level == SettingsLevel::Root || Level == SettingsLevel::Workspace)
+    return {};
+  return {Text.substr(0, Text.rfind('/')),
+          static_cast<SettingsLevel>(static_cast<int>(Level) - 1)};
+}
+
+std::string SettingsPath::leafName() const {
+  return Text.substr(Text.rfind('/') + 1);
+}
+
+SettingsPath SettingsPath::workspace() const {
+  if (Level == SettingsLevel::Root)
+    return {};
+  return {Text.substr(0, Text.find('/', 1)), SettingsLevel::Workspace};
+}
+
+bool SettingsPath::isWithin(const SettingsPath &ancestor) const {
+  if (ancestor.Level == SettingsLevel::Root || *this == ancestor)
+    return true;
+  return Text.rfind(ancestor.Text + "/", 0) == 0;
+}
+
+} // namespace savorytrestle::core
--- /dev/null
+++ b/src/core/SettingsSchema.cpp
@@ -0,0 +1,205 @@
+#include "savorytrestle/core/SettingsSchema.h"
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace savorytrestle::core {
+
+namespace {
+
+using enum SettingKind;
+using enum SettingsLevel;
+
+constexpr double MillisPerHour = 3600.0 * 1000.0;
+constexpr double LongestDeadlineMs = 600.0 * 1000.0;
+
+constexpr SettingSpec Schema[] = {
+    {.Key = "kind",
+     .Kind = Choice,
+     .Highest = Route,
+     .Choices = "search|write",
+     .Doc = "What the route does; every route sets it."},
+    {.Key = "policy",
+     .Kind = Choice,
+     .Default = "coverage_first",
+     .Choices = "coverage_first|tail_first",
+     .Doc = "coverage_first waits for missing shards up to the deadline; "
+            "tail_first answers at latency_target once coverage_floor is met."},
+    {.Key = "default_deadline",
+     .Kind = Duration,
+     .Default = "1 s",
+     .Minimum = 1,
+     .Maximum = LongestDeadlineMs,
+     .Doc = "Deadline of a request that names none."},
+    {.Key = "max_deadline",
+     .Kind = Duration,
+     .Default = "10 s",
+     .Minimum = 1,
+     .Maximum = LongestDeadlineMs,
+     .Doc = "Longest deadline a caller may ask for."},
+    {.Key = "latency_target",
+     .Kind = Duration,
+     .Default = "100 ms",
+     .Minimum = 1,
+     .Maximum = LongestDeadlineMs,
+     .Doc = "When a tail_first route answers with what it has."},
+    {.Key = "coverage_floor",
+     .Kind = Real,
+     .Default = "0.9",
+     .Minimum = 0,
+     .Maximum = 1,
+     .Unit = "fraction of shards",
+     .Doc = "Least coverage of a tail_first answer before the deadline."},
+    {.Key = "extra_load_fraction",
+     .Kind = Real,
+     .Lowest = Service,
+     .Default = "0.05",
+     .Minimum = 0,
+     .Maximum = 1,
+     .Unit = "fraction of first attempts",
+     .RootOperatorOnly = true,
+     .Doc = "Budget of hedges, retries and restarts of a service together."},
+    {.Key = "leaf_slots",
+     .Kind = Integer,
+     .Lowest = Service,
+     .Default = "5",
+     .Minimum = 1,
+     .Maximum = 10000,
+     .Unit = "requests",
+     .RootOperatorOnly = true,
+     .Doc = "Requests a leaf executes at once."},
+    {.Key = "leaf_connections",
+     .Kind = Integer,
+     .Lowest = Service,
+     .Default = "40",
+     .Minimum = 1,
+     .Maximum = 100000,
+     .Unit = "connections",
+     .RootOperatorOnly = true,
+     .Doc = "Connections a leaf accepts, over all hosts together."},
+    {.Key = "leaves",
+     .Kind = LeafList,
+     .Highest = Service,
+     .Lowest = Service,
+     .Doc = "Backend servers of the service. Leaves with the same group hold "
+            "the same shards; without a group a leaf is a group alone."},
+    {.Key = "max_body",
+     .Kind = Integer,
+     .Default = "65536",
+     .Minimum = 1,
+     .Maximum = 1048576,
+     .Unit = "bytes",
+     .Doc = "Largest request body; a larger one is refused unread."},
+    {.Key = "weight",
+     .Kind = Real,
+     .Lowest = Workspace,
+     .Default = "1",
+     .Minimum = 0.01,
+     .Maximum = 1000,
+     .Unit = "relative share",
+     .RootOperatorOnly = true,
+     .Doc = "Share of the hosts' capacity relative to other workspaces."},
+    {.Key = "canary",
+     .Kind = Bool,
+     .Default = "false",
+     .Doc = "Sends a search to one leaf first and fans out once it answered."},
+    {.Key = "write_key_retention",
+     .Kind = Duration,
+     .Default = "24 h",
+     .Minimum = 1000,
+     .Maximum = 720 * MillisPerHour,
+     .Doc = "How long the outcome of a keyed write is kept for resends."},
+    {.Key = "operator_token_hash",
+     .Kind = TokenHash,
+     .Highest = Root,
+     .Lowest = Workspace,
+     .Doc = "SHA-256 of the bearer token that may change this subtree."},
+};
+
+void describeRange(std::ostream &out, const SettingSpec &spec) {
+  out << " from " << spec.Minimum << " to " << spec.Maximum;
+  if (!spec.Unit.empty())
+    out << " (" << spec.Unit << ")";
+}
+
+std::string_view kindName(SettingKind kind) {
+  constexpr std::array<std::string_view, 7> Names = {
+      "true or false", "whole number", "number",    "duration",
+      "one of",        "leaf list",    "token hash"};
+  return Names.at(static_cast<std::size_t>(kind));
+}
+
+std::string levelsOf(const SettingSpec &spec) {
+  std::string text;
+  for (const auto level : {Root, Workspace, Service, Route})
+    if (isAllowedAt(spec, level))
+      text += (text.empty() ? "" : ", ") + std::string(name(level));
+  return text;
+}
+
+} // namespace
+
+std::span<const SettingSpec> settingsSchema() { return Schema; }
+
+const SettingSpec *findSetting(std::string_view key) {
+  const auto it =
+      std::find_if(std::begin(Schema), std::end(Schema),
+                   [&](const auto &spec) { return spec.Key == key; });
+  return it == std::end(Schema) ? nullptr : it;
+}
+
+bool isAllowedAt(const SettingSpec &spec, SettingsLevel level) {
+  return spec.Highest <= level && level <= spec.Lowest;
+}
+
+std::string_view name(SettingsLevel level) {
+  constexpr std::array<std::string_view, 4> Names = {"root", "workspace",
+                                                     "service", "route"};
+  return Names.at(static_cast<std::size_t>(level));
+}
+
+std::string allowedValues(const SettingSpec &spec) {
+  std::ostringstream out;
+  out << kindName(spec.Kind);
+  const auto asText = [](double millis) {
+    return formatDuration(
+        std::chrono::milliseconds(static_cast<std::int64_t>(millis)));
+  };
+  if (spec.Kind == Choice)
+    out << " " << spec.Choices;
+  if (spec.Kind == Integer || spec.Kind == Real)
+    describeRange(out, spec);
+  if (spec.Kind == Duration)
+    out << " from " << asText(spec.Minimum) << " to " << asText(spec.Maximum);
+  if (spec.Kind == TokenHash)
+    out << ": 64 hexadecimal digits in lower case";
+  if (spec.Kind == LeafList)
+    out << ": items with name, address (ip:port), failure_domain and, if any, "
+           "group";
+  return out.str();
+}
+
+std::string settingsReference() {
+  std::ostringstream out;
+  out << "# Settings reference\n\n"
+         "Generated from the schema that checks every change; do not edit.\n\n"
+         "A node inherits each key from its nearest ancestor that sets it, "
+         "else it has the default. Keys marked *root operator* can't be "
+         "changed with a workspace's token.\n\n"
+         "| Key | Set at | Allowed | Default | Meaning |\n"
+         "| --- | --- | --- | --- | --- |\n";
+  for (const auto &spec : Schema) {
+    std::string allowed = allowedValues(spec);
+    for (auto at = allowed.find('|'); at != std::string::npos;
+         at = allowed.find('|', at + 2))
+      allowed.replace(at, 1, "\\|");
+    out << "| `" << spec.Key << "` | " << levelsOf(spec)
+        << (spec.RootOperatorOnly ? " (*root operator*)" : "") << " | "
+        << allowed << " | " << (spec.Default.empty() ? "none" : spec.Default)
+        << " | " << spec.Doc << " |\n";
+  }
+  return out.str();
+}
+
+} // namespace savorytrestle::core
--- /dev/null
+++ b/src/core/SettingsYaml.cpp
@@ -0,0 +1,245 @@
+#include "savorytrestle/core/SettingsYaml.h"
+
+#include <array>
+#include <set>
+
+#include <yaml-cpp/yaml.h>
+
+namespace savorytrestle::core {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t MostProblems = 20;
+constexpr int MostLeaves = 10000;
+constexpr int MostNesting = 16;
+
+/// Key under which the children of a level stand.
+std::string_view childrenKey(SettingsLevel level) {
+  constexpr std::array<std::string_view, 4> Keys = {"workspaces", "services",
+                                                    "routes", ""};
+  return Keys.at(static_cast<std::size_t>(level));
+}
+
+json toJson(const YAML::Node &node, int depth = 0) {
+  if (depth > MostNesting)
+    return nullptr;
+  if (node.IsScalar())
+    return node.Scalar();
+  json value;
+  if (node.IsSequence()) {
+    value = json::array();
+    for (const auto &item : node)
+      value.push_back(toJson(item, depth + 1));
+  }
+  if (node.IsMap()) {
+    value = json::object();
+    for (const auto &item : node)
+      value[item.first.Scalar()] = toJson(item.second, depth + 1);
+  }
+  return value;
+}
+
+/// Shorthand for many like leaves; the tree holds the list alone.
+struct LeafRange {
+  int Groups = 0;
+  int Replicas = 1;
+  int FirstPort = 0;
+  std::string Address;
+  std::vector<std::string> FailureDomains;
+};
+
+class YamlReader {
+public:
+  explicit YamlReader(std::string file) : File(std::move(file)) {}
+
+  Result<SettingsTree> read(const YAML::Node &document) {
+    readNode(SettingsPath(), document);
+    if (Problems.empty())
+      for (const auto &problem : Tree.check())
+        report(lineOf(problem), problem.Path, problem.Key, problem.Reason);
+    if (Problems.empty())
+      return std::move(Tree);
+    return makeError(ErrorCode::InvalidSettings, text());
+  }
+
+private:
+  void report(int line, const std::string &path, const std::string &key,
+              const std::string &reason) {
+    Problems.push_back(File + ":" + std::to_string(line) + ": " + path +
+                       (key.empty() ? "" : " " + key) + ": " + reason);
+  }
+
+  std::string text() const {
+    std::string all;
+    for (std::size_t n = 0; n < std::min(Problems.size(), MostProblems); ++n)
+      all += (n ? "\n" : "") + Problems[n];
+    if (Problems.size() > MostProblems)
+      all += "\n... and " + std::to_string(Problems.size() - MostProblems) +
+             " more";
+    return all;
+  }
+
+  static int lineAt(const YAML::Node &node) { return node.Mark().line + 1; }
+
+  int lineOf(const SettingsProblem &problem) const {
+    if (const auto it = Lines.find({problem.Path, problem.Key});
+        it != Lines.end())
+      return it->second;
+    const auto it = Lines.find({problem.Path, ""});
+    return it == Lines.end() ? 1 : it->second;
+  }
+
+  void readNode(const SettingsPath &path, const YAML::Node &node) {
+    if (node.IsNull())
+      return;
+    if (!node.IsMap()) {
+      report(lineAt(node), path.text(), "", "a node is a mapping of keys");
+      return;
+    }
+    Lines[{path.text(), ""}] = lineAt(node);
+    std::set<std::string> seen;
+    for (const auto &item : node) {
+      const auto key = item.first.Scalar();
+      if (!seen.insert(key).second)
+        report(lineAt(item.first), path.text(), key, "the key stands twice");
+      else if (!key.empty() && key == childrenKey(path.level()))
+        readChildren(path, item.second);
+      else
+        readKey(path, item.first, item.second);
+    }
+  }
+
+  void readChildren(const SettingsPath &parent, const YAML::Node &children) {
+    if (!children.IsMap()) {
+      report(lineAt(children), parent.text(),
+             std::string(childrenKey(parent.level())),
+             "children are a mapping of names");
+      return;
+    }
+    for (const auto &child : children) {
+      const std::string prefix =
+          parent.level() == SettingsLevel::Root ? "" : parent.text();
+      const auto path =
+          SettingsPath::parse(prefix + "/" + child.first.Scalar());
+      if (!path) {
+        report(lineAt(child.first), parent.text(), child.first.Scalar(),
+               path.error().Message);
+        continue;
+      }
+      if (Lines.count({path->text(), ""}))
+        report(lineAt(child.first), path->text(), "", "the node stands twice");
+      Lines[{path->text(), ""}] = lineAt(child.first);
+      (void)Tree.add(*path);
+      readNode(*path, child.second);
+    }
+  }
+
+  void readKey(const SettingsPath &path, const YAML::Node &keyNode,
+               const YAML::Node &valueNode) {
+    std::string key = keyNode.Scalar();
+    const int line = lineAt(keyNode);
+    json value;
+    if (key == "leaf_range" && path.level() == SettingsLevel::Service) {
+      const auto leaves = expand(readRange(path, valueNode));
+      if (!leaves) {
+        report(line, path.text(), key, leaves.error().Message);
+        return;
+      }
+      key = "leaves";
+      value = *leaves;
+    } else {
+      value = toJson(valueNode);
+    }
+    Lines[{path.text(), key}] = line;
+    if (Tree.find(path, key)) {
+      report(line, path.text(), key,
+             "leaves and leaf_range exclude each other");
+      return;
+    }
+    auto parsed = parseOverride(path, key, value);
+    if (!parsed) {
+      Problems.push_back(File + ":" + std::to_string(line) + ": " +
+                         parsed.error().Message);
+      return;
+    }
+    (void)Tree.set(path, key, std::move(*parsed));
+  }
+
+  LeafRange readRange(const SettingsPath &path, const YAML::Node &node) {
+    LeafRange range;
+    if (!node.IsMap())
+      return range;
+    for (const auto &item : node) {
+      const auto key = item.first.Scalar();
+      if (key == "groups")
+        range.Groups = item.second.as<int>();
+      else if (key == "replicas")
+        range.Replicas = item.second.as<int>();
+      else if (key == "first_port")
+        range.FirstPort = item.second.as<int>();
+      else if (key == "address")
+        range.Address = item.second.as<std::string>();
+      else if (key == "failure_domains")
+        range.FailureDomains = item.second.as<std::vector<std::string>>();
+      else
+        report(lineAt(item.first), path.text(), "leaf_range",
+               "unknown key '" + key +
+                   "'; allowed: groups, replicas, address, first_port, "
+                   "failure_domains");
+    }
+    return range;
+  }
+
+  static Result<json> expand(const LeafRange &range) {
+    if (range.Groups < 1 || range.Replicas < 1 || range.FirstPort < 1 ||
+        range.Address.empty() || range.FailureDomains.empty() ||
+        range.Groups > MostLeaves / range.Replicas)
+      return makeError(ErrorCode::InvalidSettings,
+                       "needs groups, replicas, address, first_port and "
+                       "failure_domains, for 1 to " +
+                           std::to_string(MostLeaves) + " leaves");
+    json leaves = json::array();
+    // Replicas of a group go to different failure domains, and the first one
+    // moves on with each group so that plain leaves spread as well.
+    for (int group = 0; group < range.Groups; ++group)
+      for (int replica = 0; replica < range.Replicas; ++replica)
+        leaves.push_back(makeLeaf(range, group, replica));
+    return leaves;
+  }
+
+  static json makeLeaf(const LeafRange &range, int group, int replica) {
+    const std::string groupName = "g" + std::to_string(group);
+    const int n = group * range.Replicas + replica;
+    const auto domain =
+        static_cast<std::size_t>(group + replica) % range.FailureDomains.size();
+    return {
+        {"name", groupName + "r" + std::to_string(replica)},
+        {"address", range.Address + ":" + std::to_string(range.FirstPort + n)},
+        {"failure_domain", range.FailureDomains[domain]},
+        {"group", groupName}};
+  }
+
+  std::string File;
+  SettingsTree Tree;
+  std::vector<std::string> Problems;
+  /// Line of each node (empty key) and key.
+  std::map<std::pair<std::string, std::string>, int> Lines;
+};
+
+} // namespace
+
+Result<SettingsTree> parseSettingsYaml(const std::string &text,
+                                       const std::string &file) {
+  // yaml-cpp throws on syntax errors and failed conversions.
+  try {
+    return YamlReader(file).read(YAML::Load(text));
+  } catch (const YAML::Exception &ec) {
+    return makeError(ErrorCode::InvalidSettings,
+                     file + ":" + std::to_string(ec.mark.line + 1) + ": " +
+                         ec.msg);
+  }
+}
+
+} // namespace savorytrestle::core
