--- /dev/null
+++ b/tests/PathFixture.h
@@ -0,0 +1,90 @@
+#ifndef SAVORYTRESTLE_TESTS_PATH_FIXTURE_H
+#define SAVORYTRESTLE_TESTS_PATH_FIXTURE_H
+
+/// @file
+/// @brief A small deployment: one search service of three groups with three
+/// replicas, one write service, and as many hosts as a test starts.
+
+#include <fstream>
+
+#include <gtest/gtest.h>
+
+#include "ProcessHarness.h"
+
+namespace savorytrestle::testing {
+
+/// @brief Fixture of the process tests that go through the whole path.
+class PathTest : public ::testing::Test {
+protected:
+  static constexpr int Groups = 3;
+  static constexpr int Replicas = 3;
+  static constexpr int SearchLeaves = Groups * Replicas;
+
+  /// @brief Starts all leaves.
+  /// @param searchArguments further flags of the search leaves
+  void startLeaves(const std::vector<std::string> &searchArguments = {}) {
+    for (int n = 0; n < SearchLeaves; ++n) {
+      std::vector<std::string> arguments = {
+          "--indexes=7:" + std::to_string(n / Replicas) + ":3"};
+      arguments.insert(arguments.end(), searchArguments.begin(),
+                       searchArguments.end());
+      All.addLeaf("search-" + std::to_string(n), arguments);
+    }
+    All.addLeaf("write-0", {});
+  }
+
+  /// @brief Starts a host and waits until it serves searches.
+  HostProcess &startHost(const std::string &serviceSettings = "") {
+    auto &host = All.addHost(
+        "wien", "settings_file: " + settingsFile(serviceSettings) + "\n");
+    EXPECT_TRUE(eventually([&] { return host.ready(); }));
+    EXPECT_TRUE(eventually([&] { return covered(search(host)) == Groups; }));
+    return host;
+  }
+
+  /// @brief Sends one search.
+  static JsonReply
+  search(const HostProcess &host,
+         const nlohmann::json &query = {{"text", "gel"}},
+         std::chrono::milliseconds deadline = std::chrono::milliseconds(1000)) {
+    return host.call("/v1/preisaufsicht/suche", query, deadline);
+  }
+
+  /// @brief Shards answered, or -1 for anything but a search answer.
+  static int covered(const JsonReply &reply) {
+    if (reply.Status != 200)
+      return -1;
+    return reply.Body["coverage"]["shards_answered"].get<int>();
+  }
+
+  LeafProcess &leaf(int n) { return *All.Leaves[static_cast<std::size_t>(n)]; }
+  LeafProcess &writeLeaf() { return *All.Leaves.back(); }
+
+  Deployment All;
+
+private:
+  std::string settingsFile(const std::string &serviceSettings) {
+    const std::string path = All.Folder + "/tree.yaml";
+    std::ofstream file(path);
+    file << "workspaces:\n  preisaufsicht:\n    services:\n"
+            "      preisportal:\n"
+         << serviceSettings << "        leaves:\n";
+    for (int n = 0; n < SearchLeaves; ++n)
+      file << leafLine(leaf(n), "g" + std::to_string(n / Replicas));
+    file << "        routes:\n          suche: {kind: search}\n"
+            "      meldestelle:\n        leaves:\n"
+         << leafLine(writeLeaf(), "w")
+         << "        routes:\n          melden: {kind: write}\n";
+    return path;
+  }
+
+  static std::string leafLine(const LeafProcess &leaf,
+                              const std::string &group) {
+    return "          - {name: " + leaf.Name + ", address: \"" + leaf.Address +
+           "\", failure_domain: wien, group: " + group + "}\n";
+  }
+};
+
+} // namespace savorytrestle::testing
+
+#endif
--- a/tests/process-path.cpp
+++ b/tests/process-path.cpp
@@ -1,7 +1,6 @@
-#include "ProcessHarness.h"
+#include "PathFixture.h"
 
 #include <csignal>
-#include <fstream>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -12,56 +11,7 @@
 
 namespace {
 
-constexpr int Groups = 3;
-constexpr int Replicas = 3;
-
-/// Leaves of one search service and one write service, and their settings.
-class PathTest : public ::testing::Test {
-protected:
-  void startLeaves() {
-    for (int group = 0; group < Groups; ++group)
-      for (int replica = 0; replica < Replicas; ++replica)
-        All.addLeaf("search-" + std::to_string(group) + "-" +
-                        std::to_string(replica),
-                    {"--indexes=7:" + std::to_string(group) + ":3"});
-    All.addLeaf("write-0", {});
-  }
-
-  std::string settingsFile() {
-    const std::string path = All.Folder + "/tree.yaml";
-    std::ofstream file(path);
-    file << "workspaces:\n  preisaufsicht:\n    services:\n"
-            "      preisportal:\n        leaves:\n";
-    for (int n = 0; n < Groups * Replicas; ++n)
-      file << leafLine(n, "g" + std::to_string(n / Replicas));
-    file << "        routes:\n          suche: {kind: search}\n"
-            "      meldestelle:\n        leaves:\n"
-         << leafLine(Groups * Replicas, "w")
-         << "        routes:\n          melden: {kind: write}\n";
-    return path;
-  }
-
-  HostProcess &startHost() {
-    auto &host = All.addHost("wien", "settings_file: " + settingsFile() + "\n");
-    EXPECT_TRUE(eventually([&] { return host.ready(); }));
-    // The first statuses of the leaves arrive within moments.
-    EXPECT_TRUE(eventually([&] { return search(host).Status == 200; }));
-    return host;
-  }
-
-  JsonReply search(const HostProcess &host) const {
-    return host.call("/v1/preisaufsicht/suche", {{"text", "gel"}}, 1000ms);
-  }
-
-  Deployment All;
-
-private:
-  std::string leafLine(int n, const std::string &group) {
-    const auto &leaf = *All.Leaves[static_cast<std::size_t>(n)];
-    return "          - {name: " + leaf.Name + ", address: \"" + leaf.Address +
-           "\", failure_domain: wien, group: " + group + "}\n";
-  }
-};
+using PathTest = savorytrestle::testing::PathTest;
 
 TEST_F(PathTest, ASearchCoversEveryShardOfOneVersion) {
   startLeaves();
@@ -81,13 +31,13 @@
       host.call("/v1/preisaufsicht/melden", {{"studio", 17}}, 1000ms);
   ASSERT_EQ(reply.Status, 200) << reply.Body;
   EXPECT_EQ(reply.Body["run"], "ran");
-  EXPECT_EQ(All.Leaves.back()->control()["writes"].size(), 1U);
+  EXPECT_EQ(writeLeaf().control()["writes"].size(), 1U);
 }
 
 TEST_F(PathTest, BadInputRunsNothing) {
   startLeaves();
   const auto &host = startHost();
-  const auto searchesBefore = All.Leaves[0]->control()["searches"];
+  const auto searchesBefore = leaf(0).control()["searches"];
   const auto post = [&](const std::string &path, const json &body,
                         std::map<std::string, std::string> headers) {
     return sendJson("POST", "http://" + host.Callers + path, body, headers);
@@ -106,7 +56,7 @@
   const auto large = post(path, json{{"x", std::string(100000, 'x')}},
                           {{"Deadline-Ms", "500"}});
   EXPECT_EQ(large.Body["error"]["run"], "not_run");
-  EXPECT_EQ(All.Leaves[0]->control()["searches"], searchesBefore);
+  EXPECT_EQ(leaf(0).control()["searches"], searchesBefore);
 }
 
 TEST_F(PathTest, SigtermFinishesWhatRunsAndExitsZero) {
--- /dev/null
+++ b/tests/process-search.cpp
@@ -0,0 +1,159 @@
+#include "PathFixture.h"
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+using namespace savorytrestle::testing;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+using SearchTest = savorytrestle::testing::PathTest;
+
+/// Runs searches on several threads until it goes out of scope.
+class Load {
+public:
+  Load(std::vector<const HostProcess *> hosts, int threads,
+       std::function<void(const JsonReply &)> check) {
+    for (int n = 0; n < threads; ++n)
+      Threads.emplace_back([this, hosts, n, check] {
+        for (auto turn = static_cast<std::size_t>(n); !Stop; ++turn) {
+          check(hosts[turn % hosts.size()]->call("/v1/preisaufsicht/suche",
+                                                 {{"text", turn}}, 1000ms));
+          ++Sent;
+        }
+      });
+  }
+  ~Load() {
+    Stop = true;
+    for (auto &thread : Threads)
+      thread.join();
+  }
+
+  std::atomic<int> Sent{0};
+
+private:
+  std::atomic<bool> Stop{false};
+  std::vector<std::thread> Threads;
+};
+
+TEST_F(SearchTest, AReplyThatIsNotGenuineNeverCounts) {
+  startLeaves();
+  const auto &host = startHost();
+  for (const char *fault :
+       {"truncated", "crossed", "wrong_version", "empty", "garbage"}) {
+    for (int n = 0; n < Replicas; ++n)
+      leaf(n).control({{"reply_fault", fault}});
+    const auto reply = search(host, {{"text", fault}}, 400ms);
+    ASSERT_EQ(reply.Status, 200) << fault << reply.Body;
+    EXPECT_EQ(reply.Body["coverage"]["shards_answered"], 2) << fault;
+    EXPECT_EQ(reply.Body["coverage"]["shards_total"], 3) << fault;
+    EXPECT_EQ(reply.Body["coverage"]["missing_shards"], json::array({0}));
+    EXPECT_EQ(reply.Body["rows"].size(), 4U) << fault;
+  }
+}
+
+TEST_F(SearchTest, OneReplicaLostInEachGroupCostsNoCoverage) {
+  startLeaves();
+  const auto &host = startHost();
+  for (int group = 0; group < Groups; ++group)
+    leaf(group * Replicas).Child.kill();
+  int whole = 0;
+  for (int n = 0; n < 50; ++n)
+    whole += covered(search(host, {{"text", n}})) == Groups ? 1 : 0;
+  EXPECT_EQ(whole, 50);
+}
+
+TEST_F(SearchTest, AWholeGroupLostKeepsTheDenominator) {
+  startLeaves();
+  const auto &host = startHost();
+  for (int n = 0; n < Replicas; ++n)
+    leaf(n).Child.kill();
+  const auto reply = search(host, {{"text", "lost"}}, 400ms);
+  ASSERT_EQ(reply.Status, 200);
+  EXPECT_EQ(reply.Body["coverage"]["shards_total"], 3);
+  EXPECT_EQ(reply.Body["coverage"]["missing_shards"], json::array({0}));
+}
+
+TEST_F(SearchTest, ADrainingLeafGetsNoNewWorkAfterThreeSeconds) {
+  startLeaves();
+  const auto &host = startHost();
+  const Load load({&host}, 2, [](const JsonReply &) {});
+  // Its health endpoint goes on saying that it is ready.
+  leaf(0).control({{"draining", true}, {"health_lies", true}});
+  std::this_thread::sleep_for(3s);
+  const int after = leaf(0).control()["searches"].get<int>();
+  std::this_thread::sleep_for(1500ms);
+  EXPECT_EQ(leaf(0).control()["searches"], after);
+}
+
+TEST_F(SearchTest, ARepartitionUnderLoadMixesNoVersions) {
+  startLeaves();
+  const auto &host = startHost();
+  std::atomic<int> mixed{0};
+  std::atomic<int> untrue{0};
+  std::atomic<int> newer{0};
+  {
+    const Load load({&host}, 3, [&](const JsonReply &reply) {
+      if (reply.Status != 200)
+        return;
+      const int version = reply.Body["index_version"].get<int>();
+      const auto &coverage = reply.Body["coverage"];
+      newer += version == 8 ? 1 : 0;
+      untrue += coverage["shards_total"] != (version == 8 ? 2 : 3) ? 1 : 0;
+      const auto rows = reply.Body["rows"];
+      untrue +=
+          rows.size() != 2 * coverage["shards_answered"].get<std::size_t>() ? 1
+                                                                            : 0;
+      for (const auto &row : rows)
+        mixed += row["version"] != version ? 1 : 0;
+    });
+    std::this_thread::sleep_for(300ms);
+    // Version 8 has two shards; the third group goes unused.
+    for (int n = 0; n < SearchLeaves; ++n) {
+      const std::string old = "7:" + std::to_string(n / Replicas) + ":3";
+      leaf(n).control(
+          {{"indexes", old + ",8:" + std::to_string(n % 2) + ":2"}});
+    }
+    std::this_thread::sleep_for(1500ms);
+    for (int n = 0; n < SearchLeaves; ++n)
+      leaf(n).control({{"indexes", "8:" + std::to_string(n % 2) + ":2"}});
+    std::this_thread::sleep_for(1500ms);
+  }
+  EXPECT_EQ(mixed, 0);
+  EXPECT_EQ(untrue, 0);
+  EXPECT_GT(newer, 0);
+}
+
+TEST_F(SearchTest, AFloodStaysWithinEachLeafsConnectionCap) {
+  startLeaves({"--connections=8", "--service_ms=20"});
+  const std::string cap = "        leaf_connections: 8\n";
+  std::vector<const HostProcess *> hosts;
+  for (int n = 0; n < 3; ++n)
+    hosts.push_back(&startHost(cap));
+  {
+    const Load load(hosts, 24, [](const JsonReply &) {});
+    std::this_thread::sleep_for(3s);
+  }
+  for (int n = 0; n < SearchLeaves; ++n) {
+    // One connection is this test's own.
+    EXPECT_LE(leaf(n).control()["most_connections"].get<int>(), 8 + 1)
+        << leaf(n).Name;
+  }
+}
+
+TEST_F(SearchTest, APausedHostTakesNoShareWithIt) {
+  startLeaves();
+  startHost();
+  startHost();
+  All.Hosts[0]->Child.signal(SIGSTOP);
+  int whole = 0;
+  for (int n = 0; n < 20; ++n)
+    whole += covered(search(*All.Hosts[1], {{"text", n}})) == Groups ? 1 : 0;
+  All.Hosts[0]->Child.signal(SIGCONT);
+  EXPECT_EQ(whole, 20);
+}
+
+} // namespace
