Split the attempts' bookkeeping off the search policy

AttemptLog numbers attempts and tells which are due for a hedge; parameters and shared service state have headers of their own. While moving it, one fault was found: with a latency estimate of zero (replies faster than the clock's step) the queue of due hedges never ran empty. The delay is at least 1 ms now; the new test hangs without that.

--- /dev/null
+++ b/include/savorytrestle/core/AttemptLog.h
@@ -0,0 +1,83 @@
+#ifndef SAVORYTRESTLE_CORE_ATTEMPT_LOG_H
+#define SAVORYTRESTLE_CORE_ATTEMPT_LOG_H
+
+/// @file
+/// @brief The attempts of one search and when they are due for a hedge.
+
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include "savorytrestle/core/SearchTypes.h"
+
+namespace savorytrestle::core {
+
+/// @brief One sub-request of a search.
+struct Attempt {
+  LeafIndex Leaf = 0;
+  ShardIndex Shard = 0;
+  TimePoint SentAt;
+  /// When a hedge may be sent beside it.
+  TimePoint HedgeAt;
+  bool Active = false;
+};
+
+/// @brief Numbers attempts, keeps those in flight and their hedge times.
+class AttemptLog {
+public:
+  /// @brief Adds an attempt. O(1).
+  /// @param leaf the leaf asked
+  /// @param shard the shard asked for
+  /// @param now current time
+  /// @return its number, never reused
+  AttemptId open(LeafIndex leaf, ShardIndex shard, TimePoint now);
+
+  /// @brief Ends an attempt that is active. O(1).
+  /// @param id the attempt
+  void close(AttemptId id);
+
+  /// @brief Whether an attempt is in flight.
+  /// @param id any number, also one that was never given out
+  /// @return true when it is
+  bool isActive(AttemptId id) const;
+
+  /// @brief One attempt.
+  /// @param id a number given out by @ref open
+  /// @return the attempt
+  const Attempt &operator[](AttemptId id) const { return Attempts[id]; }
+
+  /// @brief Attempts in flight.
+  /// @return their number
+  std::uint32_t active() const { return ActiveCount; }
+
+  /// @brief Attempts in flight, by number.
+  /// @param shard of this shard only, if given
+  /// @return their numbers; O(attempts)
+  std::vector<AttemptId>
+  findActive(std::optional<ShardIndex> shard = std::nullopt) const;
+
+  /// @brief Sets how long after its dispatch an attempt is hedged. O(1).
+  /// @param delay the delay, for the attempts to come; at least 1 ms is kept
+  void setHedgeDelay(Duration delay);
+
+  /// @brief Takes one attempt that is due for a hedge; it comes up again after
+  /// another delay. O(1) amortised.
+  /// @param now current time
+  /// @return the attempt, or nothing when none is due
+  std::optional<AttemptId> takeDue(TimePoint now);
+
+  /// @brief When @ref takeDue may next give something.
+  /// @return the time, perhaps early, or nothing; O(1)
+  std::optional<TimePoint> nextDue() const;
+
+private:
+  std::vector<Attempt> Attempts;
+  /// Sorted by HedgeAt, since the delay is the same for all.
+  std::deque<AttemptId> HedgeQueue;
+  Duration HedgeDelay{};
+  std::uint32_t ActiveCount = 0;
+};
+
+} // namespace savorytrestle::core
+
+#endif
--- /dev/null
+++ b/include/savorytrestle/core/ServiceState.h
@@ -0,0 +1,25 @@
+#ifndef SAVORYTRESTLE_CORE_SERVICE_STATE_H
+#define SAVORYTRESTLE_CORE_SERVICE_STATE_H
+
+/// @file
+/// @brief What the searches of one service share.
+
+#include "savorytrestle/core/ExtraLoadBudget.h"
+#include "savorytrestle/core/LatencyTracker.h"
+#include "savorytrestle/core/LeafSelector.h"
+#include "savorytrestle/core/SnapshotCatalog.h"
+
+namespace savorytrestle::core {
+
+/// @brief What all searches of one service on one host share; it outlives them
+/// and is used from one thread.
+template <LeafSelector Selector> struct ServiceState {
+  Selector &Leaves;
+  SnapshotCatalog &Catalog;
+  ExtraLoadBudget &Budget;
+  LatencyTracker &Latency;
+};
+
+} // namespace savorytrestle::core
+
+#endif
--- a/include/savorytrestle/core/TailAwareSearch.h
+++ b/include/savorytrestle/core/TailAwareSearch.h
@@ -6,54 +6,18 @@
 /// within the service's extra load budget.
 
 #include <algorithm>
-#include <deque>
-#include <iterator>
-#include <memory>
 #include <optional>
 #include <utility>
 #include <vector>
 
-#include "savorytrestle/core/ExtraLoadBudget.h"
-#include "savorytrestle/core/LatencyTracker.h"
-#include "savorytrestle/core/LeafSelector.h"
-#include "savorytrestle/core/RouteSettings.h"
+#include "savorytrestle/core/AttemptLog.h"
+#include "savorytrestle/core/SearchParameters.h"
 #include "savorytrestle/core/SearchProgress.h"
 #include "savorytrestle/core/SearchTypes.h"
-#include "savorytrestle/core/SnapshotCatalog.h"
+#include "savorytrestle/core/ServiceState.h"
 
 namespace savorytrestle::core {
 
-/// @brief Settings of one search.
-struct SearchParameters {
-  TimePoint Deadline;
-  AnswerPolicy Policy = AnswerPolicy::CoverageFirst;
-  /// When a tail-first search answers, counted from its start.
-  Duration LatencyTarget = std::chrono::milliseconds(100);
-  /// Least coverage of a tail-first answer before the deadline.
-  double CoverageFloor = 0.9;
-  /// Whether the request may crash leaves: then at most two attempts run before
-  /// one of them has replied.
-  bool Canary = false;
-  /// Time kept back from the leaves' deadline for the way to the caller.
-  Duration ReturnAllowance = std::chrono::milliseconds(5);
-  /// Longest wait of a shard for a leaf, for budget or for a newer snapshot in
-  /// a tail-first search; a coverage-first one waits to its deadline.
-  Duration AdmissionWait = std::chrono::milliseconds(50);
-  /// Interval at which a waiting shard tries again.
-  Duration AdmissionRetry = std::chrono::milliseconds(2);
-  /// Hedge delay while the service's latency is not known yet.
-  Duration DefaultHedgeDelay = std::chrono::milliseconds(50);
-};
-
-/// @brief What all searches of one service on one host share; it outlives them
-/// and is used from one thread.
-template <LeafSelector Selector> struct ServiceState {
-  Selector &Leaves;
-  SnapshotCatalog &Catalog;
-  ExtraLoadBudget &Budget;
-  LatencyTracker &Latency;
-};
-
 /// @brief Searches one snapshot; see the file's brief.
 ///
 /// Every leaf it acquires is released by the time FinishSearch is returned or
@@ -82,7 +46,7 @@
       fanOut(now, rng);
     // Nothing in flight means overload or a service without leaves: the caller
     // learns it at once rather than after a wait.
-    if (InFlight == 0)
+    if (Attempts.active() == 0)
       finish(now);
     return settle(now);
   }
@@ -110,7 +74,8 @@
     }
     end(reply.Id, {std::nullopt, false, now - attempt.SentAt, reply.Load}, now);
     Service.Latency.record(now - attempt.SentAt);
-    cancelAttemptsOf(attempt.Shard, now);
+    if (Progress[attempt.Shard].Outstanding > 0)
+      cancelActive(attempt.Shard, now);
     Progress.answer(attempt.Shard, std::move(reply.Rows));
     leaveCanary(now, rng);
     return settle(now);
@@ -157,13 +122,12 @@
     if (Finished)
       return std::nullopt;
     TimePoint next = Parameters.Deadline;
-    if (!HedgeQueue.empty())
-      next = std::min(next, Attempts[HedgeQueue.front()].HedgeAt);
+    if (const auto hedge = Attempts.nextDue())
+      next = std::min(next, *hedge);
     if (NextAdmission)
       next = std::min(next, *NextAdmission);
-    if (const auto target = StartedAt + Parameters.LatencyTarget;
-        answersAtTarget())
-      next = std::min(next, target);
+    if (answersAtTarget())
+      next = std::min(next, StartedAt + Parameters.LatencyTarget);
     return next;
   }
 
@@ -179,8 +143,7 @@
     return settle(now);
   }
 
-  /// @brief Attempts whose connection broke after the request was sent.
-  /// @return their number
+  /// @brief Counts attempts whose connection broke after the request was sent.
   std::uint32_t brokenAttempts() const { return Broken; }
 
 private:
@@ -189,16 +152,8 @@
   /// Attempts of one shard in flight at a time.
   static constexpr std::uint32_t MaxParallelAttempts = 2;
 
-  struct Attempt {
-    LeafIndex Leaf = 0;
-    ShardIndex Shard = 0;
-    TimePoint SentAt;
-    TimePoint HedgeAt;
-    bool Active = false;
-  };
-
   bool isActive(AttemptId id) const {
-    return !Finished && id < Attempts.size() && Attempts[id].Active;
+    return !Finished && Attempts.isActive(id);
   }
 
   bool answersAtTarget() const {
@@ -214,8 +169,8 @@
 
   void pin(const Snapshot &snapshot, TimePoint now) {
     Progress.pin(snapshot);
-    HedgeDelay =
-        Service.Latency.estimate().value_or(Parameters.DefaultHedgeDelay);
+    Attempts.setHedgeDelay(
+        Service.Latency.estimate().value_or(Parameters.DefaultHedgeDelay));
     WaitUntil = leafDeadline(now);
     if (Parameters.Policy == AnswerPolicy::TailFirst)
       WaitUntil = std::min(WaitUntil, now + Parameters.AdmissionWait);
@@ -243,12 +198,9 @@
     else if (!Restarted)
       Service.Budget.onFirstAttempt();
     Progress.markSent(shard, *leaf);
-    const auto id = static_cast<AttemptId>(Attempts.size());
+    const AttemptId id = Attempts.open(*leaf, shard, now);
     const bool extra = again || Restarted;
     ExtraAttempts += extra ? 1 : 0;
-    Attempts.push_back({*leaf, shard, now, now + HedgeDelay, true});
-    HedgeQueue.push_back(id);
-    ++InFlight;
     Actions.emplace_back(SendAttempt{id, *leaf, shard, Progress.version(),
                                      leafDeadline(now), extra});
     return true;
@@ -257,14 +209,8 @@
   void sendOrWait(ShardIndex shard, TimePoint now, Rng &rng) {
     if (send(shard, now, rng))
       return;
-    if (Progress[shard].Untried.empty())
-      Progress.lose(shard);
-    else
-      wait(shard, now);
-  }
-
-  void wait(ShardIndex shard, TimePoint now) {
-    if (now >= WaitUntil) {
+    const bool hopeless = Progress[shard].Untried.empty() && !NeedsNewer;
+    if (hopeless || now >= WaitUntil) {
       Progress.lose(shard);
       return;
     }
@@ -277,14 +223,9 @@
     NextAdmission.reset();
     if (NeedsNewer && restart(now, rng))
       return;
-    for (ShardIndex shard = 0; shard < Progress.size(); ++shard) {
-      if (Progress[shard].State != ShardState::Waiting)
-        continue;
-      if (Progress[shard].Untried.empty())
-        wait(shard, now);
-      else
+    for (ShardIndex shard = 0; shard < Progress.size(); ++shard)
+      if (Progress[shard].State == ShardState::Waiting)
         sendOrWait(shard, now, rng);
-    }
   }
 
   /// Starts over on a newer snapshot, once, if the budget bears it.
@@ -296,7 +237,7 @@
     Service.Budget.reserveFor(shards);
     if (!Service.Budget.take(shards))
       return false;
-    cancelAll(now);
+    cancelActive(std::nullopt, now);
     Restarted = true;
     NeedsNewer = false;
     pin(*newer, now);
@@ -305,19 +246,8 @@
   }
 
   void hedgeDue(TimePoint now, Rng &rng) {
-    while (!HedgeQueue.empty()) {
-      const AttemptId id = HedgeQueue.front();
-      Attempt &attempt = Attempts[id];
-      if (attempt.Active && attempt.HedgeAt > now)
-        return;
-      HedgeQueue.pop_front();
-      if (!attempt.Active)
-        continue;
-      const ShardIndex shard = attempt.Shard;
-      // Another hedge of this attempt may become possible once the budget has
-      // recovered; the constant delay keeps the queue sorted.
-      attempt.HedgeAt = now + HedgeDelay;
-      HedgeQueue.push_back(id);
+    while (const auto due = Attempts.takeDue(now)) {
+      const ShardIndex shard = Attempts[*due].Shard;
       if (InCanary)
         hedgeCanary(shard, now, rng);
       else if (Progress[shard].Outstanding < MaxParallelAttempts)
@@ -349,10 +279,8 @@
   }
 
   void leaveCanary(TimePoint now, Rng &rng) {
-    if (!InCanary)
-      return;
-    InCanary = false;
-    fanOut(now, rng);
+    if (std::exchange(InCanary, false))
+      fanOut(now, rng);
   }
 
   void fail(AttemptId id, AttemptFailure failure,
@@ -380,7 +308,7 @@
     if (isNotRun(failure))
       --CanaryAttempts;
     sendCanary(now, rng);
-    if (InFlight == 0)
+    if (Attempts.active() == 0)
       finish(now);
   }
 
@@ -392,32 +320,23 @@
                           Parameters.Canary && Broken >= MaxCanaryAttempts;
     if (failure == AttemptFailure::Expired || mayCrash) {
       Progress.lose(shard);
-    } else if (failure == AttemptFailure::WrongVersion && needsNewer(shard)) {
-      NeedsNewer = true;
-      if (!restart(now, rng))
-        sendOrWaitForNewer(shard, now, rng);
-    } else {
-      Progress.setIdle(shard);
-      sendOrWait(shard, now, rng);
+      return;
     }
-  }
-
-  /// One leaf without the version may be ahead of its group; a second one, or
-  /// the last replica, means that the version is being withdrawn.
-  bool needsNewer(ShardIndex shard) {
-    ++WrongVersions;
-    return !Restarted && (WrongVersions > 1 || Progress[shard].Untried.empty());
-  }
-
-  void sendOrWaitForNewer(ShardIndex shard, TimePoint now, Rng &rng) {
-    if (!send(shard, now, rng))
-      wait(shard, now);
+    if (failure == AttemptFailure::WrongVersion) {
+      ++WrongVersions;
+      // One leaf without the version may be ahead of its group; a second one,
+      // or the last replica, means that the version is being withdrawn.
+      NeedsNewer =
+          !Restarted && (WrongVersions > 1 || Progress[shard].Untried.empty());
+      if (NeedsNewer && restart(now, rng))
+        return;
+    }
+    sendOrWait(shard, now, rng);
   }
 
   void end(AttemptId id, const AttemptResult &result, TimePoint now) {
-    Attempt &attempt = Attempts[id];
-    attempt.Active = false;
-    --InFlight;
+    const Attempt &attempt = Attempts[id];
+    Attempts.close(id);
     --Progress[attempt.Shard].Outstanding;
     Service.Leaves.release(attempt.Leaf, result, now);
   }
@@ -434,24 +353,15 @@
     Actions.emplace_back(CancelAttempt{id});
   }
 
-  void cancelAttemptsOf(ShardIndex shard, TimePoint now) {
-    if (Progress[shard].Outstanding == 0)
-      return;
-    for (AttemptId id = 0; id < Attempts.size(); ++id)
-      if (Attempts[id].Active && Attempts[id].Shard == shard)
-        cancel(id, now);
-  }
-
-  void cancelAll(TimePoint now) {
-    for (AttemptId id = 0; id < Attempts.size(); ++id)
-      if (Attempts[id].Active)
-        cancel(id, now);
+  void cancelActive(std::optional<ShardIndex> shard, TimePoint now) {
+    for (const AttemptId id : Attempts.findActive(shard))
+      cancel(id, now);
   }
 
   void finish(TimePoint now) {
     if (Finished)
       return;
-    cancelAll(now);
+    cancelActive(std::nullopt, now);
     Finished = true;
     Actions.emplace_back(FinishSearch{});
   }
@@ -467,15 +377,11 @@
   ServiceState<Selector> Service;
   SearchParameters Parameters;
   SearchProgress Progress;
-  std::vector<Attempt> Attempts;
-  /// Attempts by the time they may be hedged.
-  std::deque<AttemptId> HedgeQueue;
+  AttemptLog Attempts;
   std::vector<SearchAction> Actions;
   std::optional<TimePoint> NextAdmission;
   TimePoint StartedAt;
   TimePoint WaitUntil;
-  Duration HedgeDelay{};
-  std::uint32_t InFlight = 0;
   std::uint32_t ExtraAttempts = 0;
   std::uint32_t CanaryAttempts = 0;
   std::uint32_t Broken = 0;
--- a/tests/unit-tail-aware-search.cpp
+++ b/tests/unit-tail-aware-search.cpp
@@ -187,6 +187,15 @@
   EXPECT_EQ(sent(tick(Start + 100ms)).size(), 0U);
 }
 
+TEST_F(TailAwareSearchTest, AZeroLatencyEstimateDoesNotHedgeForever) {
+  publish(Version, 1);
+  for (int n = 0; n < 100; ++n)
+    Latency.record(0ms);
+  startAndSend();
+  EXPECT_TRUE(tick(Start).empty());
+  EXPECT_EQ(sent(tick(Start + 1ms)).size(), 1U);
+}
+
 TEST_F(TailAwareSearchTest, RetriesOnAnotherReplica) {
   publish(Version, 1);
   for (const auto failure :
