Quarantine of requests that crash the leaves which run them

Cause: a request that crashes each leaf it runs on is sent again by its caller, also through other hosts, and must stop after two crashes without taking innocent requests down with it.

A fingerprint that is not known to be good runs on one leaf first; a search that fans out unproven would crash a leaf of every group at its first run. A break plus a refusal within 2 s is a crash; breaks not yet confirmed count towards the bound before a dispatch but expire with the 2 s. Suspects of one crash count off to different leaves, on whichever host they run, and stay apart from other unproven requests of their host.

Ruled out: sending suspects to the same leaf (the test of 200 seeds refuses innocents), blaming all connections lost (a network break is no crash), and records with ages in place of dates (hosts revive each other's expired ones).

Conclusion: holds while records reach other hosts before the caller sends again. Two different poisoned requests at once may still meet a suspect of the other's crash with a chance of one in the number of leaves.

--- /dev/null
+++ b/src/core/CrashQuarantine.cpp
@@ -0,0 +1,251 @@
+#include "savorytrestle/core/CrashQuarantine.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include <xxhash.h>
+
+namespace savorytrestle::core {
+
+namespace {
+
+/// Strikes kept for a fingerprint; more than two decide nothing.
+constexpr std::size_t MaxStrikesKept = 4;
+/// Broken requests remembered for a leaf; a host has fewer connections to one.
+constexpr std::size_t MaxBreaksKept = 128;
+
+} // namespace
+
+CrashId makeCrashId(std::string_view leafName, std::uint64_t life) {
+  return XXH3_64bits_withSeed(leafName.data(), leafName.size(), life);
+}
+
+CrashQuarantine::CrashQuarantine(QuarantineSettings settings)
+    : Settings(settings), KnownGood(settings.MaxKnownGood) {}
+
+QuarantineVerdict CrashQuarantine::check(const Fingerprint &print,
+                                         WallTime now) {
+  std::size_t crashes = 0;
+  if (const auto it = Histories.find(print); it != Histories.end()) {
+    auto &history = it->second;
+    dropExpired(history, now);
+    crashes = history.Strikes.size();
+    if (crashes >= Settings.MaxCrashes) {
+      const auto last = std::max_element(
+          history.Strikes.begin(), history.Strikes.end(),
+          [](const auto &a, const auto &b) { return a.At < b.At; });
+      return {RunPermission::Refused, last->At + Settings.Lifetime - now};
+    }
+  }
+  // A break that is not confirmed yet may be the last crash that is allowed:
+  // the request waits for the proof instead of causing one more.
+  const auto open = openBreaks(print, now);
+  if (crashes + open >= Settings.MaxCrashes)
+    return {RunPermission::Refused, Settings.ConfirmWithin};
+  if (crashes + open > 0)
+    return {RunPermission::Suspect, {}};
+  return {KnownGood.contains(print) ? RunPermission::Free
+                                    : RunPermission::Canary,
+          {}};
+}
+
+bool CrashQuarantine::isSuspect(const Fingerprint &print, WallTime now) {
+  return check(print, now).Permission == RunPermission::Suspect;
+}
+
+bool CrashQuarantine::mayShare(std::string_view leafName,
+                               const Fingerprint &print, WallTime now) {
+  const bool suspect = isSuspect(print, now);
+  const auto it = Leaves.find(std::string(leafName));
+  if (it == Leaves.end())
+    return true;
+  // An entry with unproven requests outlives the calls below.
+  return std::none_of(it->second.Unproven.begin(), it->second.Unproven.end(),
+                      [&](const auto &other) {
+                        return other != print &&
+                               (suspect || isSuspect(other, now));
+                      });
+}
+
+std::size_t CrashQuarantine::canaryPosition(const Fingerprint &print,
+                                            std::size_t leaves) const {
+  const auto own = Histories.find(print);
+  if (own == Histories.end() || own->second.Strikes.empty())
+    return print.High % leaves;
+  // Suspects of one crash count off by their fingerprints, so that the one that
+  // is guilty crashes a leaf on which none of the others runs.
+  const CrashId crash = own->second.Strikes.back().Crash;
+  std::size_t before = 0;
+  for (const auto &[other, history] : Histories)
+    if (other < print &&
+        std::any_of(history.Strikes.begin(), history.Strikes.end(),
+                    [&](const auto &s) { return s.Crash == crash; }))
+      ++before;
+  return (crash % leaves + before) % leaves;
+}
+
+void CrashQuarantine::onStart(std::string_view leafName,
+                              const Fingerprint &print) {
+  if (!KnownGood.contains(print))
+    Leaves[std::string(leafName)].Unproven.push_back(print);
+}
+
+std::vector<QuarantineRecord>
+CrashQuarantine::onSuccess(std::string_view leafName, const Fingerprint &print,
+                           WallTime now) {
+  removeUnproven(leafName, print);
+  KnownGood.insert(print);
+  const auto it = Histories.find(print);
+  if (it == Histories.end() || it->second.Strikes.empty())
+    return {};
+  const QuarantineRecord record{print, QuarantineEvent::Success, 0, now};
+  add(record, now);
+  return {record};
+}
+
+void CrashQuarantine::onBroken(std::string_view leafName,
+                               const Fingerprint &print, WallTime now) {
+  removeUnproven(leafName, print);
+  auto &breaks = Leaves[std::string(leafName)].Breaks;
+  if (breaks.size() >= MaxBreaksKept)
+    breaks.erase(breaks.begin());
+  breaks.push_back({print, now});
+}
+
+void CrashQuarantine::onEnd(std::string_view leafName,
+                            const Fingerprint &print) {
+  removeUnproven(leafName, print);
+}
+
+std::vector<QuarantineRecord>
+CrashQuarantine::onLeafGone(std::string_view leafName, CrashId crash,
+                            WallTime now) {
+  const auto it = Leaves.find(std::string(leafName));
+  if (it == Leaves.end())
+    return {};
+  auto breaks = std::move(it->second.Breaks);
+  it->second.Breaks.clear();
+  std::erase_if(breaks, [&](const auto &b) {
+    return now - b.At > Settings.ConfirmWithin;
+  });
+  // What a leaf has answered before is not blamed beside what none has. Alone
+  // it is: the index or the leaf's program may have changed since.
+  const bool anyUnproven =
+      std::any_of(breaks.begin(), breaks.end(),
+                  [&](const auto &b) { return !KnownGood.contains(b.Print); });
+  std::vector<QuarantineRecord> records;
+  for (const auto &[print, at] : breaks) {
+    if (anyUnproven && KnownGood.contains(print))
+      continue;
+    const QuarantineRecord record{print, QuarantineEvent::Strike, crash, now};
+    if (std::find(records.begin(), records.end(), record) == records.end())
+      records.push_back(record);
+  }
+  merge(records, now);
+  return records;
+}
+
+void CrashQuarantine::onLeafAlive(std::string_view leafName) {
+  if (const auto it = Leaves.find(std::string(leafName)); it != Leaves.end())
+    it->second.Breaks.clear();
+}
+
+void CrashQuarantine::merge(std::span<const QuarantineRecord> records,
+                            WallTime now) {
+  for (const auto &record : records)
+    add(record, now);
+}
+
+void CrashQuarantine::add(const QuarantineRecord &record, WallTime now) {
+  if (record.At + Settings.Lifetime <= now)
+    return;
+  auto &history = Histories[record.Print];
+  history.Newest = std::max(history.Newest, record.At);
+  if (record.Event == QuarantineEvent::Success) {
+    history.ClearedAt = std::max(history.ClearedAt, record.At);
+  } else {
+    if (record.At > history.ClearedAt)
+      KnownGood.erase(record.Print);
+    const auto it = std::find_if(
+        history.Strikes.begin(), history.Strikes.end(),
+        [&](const auto &strike) { return strike.Crash == record.Crash; });
+    if (it == history.Strikes.end())
+      history.Strikes.push_back({record.Crash, record.At});
+    else
+      it->At = std::max(it->At, record.At);
+    std::sort(history.Strikes.begin(), history.Strikes.end(),
+              [](const auto &a, const auto &b) {
+                return std::tie(b.At, b.Crash) < std::tie(a.At, a.Crash);
+              });
+    if (history.Strikes.size() > MaxStrikesKept)
+      history.Strikes.resize(MaxStrikesKept);
+  }
+  dropExpired(history, now);
+  if (Histories.size() > Settings.MaxFingerprints)
+    forgetOldest();
+}
+
+void CrashQuarantine::dropExpired(History &history, WallTime now) const {
+  std::erase_if(history.Strikes, [&](const auto &strike) {
+    return strike.At <= history.ClearedAt ||
+           strike.At + Settings.Lifetime <= now;
+  });
+}
+
+void CrashQuarantine::forgetOldest() {
+  const auto oldest = std::min_element(
+      Histories.begin(), Histories.end(), [](const auto &a, const auto &b) {
+        return std::tie(a.second.Newest, a.first) <
+               std::tie(b.second.Newest, b.first);
+      });
+  Histories.erase(oldest);
+}
+
+std::size_t CrashQuarantine::openBreaks(const Fingerprint &print,
+                                        WallTime now) {
+  std::size_t open = 0;
+  for (auto &[name, leaf] : Leaves) {
+    std::erase_if(leaf.Breaks, [&](const auto &b) {
+      return now - b.At > Settings.ConfirmWithin;
+    });
+    if (std::any_of(leaf.Breaks.begin(), leaf.Breaks.end(),
+                    [&](const auto &b) { return b.Print == print; }))
+      ++open;
+  }
+  std::erase_if(Leaves, [](const auto &entry) {
+    return entry.second.Unproven.empty() && entry.second.Breaks.empty();
+  });
+  return open;
+}
+
+void CrashQuarantine::removeUnproven(std::string_view leafName,
+                                     const Fingerprint &print) {
+  const auto leaf = Leaves.find(std::string(leafName));
+  if (leaf == Leaves.end())
+    return;
+  auto &unproven = leaf->second.Unproven;
+  if (const auto it = std::find(unproven.begin(), unproven.end(), print);
+      it != unproven.end())
+    unproven.erase(it);
+  if (unproven.empty() && leaf->second.Breaks.empty())
+    Leaves.erase(leaf);
+}
+
+std::vector<QuarantineRecord> CrashQuarantine::records(WallTime now) {
+  std::vector<QuarantineRecord> all;
+  for (auto &[print, history] : Histories) {
+    dropExpired(history, now);
+    if (history.ClearedAt != WallTime::min() &&
+        history.ClearedAt + Settings.Lifetime > now)
+      all.push_back({print, QuarantineEvent::Success, 0, history.ClearedAt});
+    for (const auto &[crash, at] : history.Strikes)
+      all.push_back({print, QuarantineEvent::Strike, crash, at});
+  }
+  std::sort(all.begin(), all.end(), [](const auto &a, const auto &b) {
+    return std::tie(a.Print, a.Event, a.Crash) <
+           std::tie(b.Print, b.Event, b.Crash);
+  });
+  return all;
+}
+
+} // namespace savorytrestle::core
--- /dev/null
+++ b/tests/unit-crash-quarantine.cpp
@@ -0,0 +1,242 @@
+#include "savorytrestle/core/CrashQuarantine.h"
+
+#include <algorithm>
+#include <random>
+#include <string>
+
+#include <gtest/gtest.h>
+
+using namespace savorytrestle::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Records = std::vector<QuarantineRecord>;
+
+const WallTime Start{1h};
+const Fingerprint Poison = makeFingerprint("Nagelpreis", "search", "poison");
+const Fingerprint Innocent = makeFingerprint("Nagelpreis", "search", "fair");
+
+/// Runs the fingerprint on a leaf that crashes under it.
+Records crash(CrashQuarantine &host, const Fingerprint &print, CrashId id,
+              WallTime now) {
+  const auto leaf = "leaf-" + std::to_string(id);
+  host.onStart(leaf, print);
+  host.onBroken(leaf, print, now);
+  return host.onLeafGone(leaf, id, now + 100ms);
+}
+
+RunPermission permission(CrashQuarantine &host, const Fingerprint &print,
+                         WallTime now) {
+  return host.check(print, now).Permission;
+}
+
+TEST(Fingerprint, DiffersByEveryPartAndByTheirBorders) {
+  const auto print = makeFingerprint("ab", "c", "d");
+  EXPECT_EQ(print, makeFingerprint("ab", "c", "d"));
+  EXPECT_NE(print, makeFingerprint("a", "bc", "d"));
+  EXPECT_NE(print, makeFingerprint("ab", "cd", ""));
+}
+
+TEST(FingerprintSet, ForgetsWhatWasUsedLeastRecently) {
+  FingerprintSet set(2);
+  set.insert({0, 1});
+  set.insert({0, 2});
+  set.insert({0, 1});
+  set.insert({0, 3});
+  EXPECT_TRUE(set.contains({0, 1}));
+  EXPECT_FALSE(set.contains({0, 2}));
+  EXPECT_EQ(set.size(), 2U);
+}
+
+TEST(CrashQuarantine, ASecondCrashRefusesTheFingerprintUntilItExpires) {
+  CrashQuarantine host({});
+  EXPECT_EQ(permission(host, Poison, Start), RunPermission::Canary);
+  crash(host, Poison, 1, Start);
+  EXPECT_EQ(permission(host, Poison, Start + 1s), RunPermission::Suspect);
+  crash(host, Poison, 2, Start + 1s);
+  const auto verdict = host.check(Poison, Start + 2s);
+  EXPECT_EQ(verdict.Permission, RunPermission::Refused);
+  EXPECT_EQ(verdict.RetryAfter, 10min - 900ms);
+  EXPECT_EQ(permission(host, Poison, Start + 2s + verdict.RetryAfter),
+            RunPermission::Canary);
+}
+
+TEST(CrashQuarantine, ASuccessBetweenTheCrashesClears) {
+  CrashQuarantine host({});
+  crash(host, Innocent, 1, Start);
+  host.onStart("leaf-5", Innocent);
+  EXPECT_EQ(host.onSuccess("leaf-5", Innocent, Start + 1s).size(), 1U);
+  EXPECT_EQ(permission(host, Innocent, Start + 1s), RunPermission::Free);
+  crash(host, Innocent, 2, Start + 2s);
+  EXPECT_EQ(permission(host, Innocent, Start + 3s), RunPermission::Suspect);
+}
+
+TEST(CrashQuarantine, OneCrashIsOneStrikeHoweverManyConnectionsBreak) {
+  CrashQuarantine host({});
+  for (int n = 0; n < 5; ++n)
+    host.onBroken("leaf-1", Poison, Start);
+  EXPECT_EQ(host.onLeafGone("leaf-1", 1, Start).size(), 1U);
+  host.onBroken("leaf-1", Poison, Start);
+  host.onLeafGone("leaf-1", 1, Start);
+  EXPECT_EQ(permission(host, Poison, Start), RunPermission::Suspect);
+}
+
+TEST(CrashQuarantine, ABreakWithoutACrashIsNoStrike) {
+  CrashQuarantine host({});
+  host.onBroken("leaf-1", Innocent, Start);
+  host.onLeafAlive("leaf-1");
+  host.onBroken("leaf-2", Innocent, Start);
+  EXPECT_TRUE(host.onLeafGone("leaf-1", 1, Start).empty());
+  EXPECT_TRUE(host.onLeafGone("leaf-2", 2, Start + 3s).empty());
+  EXPECT_EQ(permission(host, Innocent, Start + 3s), RunPermission::Canary);
+}
+
+TEST(CrashQuarantine, UnconfirmedBreaksHoldARequestBackBriefly) {
+  CrashQuarantine host({});
+  host.onBroken("leaf-1", Poison, Start);
+  host.onBroken("leaf-2", Poison, Start);
+  const auto verdict = host.check(Poison, Start);
+  EXPECT_EQ(verdict.Permission, RunPermission::Refused);
+  EXPECT_LE(verdict.RetryAfter, 2s);
+  EXPECT_EQ(permission(host, Poison, Start + 3s), RunPermission::Canary);
+}
+
+TEST(CrashQuarantine, KnownGoodRequestsAreNotBlamedBesideAnUnprovenOne) {
+  CrashQuarantine host({});
+  host.onSuccess("leaf-1", Innocent, Start);
+  host.onBroken("leaf-1", Innocent, Start);
+  host.onBroken("leaf-1", Poison, Start);
+  host.onLeafGone("leaf-1", 1, Start);
+  EXPECT_EQ(permission(host, Innocent, Start), RunPermission::Free);
+  EXPECT_EQ(permission(host, Poison, Start), RunPermission::Suspect);
+}
+
+TEST(CrashQuarantine, ASuspectStaysApartFromOtherUnprovenRequests) {
+  CrashQuarantine host({});
+  crash(host, Poison, 1, Start);
+  host.onStart("leaf-7", Innocent);
+  EXPECT_FALSE(host.mayShare("leaf-7", Poison, Start));
+  EXPECT_TRUE(host.mayShare("leaf-8", Poison, Start));
+  host.onStart("leaf-8", Poison);
+  EXPECT_FALSE(host.mayShare("leaf-8", Innocent, Start));
+}
+
+TEST(CrashQuarantine, MergeDoesNotDependOnOrderOrRepetition) {
+  Records records = {{Poison, QuarantineEvent::Strike, 1, Start},
+                     {Poison, QuarantineEvent::Strike, 2, Start + 1s},
+                     {Innocent, QuarantineEvent::Strike, 1, Start},
+                     {Innocent, QuarantineEvent::Success, 0, Start + 2s},
+                     {Innocent, QuarantineEvent::Strike, 3, Start + 3s},
+                     {Innocent, QuarantineEvent::Success, 0, Start + 1s}};
+  CrashQuarantine first({});
+  first.merge(records, Start + 4s);
+  const auto expected = first.records(Start + 4s);
+  EXPECT_EQ(expected.size(), 4U);
+  std::mt19937_64 rng(3);
+  for (int n = 0; n < 50; ++n) {
+    std::shuffle(records.begin(), records.end(), rng);
+    CrashQuarantine other({});
+    other.merge(records, Start + 4s);
+    other.merge(records, Start + 4s);
+    EXPECT_EQ(other.records(Start + 4s), expected);
+  }
+}
+
+TEST(CrashQuarantine, KeepsABoundedNumberOfFingerprints) {
+  QuarantineSettings settings;
+  settings.MaxFingerprints = 10;
+  CrashQuarantine host(settings);
+  for (std::uint64_t n = 0; n < 100; ++n) {
+    const Records record = {{{n, n},
+                             QuarantineEvent::Strike,
+                             n,
+                             Start + std::chrono::milliseconds(n)}};
+    host.merge(record, Start + 1s);
+  }
+  const auto kept = host.records(Start + 1s);
+  ASSERT_EQ(kept.size(), 10U);
+  EXPECT_EQ(kept.front().Print.High, 90U);
+}
+
+/// Hosts that send canaries to leaves; a poisoned one crashes its leaf.
+struct Deployment {
+  static constexpr std::size_t Leaves = 30;
+  std::mt19937_64 Random;
+  std::vector<CrashQuarantine> Hosts;
+  CrashId Crashes = 0;
+  int InnocentsRefused = 0;
+
+  explicit Deployment(std::uint64_t seed)
+      : Random(seed), Hosts(3, CrashQuarantine({})) {}
+
+  struct Attempt {
+    std::size_t Host = 0;
+    std::size_t Leaf = 0;
+    Fingerprint Print;
+  };
+
+  std::optional<Attempt> place(std::size_t host, const Fingerprint &print,
+                               WallTime now) {
+    auto &quarantine = Hosts[host];
+    const auto permitted = permission(quarantine, print, now);
+    if (permitted == RunPermission::Refused) {
+      InnocentsRefused += print != Poison ? 1 : 0;
+      return std::nullopt;
+    }
+    const auto leaf = permitted == RunPermission::Suspect
+                          ? quarantine.canaryPosition(print, Leaves)
+                          : Random() % Leaves;
+    if (!quarantine.mayShare(std::to_string(leaf), print, now))
+      return std::nullopt;
+    quarantine.onStart(std::to_string(leaf), print);
+    return Attempt{host, leaf, print};
+  }
+
+  void tell(const Records &records, WallTime now) {
+    for (auto &host : Hosts)
+      host.merge(records, now);
+  }
+
+  void end(const std::vector<Attempt> &attempts, WallTime now) {
+    std::optional<std::size_t> crashed;
+    for (const auto &attempt : attempts)
+      if (attempt.Print == Poison)
+        crashed = attempt.Leaf;
+    Crashes += crashed ? 1 : 0;
+    for (const auto &[host, leaf, print] : attempts)
+      if (leaf == crashed)
+        Hosts[host].onBroken(std::to_string(leaf), print, now);
+      else
+        tell(Hosts[host].onSuccess(std::to_string(leaf), print, now), now);
+    if (crashed)
+      for (auto &host : Hosts)
+        tell(host.onLeafGone(std::to_string(*crashed), Crashes, now), now);
+  }
+};
+
+// Sixty unproven requests run at once, some beside the poisoned one; each is
+// sent again, through any host, until it succeeds.
+TEST(CrashQuarantine, TwoCrashesStopThePoisonAndNoInnocentRequest) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    Deployment deployment(seed);
+    for (std::uint64_t round = 0; round < 10; ++round) {
+      const auto now = Start + round * 300ms;
+      std::vector<Deployment::Attempt> attempts;
+      for (std::uint64_t n = 0; n <= 60; ++n) {
+        // Fresh innocents come in each third round, the others are resends.
+        const auto print = n == 0 ? Poison : Fingerprint{n, round / 3};
+        const auto host = deployment.Random() % 3;
+        if (const auto attempt = deployment.place(host, print, now))
+          attempts.push_back(*attempt);
+      }
+      deployment.end(attempts, now);
+    }
+    EXPECT_EQ(deployment.Crashes, 2U) << "seed " << seed;
+    EXPECT_EQ(deployment.InnocentsRefused, 0) << "seed " << seed;
+    for (auto &host : deployment.Hosts)
+      EXPECT_EQ(permission(host, Poison, Start + 1min), RunPermission::Refused);
+  }
+}
+
+} // namespace
