--- /dev/null
+++ b/src/backend/ServiceRuntime.h
@@ -0,0 +1,96 @@
+#ifndef SAVORYTRESTLE_BACKEND_SERVICE_RUNTIME_H
+#define SAVORYTRESTLE_BACKEND_SERVICE_RUNTIME_H
+
+/// @file
+/// @brief What a host knows about the leaves of one service; fan-out thread
+/// only.
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "backend/FanOutLoop.h"
+#include "backend/LeafProtocol.h"
+#include "savorytrestle/core/ExtraLoadBudget.h"
+#include "savorytrestle/core/LatencyTracker.h"
+#include "savorytrestle/core/LeafPool.h"
+#include "savorytrestle/core/SnapshotCatalog.h"
+#include "savorytrestle/core/TailAwareSearch.h"
+
+namespace savorytrestle::backend {
+
+/// @brief State of a service that outlives a settings change.
+struct ServiceMemory {
+  /// @brief Makes the state of a new service.
+  /// @param failureDomain this host's failure domain
+  /// @param settings the service
+  /// @param seed seed of the pool's jitter
+  ServiceMemory(const std::string &failureDomain,
+                const core::ServiceSettings &settings, std::uint64_t seed);
+
+  core::LeafPool Pool;
+  core::ExtraLoadBudget Budget;
+  core::LatencyTracker Latency;
+};
+
+/// @brief One service under one revision of its settings: polls its leaves and
+/// offers what searches and writes need. Searches keep it alive.
+class ServiceRuntime : public std::enable_shared_from_this<ServiceRuntime> {
+public:
+  using State = core::ServiceState<core::PinnedLeaves>;
+
+  /// @brief Takes a revision of the settings over; call @ref startPolling next.
+  /// @param settings the service
+  /// @param memory state that the revisions share
+  /// @param loop runs the polls; must outlive the runtime
+  ServiceRuntime(std::shared_ptr<const core::ServiceSettings> settings,
+                 std::shared_ptr<ServiceMemory> memory, FanOutLoop &loop);
+
+  /// @brief Polls each leaf's status now and every second, until @ref stop.
+  void startPolling();
+
+  /// @brief Ends the polling; running searches keep the state alive.
+  void stop() { Stopped = true; }
+
+  /// @brief The service's settings.
+  /// @return never null
+  const std::shared_ptr<const core::ServiceSettings> &settings() const {
+    return Settings;
+  }
+
+  /// @brief State that outlives this revision.
+  /// @return never null
+  const std::shared_ptr<ServiceMemory> &memory() const { return Memory; }
+
+  /// @brief What the searches of this service share.
+  /// @return references into this runtime
+  State state();
+
+  /// @brief Takes over what an earlier revision knew of the same leaves.
+  /// @param earlier the runtime before the change
+  void adopt(const ServiceRuntime &earlier);
+
+  /// @brief Index positions of all leaves, for choosing one for a write.
+  /// @return 0 to the number of leaves less one
+  const std::vector<core::LeafIndex> &allLeaves() const { return All; }
+
+private:
+  void poll(core::LeafIndex leaf);
+  void onStatus(core::LeafIndex leaf, const LeafCallResult &result);
+  void learn(core::LeafIndex leaf, const LeafStatus &status);
+
+  const std::shared_ptr<const core::ServiceSettings> Settings;
+  const std::shared_ptr<ServiceMemory> Memory;
+  FanOutLoop &Loop;
+  core::PinnedLeaves Pinned;
+  core::SnapshotCatalog Catalog;
+  std::vector<core::LeafIndex> All;
+  /// Last status by leaf; nothing before the first one.
+  std::vector<std::optional<LeafStatus>> Status;
+  bool Stopped = false;
+};
+
+} // namespace savorytrestle::backend
+
+#endif
