Client of the platform's lagging list of live and leaving hosts

Entries that are malformed are passed over: the list is a hint, and one bad entry must not hide the others.

--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "platform/HostList.h"
+
 using namespace savorytrestle::core;
 using namespace std::chrono_literals;
 
@@ -145,4 +147,16 @@
   EXPECT_FALSE(readHost("{}"));
 }
 
+TEST(HostList, TellsLeavingHostsFromLiveOnes) {
+  const auto list = savorytrestle::platform::readHostList(
+      R"([{"id":"a","peer_address":"127.0.0.1:1","state":"live"},)"
+      R"({"id":"b","peer_address":"127.0.0.1:2","state":"leaving"},)"
+      R"({"id":7}, 3])");
+  ASSERT_TRUE(list);
+  ASSERT_EQ(list->Live.size(), 1U);
+  EXPECT_EQ(list->Live[0].Id, "a");
+  EXPECT_EQ(list->Leaving, std::vector<std::string>{"b"});
+  EXPECT_FALSE(savorytrestle::platform::readHostList("{}"));
+}
+
 } // namespace
