Spread measured in virtual time; checks of the store feed back on age

Cause: the hard age alone made 830 hosts look at the store 60 times a second (7 hosts: 3.4), since news of its state takes rounds to pass from few sources. The chance to look now doubles with each second past the soft age. Ruled out: more watchers, relays between watchers and hosts (over the 13 KB/s budget at the relay).

--- a/include/savorytrestle/core/SpreadPolicy.h
+++ b/include/savorytrestle/core/SpreadPolicy.h
@@ -29,11 +29,14 @@
   std::chrono::milliseconds WatchWait{1000};
   /// A host that knows the store's state no later than this looks itself, at a
   /// rate shared with the other hosts.
-  std::chrono::milliseconds SoftAge{3000};
+  std::chrono::milliseconds SoftAge{2000};
   /// Past this age a host looks at once, whatever the others do.
-  std::chrono::milliseconds HardAge{5000};
+  std::chrono::milliseconds HardAge{6000};
   /// Looks a second that all hosts past the soft age share.
   double SharedChecksPerSecond = 2.0;
+  /// Each time the age grows by this past the soft age, the chance to look
+  /// doubles.
+  std::chrono::milliseconds ChanceDoubling{1000};
   /// Longest time between two looks while the store does not answer.
   std::chrono::milliseconds MaxBackoff{10000};
 };
--- a/src/core/SpreadPolicy.cpp
+++ b/src/core/SpreadPolicy.cpp
@@ -1,6 +1,7 @@
 #include "savorytrestle/core/SpreadPolicy.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <xxhash.h>
@@ -75,9 +76,11 @@
   return *pool[rng() % pool.size()];
 }
 
-// Past the soft age each host looks with a chance that makes all of them
-// together look a fixed number of times a second, so the store's load does not
-// grow with the fleet. Past the hard age the host can't count on the others.
+// At the soft age each host looks with a chance that makes all of them together
+// look a fixed number of times a second, so the store's load does not grow with
+// the fleet. The chance doubles as the age grows: each look makes a source of
+// fresh news, and few hosts come to the hard age, where a host can't count on
+// the others any more.
 bool StoreCheckTimer::due(Duration age, std::size_t liveHosts, TimePoint now,
                           Rng &rng) const {
   if (age < Timing.SoftAge || now < NotBefore)
@@ -85,9 +88,11 @@
   if (age >= Timing.HardAge)
     return true;
   const std::chrono::duration<double> interval = Timing.AskInterval;
-  const double chance =
-      Timing.SharedChecksPerSecond * interval.count() /
-      static_cast<double>(std::max<std::size_t>(liveHosts, 1));
+  const std::chrono::duration<double> over = age - Timing.SoftAge;
+  const std::chrono::duration<double> doubling = Timing.ChanceDoubling;
+  const double share = Timing.SharedChecksPerSecond * interval.count() /
+                       static_cast<double>(std::max<std::size_t>(liveHosts, 1));
+  const double chance = share * std::exp2(over / doubling);
   return std::uniform_real_distribution<double>()(rng) < chance;
 }
 
--- /dev/null
+++ b/tests/unit-spread.cpp
@@ -0,0 +1,190 @@
+#include "SpreadModel.h"
+
+#include <iostream>
+#include <set>
+
+#include <gtest/gtest.h>
+
+using namespace savorytrestle;
+using namespace std::chrono_literals;
+using spread::SpreadModel;
+
+namespace {
+
+constexpr auto Bound = 8s;
+constexpr auto CalmBound = 2s;
+constexpr double ControlBytesPerSecond = 13000;
+
+struct Fleet {
+  int Hosts;
+  int Domains;
+};
+
+const std::vector<Fleet> Fleets = {{7, 3}, {100, 7}, {830, 7}};
+
+double millis(core::Duration time) {
+  return std::chrono::duration<double, std::milli>(time).count();
+}
+
+void report(const std::string &name, const Fleet &fleet, double value) {
+  std::cout << "spread_measure case=" << name << " hosts=" << fleet.Hosts
+            << " value=" << value << "\n";
+}
+
+/// Runs a fault on three seeds and gives the longest time to all.
+template <typename F>
+core::Duration slowest(const std::string &name, const Fleet &fleet, F fault) {
+  core::Duration worst{};
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    SpreadModel model(fleet.Hosts, fleet.Domains, seed);
+    model.runUntil(30s);
+    fault(model);
+    model.change();
+    worst = std::max(worst, model.timeToAll(60s));
+  }
+  report(name + "_time_to_all_ms", fleet, millis(worst));
+  return worst;
+}
+
+class SpreadOfFleet : public testing::TestWithParam<Fleet> {};
+
+INSTANTIATE_TEST_SUITE_P(Sizes, SpreadOfFleet, testing::ValuesIn(Fleets),
+                         [](const auto &param) {
+                           return std::to_string(param.param.Hosts) + "Hosts";
+                         });
+
+TEST_P(SpreadOfFleet, CalmChangeIsEverywhereWithinTwoSeconds) {
+  EXPECT_LE(slowest("calm", GetParam(), [](SpreadModel &) {}), CalmBound);
+}
+
+TEST_P(SpreadOfFleet, OnePercentDead) {
+  const auto fault = [](SpreadModel &model) {
+    const auto dead = std::max<std::size_t>(1, model.Nodes.size() / 100);
+    for (std::size_t n = 0; n < dead; ++n)
+      model.Nodes[n * model.Nodes.size() / dead].Alive = false;
+  };
+  EXPECT_LE(slowest("one_percent_dead", GetParam(), fault), Bound);
+}
+
+TEST_P(SpreadOfFleet, AFailureDomainLost) {
+  for (int domain = 0; domain < GetParam().Domains; ++domain) {
+    const auto fault = [domain](SpreadModel &model) {
+      for (auto &node : model.Nodes)
+        node.Alive = node.Domain != domain;
+    };
+    EXPECT_LE(slowest("domain_lost", GetParam(), fault), Bound);
+  }
+}
+
+TEST_P(SpreadOfFleet, EveryWatcherLost) {
+  const auto fault = [](SpreadModel &model) {
+    for (auto &node : model.Nodes)
+      node.Alive = !node.Watches;
+  };
+  EXPECT_LE(slowest("watchers_lost", GetParam(), fault), Bound);
+}
+
+TEST_P(SpreadOfFleet, RegionsCutAndJoinedAgain) {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    SpreadModel model(GetParam().Hosts, GetParam().Domains, seed);
+    model.runUntil(30s);
+    model.Cut = true;
+    model.change();
+    model.runUntil(210s);
+    for (const auto &node : model.Nodes)
+      EXPECT_EQ(node.Revision, node.Region == 0 ? 1U : 0U);
+    model.Cut = false;
+    model.restartClock();
+    const auto took = model.timeToAll(60s);
+    report("joined_again_time_to_all_ms", GetParam(), millis(took));
+    EXPECT_LE(took, Bound);
+  }
+}
+
+TEST_P(SpreadOfFleet, ControlTrafficOfANodeStaysInItsBudget) {
+  // 2,900 changes a day are one in 30 s; here one in 15 s.
+  SpreadModel model(GetParam().Hosts, GetParam().Domains, 1);
+  model.runUntil(30s);
+  model.resetCounts();
+  for (int n = 0; n < 4; ++n) {
+    model.change();
+    model.runUntil(45s + n * 15s);
+  }
+  const double seconds = 60;
+  const double nodes = GetParam().Hosts;
+  const double bytes = static_cast<double>(model.Bytes) / nodes / seconds;
+  report("bytes_per_node_second", GetParam(), bytes);
+  report("messages_per_node_second", GetParam(),
+         static_cast<double>(model.Messages) / nodes / seconds);
+  report("store_calls_per_second", GetParam(),
+         static_cast<double>(model.StoreCalls) / seconds);
+  EXPECT_LE(bytes, ControlBytesPerSecond);
+}
+
+double calmStoreCalls(const Fleet &fleet) {
+  SpreadModel model(fleet.Hosts, fleet.Domains, 1);
+  model.runUntil(60s);
+  model.resetCounts();
+  model.runUntil(120s);
+  const double calls = static_cast<double>(model.StoreCalls) / 60;
+  report("calm_store_calls_per_second", fleet, calls);
+  return calls;
+}
+
+TEST(Spread, StoreCallsGrowSlowerThanTheFleet) {
+  const double few = calmStoreCalls({7, 3});
+  const double many = calmStoreCalls({830, 7});
+  EXPECT_LT(many, 5 * few) << "118 times the hosts";
+}
+
+TEST(Spread, WatchersAreFewAndInEveryRegion) {
+  for (const auto &fleet : Fleets) {
+    const SpreadModel model(fleet.Hosts, fleet.Domains, 1);
+    std::map<int, int> watchers;
+    for (const auto &node : model.Nodes)
+      watchers[node.Region] += node.Watches;
+    EXPECT_EQ(watchers[0], 2);
+    EXPECT_EQ(watchers[1], 2);
+  }
+}
+
+TEST(Spread, PushTargetsAreOthersAndChangeWithTheRevision) {
+  const SpreadModel model(100, 7, 1);
+  std::set<std::string> seen;
+  for (std::uint64_t revision = 1; revision <= 50; ++revision) {
+    const auto targets = core::pushTargets("host-3", model.View, revision, 4);
+    ASSERT_EQ(targets.size(), 4U);
+    for (const auto &target : targets) {
+      EXPECT_NE(target.Id, "host-3");
+      seen.insert(target.Id);
+    }
+  }
+  EXPECT_GT(seen.size(), 75U);
+}
+
+TEST(Spread, AHostAloneAsksNobodyAndChecksTheStore) {
+  core::Rng rng(1);
+  const SpreadModel model(1, 1, 1);
+  EXPECT_FALSE(core::askTarget("host-0", "r0", model.View, rng));
+  const core::StoreCheckTimer timer(model.Timing);
+  EXPECT_TRUE(timer.due(model.Timing.HardAge, 1, model.Now, rng));
+  EXPECT_FALSE(timer.due(1s, 1, model.Now, rng));
+}
+
+TEST(Spread, ChecksOfAStoreThatIsDownBackOff) {
+  core::Rng rng(1);
+  core::SpreadTiming timing;
+  core::StoreCheckTimer timer(timing);
+  auto now = core::TimePoint() + 1h;
+  const auto end = now + 600s;
+  int checks = 0;
+  for (; now < end; now += timing.AskInterval)
+    if (timer.due(1h, 7, now, rng)) {
+      ++checks;
+      timer.onChecked(false, now, rng);
+    }
+  EXPECT_LT(checks, 130);
+  EXPECT_GT(checks, 50);
+}
+
+} // namespace
