A refused connection is replaced without drawing on the extra load budget

Cause: with one replica lost in each of three groups, 8 of 50 searches lacked shards and waited to their deadline (process test, three groups of three): the retries after a refused connection drew on a budget of two first tokens. Such an attempt never reached a leaf and added no load there, so replacing it is a first attempt. Ruled out: more first tokens (a real retry storm would use them). Retries after sheds, breaks and wrong versions still draw on the budget.

--- a/include/savorytrestle/core/SearchProgress.h
+++ b/include/savorytrestle/core/SearchProgress.h
@@ -29,6 +29,8 @@
   std::uint32_t Outstanding = 0;
   /// Whether a first attempt was made.
   bool Sent = false;
+  /// Whether the last attempt never reached its leaf.
+  bool Unreached = false;
   std::vector<nlohmann::json> Rows;
 };
 
--- a/include/savorytrestle/core/TailAwareSearch.h
+++ b/include/savorytrestle/core/TailAwareSearch.h
@@ -186,7 +186,8 @@
   /// Sends one attempt for the shard if a leaf and the budget allow it.
   bool send(ShardIndex shard, TimePoint now, Rng &rng) {
     ShardProgress &progress = Progress[shard];
-    const bool again = progress.Sent;
+    // An attempt that no leaf received added no load; replacing it is free.
+    const bool again = progress.Sent && !progress.Unreached;
     if (progress.Untried.empty() || (again && !Service.Budget.allows(1)))
       return false;
     const auto leaf = Service.Leaves.acquire(progress.Untried, now, rng);
@@ -195,8 +196,9 @@
     // The attempts of a restart were paid for as a whole.
     if (again)
       Service.Budget.take(1);
-    else if (!Restarted)
+    else if (!progress.Sent && !Restarted)
       Service.Budget.onFirstAttempt();
+    progress.Unreached = false;
     Progress.markSent(shard, *leaf);
     const AttemptId id = Attempts.open(*leaf, shard, now);
     const bool extra = again || Restarted;
@@ -289,6 +291,8 @@
     end(id, {failure, false, now - attempt.SentAt, load}, now);
     if (failure == AttemptFailure::Shed)
       Service.Budget.onShed();
+    if (failure == AttemptFailure::Refused)
+      Progress[attempt.Shard].Unreached = true;
     Broken += failure == AttemptFailure::Broken ? 1 : 0;
     if (InCanary)
       failCanary(attempt.Shard, failure, now, rng);
--- a/tests/unit-tail-aware-search.cpp
+++ b/tests/unit-tail-aware-search.cpp
@@ -210,6 +210,13 @@
   }
 }
 
+TEST_F(TailAwareSearchTest, ARefusedConnectionIsReplacedWithoutBudget) {
+  publish(Version, 4);
+  // More refusals than a new budget has tokens for.
+  for (const auto &attempt : startAndSend())
+    EXPECT_EQ(sent(fail(attempt, AttemptFailure::Refused)).size(), 1U);
+}
+
 TEST_F(TailAwareSearchTest, ShedsStopRetriesByThemselves) {
   publish(Version, 4);
   fillBudget();
