--- a/include/savorytrestle/core/ClaimBucket.h
+++ b/include/savorytrestle/core/ClaimBucket.h
@@ -16,6 +16,9 @@
 /// @brief Ordinal of a send of one key, counted by its caller from 1.
 using SendNumber = std::uint32_t;
 
+/// @brief When to come back after a refused or unfinished write.
+inline constexpr std::chrono::milliseconds WriteRetryAfter{1000};
+
 /// @brief The caller did not say which send this is.
 inline constexpr SendNumber UnknownSend = 0;
 
@@ -40,6 +43,16 @@
   SendNumber Send = UnknownSend;
 };
 
+/// @brief The refusal of a write whose claim could not be confirmed. Only a
+/// first send is known not to have run: an earlier one may have been dispatched
+/// by another host.
+/// @param request the claim, which is never dispatched
+/// @param code why
+/// @param message human-readable reason
+/// @return the error with its run state and Retry-After
+Error unconfirmedClaim(const ClaimRequest &request, ErrorCode code,
+                       std::string message);
+
 /// @brief Where a key stands.
 enum class ClaimState {
   Claimed,  ///< its attempt may have been dispatched
@@ -74,6 +87,13 @@
   WriteOutcome Outcome;
 };
 
+/// @brief What the caller of a write that must not be dispatched is told.
+/// @param request the claim
+/// @param verdict its decision, other than Granted
+/// @return the first outcome, or an error with what is proved about the key
+Result<WriteOutcome> answerWithoutDispatch(const ClaimRequest &request,
+                                           const ClaimVerdict &verdict);
+
 /// @brief Claims of one document.
 ///
 /// A change holds only once the document has been written by compare-and-swap;
--- /dev/null
+++ b/src/backend/WriteSession.h
@@ -0,0 +1,111 @@
+#ifndef SAVORYTRESTLE_BACKEND_WRITE_SESSION_H
+#define SAVORYTRESTLE_BACKEND_WRITE_SESSION_H
+
+/// @file
+/// @brief One keyed write: claim, dispatch at most once, record the outcome.
+
+#include <concepts>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "savorytrestle/core/ClaimBucket.h"
+
+namespace savorytrestle::backend {
+
+/// @brief Takes how a dispatch ended: the backend server's result, or an error
+/// whose run state is NotRun only when that is proved.
+using DispatchDone = std::function<void(core::Result<std::string>)>;
+
+/// @brief Sends the write to a backend server, once, and calls its argument
+/// exactly once.
+template <typename D>
+concept WriteDispatcher = std::invocable<D, DispatchDone>;
+
+/// @brief A write's answer.
+struct KeyedAnswer {
+  /// The backend server's result; empty when it was not kept.
+  std::string Result;
+  /// Recorded by an earlier request with the same key.
+  bool Replayed = false;
+  /// False when the result was too long to keep.
+  bool ResultKept = true;
+};
+
+/// @brief Runs one keyed write; keeps itself alive until it is answered.
+///
+/// Claims is platform::ClaimStore over some store.
+template <typename Claims, WriteDispatcher Dispatcher>
+class WriteSession
+    : public std::enable_shared_from_this<WriteSession<Claims, Dispatcher>> {
+public:
+  using Done = std::function<void(core::Result<KeyedAnswer>)>;
+
+  /// @brief Starts a write.
+  /// @param claims claims and records; must outlive the session
+  /// @param request from Claims::makeRequest
+  /// @param deadline when the answer is due
+  /// @param dispatch sends the write
+  /// @param done takes the answer once; an error's run state is what is proved
+  static void start(Claims &claims, core::ClaimRequest request,
+                    core::TimePoint deadline, Dispatcher dispatch, Done done) {
+    const std::shared_ptr<WriteSession> session(
+        new WriteSession(claims, std::move(request), deadline,
+                         std::move(dispatch), std::move(done)));
+    claims.submit(session->Request, deadline,
+                  [session](core::Result<core::ClaimVerdict> verdict) {
+                    session->onVerdict(std::move(verdict));
+                  });
+  }
+
+private:
+  WriteSession(Claims &claims, core::ClaimRequest request,
+               core::TimePoint deadline, Dispatcher dispatch, Done done)
+      : Keys(claims), Request(std::move(request)), Deadline(deadline),
+        Dispatch(std::move(dispatch)), Answer(std::move(done)) {}
+
+  void onVerdict(core::Result<core::ClaimVerdict> verdict) {
+    if (!verdict)
+      return Answer(tl::unexpected(verdict.error()));
+    if (verdict->Decision == core::ClaimDecision::Granted)
+      return Dispatch([self = this->shared_from_this()](auto outcome) {
+        self->onOutcome(std::move(outcome));
+      });
+    Answer(core::answerWithoutDispatch(Request, *verdict)
+               .map([](const core::WriteOutcome &outcome) {
+                 return KeyedAnswer{outcome.Body, true, outcome.BodyKept};
+               }));
+  }
+
+  void onOutcome(core::Result<std::string> result) {
+    if (!result && result.error().Run == core::RunState::NotRun) {
+      Keys.release(Request);
+      return Answer(tl::unexpected(result.error()));
+    }
+    core::WriteOutcome outcome;
+    if (result) {
+      outcome.Run = core::RunState::Ran;
+      outcome.Body = *result;
+    }
+    // The answer waits until a resend would get the same one, but it is true
+    // whether or not it could be stored.
+    Keys.record(Request, std::move(outcome), Deadline,
+                [self = this->shared_from_this(),
+                 result = std::move(result)](const core::Result<void> &) {
+                  self->Answer(result.map([](const std::string &text) {
+                    return KeyedAnswer{text, false, true};
+                  }));
+                });
+  }
+
+  Claims &Keys;
+  const core::ClaimRequest Request;
+  const core::TimePoint Deadline;
+  Dispatcher Dispatch;
+  Done Answer;
+};
+
+} // namespace savorytrestle::backend
+
+#endif
--- a/src/core/ClaimBucket.cpp
+++ b/src/core/ClaimBucket.cpp
@@ -80,6 +80,48 @@
 
 } // namespace
 
+Error unconfirmedClaim(const ClaimRequest &request, ErrorCode code,
+                       std::string message) {
+  const auto run = request.Send == 1 ? RunState::NotRun : RunState::Unknown;
+  return {code, std::move(message), run, WriteRetryAfter};
+}
+
+Result<WriteOutcome> answerWithoutDispatch(const ClaimRequest &request,
+                                           const ClaimVerdict &verdict) {
+  const auto error = [](ErrorCode code, std::string message, RunState run) {
+    return tl::unexpected<Error>(
+        Error{code, std::move(message), run, WriteRetryAfter});
+  };
+  switch (verdict.Decision) {
+  case ClaimDecision::Finished:
+    if (verdict.Outcome.Run == RunState::Ran)
+      return verdict.Outcome;
+    // Final: coming back later brings nothing new.
+    return tl::unexpected<Error>(Error{ErrorCode::OutcomeUnknown,
+                                       "the write's outcome is not known",
+                                       RunState::Unknown,
+                                       {}});
+  case ClaimDecision::Closed:
+    return error(ErrorCode::Overloaded, "the write was not run",
+                 RunState::NotRun);
+  case ClaimDecision::KeyReused:
+    return tl::unexpected<Error>(
+        Error{ErrorCode::Conflict,
+              "Idempotency-Key belongs to another request",
+              RunState::Unknown,
+              {}});
+  case ClaimDecision::Full:
+    return tl::unexpected(unconfirmedClaim(request, ErrorCode::Overloaded,
+                                           "the claim document is full"));
+  case ClaimDecision::Granted:
+  case ClaimDecision::InProgress:
+    break;
+  }
+  return error(ErrorCode::OutcomeUnknown,
+               "an earlier request with this key may be running",
+               RunState::Unknown);
+}
+
 Result<ClaimBucket> ClaimBucket::parse(const std::string &text) {
   const json document = json::parse(text, nullptr, false);
   if (!document.is_object())
--- /dev/null
+++ b/tests/unit-claim-store.cpp
@@ -0,0 +1,218 @@
+#include "platform/ClaimStore.h"
+
+#include <future>
+
+#include <gtest/gtest.h>
+
+#include "FakeKvStore.h"
+#include "WriteHost.h"
+
+using namespace savorytrestle;
+using namespace std::chrono_literals;
+using core::ErrorCode;
+using core::RunState;
+using savorytrestle::testing::WriteHost;
+using savorytrestle::testing::WriteLedger;
+
+namespace {
+
+class ClaimStoreTest : public ::testing::Test {
+protected:
+  ClaimStoreTest() : A(Store, "host-1", Ledger), B(Store, "host-2", Ledger) {}
+
+  standins::FakeKvStore Store;
+  WriteLedger Ledger;
+  WriteHost A;
+  WriteHost B;
+};
+
+TEST_F(ClaimStoreTest, RunsAKeyOnceOnHostsThatRace) {
+  constexpr std::size_t Keys = 200;
+  std::vector<std::future<WriteHost::Answer>> answers;
+  for (std::uint64_t i = 0; i < Keys; ++i) {
+    answers.push_back(A.send(A.key(i)));
+    answers.push_back(B.send(B.key(i)));
+  }
+  std::size_t ran = 0;
+  for (auto &answer : answers)
+    if (const auto got = answer.get(); got && !got->Replayed)
+      ++ran;
+  EXPECT_EQ(ran, Keys);
+  EXPECT_EQ(Ledger.executedKeys(), Keys);
+  EXPECT_EQ(Ledger.doubledKeys(), 0U);
+}
+
+TEST_F(ClaimStoreTest, ReplaysTheFirstOutcomeOnAnotherHost) {
+  ASSERT_TRUE(A.send(A.key(1)).get());
+  const auto again = B.send(B.key(1), 2).get();
+  ASSERT_TRUE(again);
+  EXPECT_TRUE(again->Replayed);
+  EXPECT_EQ(again->Result, "filed by host-1");
+  EXPECT_EQ(Ledger.executions(1), 1U);
+}
+
+TEST_F(ClaimStoreTest, ResolvesALostReplyByReading) {
+  Store.Faults->LoseWriteReplies = 1;
+  EXPECT_TRUE(A.send(A.key(1)).get());
+  Store.Faults->LoseWrites = 1;
+  EXPECT_TRUE(A.send(A.key(2)).get());
+  EXPECT_EQ(A.Claims->stats().LostReplies, 2U);
+  EXPECT_EQ(Ledger.doubledKeys(), 0U);
+}
+
+TEST_F(ClaimStoreTest, AnOutageRefusesAtOnceAndRunsNothing) {
+  Store.Faults->Outage = true;
+  const auto first = A.send(A.key(1), 1).get();
+  EXPECT_EQ(first.error().Code, ErrorCode::StoreUnavailable);
+  EXPECT_EQ(first.error().Run, RunState::NotRun);
+  EXPECT_TRUE(first.error().RetryAfter.has_value());
+  EXPECT_EQ(A.send(A.key(2), 2).get().error().Run, RunState::Unknown);
+  EXPECT_EQ(A.send(A.key(3)).get().error().Run, RunState::Unknown);
+  EXPECT_EQ(Ledger.executedKeys(), 0U);
+}
+
+TEST_F(ClaimStoreTest, AResendIntoAnOutageIsNotSaidToBeNotRun) {
+  Ledger.Ending = WriteLedger::ReplyLost;
+  ASSERT_EQ(A.send(A.key(1), 1).get().error().Run, RunState::Unknown);
+  Store.Faults->Outage = true;
+  EXPECT_EQ(B.send(B.key(1), 2).get().error().Run, RunState::Unknown);
+}
+
+// The claim lands, its reply is lost, and it can't be read back.
+TEST_F(ClaimStoreTest, AnUnconfirmedClaimIsNeverDispatchedButReleased) {
+  Store.Faults->LoseWriteReplies = 1;
+  A.afterNextSwap([this] { Store.Faults->Outage = true; });
+  const auto refused = A.send(A.key(1), 1).get();
+  EXPECT_EQ(refused.error().Run, RunState::NotRun);
+  EXPECT_EQ(A.Claims->stats().Abandoned, 1U);
+  Store.Faults->Outage = false;
+  EXPECT_TRUE(B.sendUntilAnswered(1, 2));
+  EXPECT_EQ(Ledger.executions(1), 1U);
+  EXPECT_EQ(Ledger.ranBy(1), "host-2");
+}
+
+TEST_F(ClaimStoreTest, AHostPausedBeforeItsClaimLosesIt) {
+  std::promise<void> paused;
+  std::promise<void> resume;
+  A.beforeNextSwap([&] {
+    paused.set_value();
+    resume.get_future().wait();
+  });
+  auto slow = A.send(A.key(1), 1);
+  paused.get_future().wait();
+  EXPECT_TRUE(B.send(B.key(1), 2).get());
+  resume.set_value();
+  const auto answer = slow.get();
+  EXPECT_TRUE(answer && answer->Replayed);
+  EXPECT_EQ(Ledger.executions(1), 1U);
+}
+
+TEST_F(ClaimStoreTest, AHostPausedAfterItsClaimKeepsIt) {
+  std::promise<void> paused;
+  std::promise<void> resume;
+  A.afterNextSwap([&] {
+    paused.set_value();
+    resume.get_future().wait();
+  });
+  auto slow = A.send(A.key(1), 1);
+  paused.get_future().wait();
+  const auto resend = B.send(B.key(1), 2).get();
+  EXPECT_EQ(resend.error().Run, RunState::Unknown);
+  EXPECT_TRUE(resend.error().RetryAfter.has_value());
+  resume.set_value();
+  EXPECT_TRUE(slow.get());
+  EXPECT_EQ(Ledger.executions(1), 1U);
+}
+
+TEST_F(ClaimStoreTest, ARefusedDispatchMayBeSentAgain) {
+  Ledger.Ending = WriteLedger::Shed;
+  EXPECT_EQ(A.send(A.key(1), 1).get().error().Run, RunState::NotRun);
+  Ledger.Ending = WriteLedger::Replied;
+  EXPECT_TRUE(B.sendUntilAnswered(1, 2));
+  EXPECT_EQ(Ledger.executions(1), 1U);
+}
+
+TEST_F(ClaimStoreTest, ALostLeafReplyStaysUnknown) {
+  Ledger.Ending = WriteLedger::ReplyLost;
+  EXPECT_EQ(A.send(A.key(1)).get().error().Run, RunState::Unknown);
+  Ledger.Ending = WriteLedger::Replied;
+  EXPECT_EQ(B.send(B.key(1), 2).get().error().Run, RunState::Unknown);
+  EXPECT_EQ(Ledger.executions(1), 1U);
+}
+
+TEST_F(ClaimStoreTest, AnOutcomeIsStoredAfterTheOutage) {
+  Ledger.BeforeReply = [this] { Store.Faults->Outage = true; };
+  const auto answer = A.send(A.key(1), 1).get();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->Result, "filed by host-1");
+  Ledger.BeforeReply = nullptr;
+  Store.Faults->Outage = false;
+  EXPECT_TRUE(B.sendUntilAnswered(1, 2));
+  EXPECT_EQ(Ledger.executions(1), 1U);
+}
+
+TEST_F(ClaimStoreTest, AClaimThatIsConfirmedTooLateIsNotDispatched) {
+  A.afterNextSwap([this] { A.advanceWall(2h); });
+  const auto answer = A.send(A.key(1), 1).get();
+  EXPECT_EQ(answer.error().Run, RunState::Unknown);
+  EXPECT_EQ(Ledger.executedKeys(), 0U);
+}
+
+TEST_F(ClaimStoreTest, SpentDeadlinesAndFullQueuesAreRefused) {
+  A.Deadline = 0ms;
+  const auto late = A.send(A.key(1), 1).get();
+  EXPECT_EQ(late.error().Code, ErrorCode::DeadlineExceeded);
+  EXPECT_EQ(late.error().Run, RunState::NotRun);
+  platform::ClaimStoreOptions none;
+  none.MaxPending = 0;
+  WriteHost full(Store, "host-3", Ledger, none);
+  EXPECT_EQ(full.send(full.key(2), 1).get().error().Code,
+            ErrorCode::Overloaded);
+  EXPECT_EQ(Ledger.executedKeys(), 0U);
+}
+
+TEST_F(ClaimStoreTest, GroupsWhatArrivesTogether) {
+  constexpr std::uint64_t Keys = 800;
+  platform::ClaimStoreOptions paced;
+  paced.WritesPerSecond = 60;
+  WriteHost host(Store, "host-3", Ledger, paced);
+  std::vector<std::future<WriteHost::Answer>> answers;
+  for (std::uint64_t i = 0; i < Keys; ++i)
+    answers.push_back(host.send(host.key(i)));
+  for (auto &answer : answers)
+    EXPECT_TRUE(answer.get());
+  // One compare-and-swap for each claim and outcome would be 2 a write.
+  EXPECT_LT(Store.Faults->Writes.load(), static_cast<int>(Keys) / 4);
+  RecordProperty("store_writes", Store.Faults->Writes.load());
+  RecordProperty("store_reads", Store.Faults->Reads.load());
+}
+
+TEST_F(ClaimStoreTest, StopStoresWhatWaits) {
+  Store.Faults->LoseWrites = 0;
+  Ledger.BeforeReply = [this] { Store.Faults->Outage = true; };
+  ASSERT_TRUE(A.send(A.key(1)).get());
+  Ledger.BeforeReply = nullptr;
+  Store.Faults->Outage = false;
+  A.Claims->stop(5s);
+  const auto again = B.send(B.key(1), 2).get();
+  EXPECT_TRUE(again && again->Replayed);
+  EXPECT_EQ(A.send(A.key(2), 1).get().error().Code, ErrorCode::Draining);
+}
+
+TEST_F(ClaimStoreTest, DeletesExpiredDocuments) {
+  ASSERT_TRUE(A.send(A.key(1)).get());
+  platform::ClaimStoreOptions sweeping;
+  sweeping.SweepEvery = 1ms;
+  sweeping.SweepBack = sweeping.Limits.Window;
+  WriteHost sweeper(Store, "host-3", Ledger, sweeping);
+  const auto &limits = sweeping.Limits;
+  sweeper.advanceWall(limits.Retention + limits.MaxClockSkew +
+                      2 * limits.Window);
+  const auto until = std::chrono::steady_clock::now() + 10s;
+  while (sweeper.Claims->stats().DocumentsDeleted == 0 &&
+         std::chrono::steady_clock::now() < until)
+    std::this_thread::sleep_for(1ms);
+  EXPECT_TRUE(Store.list("claims/", 1s).value().empty());
+}
+
+} // namespace
