Searches go through quarantine and fair admission, writes through claims

A keyed write is claimed in the store before it is dispatched and its outcome is recorded there (platform/ClaimStore, backend/WriteSession); a search asks the crash quarantine and the weighted fair admission before any leaf is asked.

--- /dev/null
+++ b/src/backend/CrashGuard.h
@@ -0,0 +1,77 @@
+#ifndef SAVORYTRESTLE_BACKEND_CRASH_GUARD_H
+#define SAVORYTRESTLE_BACKEND_CRASH_GUARD_H
+
+/// @file
+/// @brief The host's crash quarantine behind a lock, and its records as text
+/// for other hosts.
+
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "savorytrestle/core/CrashQuarantine.h"
+#include "savorytrestle/core/LeafSelector.h"
+
+namespace savorytrestle::backend {
+
+/// @brief Crash quarantine of one host; thread-safe.
+class CrashGuard {
+public:
+  /// @brief Makes an empty quarantine.
+  /// @param onRecords told when there are new records for other hosts; runs on
+  ///   the thread that found them and must not block
+  explicit CrashGuard(std::function<void()> onRecords);
+
+  /// @brief Decides on a request before any leaf is asked.
+  /// @param print its fingerprint
+  /// @return the decision
+  core::QuarantineVerdict check(const core::Fingerprint &print);
+
+  /// @brief Whether a request may run on a leaf beside what runs there.
+  /// @param leafName the leaf
+  /// @param print its fingerprint
+  /// @return whether it may
+  bool mayShare(const std::string &leafName, const core::Fingerprint &print);
+
+  /// @brief Notes that an attempt was sent.
+  /// @param leafName the leaf
+  /// @param print the request's fingerprint
+  void onStart(const std::string &leafName, const core::Fingerprint &print);
+
+  /// @brief Notes how an attempt ended.
+  /// @param leafName the leaf
+  /// @param print the request's fingerprint
+  /// @param result how it ended
+  void onEnd(const std::string &leafName, const core::Fingerprint &print,
+             const core::AttemptResult &result);
+
+  /// @brief Notes that a leaf refuses connections or came back as another
+  /// process.
+  /// @param leafName the leaf
+  /// @param incarnation incarnation before that, 0 if unknown
+  void onLeafGone(const std::string &leafName, std::uint64_t incarnation);
+
+  /// @brief Notes that a leaf is still the process it was.
+  /// @param leafName the leaf
+  void onLeafAlive(const std::string &leafName);
+
+  /// @brief All records in force as JSON text, equal for equal records.
+  /// @return the text
+  std::string recordsText();
+
+  /// @brief Merges records of another host.
+  /// @param text what its @ref recordsText gave; broken text is ignored
+  void merge(const std::string &text);
+
+private:
+  void publish(const std::vector<core::QuarantineRecord> &found);
+
+  const std::function<void()> OnRecords;
+  std::mutex Lock;
+  core::CrashQuarantine Quarantine;
+};
+
+} // namespace savorytrestle::backend
+
+#endif
--- /dev/null
+++ b/src/backend/GuardedLeaves.h
@@ -0,0 +1,84 @@
+#ifndef SAVORYTRESTLE_BACKEND_GUARDED_LEAVES_H
+#define SAVORYTRESTLE_BACKEND_GUARDED_LEAVES_H
+
+/// @file
+/// @brief A service's leaves as one search sees them: what it sends is
+/// accounted for in the pool and in the crash quarantine.
+
+#include <functional>
+#include <memory>
+
+#include "backend/CrashGuard.h"
+#include "savorytrestle/core/LeafPool.h"
+
+namespace savorytrestle::backend {
+
+/// @brief Selector of one search; copies share their state. Fan-out thread
+/// only.
+class GuardedLeaves {
+public:
+  /// @brief Told the leaf of each attempt whose connection broke.
+  using BrokenObserver = std::function<void(core::LeafIndex)>;
+
+  /// @brief Makes the selector of one search.
+  /// @param pinned the leaves
+  /// @param settings their names, in the same order
+  /// @param guard the quarantine
+  /// @param print the search's fingerprint
+  /// @param onBroken told of breaks, to find out whether the leaf crashed
+  GuardedLeaves(core::PinnedLeaves pinned,
+                std::shared_ptr<const core::ServiceSettings> settings,
+                std::shared_ptr<CrashGuard> guard,
+                const core::Fingerprint &print, BrokenObserver onBroken)
+      : Pinned(std::move(pinned)), Settings(std::move(settings)),
+        Guard(std::move(guard)), Print(print), OnBroken(std::move(onBroken)) {}
+
+  /// @brief See core::LeafSelector; leaves where the quarantine wants this
+  /// search kept apart are passed over.
+  /// @param candidates leaves to choose from
+  /// @param now current time
+  /// @param rng passed on
+  /// @return the leaf, or nothing
+  std::optional<core::LeafIndex>
+  acquire(std::span<const core::LeafIndex> candidates, core::TimePoint now,
+          core::Rng &rng) {
+    std::vector<core::LeafIndex> allowed;
+    allowed.reserve(candidates.size());
+    for (const auto leaf : candidates)
+      if (Guard->mayShare(name(leaf), Print))
+        allowed.push_back(leaf);
+    const auto leaf = Pinned.acquire(allowed, now, rng);
+    if (leaf)
+      Guard->onStart(name(*leaf), Print);
+    return leaf;
+  }
+
+  /// @brief See core::LeafSelector.
+  /// @param leaf the leaf
+  /// @param result how the attempt ended
+  /// @param now current time
+  void release(core::LeafIndex leaf, const core::AttemptResult &result,
+               core::TimePoint now) {
+    Pinned.release(leaf, result, now);
+    Guard->onEnd(name(leaf), Print, result);
+    if (result.Failure == core::AttemptFailure::Broken)
+      OnBroken(leaf);
+  }
+
+private:
+  const std::string &name(core::LeafIndex leaf) const {
+    return Settings->Leaves[leaf].Name;
+  }
+
+  core::PinnedLeaves Pinned;
+  std::shared_ptr<const core::ServiceSettings> Settings;
+  std::shared_ptr<CrashGuard> Guard;
+  core::Fingerprint Print;
+  BrokenObserver OnBroken;
+};
+
+static_assert(core::LeafSelector<GuardedLeaves>);
+
+} // namespace savorytrestle::backend
+
+#endif
--- a/src/backend/LeafEngine.cpp
+++ b/src/backend/LeafEngine.cpp
@@ -86,8 +86,10 @@
 struct LeafEngine::State : std::enable_shared_from_this<LeafEngine::State> {
   using ServiceKey = std::pair<std::string, std::string>;
 
-  State(FanOutLoop &loop, support::Metrics &metrics, LeafEngineOptions options)
-      : Loop(loop), Counts(metrics), Options(std::move(options)) {}
+  State(FanOutLoop &loop, support::Metrics &metrics,
+        std::shared_ptr<CrashGuard> guard, LeafEngineOptions options)
+      : Loop(loop), Counts(metrics), Guard(std::move(guard)),
+        Options(std::move(options)) {}
 
   void apply(const core::RouteTable &routes);
   void setShare(const core::HostShare &share);
@@ -103,6 +105,7 @@
 
   FanOutLoop &Loop;
   support::Metrics &Counts;
+  const std::shared_ptr<CrashGuard> Guard;
   const LeafEngineOptions Options;
   std::optional<core::HostShare> Share;
   std::map<ServiceKey, std::shared_ptr<ServiceRuntime>> Services;
@@ -114,7 +117,8 @@
   auto memory = earlier ? earlier->memory()
                         : std::make_shared<ServiceMemory>(
                               Options.FailureDomain, *settings, Loop.rng()());
-  auto runtime = std::make_shared<ServiceRuntime>(settings, memory, Loop);
+  auto runtime =
+      std::make_shared<ServiceRuntime>(settings, memory, Guard, Loop);
   if (earlier)
     runtime->adopt(*earlier);
   else if (Share)
@@ -153,14 +157,14 @@
 
 void LeafEngine::State::search(SearchJob job, SearchDone done) {
   const auto runtime = find(job.Route);
-  if (!runtime || !runtime->state().Catalog.current()) {
+  if (!runtime || !runtime->snapshot()) {
     done(refuse(ErrorCode::BackendFailed, "no index version is known yet"));
     return;
   }
   const auto due = job.Deadline - AnswerMargin;
   if (Options.Baseline) {
-    run(core::BaselineSearch(*runtime->state().Catalog.current(), due), job,
-        runtime, std::move(done));
+    run(core::BaselineSearch(*runtime->snapshot(), due), job, runtime,
+        std::move(done));
     return;
   }
   core::SearchParameters parameters;
@@ -168,7 +172,9 @@
   parameters.Policy = job.Route.Policy;
   parameters.LatencyTarget = job.Route.LatencyTarget;
   parameters.CoverageFloor = job.Route.CoverageFloor;
-  run(core::TailAwareSearch<core::PinnedLeaves>(runtime->state(), parameters),
+  parameters.Canary = job.Canary;
+  run(core::TailAwareSearch<GuardedLeaves>(runtime->state(job.Print),
+                                           parameters),
       job, runtime, std::move(done));
 }
 
@@ -220,9 +226,10 @@
 }
 
 LeafEngine::LeafEngine(FanOutLoop &loop, support::Metrics &metrics,
+                       std::shared_ptr<CrashGuard> guard,
                        LeafEngineOptions options)
-    : Loop(loop),
-      Shared(std::make_shared<State>(loop, metrics, std::move(options))) {}
+    : Loop(loop), Shared(std::make_shared<State>(
+                      loop, metrics, std::move(guard), std::move(options))) {}
 
 // Settings and shares must not be lost to a ring that is full for a moment.
 void LeafEngine::postSurely(const FanOutLoop::Task &task) {
--- a/src/backend/LeafEngine.h
+++ b/src/backend/LeafEngine.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "backend/CrashGuard.h"
 #include "backend/ServiceRuntime.h"
 #include "savorytrestle/core/Error.h"
 #include "support/Metrics.h"
@@ -23,6 +24,9 @@
   std::string Query;
   /// When the answer is due.
   core::TimePoint Deadline;
+  core::Fingerprint Print;
+  /// Whether it runs on one leaf first, because it may crash leaves.
+  bool Canary = false;
 };
 
 /// @brief One write to send.
@@ -54,9 +58,10 @@
   /// @brief Makes an engine without services.
   /// @param loop the fan-out thread; must outlive the engine
   /// @param metrics takes the counts; must outlive the loop's thread
+  /// @param guard the host's crash quarantine
   /// @param options the engine's settings
   LeafEngine(FanOutLoop &loop, support::Metrics &metrics,
-             LeafEngineOptions options);
+             std::shared_ptr<CrashGuard> guard, LeafEngineOptions options);
 
   /// @brief Takes new settings over; running searches keep the old ones.
   /// @param routes settings in force
--- a/src/backend/ServiceRuntime.cpp
+++ b/src/backend/ServiceRuntime.cpp
@@ -40,16 +40,22 @@
 
 ServiceRuntime::ServiceRuntime(
     std::shared_ptr<const core::ServiceSettings> settings,
-    std::shared_ptr<ServiceMemory> memory, FanOutLoop &loop)
+    std::shared_ptr<ServiceMemory> memory, std::shared_ptr<CrashGuard> guard,
+    FanOutLoop &loop)
     : Settings(std::move(settings)), Memory(std::move(memory)), Loop(loop),
-      Pinned(pinLeaves(*Memory, *Settings)), All(Settings->Leaves.size()),
-      Status(Settings->Leaves.size()) {
+      Guard(std::move(guard)), Pinned(pinLeaves(*Memory, *Settings)),
+      All(Settings->Leaves.size()), Status(Settings->Leaves.size()) {
   std::iota(All.begin(), All.end(), core::LeafIndex(0));
   Memory->Budget.setFraction(Settings->ExtraLoadFraction);
 }
 
-ServiceRuntime::State ServiceRuntime::state() {
-  return {Pinned, Catalog, Memory->Budget, Memory->Latency};
+ServiceRuntime::State ServiceRuntime::state(const core::Fingerprint &print) {
+  // A broken connection alone doesn't prove a crash; the leaf is asked at once.
+  GuardedLeaves leaves(Pinned, Settings, Guard, print,
+                       [self = shared_from_this()](core::LeafIndex leaf) {
+                         self->askStatus(leaf);
+                       });
+  return {std::move(leaves), Catalog, Memory->Budget, Memory->Latency};
 }
 
 void ServiceRuntime::adopt(const ServiceRuntime &earlier) {
@@ -72,25 +78,32 @@
 void ServiceRuntime::poll(core::LeafIndex leaf) {
   if (Stopped)
     return;
+  askStatus(leaf);
+  // Jitter keeps the hosts from polling a leaf all at the same moment.
+  std::uniform_int_distribution<int> jitter(-100, 100);
+  Loop.callAt(SteadyClock::now() + PollInterval +
+                  milliseconds(jitter(Loop.rng())),
+              [self = shared_from_this(), leaf] { self->poll(leaf); });
+}
+
+void ServiceRuntime::askStatus(core::LeafIndex leaf) {
   const auto now = SteadyClock::now();
   LeafCall call;
   call.Url = "http://" + Settings->Leaves[leaf].Address + "/v1/status";
   call.Deadline = now + PollTimeout;
-  auto self = shared_from_this();
-  Loop.transport().send(std::move(call), now,
-                        [self, leaf](const LeafCallResult &result) {
-                          self->onStatus(leaf, result);
-                        });
-  // Jitter keeps the hosts from polling a leaf all at the same moment.
-  std::uniform_int_distribution<int> jitter(-100, 100);
-  Loop.callAt(now + PollInterval + milliseconds(jitter(Loop.rng())),
-              [self, leaf] { self->poll(leaf); });
+  Loop.transport().send(
+      std::move(call), now,
+      [self = shared_from_this(), leaf](const LeafCallResult &result) {
+        self->onStatus(leaf, result);
+      });
 }
 
 void ServiceRuntime::onStatus(core::LeafIndex leaf,
                               const LeafCallResult &result) {
-  if (const auto status = result.Status == StatusOk ? decodeStatus(result.Body)
-                                                    : std::nullopt) {
+  const auto status =
+      result.Status == StatusOk ? decodeStatus(result.Body) : std::nullopt;
+  judge(leaf, result, status);
+  if (status) {
     learn(leaf, *status);
     return;
   }
@@ -102,6 +115,21 @@
                         SteadyClock::now());
 }
 
+/// Tells the quarantine whether the leaf is still the process it was.
+void ServiceRuntime::judge(core::LeafIndex leaf, const LeafCallResult &result,
+                           const std::optional<LeafStatus> &status) {
+  const std::string &name = Settings->Leaves[leaf].Name;
+  // 0 stands for a leaf that names no incarnation.
+  const std::uint64_t before =
+      Status[leaf] ? Status[leaf]->Incarnation.value_or(0) : 0;
+  const std::uint64_t after = status ? status->Incarnation.value_or(0) : 0;
+  const bool replaced = status && before != 0 && after != before;
+  if (replaced || result.Failure == CallFailure::NotSent)
+    Guard->onLeafGone(name, before);
+  else if (status && before != 0)
+    Guard->onLeafAlive(name);
+}
+
 void ServiceRuntime::learn(core::LeafIndex leaf, const LeafStatus &status) {
   Status[leaf] = status;
   std::vector<core::ShardHolding> holdings;
--- a/src/backend/ServiceRuntime.h
+++ b/src/backend/ServiceRuntime.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "backend/FanOutLoop.h"
+#include "backend/GuardedLeaves.h"
 #include "backend/LeafProtocol.h"
 #include "savorytrestle/core/ExtraLoadBudget.h"
 #include "savorytrestle/core/LatencyTracker.h"
@@ -38,14 +39,16 @@
 /// offers what searches and writes need. Searches keep it alive.
 class ServiceRuntime : public std::enable_shared_from_this<ServiceRuntime> {
 public:
-  using State = core::ServiceState<core::PinnedLeaves>;
+  using State = core::ServiceState<GuardedLeaves>;
 
   /// @brief Takes a revision of the settings over; call @ref startPolling next.
   /// @param settings the service
   /// @param memory state that the revisions share
+  /// @param guard the host's crash quarantine
   /// @param loop runs the polls; must outlive the runtime
   ServiceRuntime(std::shared_ptr<const core::ServiceSettings> settings,
-                 std::shared_ptr<ServiceMemory> memory, FanOutLoop &loop);
+                 std::shared_ptr<ServiceMemory> memory,
+                 std::shared_ptr<CrashGuard> guard, FanOutLoop &loop);
 
   /// @brief Polls each leaf's status now and every second, until @ref stop.
   void startPolling();
@@ -63,9 +66,16 @@
   /// @return never null
   const std::shared_ptr<ServiceMemory> &memory() const { return Memory; }
 
-  /// @brief What the searches of this service share.
+  /// @brief What a search of this service uses.
+  /// @param print the search's fingerprint
   /// @return references into this runtime
-  State state();
+  State state(const core::Fingerprint &print);
+
+  /// @brief The snapshot a search would pin now.
+  /// @return null before any leaf has reported
+  std::shared_ptr<const core::Snapshot> snapshot() const {
+    return Catalog.current();
+  }
 
   /// @brief Takes over what an earlier revision knew of the same leaves.
   /// @param earlier the runtime before the change
@@ -77,13 +87,17 @@
 
 private:
   void poll(core::LeafIndex leaf);
+  void askStatus(core::LeafIndex leaf);
+  void judge(core::LeafIndex leaf, const LeafCallResult &result,
+             const std::optional<LeafStatus> &status);
   void onStatus(core::LeafIndex leaf, const LeafCallResult &result);
   void learn(core::LeafIndex leaf, const LeafStatus &status);
 
   const std::shared_ptr<const core::ServiceSettings> Settings;
   const std::shared_ptr<ServiceMemory> Memory;
   FanOutLoop &Loop;
-  core::PinnedLeaves Pinned;
+  const std::shared_ptr<CrashGuard> Guard;
+  const core::PinnedLeaves Pinned;
   core::SnapshotCatalog Catalog;
   std::vector<core::LeafIndex> All;
   /// Last status by leaf; nothing before the first one.
--- a/src/caller/CallerApi.cpp
+++ b/src/caller/CallerApi.cpp
@@ -186,6 +186,7 @@
     return tl::unexpected(body.error());
   checked.Body = std::move(*body);
   checked.Key = request.header("idempotency-key");
+  checked.SendNumber = request.header("send-number");
   return checked;
 }
 
--- a/src/caller/CallerApi.h
+++ b/src/caller/CallerApi.h
@@ -28,6 +28,8 @@
   std::string Body;
   /// Idempotency key of a write, if the caller gave one.
   std::optional<std::string> Key;
+  /// Which send of that key this is, as the caller counts; text as received.
+  std::optional<std::string> SendNumber;
   core::TimePoint Received;
   core::TimePoint Deadline;
 };
@@ -39,6 +41,8 @@
   std::string Result;
   /// Whether the outcome was recorded by an earlier request with the same key.
   bool Replayed = false;
+  /// False when the recorded result was too long to keep.
+  bool ResultKept = true;
 };
 
 /// @brief What the interface needs of the process behind it; every function
--- a/src/serve/Host.cpp
+++ b/src/serve/Host.cpp
@@ -1,7 +1,6 @@
 #include "serve/Host.h"
 
 #include <fstream>
-#include <future>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -19,11 +18,9 @@
 
 namespace {
 
-// Past the deadline the fan-out thread owes the answer at once; this bounds the
-// wait for it should that thread be starved.
-constexpr milliseconds AnswerGrace{1000};
 constexpr milliseconds DrainPoll{10};
 constexpr milliseconds DrainDelay{200};
+constexpr milliseconds ClaimDrain{2000};
 constexpr milliseconds ShareInterval{200};
 constexpr milliseconds ShareTime{1000};
 
@@ -41,20 +38,6 @@
   std::atomic<unsigned> &Count;
 };
 
-/// Waits for a value that another thread sets; the state is shared, so that a
-/// late setter finds it alive after the waiter has given up.
-template <typename T>
-core::Result<T>
-await(const std::shared_ptr<std::promise<core::Result<T>>> &slot,
-      core::TimePoint deadline, RunState runAfterTimeout) {
-  auto future = slot->get_future();
-  if (future.wait_until(deadline + AnswerGrace) == std::future_status::ready)
-    return future.get();
-  return tl::unexpected<Error>(Error{ErrorCode::DeadlineExceeded,
-                                     "the deadline passed", runAfterTimeout,
-                                     milliseconds(1000)});
-}
-
 hosts::SlotKeeperOptions slotOptions(const HostConfig &config) {
   hosts::SlotKeeperOptions options;
   std::random_device random;
@@ -79,7 +62,11 @@
 Host::Host(const HostConfig &config)
     : Config(config), Loop(backend::LeafTransportOptions{}, config.FanOutRing,
                            std::random_device{}()),
-      Engine(Loop, Counts, engineOptions(config)), Callers(backend(), Counts),
+      Guard(std::make_shared<backend::CrashGuard>([] {})),
+      Engine(Loop, Counts, Guard, engineOptions(config)),
+      Searches(Engine, Guard, config.MaxSearches),
+      Writes(Engine, config.Store, config.Id, config.MaxHosts),
+      Callers(backend(), Counts),
       Slot(platform::HttpKvStore(config.Store), slotOptions(config)) {}
 
 Host::~Host() {
@@ -88,6 +75,7 @@
     SlotFollower.join();
   CallerListener.reset();
   OperatorListener.reset();
+  Writes.stop(ClaimDrain);
   Loop.stop();
   // Last: the slot is released once no connection to a leaf is left.
   Slot.stop();
@@ -97,6 +85,7 @@
   std::unique_ptr<Host> host(new Host(config));
   host->Settings.observe([host = host.get()](const auto &inForce) {
     host->Engine.apply(inForce->Routes);
+    host->Searches.apply(*inForce->Routes);
     support::LogLine("settings_in_force")
         .with("revision", inForce->Blob.Revision);
   });
@@ -172,44 +161,15 @@
 caller::CallerBackend Host::backend() {
   caller::CallerBackend backend;
   backend.Routes = [this] { return Settings.routes(); };
-  backend.Search = [this](const auto &request) { return search(request); };
-  backend.Write = [this](const auto &request) { return write(request); };
+  backend.Search = [this](const auto &request) {
+    return Searches.run(request);
+  };
+  backend.Write = [this](const auto &request) { return Writes.run(request); };
   backend.Ready = [this] { return HasSlot && Settings.revision() > 0; };
   backend.Draining = [this] { return Draining.load(); };
   return backend;
 }
 
-core::Result<core::SearchAnswer>
-Host::search(const caller::CallerRequest &request) {
-  using Answer = core::Result<core::SearchAnswer>;
-  auto slot = std::make_shared<std::promise<Answer>>();
-  backend::SearchJob job{request.RequestId, request.Route, request.Body,
-                         request.Deadline};
-  const auto posted = Engine.search(std::move(job), [slot](Answer answer) {
-    slot->set_value(std::move(answer));
-  });
-  if (!posted)
-    return tl::unexpected(posted.error());
-  return await(slot, request.Deadline, RunState::Unknown);
-}
-
-core::Result<caller::WriteAnswer>
-Host::write(const caller::CallerRequest &request) {
-  using Outcome = core::Result<std::string>;
-  auto slot = std::make_shared<std::promise<Outcome>>();
-  backend::WriteJob job{request.RequestId, request.Route, "", request.Body,
-                        request.Deadline};
-  const auto posted = Engine.write(std::move(job), [slot](Outcome outcome) {
-    slot->set_value(std::move(outcome));
-  });
-  if (!posted)
-    return tl::unexpected(posted.error());
-  auto outcome = await(slot, request.Deadline, RunState::Unknown);
-  if (!outcome)
-    return tl::unexpected(outcome.error());
-  return caller::WriteAnswer{RunState::Ran, std::move(*outcome), false};
-}
-
 support::HttpResponse
 Host::operatorRequest(const support::HttpRequest &request) {
   support::HttpResponse response;
--- a/src/serve/Host.h
+++ b/src/serve/Host.h
@@ -15,6 +15,8 @@
 #include "operators/SettingsReplica.h"
 #include "platform/HttpKvStore.h"
 #include "serve/HostConfig.h"
+#include "serve/SearchPath.h"
+#include "serve/WritePath.h"
 #include "support/HttpServer.h"
 #include "support/Metrics.h"
 
@@ -42,8 +44,6 @@
 
   core::Result<void> listen();
   caller::CallerBackend backend();
-  core::Result<core::SearchAnswer> search(const caller::CallerRequest &request);
-  core::Result<caller::WriteAnswer> write(const caller::CallerRequest &request);
   support::HttpResponse operatorRequest(const support::HttpRequest &request);
   core::Result<void> loadSettingsFile();
   void followSlot();
@@ -51,7 +51,10 @@
   const HostConfig Config;
   support::Metrics Counts;
   backend::FanOutLoop Loop;
+  std::shared_ptr<backend::CrashGuard> Guard;
   backend::LeafEngine Engine;
+  SearchPath Searches;
+  WritePath Writes;
   caller::CallerApi Callers;
   operators::SettingsReplica Settings;
   hosts::HostSlotKeeper<platform::HttpKvStore> Slot;
--- a/src/serve/HostConfig.cpp
+++ b/src/serve/HostConfig.cpp
@@ -37,6 +37,8 @@
       static_cast<unsigned>(limits.number("caller_threads", 64, 1, 4096));
   config.FanOutRing =
       static_cast<std::size_t>(limits.number("fan_out_ring", 1024, 1, 1 << 20));
+  config.MaxSearches =
+      static_cast<unsigned>(limits.number("max_searches", 64, 1, 4096));
   config.DrainTime = limits.duration("drain_time", config.DrainTime,
                                      milliseconds(0), minutes(5));
   limits.refuseOthers();
--- a/src/serve/HostConfig.h
+++ b/src/serve/HostConfig.h
@@ -39,6 +39,8 @@
   unsigned CallerThreads = 64;
   /// Searches and writes that may wait for the fan-out thread.
   std::size_t FanOutRing = 1024;
+  /// Searches that run at once; more wait briefly or are refused.
+  unsigned MaxSearches = 64;
   /// Longest time a graceful shutdown waits for requests in flight.
   std::chrono::milliseconds DrainTime{5000};
   /// Entry hosts that may hold a slot at once.
--- /dev/null
+++ b/src/serve/SearchPath.cpp
@@ -0,0 +1,104 @@
+#include "serve/SearchPath.h"
+
+namespace savorytrestle::serve {
+
+using core::Error;
+using core::ErrorCode;
+using core::RunState;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+core::AdmissionSettings admissionSettings(std::uint32_t capacity) {
+  core::AdmissionSettings settings;
+  settings.Capacity = capacity;
+  return settings;
+}
+
+} // namespace
+
+SearchPath::SearchPath(backend::LeafEngine &engine,
+                       std::shared_ptr<backend::CrashGuard> guard,
+                       std::uint32_t capacity)
+    : Engine(engine), Guard(std::move(guard)),
+      Admission(admissionSettings(capacity)) {}
+
+void SearchPath::apply(const core::RouteTable &routes) {
+  const std::lock_guard guard(Lock);
+  Admission.setWeights(routes.WorkspaceWeights);
+}
+
+core::Result<core::SearchAnswer>
+SearchPath::run(const caller::CallerRequest &request) {
+  const auto print = core::makeFingerprint(request.Workspace,
+                                           request.Route.Name, request.Body);
+  const auto verdict = Guard->check(print);
+  if (verdict.Permission == core::RunPermission::Refused)
+    return tl::unexpected<Error>(
+        Error{ErrorCode::Quarantined,
+              "this request crashed the backend servers that ran it",
+              RunState::NotRun, verdict.RetryAfter});
+  const auto ticket = admit(request);
+  if (!ticket)
+    return tl::unexpected(ticket.error());
+  auto slot = std::make_shared<AnswerSlot<core::SearchAnswer>>();
+  backend::SearchJob job{request.RequestId, request.Route, request.Body,
+                         request.Deadline, print};
+  job.Canary =
+      request.Route.Canary && verdict.Permission != core::RunPermission::Free;
+  const auto posted =
+      Engine.search(std::move(job), [slot](auto answer) { slot->put(answer); });
+  auto answer = posted ? slot->wait(request.Deadline, RunState::Unknown)
+                       : tl::unexpected(posted.error());
+  finish(*ticket);
+  return answer;
+}
+
+core::Result<core::AdmissionTicket>
+SearchPath::admit(const caller::CallerRequest &request) {
+  std::future<core::Result<void>> decision;
+  core::AdmissionTicket ticket = 0;
+  {
+    const std::lock_guard guard(Lock);
+    const auto now = SteadyClock::now();
+    tell(Admission.onTimer(now));
+    const auto admission =
+        Admission.request(request.Workspace, request.Deadline, now);
+    if (!admission)
+      return tl::unexpected(admission.error());
+    ticket = admission->Ticket;
+    if (!admission->Queued)
+      return ticket;
+    decision = Queued[ticket].get_future();
+  }
+  if (decision.wait_for(core::AdmissionSettings{}.MaxQueueWait) !=
+      std::future_status::ready) {
+    // No other request came by to end the queueing; the time is up, so this
+    // decides.
+    const std::lock_guard guard(Lock);
+    tell(Admission.onTimer(SteadyClock::now()));
+  }
+  if (auto decided = decision.get(); !decided)
+    return tl::unexpected(decided.error());
+  return ticket;
+}
+
+void SearchPath::finish(core::AdmissionTicket ticket) {
+  const std::lock_guard guard(Lock);
+  tell(Admission.finish(ticket, SteadyClock::now()));
+}
+
+void SearchPath::tell(const std::vector<core::AdmissionDecision> &decisions) {
+  for (const auto &decision : decisions) {
+    const auto it = Queued.find(decision.Ticket);
+    if (it == Queued.end())
+      continue;
+    if (decision.Refusal)
+      it->second.set_value(tl::unexpected(*decision.Refusal));
+    else
+      it->second.set_value({});
+    Queued.erase(it);
+  }
+}
+
+} // namespace savorytrestle::serve
--- /dev/null
+++ b/src/serve/SearchPath.h
@@ -0,0 +1,55 @@
+#ifndef SAVORYTRESTLE_SERVE_SEARCH_PATH_H
+#define SAVORYTRESTLE_SERVE_SEARCH_PATH_H
+
+/// @file
+/// @brief A search on its way from the caller's thread to the fan-out thread:
+/// quarantine, fair admission, fan-out.
+
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+#include "backend/LeafEngine.h"
+#include "caller/CallerApi.h"
+#include "savorytrestle/core/FairAdmission.h"
+#include "serve/Await.h"
+
+namespace savorytrestle::serve {
+
+/// @brief Runs searches; thread-safe.
+class SearchPath {
+public:
+  /// @brief Makes the path.
+  /// @param engine runs admitted searches; must outlive the path
+  /// @param guard the host's crash quarantine
+  /// @param capacity searches that run at once on this host
+  SearchPath(backend::LeafEngine &engine,
+             std::shared_ptr<backend::CrashGuard> guard,
+             std::uint32_t capacity);
+
+  /// @brief Takes the weights of the workspaces over.
+  /// @param routes settings in force
+  void apply(const core::RouteTable &routes);
+
+  /// @brief Runs a search; blocks until its answer.
+  /// @param request the checked request
+  /// @return the answer, or a refusal that no leaf has run
+  core::Result<core::SearchAnswer> run(const caller::CallerRequest &request);
+
+private:
+  core::Result<core::AdmissionTicket>
+  admit(const caller::CallerRequest &request);
+  void finish(core::AdmissionTicket ticket);
+  void tell(const std::vector<core::AdmissionDecision> &decisions);
+
+  backend::LeafEngine &Engine;
+  const std::shared_ptr<backend::CrashGuard> Guard;
+  std::mutex Lock;
+  core::FairAdmission Admission;
+  std::unordered_map<core::AdmissionTicket, std::promise<core::Result<void>>>
+      Queued;
+};
+
+} // namespace savorytrestle::serve
+
+#endif
--- /dev/null
+++ b/src/serve/WritePath.cpp
@@ -0,0 +1,97 @@
+#include "serve/WritePath.h"
+
+#include <algorithm>
+
+#include <absl/strings/numbers.h>
+
+#include "backend/WriteSession.h"
+#include "serve/Await.h"
+
+namespace savorytrestle::serve {
+
+using core::ErrorCode;
+using core::makeError;
+using core::RunState;
+
+namespace {
+
+/// Store writes a second that all hosts together may spend on claims; the rest
+/// of what the store takes is for leases and settings.
+constexpr double ClaimWritesPerSecond = 200;
+
+platform::ClaimStoreOptions claimOptions(unsigned hosts) {
+  platform::ClaimStoreOptions options;
+  options.WritesPerSecond = ClaimWritesPerSecond / std::max(1U, hosts);
+  return options;
+}
+
+backend::WriteJob makeJob(const caller::CallerRequest &request) {
+  return {request.RequestId, request.Route, request.Key.value_or(""),
+          request.Body, request.Deadline};
+}
+
+core::Result<core::SendNumber> readSend(const caller::CallerRequest &request) {
+  if (!request.SendNumber)
+    return core::UnknownSend;
+  core::SendNumber send = 0;
+  if (!absl::SimpleAtoi(*request.SendNumber, &send) || send == 0)
+    return makeError(ErrorCode::BadRequest,
+                     "header Send-Number must count from 1");
+  return send;
+}
+
+} // namespace
+
+WritePath::WritePath(backend::LeafEngine &engine, const std::string &store,
+                     const std::string &hostId, unsigned hosts)
+    : Engine(engine),
+      Claims(platform::HttpKvStore(store), hostId, claimOptions(hosts)) {}
+
+core::Result<caller::WriteAnswer>
+WritePath::run(const caller::CallerRequest &request) {
+  return request.Key ? runKeyed(request) : runOnce(request);
+}
+
+core::Result<caller::WriteAnswer>
+WritePath::runOnce(const caller::CallerRequest &request) {
+  auto slot = std::make_shared<AnswerSlot<std::string>>();
+  const auto posted = Engine.write(makeJob(request), [slot](auto outcome) {
+    slot->put(std::move(outcome));
+  });
+  if (!posted)
+    return tl::unexpected(posted.error());
+  return slot->wait(request.Deadline, RunState::Unknown)
+      .map([](std::string result) {
+        return caller::WriteAnswer{RunState::Ran, std::move(result), false};
+      });
+}
+
+core::Result<caller::WriteAnswer>
+WritePath::runKeyed(const caller::CallerRequest &request) {
+  auto key = core::parseWriteKey(request.Workspace, *request.Key);
+  if (!key)
+    return tl::unexpected(key.error());
+  const auto send = readSend(request);
+  if (!send)
+    return tl::unexpected(send.error());
+  auto claim = Claims.makeRequest(
+      std::move(*key), core::requestDigest(request.Route.Name, request.Body),
+      *send);
+  auto dispatch = [&engine = Engine,
+                   job = makeJob(request)](const backend::DispatchDone &done) {
+    if (const auto posted = engine.write(job, done); !posted)
+      done(tl::unexpected(posted.error()));
+  };
+  auto slot = std::make_shared<AnswerSlot<backend::KeyedAnswer>>();
+  using Session = backend::WriteSession<Store, decltype(dispatch)>;
+  Session::start(Claims, std::move(claim), request.Deadline,
+                 std::move(dispatch),
+                 [slot](auto answer) { slot->put(std::move(answer)); });
+  return slot->wait(request.Deadline, RunState::Unknown)
+      .map([](backend::KeyedAnswer answer) {
+        return caller::WriteAnswer{RunState::Ran, std::move(answer.Result),
+                                   answer.Replayed, answer.ResultKept};
+      });
+}
+
+} // namespace savorytrestle::serve
--- /dev/null
+++ b/src/serve/WritePath.h
@@ -0,0 +1,49 @@
+#ifndef SAVORYTRESTLE_SERVE_WRITE_PATH_H
+#define SAVORYTRESTLE_SERVE_WRITE_PATH_H
+
+/// @file
+/// @brief A write on its way from the caller's thread to a leaf: claim of its
+/// key, dispatch, outcome.
+
+#include "backend/LeafEngine.h"
+#include "caller/CallerApi.h"
+#include "platform/ClaimStore.h"
+#include "platform/HttpKvStore.h"
+
+namespace savorytrestle::serve {
+
+/// @brief Runs writes; thread-safe.
+class WritePath {
+public:
+  /// @brief Starts the claim thread.
+  /// @param engine sends the writes; must outlive the path
+  /// @param store address of the key-value service
+  /// @param hostId id of this host
+  /// @param hosts most hosts that share the store's writes
+  WritePath(backend::LeafEngine &engine, const std::string &store,
+            const std::string &hostId, unsigned hosts);
+
+  /// @brief Runs a write; blocks until its outcome.
+  /// @param request the checked request
+  /// @return the outcome; an error says what is proved about its execution
+  core::Result<caller::WriteAnswer> run(const caller::CallerRequest &request);
+
+  /// @brief Stores what waits and ends the claim thread.
+  /// @param drain longest time for that
+  void stop(std::chrono::milliseconds drain) { Claims.stop(drain); }
+
+private:
+  using Store = platform::ClaimStore<platform::HttpKvStore>;
+
+  core::Result<caller::WriteAnswer>
+  runKeyed(const caller::CallerRequest &request);
+  core::Result<caller::WriteAnswer>
+  runOnce(const caller::CallerRequest &request);
+
+  backend::LeafEngine &Engine;
+  Store Claims;
+};
+
+} // namespace savorytrestle::serve
+
+#endif
