Settings store: atomic changes by one manifest swap, rebase, resends, audit trail

Ruled out: one value for the tree (it outgrows 1 MB), a key for each node without a manifest (not atomic), audit entries beside the change (one could exist without the other), treating a lost reply as a failure.

A swap whose reply is lost is settled by reading the change id back; while the manifest has not moved, sending the same swap again can take effect only once.

Conclusion: SettingsStore::commit ends as accepted, conflict, invalid, not_made or unknown. Superseded immutable entries are not collected yet.

--- a/include/savorytrestle/core/SettingsSchema.h
+++ b/include/savorytrestle/core/SettingsSchema.h
@@ -27,7 +27,7 @@
   Bool,
   Integer,
   Real,
-  Duration,
+  TimeSpan,
   Choice,
   LeafList,
   TokenHash,
--- a/src/core/SettingsSchema.cpp
+++ b/src/core/SettingsSchema.cpp
@@ -27,19 +27,19 @@
      .Doc = "coverage_first waits for missing shards up to the deadline; "
             "tail_first answers at latency_target once coverage_floor is met."},
     {.Key = "default_deadline",
-     .Kind = Duration,
+     .Kind = TimeSpan,
      .Default = "1 s",
      .Minimum = 1,
      .Maximum = LongestDeadlineMs,
      .Doc = "Deadline of a request that names none."},
     {.Key = "max_deadline",
-     .Kind = Duration,
+     .Kind = TimeSpan,
      .Default = "10 s",
      .Minimum = 1,
      .Maximum = LongestDeadlineMs,
      .Doc = "Longest deadline a caller may ask for."},
     {.Key = "latency_target",
-     .Kind = Duration,
+     .Kind = TimeSpan,
      .Default = "100 ms",
      .Minimum = 1,
      .Maximum = LongestDeadlineMs,
@@ -105,7 +105,7 @@
      .Default = "false",
      .Doc = "Sends a search to one leaf first and fans out once it answered."},
     {.Key = "write_key_retention",
-     .Kind = Duration,
+     .Kind = TimeSpan,
      .Default = "24 h",
      .Minimum = 1000,
      .Maximum = 720 * MillisPerHour,
@@ -170,7 +170,7 @@
     out << " " << spec.Choices;
   if (spec.Kind == Integer || spec.Kind == Real)
     describeRange(out, spec);
-  if (spec.Kind == Duration)
+  if (spec.Kind == TimeSpan)
     out << " from " << asText(spec.Minimum) << " to " << asText(spec.Maximum);
   if (spec.Kind == TokenHash)
     out << ": 64 hexadecimal digits in lower case";
--- a/src/core/SettingsValue.cpp
+++ b/src/core/SettingsValue.cpp
@@ -227,7 +227,7 @@
     return parseInRange<std::int64_t>(spec, text);
   case SettingKind::Real:
     return parseInRange<double>(spec, text);
-  case SettingKind::Duration:
+  case SettingKind::TimeSpan:
     return parseSpan(spec, text);
   case SettingKind::Choice:
     if (!isChoice(spec.Choices, text))
--- /dev/null
+++ b/src/operators/SettingsStore.h
@@ -0,0 +1,416 @@
+#ifndef SAVORYTRESTLE_OPERATORS_SETTINGS_STORE_H
+#define SAVORYTRESTLE_OPERATORS_SETTINGS_STORE_H
+
+/// @file
+/// @brief Reads and changes the settings tree in the key-value service.
+///
+/// A change writes immutable, content-addressed entries first and then swaps
+/// the manifest that names them, so that it takes effect whole or not at all.
+
+#include <algorithm>
+#include <map>
+
+#include "operators/SettingsManifest.h"
+#include "operators/SettingsReplica.h"
+#include "platform/KvStore.h"
+
+namespace savorytrestle::operators {
+
+/// @brief How a change ended.
+enum class CommitOutcome {
+  Accepted, ///< in the store; hosts will have it
+  Conflict, ///< not made: someone changed the same since the base revision
+  Invalid,  ///< not made: a check refused it
+  NotMade,  ///< not made: the store can't take it now
+  Unknown,  ///< may or may not be made; ask again with the same change id
+};
+
+/// @brief Wire name of an outcome, for example "not_made".
+/// @param outcome the outcome
+/// @return a static string
+std::string_view name(CommitOutcome outcome);
+
+/// @brief How a change ended, and what its operator needs to know.
+struct CommitResult {
+  CommitOutcome Outcome = CommitOutcome::NotMade;
+  /// Revision that holds the change, or the newest seen when it was not made.
+  std::uint64_t Revision = 0;
+  std::string Message;
+  /// What others changed in its place; conflicts only.
+  std::vector<core::AuditEntry> Since;
+};
+
+/// @brief Bounds on the store's calls.
+struct SettingsStoreOptions {
+  /// Bound on each call.
+  std::chrono::milliseconds CallTimeout{1000};
+  /// Attempts of one change at the compare-and-swap.
+  int MaxAttempts = 12;
+};
+
+/// @brief The settings tree in the store; one thread at a time.
+template <platform::KvStore Kv> class SettingsStore {
+public:
+  /// @brief Uses a store client, which must outlive this object.
+  /// @param store the client
+  /// @param options bounds
+  explicit SettingsStore(Kv &store, SettingsStoreOptions options = {})
+      : Store(store), Options(options) {}
+
+  /// @brief Reads the whole tree, fetching only parts that changed.
+  /// @return the blob (revision 0 when nothing was ever set), or
+  ///   StoreUnavailable
+  core::Result<core::VersionedBlob> read();
+
+  /// @brief Makes a change, rebasing it over changes of other keys.
+  /// @param request the change; sending it again with its id is idempotent
+  ///   while its id is among the MaxRecentChanges newest
+  /// @return how it ended; a store outage ends as NotMade or Unknown
+  CommitResult commit(const core::ChangeRequest &request);
+
+  /// @brief Audit entries, newest first.
+  /// @param before only revisions below this one
+  /// @param limit most entries returned
+  /// @return the entries, fewer when older ones are gone, or StoreUnavailable
+  core::Result<std::vector<core::AuditEntry>> history(std::uint64_t before,
+                                                      std::size_t limit);
+
+private:
+  struct Loaded {
+    SettingsManifest Manifest;
+    platform::Revision Modified = platform::NoEntry;
+    core::SettingsTree Tree;
+  };
+  template <typename T> using Outcome = tl::expected<T, CommitResult>;
+
+  core::Result<Loaded> load();
+  core::Result<Loaded> loadManifest();
+  /// False when a part is gone because the manifest has moved on.
+  core::Result<bool> loadNodes(Loaded &loaded);
+  /// Visits entries, newest first, until the visitor returns false; gives
+  /// false when a page is gone.
+  template <typename Visitor>
+  core::Result<bool> walk(const SettingsManifest &manifest, Visitor visit);
+  core::Result<std::optional<AuditPage>> readPage(const std::string &key);
+  Outcome<PreparedManifest> prepare(const Loaded &loaded,
+                                    const core::ChangeRequest &request);
+  std::optional<CommitResult> collision(const Loaded &loaded,
+                                        const core::ChangeRequest &request);
+  std::optional<CommitResult> resent(const SettingsManifest &manifest,
+                                     const core::ChangeRequest &request) const;
+  core::Result<void> writeEntries(const std::vector<ImmutableEntry> &entries);
+  void dropOldPage(const AuditPageLink &last);
+  CommitResult unavailable(bool uncertain, const std::string &reason) const;
+
+  Kv &Store;
+  SettingsStoreOptions Options;
+  /// Content of the parts that the last manifest read refers to.
+  std::map<std::string, std::string> Parts;
+  /// Newest revision seen; an older manifest is a stale read.
+  std::uint64_t NewestSeen = 0;
+};
+
+template <platform::KvStore Kv>
+core::Result<typename SettingsStore<Kv>::Loaded>
+SettingsStore<Kv>::loadManifest() {
+  auto entry = Store.get(ManifestKey, Options.CallTimeout);
+  if (!entry)
+    return tl::unexpected(entry.error());
+  Loaded loaded;
+  if (*entry) {
+    auto manifest = parseManifest((*entry)->Value);
+    if (!manifest)
+      return tl::unexpected(manifest.error());
+    loaded.Manifest = std::move(*manifest);
+    loaded.Modified = (*entry)->ModifyRevision;
+  }
+  if (loaded.Manifest.Revision < NewestSeen)
+    return core::makeError(core::ErrorCode::StoreUnavailable,
+                           "the store shows revision " +
+                               std::to_string(loaded.Manifest.Revision) +
+                               ", older than " + std::to_string(NewestSeen));
+  NewestSeen = loaded.Manifest.Revision;
+  return loaded;
+}
+
+template <platform::KvStore Kv>
+core::Result<bool> SettingsStore<Kv>::loadNodes(Loaded &loaded) {
+  std::map<std::string, std::string> parts;
+  nlohmann::json nodes = nlohmann::json::object();
+  for (const auto &[workspace, key] : loaded.Manifest.Nodes) {
+    if (const auto it = Parts.find(key); it != Parts.end()) {
+      parts[key] = it->second;
+    } else {
+      auto entry = Store.get(key, Options.CallTimeout);
+      if (!entry)
+        return tl::unexpected(entry.error());
+      if (!*entry)
+        return false;
+      parts[key] = (*entry)->Value;
+    }
+    nodes.update(nlohmann::json::parse(parts[key], nullptr, false));
+  }
+  Parts = std::move(parts);
+  auto tree = core::SettingsTree::fromJson(nodes);
+  if (!tree)
+    return tl::unexpected(tree.error());
+  loaded.Tree = std::move(*tree);
+  return true;
+}
+
+template <platform::KvStore Kv>
+core::Result<typename SettingsStore<Kv>::Loaded> SettingsStore<Kv>::load() {
+  constexpr int MaxReads = 3;
+  for (int n = 0; n < MaxReads; ++n) {
+    auto loaded = loadManifest();
+    if (!loaded)
+      return loaded;
+    const auto complete = loadNodes(*loaded);
+    if (!complete)
+      return tl::unexpected(complete.error());
+    if (*complete)
+      return loaded;
+  }
+  return core::makeError(core::ErrorCode::StoreUnavailable,
+                         "parts of the settings are missing in the store");
+}
+
+template <platform::KvStore Kv>
+core::Result<core::VersionedBlob> SettingsStore<Kv>::read() {
+  auto loaded = load();
+  if (!loaded)
+    return tl::unexpected(loaded.error());
+  return toBlob(loaded->Tree, loaded->Manifest.Revision);
+}
+
+template <platform::KvStore Kv>
+core::Result<std::optional<AuditPage>>
+SettingsStore<Kv>::readPage(const std::string &key) {
+  auto entry = Store.get(key, Options.CallTimeout);
+  if (!entry)
+    return tl::unexpected(entry.error());
+  if (!*entry)
+    return std::optional<AuditPage>();
+  auto page = parseAuditPage((*entry)->Value);
+  if (!page)
+    return tl::unexpected(page.error());
+  return std::optional(std::move(*page));
+}
+
+template <platform::KvStore Kv>
+template <typename Visitor>
+core::Result<bool> SettingsStore<Kv>::walk(const SettingsManifest &manifest,
+                                           Visitor visit) {
+  AuditPage page{manifest.LastPage, manifest.Audit};
+  for (;;) {
+    for (auto it = page.Entries.rbegin(); it != page.Entries.rend(); ++it)
+      if (!visit(*it))
+        return true;
+    if (page.Previous.Key.empty())
+      return true;
+    auto next = readPage(page.Previous.Key);
+    if (!next)
+      return tl::unexpected(next.error());
+    if (!*next)
+      return false;
+    page = std::move(**next);
+  }
+}
+
+template <platform::KvStore Kv>
+core::Result<std::vector<core::AuditEntry>>
+SettingsStore<Kv>::history(std::uint64_t before, std::size_t limit) {
+  const auto loaded = loadManifest();
+  if (!loaded)
+    return tl::unexpected(loaded.error());
+  std::vector<core::AuditEntry> found;
+  const auto walked =
+      walk(loaded->Manifest, [&](const core::AuditEntry &entry) {
+        if (entry.Revision < before && found.size() < limit)
+          found.push_back(entry);
+        return found.size() < limit;
+      });
+  if (!walked)
+    return tl::unexpected(walked.error());
+  return found;
+}
+
+template <platform::KvStore Kv>
+std::optional<CommitResult>
+SettingsStore<Kv>::collision(const Loaded &loaded,
+                             const core::ChangeRequest &request) {
+  const auto newest = loaded.Manifest.Revision;
+  const auto base = request.BaseRevision.value_or(newest);
+  if (base >= newest)
+    return std::nullopt;
+  CommitResult lost{CommitOutcome::Conflict, newest, "", {}};
+  auto oldest = newest + 1;
+  const auto walked = walk(loaded.Manifest, [&](const core::AuditEntry &entry) {
+    if (entry.Revision <= base)
+      return false;
+    oldest = entry.Revision;
+    const auto touches = [&](const core::AuditItem &item) {
+      return std::any_of(
+          request.Edits.begin(), request.Edits.end(),
+          [&](const auto &edit) { return core::collides(edit, item); });
+    };
+    if (std::any_of(entry.Items.begin(), entry.Items.end(), touches))
+      lost.Since.push_back(entry);
+    return true;
+  });
+  if (!walked)
+    return CommitResult{
+        CommitOutcome::NotMade, newest, walked.error().Message, {}};
+  if (oldest != base + 1)
+    lost.Message = "revision " + std::to_string(base) +
+                   " is too old to tell what changed since";
+  else if (!lost.Since.empty())
+    lost.Message = "changed since revision " + std::to_string(base) + " by " +
+                   lost.Since.front().Actor + ", in revision " +
+                   std::to_string(lost.Since.front().Revision);
+  return lost.Message.empty() ? std::nullopt : std::optional(std::move(lost));
+}
+
+template <platform::KvStore Kv>
+typename SettingsStore<Kv>::template Outcome<PreparedManifest>
+SettingsStore<Kv>::prepare(const Loaded &loaded,
+                           const core::ChangeRequest &request) {
+  const auto revision = loaded.Manifest.Revision;
+  if (auto lost = collision(loaded, request))
+    return tl::unexpected(std::move(*lost));
+  const auto invalid = [&](const core::Error &error) {
+    return tl::unexpected(
+        CommitResult{CommitOutcome::Invalid, revision, error.Message, {}});
+  };
+  auto tree = loaded.Tree;
+  auto items = core::applyEdits(tree, request.Edits);
+  if (!items)
+    return invalid(items.error());
+  // Each edit may be sound alone and still break a check together with a
+  // change that landed after the base revision.
+  if (const auto problems = tree.check(); !problems.empty())
+    return invalid(core::toError(problems));
+  core::AuditEntry entry{0,
+                         request.BaseRevision.value_or(revision),
+                         request.At,
+                         request.Actor,
+                         request.ChangeId,
+                         std::move(*items)};
+  auto next = advance(loaded.Manifest, tree, std::move(entry),
+                      core::fingerprint(request.Edits));
+  if (!next)
+    return invalid(next.error());
+  return std::move(*next);
+}
+
+template <platform::KvStore Kv>
+std::optional<CommitResult>
+SettingsStore<Kv>::resent(const SettingsManifest &manifest,
+                          const core::ChangeRequest &request) const {
+  const auto *known = findChange(manifest, request.ChangeId);
+  if (!known)
+    return std::nullopt;
+  if (known->Fingerprint != core::fingerprint(request.Edits))
+    return CommitResult{CommitOutcome::Invalid,
+                        manifest.Revision,
+                        "the change id belongs to another change",
+                        {}};
+  return CommitResult{CommitOutcome::Accepted, known->Revision, "", {}};
+}
+
+template <platform::KvStore Kv>
+core::Result<void>
+SettingsStore<Kv>::writeEntries(const std::vector<ImmutableEntry> &entries) {
+  // False means that the same content is there already; a lost reply is
+  // settled by writing it again.
+  constexpr int MaxWrites = 3;
+  for (const auto &[key, value] : entries) {
+    core::Result<bool> written = false;
+    for (int n = 0; n < MaxWrites; ++n) {
+      written = Store.compareAndSet(key, value, platform::NoEntry,
+                                    Options.CallTimeout);
+      if (written || written.error().Code != core::ErrorCode::OutcomeUnknown)
+        break;
+    }
+    if (!written)
+      return tl::unexpected(written.error());
+  }
+  return {};
+}
+
+template <platform::KvStore Kv>
+void SettingsStore<Kv>::dropOldPage(const AuditPageLink &last) {
+  if (last.Number <= MaxAuditPages)
+    return;
+  const auto prefix =
+      "settings/audit/" + std::to_string(last.Number - MaxAuditPages) + "-";
+  if (const auto pages = Store.list(prefix, Options.CallTimeout))
+    for (const auto &page : *pages)
+      (void)Store.compareAndDelete(page.Key, page.ModifyRevision,
+                                   Options.CallTimeout);
+}
+
+template <platform::KvStore Kv>
+CommitResult SettingsStore<Kv>::unavailable(bool uncertain,
+                                            const std::string &reason) const {
+  if (uncertain)
+    return {CommitOutcome::Unknown,
+            NewestSeen,
+            "the change may have been made (" + reason +
+                "); ask again with the same change id",
+            {}};
+  return {CommitOutcome::NotMade,
+          NewestSeen,
+          "the change was not made: " + reason,
+          {}};
+}
+
+template <platform::KvStore Kv>
+CommitResult SettingsStore<Kv>::commit(const core::ChangeRequest &request) {
+  // An earlier attempt of a resent change may have been made by another host.
+  bool uncertain = request.Resent;
+  platform::Revision uncertainAt = platform::NoEntry;
+  NewestSeen = std::max(NewestSeen, request.KnownRevision);
+  for (int n = 0; n < Options.MaxAttempts; ++n) {
+    const auto loaded = load();
+    if (!loaded)
+      return unavailable(uncertain, loaded.error().Message);
+    if (auto known = resent(loaded->Manifest, request))
+      return *known;
+    // A swap that named an older manifest can't take effect any more. One that
+    // named this manifest still can, until the manifest moves on.
+    if (n == 0)
+      uncertainAt = loaded->Modified;
+    uncertain = uncertain && loaded->Modified <= uncertainAt;
+    auto next = prepare(*loaded, request);
+    if (!next && (next.error().Outcome == CommitOutcome::NotMade ||
+                  loaded->Modified < uncertainAt))
+      return unavailable(uncertain, next.error().Message);
+    // The uncertain swap was prepared from the same manifest, so a change that
+    // is refused here was refused there and never sent.
+    if (!next)
+      return next.error();
+    if (const auto done = writeEntries(next->Entries); !done)
+      return unavailable(uncertain, done.error().Message);
+    const auto swapped =
+        Store.compareAndSet(ManifestKey, serialize(next->Manifest),
+                            loaded->Modified, Options.CallTimeout);
+    if (swapped && *swapped) {
+      NewestSeen = next->Manifest.Revision;
+      if (next->Manifest.LastPage.Number != loaded->Manifest.LastPage.Number)
+        dropOldPage(next->Manifest.LastPage);
+      return {CommitOutcome::Accepted, NewestSeen, "", {}};
+    }
+    if (!swapped && swapped.error().Code != core::ErrorCode::OutcomeUnknown)
+      return unavailable(uncertain, swapped.error().Message);
+    if (!swapped) {
+      uncertain = true;
+      uncertainAt = loaded->Modified;
+    }
+  }
+  return unavailable(uncertain, "too many changes at once");
+}
+
+} // namespace savorytrestle::operators
+
+#endif
--- /dev/null
+++ b/tests/SettingsFixture.h
@@ -0,0 +1,74 @@
+#ifndef SAVORYTRESTLE_TESTS_SETTINGS_FIXTURE_H
+#define SAVORYTRESTLE_TESTS_SETTINGS_FIXTURE_H
+
+/// @file
+/// @brief A small tree and a store whose manifest swap can be interrupted.
+
+#include <functional>
+#include <utility>
+
+#include "FakeKvStore.h"
+#include "operators/SettingsStore.h"
+
+namespace savorytrestle::standins {
+
+/// @brief A fake store that calls out before each swap of the manifest.
+class InterruptedKvStore : public FakeKvStore {
+public:
+  InterruptedKvStore() = default;
+  explicit InterruptedKvStore(const FakeKvStore &other) : FakeKvStore(other) {}
+
+  Result<bool> compareAndSet(const std::string &key, const std::string &value,
+                             platform::Revision revision, Millis timeout) {
+    if (key == operators::ManifestKey && BeforeSwap)
+      std::exchange(BeforeSwap, nullptr)();
+    const bool isSwap = key == operators::ManifestKey;
+    const int lost = isSwap ? std::exchange(LoseSwapReplies, 0) : 0;
+    const int dropped = isSwap ? std::exchange(LoseSwaps, 0) : 0;
+    Faults->LoseWriteReplies += lost;
+    Faults->LoseWrites += dropped;
+    auto result = FakeKvStore::compareAndSet(key, value, revision, timeout);
+    if (isSwap && std::exchange(OutageAfterSwap, false))
+      Faults->Outage = true;
+    return result;
+  }
+
+  /// Runs once, before the next swap.
+  std::function<void()> BeforeSwap;
+  /// Replies of the next swap that are lost after its effect.
+  int LoseSwapReplies = 0;
+  /// Swaps that are lost before their effect.
+  int LoseSwaps = 0;
+  /// Whether an outage begins once the next swap has taken effect.
+  bool OutageAfterSwap = false;
+};
+
+static_assert(platform::KvStore<InterruptedKvStore>);
+
+/// @brief Parses a path that is known to be right.
+inline core::SettingsPath path(const std::string &text) {
+  return core::SettingsPath::parse(text).value();
+}
+
+/// @brief An edit that sets a key.
+inline core::SettingEdit setEdit(const std::string &where,
+                                 const std::string &key,
+                                 const std::string &value) {
+  const auto parsed =
+      core::parseOverride(path(where), key, nlohmann::json(value));
+  return {core::EditKind::Set, path(where), key, parsed.value()};
+}
+
+/// @brief A change of one key.
+inline core::ChangeRequest change(const std::string &id,
+                                  core::SettingEdit edit) {
+  core::ChangeRequest request;
+  request.ChangeId = id;
+  request.Actor = "anna";
+  request.Edits = {std::move(edit)};
+  return request;
+}
+
+} // namespace savorytrestle::standins
+
+#endif
--- /dev/null
+++ b/tests/unit-settings-store.cpp
@@ -0,0 +1,208 @@
+#include "SettingsFixture.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+using namespace savorytrestle;
+using namespace savorytrestle::operators;
+using standins::change;
+using standins::InterruptedKvStore;
+using standins::path;
+using standins::setEdit;
+using testing::HasSubstr;
+
+namespace {
+
+using Store = SettingsStore<InterruptedKvStore>;
+
+core::SettingsTree treeOf(Store &store) {
+  return fromBlob(store.read().value()).value();
+}
+
+std::string valueOf(Store &store, const std::string &where,
+                    const std::string &key) {
+  const auto tree = treeOf(store);
+  const auto *found = tree.find(path(where), key);
+  return found ? core::toJson(*found).dump() : "";
+}
+
+class SettingsStoreTest : public testing::Test {
+protected:
+  SettingsStoreTest() {
+    First.commit(change("base", setEdit("/a", "max_deadline", "5 s")));
+  }
+
+  InterruptedKvStore Kv;
+  InterruptedKvStore OtherKv{Kv};
+  Store First{Kv};
+  Store Second{OtherKv};
+};
+
+TEST_F(SettingsStoreTest, AChangeIsReadBackWithItsRevision) {
+  const auto result =
+      First.commit(change("1", setEdit("/a", "max_deadline", "4 s")));
+  EXPECT_EQ(result.Outcome, CommitOutcome::Accepted);
+  EXPECT_EQ(result.Revision, 2U);
+  EXPECT_EQ(Second.read()->Revision, 2U);
+  EXPECT_EQ(valueOf(Second, "/a", "max_deadline"), "\"4 s\"");
+}
+
+TEST_F(SettingsStoreTest, AnEmptyStoreReadsAsRevisionZero) {
+  InterruptedKvStore empty;
+  EXPECT_EQ(Store(empty).read()->Revision, 0U);
+}
+
+TEST_F(SettingsStoreTest, RacersOnDifferentKeysBothLand) {
+  Kv.BeforeSwap = [&] {
+    Second.commit(change("o", setEdit("/b", "canary", "true")));
+  };
+  const auto result =
+      First.commit(change("1", setEdit("/a", "canary", "true")));
+  EXPECT_EQ(result.Outcome, CommitOutcome::Accepted);
+  EXPECT_EQ(valueOf(First, "/a", "canary"), "true");
+  EXPECT_EQ(valueOf(First, "/b", "canary"), "true");
+}
+
+TEST_F(SettingsStoreTest, TheLoserOfARaceLearnsWhatChanged) {
+  auto mine = change("1", setEdit("/a", "max_deadline", "3 s"));
+  mine.BaseRevision = 1;
+  Kv.BeforeSwap = [&] {
+    auto theirs = change("o", setEdit("/a", "max_deadline", "2 s"));
+    theirs.Actor = "bela";
+    Second.commit(theirs);
+  };
+  const auto result = First.commit(mine);
+  EXPECT_EQ(result.Outcome, CommitOutcome::Conflict);
+  ASSERT_EQ(result.Since.size(), 1U);
+  EXPECT_EQ(result.Since[0].Actor, "bela");
+  EXPECT_EQ(result.Since[0].Items[0].New, "2 s");
+  EXPECT_EQ(valueOf(First, "/a", "max_deadline"), "\"2 s\"");
+}
+
+TEST_F(SettingsStoreTest, ARebasedChangeIsCheckedAgainstTheWholeTree) {
+  auto mine = change("1", setEdit("/a/s/r", "default_deadline", "4 s"));
+  mine.Edits.insert(
+      mine.Edits.begin(),
+      {setEdit("/a/s", "leaves",
+               R"([{"name":"l","address":"10.0.0.1:1","failure_domain":"w"}])"),
+       setEdit("/a/s/r", "kind", "search")});
+  mine.BaseRevision = 1;
+  Kv.BeforeSwap = [&] {
+    Second.commit(change("o", setEdit("/a", "max_deadline", "2 s")));
+  };
+  const auto result = First.commit(mine);
+  EXPECT_EQ(result.Outcome, CommitOutcome::Invalid);
+  EXPECT_THAT(result.Message, HasSubstr("/a/s/r default_deadline: 4 s"));
+}
+
+TEST_F(SettingsStoreTest, ARemovedWorkspaceCollidesWithChangesInIt) {
+  core::SettingEdit removal{core::EditKind::RemoveNode, path("/a"), {}, {}};
+  First.commit(change("gone", removal));
+  auto late = change("1", setEdit("/a", "canary", "true"));
+  late.BaseRevision = 1;
+  EXPECT_EQ(First.commit(late).Outcome, CommitOutcome::Conflict);
+}
+
+TEST_F(SettingsStoreTest, ALostSwapReplyIsResolvedByReadingBack) {
+  Kv.LoseSwapReplies = 1;
+  const auto result =
+      First.commit(change("1", setEdit("/a", "canary", "true")));
+  EXPECT_EQ(result.Outcome, CommitOutcome::Accepted);
+  EXPECT_EQ(result.Revision, 2U);
+  EXPECT_EQ(First.read()->Revision, 2U);
+}
+
+TEST_F(SettingsStoreTest, ASwapThatNeverArrivedIsSentAgain) {
+  Kv.LoseSwaps = 1;
+  EXPECT_EQ(First.commit(change("1", setEdit("/a", "canary", "true"))).Outcome,
+            CommitOutcome::Accepted);
+  EXPECT_EQ(First.read()->Revision, 2U);
+}
+
+TEST_F(SettingsStoreTest, ALostReplyDuringAnOutageIsUnknownUntilAskedAgain) {
+  const auto request = change("1", setEdit("/a", "canary", "true"));
+  Kv.LoseSwapReplies = 1;
+  Kv.OutageAfterSwap = true;
+  EXPECT_EQ(First.commit(request).Outcome, CommitOutcome::Unknown);
+  Kv.Faults->Outage = false;
+  auto again = request;
+  again.Resent = true;
+  const auto result = Second.commit(again);
+  EXPECT_EQ(result.Outcome, CommitOutcome::Accepted);
+  EXPECT_EQ(result.Revision, 2U);
+  EXPECT_EQ(Second.read()->Revision, 2U);
+}
+
+TEST_F(SettingsStoreTest, AnOutageRefusesAFirstAttemptAsNotMade) {
+  Kv.Faults->Outage = true;
+  auto request = change("1", setEdit("/a", "canary", "true"));
+  EXPECT_EQ(First.commit(request).Outcome, CommitOutcome::NotMade);
+  // A resend may follow an attempt that another host made.
+  request.Resent = true;
+  EXPECT_EQ(First.commit(request).Outcome, CommitOutcome::Unknown);
+}
+
+TEST_F(SettingsStoreTest, SendingAChangeAgainDoesNotUndoALaterOne) {
+  const auto first = change("1", setEdit("/a", "max_deadline", "3 s"));
+  First.commit(first);
+  First.commit(change("2", setEdit("/a", "max_deadline", "2 s")));
+  const auto again = First.commit(first);
+  EXPECT_EQ(again.Outcome, CommitOutcome::Accepted);
+  EXPECT_EQ(again.Revision, 2U);
+  EXPECT_EQ(valueOf(First, "/a", "max_deadline"), "\"2 s\"");
+}
+
+TEST_F(SettingsStoreTest, AChangeIdIsForOneChange) {
+  First.commit(change("1", setEdit("/a", "canary", "true")));
+  EXPECT_EQ(First.commit(change("1", setEdit("/a", "canary", "false"))).Outcome,
+            CommitOutcome::Invalid);
+}
+
+TEST_F(SettingsStoreTest, AStoreThatWentBackIsNotBuiltUpon) {
+  auto request = change("1", setEdit("/a", "canary", "true"));
+  request.KnownRevision = 7;
+  EXPECT_EQ(First.commit(request).Outcome, CommitOutcome::NotMade);
+  EXPECT_FALSE(First.read());
+}
+
+TEST_F(SettingsStoreTest, TheAuditTrailEqualsTheSequenceOfRevisions) {
+  // Values long enough to fill several pages.
+  const std::string leaf = R"([{"name":")" + std::string(1500, 'x') +
+                           R"(","address":"10.0.0.1:1","failure_domain":"w"}])";
+  constexpr std::uint64_t Changes = 150;
+  for (std::uint64_t n = 2; n <= Changes; ++n)
+    First.commit(change(std::to_string(n), setEdit("/a/s", "leaves", leaf)));
+  const auto all = Second.history(Changes + 1, 1000).value();
+  ASSERT_EQ(all.size(), Changes);
+  for (std::uint64_t n = 0; n < Changes; ++n)
+    EXPECT_EQ(all[n].Revision, Changes - n);
+  EXPECT_EQ(all[0].ChangeId, std::to_string(Changes));
+  EXPECT_LT(Kv.get(ManifestKey, {}).value()->Value.size(), 200'000U);
+  // A base far behind still finds what changed, in the pages.
+  auto late = change("late", setEdit("/a/s", "leaves", leaf));
+  late.BaseRevision = 1;
+  EXPECT_EQ(First.commit(late).Since.size(), Changes - 1);
+}
+
+TEST_F(SettingsStoreTest, ATreeOverAMegabyteStaysAtomic) {
+  std::string leaves;
+  for (int n = 0; n < 2500; ++n)
+    leaves += (n ? "," : "") + std::string(R"({"name":"leaf-number-)") +
+              std::to_string(n) + R"(","address":"10.0.)" +
+              std::to_string(n / 250) + "." + std::to_string(n % 250) +
+              R"(:9000","failure_domain":"wien","group":"group-number-)" +
+              std::to_string(n / 3) + R"("})";
+  for (const auto *workspace : {"/w1", "/w2", "/w3", "/w4", "/w5"}) {
+    auto request = change(workspace, {core::EditKind::AddNode, path(workspace),
+                                      "", std::nullopt});
+    request.Edits.push_back(
+        setEdit(std::string(workspace) + "/s", "leaves", "[" + leaves + "]"));
+    EXPECT_EQ(First.commit(request).Outcome, CommitOutcome::Accepted);
+  }
+  EXPECT_GT(Second.read()->Payload.size(), 1'000'000U);
+  const auto entries = Kv.list("settings/", {}).value();
+  for (const auto &entry : entries)
+    EXPECT_LT(entry.Value.size(), 1'000'000U) << entry.Key;
+}
+
+} // namespace
