Administration API with operator tokens

A caller that names a change id is taken to repeat it, so an outage answers unknown rather than not_made, unless it says resend=false.

--- a/include/savorytrestle/core/SettingsChange.h
+++ b/include/savorytrestle/core/SettingsChange.h
@@ -40,6 +40,9 @@
   /// Whether an earlier attempt with this id may have been made.
   bool Resent = false;
   std::vector<SettingEdit> Edits;
+  /// Identity of what was asked, when the edits were derived from it; empty
+  /// when the edits are what was asked.
+  std::string Source;
 };
 
 /// @brief Applies edits in order.
@@ -65,10 +68,10 @@
 ///   the other uses
 bool collides(const SettingEdit &edit, const AuditItem &item);
 
-/// @brief Identity of a list of edits, to notice a reused change id.
-/// @param edits the edits
+/// @brief Identity of what a change asks for, to notice a reused change id.
+/// @param request the change
 /// @return hexadecimal digits
-std::string fingerprint(const std::vector<SettingEdit> &edits);
+std::string fingerprint(const ChangeRequest &request);
 
 /// @brief Content hash that names immutable entries.
 /// @param content the content
--- a/src/core/SettingsChange.cpp
+++ b/src/core/SettingsChange.cpp
@@ -110,9 +110,11 @@
                                         : edit.Key == item.Key;
 }
 
-std::string fingerprint(const std::vector<SettingEdit> &edits) {
+std::string fingerprint(const ChangeRequest &request) {
+  if (!request.Source.empty())
+    return contentHash(request.Source);
   json list = json::array();
-  for (const auto &edit : edits)
+  for (const auto &edit : request.Edits)
     list.push_back({static_cast<int>(edit.Kind), edit.Path.text(), edit.Key,
                     edit.Value ? toJson(*edit.Value) : json()});
   return contentHash(dumpJson(list));
--- /dev/null
+++ b/src/operators/AdminApi.cpp
@@ -0,0 +1,334 @@
+#include "operators/AdminApi.h"
+
+#include <charconv>
+#include <random>
+
+#include "operators/AdminReplies.h"
+#include "savorytrestle/core/SettingsYaml.h"
+#include "support/Log.h"
+
+namespace savorytrestle::operators {
+
+namespace {
+
+using core::ErrorCode;
+using core::makeError;
+using core::SettingsPath;
+using nlohmann::json;
+using support::HttpRequest;
+using support::HttpResponse;
+
+constexpr std::size_t DefaultHistory = 20;
+constexpr std::size_t MostHistory = 500;
+constexpr std::size_t LongestChangeId = 128;
+constexpr int Unauthenticated = 401;
+
+HttpResponse refuse(ErrorCode code, const std::string &message,
+                    int status = 0) {
+  return errorReply(core::Error{code, message, core::RunState::NotRun, {}},
+                    status);
+}
+
+std::optional<std::uint64_t> number(const std::optional<std::string> &text) {
+  std::uint64_t value = 0;
+  if (!text)
+    return std::nullopt;
+  const char *end = text->data() + text->size();
+  const auto [it, ec] = std::from_chars(text->data(), end, value);
+  return ec == std::errc() && it == end ? std::optional(value) : std::nullopt;
+}
+
+std::string newChangeId() {
+  std::random_device random;
+  std::uint64_t value = random();
+  value = (value << 32U) | random();
+  return core::contentHash(std::to_string(value)).substr(0, 16);
+}
+
+bool isChangeId(const std::string &text) {
+  return !text.empty() && text.size() <= LongestChangeId &&
+         text.find_first_not_of(
+             "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789"
+             "._:-") == std::string::npos;
+}
+
+/// Reads what every change carries: its id, its base revision and whether it
+/// may have been sent before.
+core::Result<core::ChangeRequest> changeOf(const HttpRequest &http) {
+  core::ChangeRequest request;
+  const auto id = http.parameter("change_id");
+  request.ChangeId = id.value_or(newChangeId());
+  if (!isChangeId(request.ChangeId))
+    return makeError(
+        ErrorCode::BadRequest,
+        "change_id: up to 128 letters, digits, '.', '_', ':', '-'");
+  const auto base = http.parameter("base_revision");
+  request.BaseRevision = number(base);
+  if (base && !request.BaseRevision)
+    return makeError(ErrorCode::BadRequest, "base_revision: a whole number");
+  // A caller that names an id may be repeating it, unless it says otherwise.
+  request.Resent = id && http.parameter("resend").value_or("true") != "false";
+  return request;
+}
+
+json effectiveJson(const core::EffectiveSetting &item) {
+  return {{"key", item.Key},
+          {"value", core::toJson(item.Value)},
+          {"source", item.Source ? item.Source->text() : "default"}};
+}
+
+} // namespace
+
+AdminApi::AdminApi(AdminApiOptions options, SettingsBackend backend,
+                   SettingsReplica &replica)
+    : Options(std::move(options)), Backend(std::move(backend)),
+      Replica(replica) {}
+
+core::Result<AdminApi::Call> AdminApi::open(const Request &request,
+                                            int &status) const {
+  InForce now = Replica.current();
+  if (!now)
+    now = std::make_shared<SettingsInForce>();
+  auto who = authenticate(request.header("authorization").value_or(""),
+                          Options.RootTokenHash, &now->Tree);
+  if (!who) {
+    status = Unauthenticated;
+    return tl::unexpected(who.error());
+  }
+  auto path = SettingsPath::parse(
+      request.parameter("path").value_or(who->Scope.text()));
+  if (!path) {
+    path.error().Code = ErrorCode::BadRequest;
+    return tl::unexpected(path.error());
+  }
+  if (!path->isWithin(who->Scope))
+    return makeError(ErrorCode::Unauthorized,
+                     path->text() + " is outside of " + who->Scope.text());
+  return Call{request, std::move(*who), std::move(now), std::move(*path),
+              request.parameter("key").value_or("")};
+}
+
+AdminApi::Response AdminApi::handle(const Request &request) {
+  int status = 0;
+  const auto call = open(request, status);
+  if (!call) {
+    support::LogLine("admin_refused")
+        .with("path", request.Path)
+        .with("reason", call.error().Message);
+    return errorReply(call.error(), status);
+  }
+  return route(*call);
+}
+
+AdminApi::Response AdminApi::route(const Call &call) {
+  const auto &method = call.Http.Method;
+  const auto &path = call.Http.Path;
+  if (path == "/v1/settings")
+    return settings(call);
+  if (method == "GET" && path == "/v1/explain")
+    return explain(call);
+  if (method == "GET" && path == "/v1/diff")
+    return diff(call);
+  if (method == "GET" && path == "/v1/history")
+    return history(call);
+  if (method == "GET" && path == "/v1/status")
+    return this->status(call);
+  if (method == "POST" && path == "/v1/apply")
+    return apply(call);
+  if (method == "POST" && path == "/v1/validate")
+    return validate(call);
+  return refuse(ErrorCode::NotFound, "no such call: " + method + " " + path);
+}
+
+AdminApi::Response AdminApi::settings(const Call &call) {
+  if (call.Http.Method == "GET")
+    return read(call);
+  if (call.Http.Method == "PUT")
+    return put(call);
+  if (call.Http.Method == "DELETE")
+    return remove(call);
+  return refuse(ErrorCode::BadRequest, "allowed: GET, PUT, DELETE", 405);
+}
+
+AdminApi::Response AdminApi::read(const Call &call) const {
+  const auto &tree = call.Now->Tree;
+  if (tree.nodes().count(call.Path) == 0)
+    return refuse(ErrorCode::NotFound, "no node " + call.Path.text());
+  const auto revision = call.Now->Blob.Revision;
+  if (call.Key.empty()) {
+    json nodes = json::object();
+    const json all = tree.toJson();
+    for (const auto &[path, overrides] : tree.nodes())
+      if (path.isWithin(call.Path))
+        nodes[path.text()] = all[path.text()];
+    return jsonReply({{"revision", revision}, {"nodes", std::move(nodes)}});
+  }
+  const auto *spec = core::findSetting(call.Key);
+  if (!spec)
+    return refuse(ErrorCode::NotFound, "no key " + call.Key);
+  const auto found = tree.effective(call.Path, *spec);
+  if (!found)
+    return refuse(ErrorCode::NotFound,
+                  call.Key + " is not set at " + call.Path.text());
+  json body = effectiveJson(*found);
+  body["path"] = call.Path.text();
+  body["revision"] = revision;
+  return jsonReply(body);
+}
+
+AdminApi::Response AdminApi::put(const Call &call) {
+  auto request = changeOf(call.Http);
+  if (!request)
+    return errorReply(request.error());
+  if (call.Key.empty()) {
+    request->Edits = {{core::EditKind::AddNode, call.Path, {}, {}}};
+    return change(call, std::move(*request));
+  }
+  const json body = json::parse(call.Http.Body, nullptr, false);
+  const auto it = body.is_object() ? body.find("value") : body.end();
+  if (!body.is_object() || it == body.end())
+    return refuse(ErrorCode::BadRequest, R"(the body is {"value": ...})");
+  auto value = core::parseOverride(call.Path, call.Key, *it);
+  if (!value)
+    return errorReply(value.error());
+  request->Edits = {
+      {core::EditKind::Set, call.Path, call.Key, std::move(*value)}};
+  return change(call, std::move(*request));
+}
+
+AdminApi::Response AdminApi::remove(const Call &call) {
+  auto request = changeOf(call.Http);
+  if (!request)
+    return errorReply(request.error());
+  const auto kind =
+      call.Key.empty() ? core::EditKind::RemoveNode : core::EditKind::Unset;
+  // Emptying the whole tree is more likely a slip than a wish.
+  if (call.Key.empty() && call.Path.level() == core::SettingsLevel::Root)
+    return refuse(ErrorCode::BadRequest, "the root can't be removed");
+  request->Edits = {{kind, call.Path, call.Key, {}}};
+  return change(call, std::move(*request));
+}
+
+AdminApi::Response AdminApi::change(const Call &call,
+                                    core::ChangeRequest request) {
+  if (const auto allowed = authorize(call.Who, request.Edits, call.Now->Tree);
+      !allowed)
+    return errorReply(allowed.error());
+  request.Actor = call.Who.Actor;
+  if (const auto person = call.Http.header("x-operator"))
+    request.Actor += " (" + person->substr(0, LongestChangeId) + ")";
+  request.At = Options.Now();
+  request.KnownRevision = call.Now->Blob.Revision;
+  auto result = Backend.Commit(request);
+  result.Since = withinScope(result.Since, call.Who.Scope);
+  support::LogLine("settings_change")
+      .with("change_id", request.ChangeId)
+      .with("actor", request.Actor)
+      .with("outcome", name(result.Outcome))
+      .with("revision", result.Revision);
+  // This host need not wait for the spread of its own change.
+  if (result.Outcome == CommitOutcome::Accepted &&
+      result.Revision > Replica.revision())
+    if (const auto blob = Backend.Read())
+      Replica.applyBlob(*blob);
+  return commitReply(result, request.ChangeId);
+}
+
+AdminApi::Response AdminApi::explain(const Call &call) const {
+  if (call.Now->Tree.nodes().count(call.Path) == 0)
+    return refuse(ErrorCode::NotFound, "no node " + call.Path.text());
+  json items = json::array();
+  for (const auto &item : call.Now->Tree.explain(call.Path))
+    if (call.Key.empty() || call.Key == item.Key)
+      items.push_back(effectiveJson(item));
+  return jsonReply({{"revision", call.Now->Blob.Revision},
+                    {"path", call.Path.text()},
+                    {"settings", std::move(items)}});
+}
+
+AdminApi::Response AdminApi::diff(const Call &call) {
+  const auto to = number(call.Http.parameter("to"))
+                      .value_or(std::numeric_limits<std::uint64_t>::max() - 1);
+  const auto from = number(call.Http.parameter("from"));
+  if (!from || *from >= to)
+    return refuse(ErrorCode::BadRequest, "from: a revision below 'to'");
+  const auto limit = std::min<std::uint64_t>(to - *from, MostHistory);
+  auto entries = Backend.History(to + 1, limit);
+  if (!entries)
+    return errorReply(entries.error());
+  std::erase_if(*entries,
+                [&](const auto &entry) { return entry.Revision <= *from; });
+  if (!entries->empty() && entries->back().Revision != *from + 1)
+    return refuse(ErrorCode::NotFound,
+                  "more than " + std::to_string(MostHistory) +
+                      " revisions lie between, or they are no longer kept");
+  return jsonReply(
+      {{"from", *from},
+       {"to", entries->empty() ? *from : entries->front().Revision},
+       {"changes", netChanges(withinScope(*entries, call.Path))}});
+}
+
+AdminApi::Response AdminApi::history(const Call &call) {
+  const auto before = number(call.Http.parameter("before"))
+                          .value_or(std::numeric_limits<std::uint64_t>::max());
+  const auto limit = std::min<std::uint64_t>(
+      number(call.Http.parameter("limit")).value_or(DefaultHistory),
+      MostHistory);
+  const auto entries = Backend.History(before, limit);
+  if (!entries)
+    return errorReply(entries.error());
+  json body = {{"entries", entriesJson(withinScope(*entries, call.Path))}};
+  if (!entries->empty() && entries->back().Revision > 1)
+    body["next_before"] = entries->back().Revision;
+  return jsonReply(body);
+}
+
+AdminApi::Response AdminApi::apply(const Call &call) {
+  auto request = changeOf(call.Http);
+  if (!request)
+    return errorReply(request.error());
+  const auto file = call.Http.parameter("file").value_or("settings");
+  const auto wanted = core::parseSettingsYaml(call.Http.Body, file);
+  if (!wanted)
+    return errorReply(wanted.error());
+  request->Edits = core::diffTrees(call.Now->Tree, *wanted, call.Path);
+  if (!request->BaseRevision)
+    request->BaseRevision = call.Now->Blob.Revision;
+  if (call.Http.parameter("dry_run"))
+    return jsonReply({{"revision", call.Now->Blob.Revision},
+                      {"changes", editsJson(request->Edits, call.Now->Tree)}});
+  // Of a repeated apply the file stays the same, not what it still changes.
+  request->Source = call.Path.text() + "\n" + call.Http.Body;
+  if (request->Edits.empty() && !request->Resent)
+    return jsonReply(
+        {{"outcome", "unchanged"}, {"revision", call.Now->Blob.Revision}});
+  return change(call, std::move(*request));
+}
+
+AdminApi::Response AdminApi::validate(const Call &call) const {
+  const auto file = call.Http.parameter("file").value_or("settings");
+  const auto tree = core::parseSettingsYaml(call.Http.Body, file);
+  if (!tree)
+    return errorReply(tree.error());
+  return jsonReply({{"outcome", "valid"}, {"nodes", tree->nodes().size()}});
+}
+
+AdminApi::Response AdminApi::status(const Call &call) const {
+  const auto mine = call.Now->Blob.Revision;
+  json hosts = json::array();
+  hosts.push_back({{"host", Options.Host}, {"revision", mine}, {"age_ms", 0}});
+  bool everywhere = true;
+  if (Options.Hosts)
+    for (const auto &host : Options.Hosts()) {
+      everywhere = everywhere && host.Revision >= mine;
+      hosts.push_back({{"host", host.Host},
+                       {"revision", host.Revision},
+                       {"age_ms", host.Age.count()}});
+    }
+  return jsonReply({{"host", Options.Host},
+                    {"revision", mine},
+                    {"in_force_everywhere", everywhere},
+                    {"hosts", std::move(hosts)}});
+}
+
+} // namespace savorytrestle::operators
--- a/src/operators/SettingsStore.h
+++ b/src/operators/SettingsStore.h
@@ -297,7 +297,7 @@
                          request.ChangeId,
                          std::move(*items)};
   auto next = advance(loaded.Manifest, tree, std::move(entry),
-                      core::fingerprint(request.Edits));
+                      core::fingerprint(request));
   if (!next)
     return invalid(next.error());
   return std::move(*next);
@@ -310,7 +310,7 @@
   const auto *known = findChange(manifest, request.ChangeId);
   if (!known)
     return std::nullopt;
-  if (known->Fingerprint != core::fingerprint(request.Edits))
+  if (known->Fingerprint != core::fingerprint(request))
     return CommitResult{CommitOutcome::Invalid,
                         manifest.Revision,
                         "the change id belongs to another change",
