--- a/include/savorytrestle/core/RouteSettings.h
+++ b/include/savorytrestle/core/RouteSettings.h
@@ -70,7 +70,7 @@
   /// Share of the hosts' capacity relative to other workspaces.
   double Weight = 1.0;
   /// Sends a search to one leaf first and fans out once that has answered.
-  bool Canary = false;
+  bool Canary = true;
   /// How long the outcome of a keyed write is kept for resends.
   std::chrono::milliseconds WriteKeyRetention{std::chrono::hours(24)};
 };
--- /dev/null
+++ b/src/serve/ControlPlane.cpp
@@ -0,0 +1,151 @@
+#include "serve/ControlPlane.h"
+
+#include <random>
+
+#include "hosts/StoreFeed.h"
+#include "operators/SettingsManifest.h"
+
+namespace savorytrestle::serve {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+std::uint64_t randomNumber() {
+  std::random_device random;
+  return (static_cast<std::uint64_t>(random()) << 32U) | random();
+}
+
+core::HostInfo makeSelf(const HostConfig &config) {
+  core::HostInfo self;
+  self.Id = config.Id;
+  self.Nonce = std::to_string(randomNumber());
+  self.FailureDomain = config.FailureDomain;
+  self.Region = config.Region;
+  self.PeerAddress = config.Peers;
+  self.CallerAddress = config.Callers;
+  return self;
+}
+
+hosts::SlotKeeperOptions slotOptions(const HostConfig &config,
+                                     const core::HostInfo &self,
+                                     const hosts::PeerNode &peers) {
+  hosts::SlotKeeperOptions options;
+  options.Self = self;
+  options.Slots = config.MaxHosts + config.SpareHosts;
+  options.PeersConfirmOutage = [&peers] { return peers.peersConfirmOutage(); };
+  options.Seed = randomNumber();
+  return options;
+}
+
+hosts::PeerOptions peerOptions(const core::HostInfo &self) {
+  hosts::PeerOptions options;
+  options.Self = self;
+  options.Seed = randomNumber();
+  return options;
+}
+
+hosts::StoreFeed makeFeed(const std::string &address) {
+  using Store = platform::HttpKvStore;
+  auto store = std::make_shared<Store>(address);
+  // The reader keeps the parts it has read, so a change costs only what it
+  // touched.
+  auto reader = std::make_shared<operators::SettingsStore<Store>>(*store);
+  return hosts::makeStoreFeed(
+      store, [reader](Store &) { return reader->read(); },
+      [](const std::string &text) -> std::uint64_t {
+        const auto manifest = operators::parseManifest(text);
+        return manifest ? manifest->Revision : 0;
+      });
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(const HostConfig &config,
+                           std::shared_ptr<backend::CrashGuard> guard)
+    : Config(config), Self(makeSelf(config)), Guard(std::move(guard)),
+      AdminClient(config.Store), AdminStore(AdminClient),
+      Peers(peerOptions(Self), callbacks()),
+      Slot(Store(config.Store), slotOptions(config, Self, Peers)),
+      Admin(adminOptions(), settingsBackend(), Replica) {}
+
+void ControlPlane::start(Observer onSettings) {
+  Replica.observe(std::move(onSettings));
+  Slot.start();
+  Peers.start();
+}
+
+bool ControlPlane::ready() const {
+  return Slot.slot().has_value() && Replica.revision() > 0;
+}
+
+hosts::PeerCallbacks ControlPlane::callbacks() {
+  hosts::PeerCallbacks callbacks;
+  callbacks.CurrentBlob = [this] {
+    const auto inForce = Replica.current();
+    return inForce ? inForce->Blob : core::VersionedBlob{};
+  };
+  callbacks.OfferBlob = [this](const core::VersionedBlob &blob) {
+    return Replica.applyBlob(blob) == operators::BlobOutcome::Applied;
+  };
+  callbacks.LocalRecords = [this] { return Guard->recordsText(); };
+  callbacks.MergeRecords = [this](const std::string &text) {
+    Guard->merge(text);
+  };
+  callbacks.MakeFeed = [address = Config.Store] { return makeFeed(address); };
+  callbacks.Seeds = [this] {
+    std::vector<core::HostInfo> seeds;
+    for (const auto &address : Config.SeedPeers) {
+      core::HostInfo seed;
+      seed.PeerAddress = address;
+      seeds.push_back(std::move(seed));
+    }
+    return seeds;
+  };
+  return callbacks;
+}
+
+operators::SettingsBackend ControlPlane::settingsBackend() {
+  const auto inner = operators::makeBackend(AdminStore);
+  operators::SettingsBackend backend = inner;
+  backend.Commit = [this, inner](const core::ChangeRequest &request) {
+    return commit(inner, request);
+  };
+  return backend;
+}
+
+// What this host has just accepted it serves and passes on at once, without
+// waiting for a watch.
+operators::CommitResult
+ControlPlane::commit(const operators::SettingsBackend &inner,
+                     const core::ChangeRequest &request) {
+  auto result = inner.Commit(request);
+  if (result.Outcome != operators::CommitOutcome::Accepted)
+    return result;
+  if (const auto blob = inner.Read();
+      blob && Replica.applyBlob(*blob) == operators::BlobOutcome::Applied)
+    Peers.publishSettings();
+  return result;
+}
+
+operators::AdminApiOptions ControlPlane::adminOptions() {
+  operators::AdminApiOptions options;
+  options.Host = Config.Id;
+  options.RootTokenHash = Config.RootTokenHash;
+  options.Now = [] {
+    return std::chrono::time_point_cast<milliseconds>(
+        std::chrono::system_clock::now());
+  };
+  options.Hosts = [this] {
+    std::vector<operators::HostRevision> revisions;
+    for (const auto &peer : Peers.statusOfAll())
+      if (peer.Host.Id != Config.Id)
+        revisions.push_back({peer.Host.Id,
+                             peer.State ? peer.State->SettingsRevision : 0,
+                             peer.State ? peer.State->Age : milliseconds(-1)});
+    return revisions;
+  };
+  return options;
+}
+
+} // namespace savorytrestle::serve
--- a/src/serve/Host.cpp
+++ b/src/serve/Host.cpp
@@ -1,18 +1,12 @@
 #include "serve/Host.h"
 
-#include <fstream>
 #include <random>
-#include <sstream>
 #include <thread>
 
-#include "savorytrestle/core/SettingsYaml.h"
 #include "support/Log.h"
 
 namespace savorytrestle::serve {
 
-using core::Error;
-using core::ErrorCode;
-using core::RunState;
 using std::chrono::milliseconds;
 using SteadyClock = std::chrono::steady_clock;
 
@@ -20,6 +14,9 @@
 
 constexpr milliseconds DrainPoll{10};
 constexpr milliseconds DrainDelay{200};
+constexpr unsigned OperatorThreads = 4;
+constexpr unsigned PeerThreads = 8;
+constexpr std::size_t MaxBodyBytes = 16 << 20;
 constexpr milliseconds ClaimDrain{2000};
 constexpr milliseconds ShareInterval{200};
 constexpr milliseconds ShareTime{1000};
@@ -38,21 +35,6 @@
   std::atomic<unsigned> &Count;
 };
 
-hosts::SlotKeeperOptions slotOptions(const HostConfig &config) {
-  hosts::SlotKeeperOptions options;
-  std::random_device random;
-  options.Self = {config.Id,
-                  std::to_string(random()) + std::to_string(random()),
-                  config.FailureDomain,
-                  config.Region,
-                  config.Peers,
-                  config.Callers,
-                  false};
-  options.Slots = config.MaxHosts + config.SpareHosts;
-  options.Seed = random();
-  return options;
-}
-
 backend::LeafEngineOptions engineOptions(const HostConfig &config) {
   return {config.FailureDomain, config.Policy == SearchPolicyKind::Baseline};
 }
@@ -62,12 +44,13 @@
 Host::Host(const HostConfig &config)
     : Config(config), Loop(backend::LeafTransportOptions{}, config.FanOutRing,
                            std::random_device{}()),
-      Guard(std::make_shared<backend::CrashGuard>([] {})),
+      Guard(std::make_shared<backend::CrashGuard>(
+          [this] { Control.publishRecords(); })),
+      Control(config, Guard),
       Engine(Loop, Counts, Guard, engineOptions(config)),
       Searches(Engine, Guard, config.MaxSearches),
       Writes(Engine, config.Store, config.Id, config.MaxHosts),
-      Callers(backend(), Counts),
-      Slot(platform::HttpKvStore(config.Store), slotOptions(config)) {}
+      Callers(backend(), Counts) {}
 
 Host::~Host() {
   Stopping = true;
@@ -75,26 +58,25 @@
     SlotFollower.join();
   CallerListener.reset();
   OperatorListener.reset();
+  PeerListener.reset();
+  Control.stopPeers();
   Writes.stop(ClaimDrain);
   Loop.stop();
-  // Last: the slot is released once no connection to a leaf is left.
-  Slot.stop();
+  Control.releaseSlot();
 }
 
 core::Result<std::unique_ptr<Host>> Host::start(const HostConfig &config) {
   std::unique_ptr<Host> host(new Host(config));
-  host->Settings.observe([host = host.get()](const auto &inForce) {
+  if (const auto listening = host->listen(); !listening)
+    return tl::unexpected(listening.error());
+  host->Control.start([host = host.get()](const auto &inForce) {
     host->Engine.apply(inForce->Routes);
     host->Searches.apply(*inForce->Routes);
-    support::LogLine("settings_in_force")
-        .with("revision", inForce->Blob.Revision);
+    host->Counts.setGauge("savorytrestle_settings_revision",
+                          "Revision of the settings in force.",
+                          static_cast<double>(inForce->Blob.Revision));
   });
-  if (const auto loaded = host->loadSettingsFile(); !loaded)
-    return tl::unexpected(loaded.error());
-  host->Slot.start();
   host->SlotFollower = std::thread([host = host.get()] { host->followSlot(); });
-  if (const auto listening = host->listen(); !listening)
-    return tl::unexpected(listening.error());
   support::LogLine("host_started")
       .with("host", config.Id)
       .with("callers", config.Callers)
@@ -103,25 +85,11 @@
   return host;
 }
 
-core::Result<void> Host::loadSettingsFile() {
-  if (Config.SettingsFile.empty())
-    return {};
-  std::ifstream file(Config.SettingsFile);
-  std::stringstream buf;
-  buf << file.rdbuf();
-  const auto tree = core::parseSettingsYaml(buf.str(), Config.SettingsFile);
-  if (!tree)
-    return tl::unexpected(tree.error());
-  Settings.applyBlob(operators::toBlob(*tree, 1));
-  return {};
-}
-
 // The share is handed on with a short time of its own, so that a process which
 // was paused finds it ended before this thread has looked at the lease again.
 void Host::followSlot() {
   while (!Stopping) {
-    const auto slot = Slot.slot();
-    HasSlot = slot.has_value();
+    const auto slot = Control.slot();
     core::HostShare share;
     share.Slots = Config.MaxHosts + Config.SpareHosts;
     share.ValidUntil = core::TimePoint();
@@ -135,37 +103,43 @@
 }
 
 core::Result<void> Host::listen() {
-  support::HttpServerOptions options;
-  options.Listen = Config.Callers;
-  options.Threads = Config.CallerThreads;
-  auto callers = support::HttpServer::start(
-      options, [this](const support::HttpRequest &request) {
-        const InFlightGuard guard(InFlight);
-        return Callers.handle(request);
-      });
-  if (!callers)
-    return tl::unexpected(callers.error());
-  CallerListener = std::move(*callers);
-  options.Listen = Config.Operators;
-  options.Threads = 4;
-  auto operators = support::HttpServer::start(
-      options, [this](const support::HttpRequest &request) {
-        return operatorRequest(request);
+  const auto open = [](std::unique_ptr<support::HttpServer> &listener,
+                       const std::string &address, unsigned threads,
+                       support::HttpServer::Handler handler) {
+    support::HttpServerOptions options;
+    options.Listen = address;
+    options.Threads = threads;
+    // A whole settings tree, for operators and peers.
+    options.MaxBodyBytes = MaxBodyBytes;
+    return support::HttpServer::start(options, std::move(handler))
+        .map([&](auto started) { listener = std::move(started); });
+  };
+  return open(CallerListener, Config.Callers, Config.CallerThreads,
+              [this](const auto &request) {
+                const InFlightGuard guard(InFlight);
+                return Callers.handle(request);
+              })
+      .and_then([&] {
+        return open(
+            OperatorListener, Config.Operators, OperatorThreads,
+            [this](const auto &request) { return operatorRequest(request); });
+      })
+      .and_then([&] {
+        return open(PeerListener, Config.Peers, PeerThreads,
+                    [this](const auto &request) {
+                      return Control.handlePeer(request);
+                    });
       });
-  if (!operators)
-    return tl::unexpected(operators.error());
-  OperatorListener = std::move(*operators);
-  return {};
 }
 
 caller::CallerBackend Host::backend() {
   caller::CallerBackend backend;
-  backend.Routes = [this] { return Settings.routes(); };
+  backend.Routes = [this] { return Control.routes(); };
   backend.Search = [this](const auto &request) {
     return Searches.run(request);
   };
   backend.Write = [this](const auto &request) { return Writes.run(request); };
-  backend.Ready = [this] { return HasSlot && Settings.revision() > 0; };
+  backend.Ready = [this] { return Control.ready(); };
   backend.Draining = [this] { return Draining.load(); };
   return backend;
 }
@@ -178,13 +152,12 @@
     response.Body = Counts.text();
     return response;
   }
-  return caller::errorResponse(
-      Error{ErrorCode::NotFound, "no such path", RunState::NotRun, {}}, "");
+  return Control.handleOperator(request);
 }
 
 bool Host::drain() {
   Draining = true;
-  Slot.setDraining();
+  Control.setDraining();
   support::LogLine("drain_started").with("in_flight", InFlight.load());
   const auto until = SteadyClock::now() + Config.DrainTime;
   // The balancer needs to see "not ready" before the listener goes.
--- a/src/serve/Host.h
+++ b/src/serve/Host.h
@@ -11,9 +11,7 @@
 #include "backend/FanOutLoop.h"
 #include "backend/LeafEngine.h"
 #include "caller/CallerApi.h"
-#include "hosts/HostSlotKeeper.h"
-#include "operators/SettingsReplica.h"
-#include "platform/HttpKvStore.h"
+#include "serve/ControlPlane.h"
 #include "serve/HostConfig.h"
 #include "serve/SearchPath.h"
 #include "serve/WritePath.h"
@@ -45,26 +43,24 @@
   core::Result<void> listen();
   caller::CallerBackend backend();
   support::HttpResponse operatorRequest(const support::HttpRequest &request);
-  core::Result<void> loadSettingsFile();
   void followSlot();
 
   const HostConfig Config;
   support::Metrics Counts;
   backend::FanOutLoop Loop;
-  std::shared_ptr<backend::CrashGuard> Guard;
+  const std::shared_ptr<backend::CrashGuard> Guard;
+  ControlPlane Control;
   backend::LeafEngine Engine;
   SearchPath Searches;
   WritePath Writes;
   caller::CallerApi Callers;
-  operators::SettingsReplica Settings;
-  hosts::HostSlotKeeper<platform::HttpKvStore> Slot;
   std::thread SlotFollower;
-  std::atomic<bool> HasSlot{false};
   std::atomic<bool> Stopping{false};
   std::atomic<bool> Draining{false};
   std::atomic<unsigned> InFlight{0};
   std::unique_ptr<support::HttpServer> CallerListener;
   std::unique_ptr<support::HttpServer> OperatorListener;
+  std::unique_ptr<support::HttpServer> PeerListener;
 };
 
 } // namespace savorytrestle::serve
--- a/src/serve/HostConfig.cpp
+++ b/src/serve/HostConfig.cpp
@@ -49,7 +49,7 @@
   auto operators = root.map("operators");
   config.RootTokenHash = operators.text("root_token_hash", "");
   operators.refuseOthers();
-  config.SettingsFile = root.text("settings_file", "");
+  config.SeedPeers = root.addresses("seed_peers");
   const auto policy = root.word("search_policy", {"tail_aware", "baseline"});
   config.Policy = policy == "baseline" ? SearchPolicyKind::Baseline
                                        : SearchPolicyKind::TailAware;
--- a/src/serve/HostConfig.h
+++ b/src/serve/HostConfig.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include "savorytrestle/core/Error.h"
 
@@ -49,8 +50,9 @@
   unsigned SpareHosts = 1;
   /// SHA-256 of the root operator's token, in hex; empty turns changes off.
   std::string RootTokenHash;
-  /// Settings tree to start with, as YAML; empty reads it from the store.
-  std::string SettingsFile;
+  /// Peer listeners of other hosts, asked for the settings when the store is
+  /// down at the start.
+  std::vector<std::string> SeedPeers;
   SearchPolicyKind Policy = SearchPolicyKind::TailAware;
 };
 
--- a/src/support/YamlReader.cpp
+++ b/src/support/YamlReader.cpp
@@ -113,6 +113,24 @@
   return node.Scalar();
 }
 
+std::vector<std::string> YamlMap::addresses(const std::string &key) {
+  const auto node = find(key);
+  std::vector<std::string> list;
+  if (!node.IsDefined())
+    return list;
+  if (!node.IsSequence()) {
+    fault(node, key, "a list of addresses");
+    return list;
+  }
+  for (const auto &item : node) {
+    if (item.IsScalar() && isAddress(item.Scalar()))
+      list.push_back(item.Scalar());
+    else
+      fault(item, key, "addresses such as 127.0.0.1:8080");
+  }
+  return list;
+}
+
 std::int64_t YamlMap::number(const std::string &key, std::int64_t fallback,
                              std::int64_t least, std::int64_t most) {
   const auto node = find(key);
--- a/src/support/YamlReader.h
+++ b/src/support/YamlReader.h
@@ -53,6 +53,11 @@
   /// @return the address
   std::string address(const std::string &key, const std::string &fallback);
 
+  /// @brief Reads a list of "ip:port".
+  /// @param key its key
+  /// @return the addresses; empty when absent
+  std::vector<std::string> addresses(const std::string &key);
+
   /// @brief Reads a whole number.
   /// @param key its key
   /// @param fallback value when absent
