--- /dev/null
+++ b/src/operators/SettingsCommand.cpp
@@ -0,0 +1,285 @@
+#include "operators/SettingsCommand.h"
+
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include <curl/curl.h>
+#include <nlohmann/json.hpp>
+
+#include "operators/SettingsPrint.h"
+#include "savorytrestle/core/SettingsYaml.h"
+#include "support/HttpClient.h"
+
+namespace savorytrestle::operators {
+
+namespace {
+
+using nlohmann::json;
+using Words = std::vector<std::string>;
+
+constexpr int MostAttempts = 4;
+constexpr int OutcomeUnknownStatus = 504;
+constexpr int StoreUnavailableStatus = 503;
+
+std::string escaped(const std::string &text) {
+  const std::unique_ptr<char, decltype(&curl_free)> value(
+      curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size())),
+      &curl_free);
+  return value ? value.get() : "";
+}
+
+std::optional<std::string> readFile(const std::string &name) {
+  std::ifstream file(name);
+  if (!file)
+    return std::nullopt;
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string firstLine(const std::string &text) {
+  return text.substr(0, text.find_first_of("\r\n"));
+}
+
+std::string newChangeId() {
+  std::random_device random;
+  std::ostringstream id;
+  id << "cli-" << std::hex << random() << random();
+  return id.str();
+}
+
+bool isNumber(const std::string &text) {
+  return !text.empty() &&
+         text.find_first_not_of("0123456789") == std::string::npos;
+}
+
+/// One call of the administration API.
+struct ApiCall {
+  std::string Method = "GET";
+  std::string Path;
+  /// Query, each item with a leading '&'.
+  std::string Query;
+  std::string Body;
+  /// Whether it changes settings, and so carries a change id.
+  bool IsChange = false;
+};
+
+class Command {
+public:
+  Command(const SettingsCommandOptions &options, std::ostream &out,
+          std::ostream &err)
+      : Options(options), Out(out), Err(err) {}
+
+  SettingsExit run(const Words &words) {
+    if (words.empty() || words[0] == "help")
+      return usage(words.empty() ? SettingsExit::Usage : SettingsExit::Ok);
+    if (words[0] == "validate" && words.size() == 2)
+      return validate(words[1]);
+    if (words[0] == "reference" && words.size() == 1) {
+      Out << core::settingsReference();
+      return SettingsExit::Ok;
+    }
+    const auto call = parse(words);
+    if (!call)
+      return Failed.value_or(SettingsExit::Usage) == SettingsExit::Usage
+                 ? usage(SettingsExit::Usage)
+                 : *Failed;
+    return call->IsChange ? change(*call) : ask(*call);
+  }
+
+private:
+  SettingsExit usage(SettingsExit code) {
+    (code == SettingsExit::Ok ? Out : Err) << settingsUsage();
+    return code;
+  }
+
+  static std::string item(const char *key, const std::string &value) {
+    return std::string("&") + key + "=" + escaped(value);
+  }
+
+  std::optional<ApiCall> parse(const Words &words) {
+    const auto n = words.size();
+    const auto &verb = words[0];
+    const auto where = [&](std::size_t most) {
+      std::string query;
+      if (n > 1 && most > 0)
+        query += item("path", words[1]);
+      if (n > 2 && most > 1)
+        query += item("key", words[2]);
+      return query;
+    };
+    if (verb == "get" && (n == 2 || n == 3))
+      return ApiCall{"GET", "/v1/settings", where(2), "", false};
+    if (verb == "set" && n == 4)
+      return ApiCall{"PUT", "/v1/settings", where(2),
+                     json{{"value", words[3]}}.dump(
+                         -1, ' ', false, json::error_handler_t::replace),
+                     true};
+    if (verb == "unset" && (n == 2 || n == 3))
+      return ApiCall{"DELETE", "/v1/settings", where(2), "", true};
+    if (verb == "explain" && (n == 2 || n == 3))
+      return ApiCall{"GET", "/v1/explain", where(2), "", false};
+    if (verb == "history" && n <= 2)
+      return ApiCall{"GET", "/v1/history", where(1), "", false};
+    if (verb == "status" && n == 1)
+      return ApiCall{"GET", "/v1/status", "", "", false};
+    if (verb == "apply" && n == 2)
+      return withFile(words[1], "", true);
+    if (verb == "diff" && (n == 2 || n == 3))
+      return diff(words);
+    return std::nullopt;
+  }
+
+  std::optional<ApiCall> diff(const Words &words) {
+    if (!isNumber(words[1]))
+      return words.size() == 2 ? withFile(words[1], "&dry_run=1", false)
+                               : std::nullopt;
+    std::string query = item("from", words[1]);
+    if (words.size() == 3)
+      query += item("to", words[2]);
+    return ApiCall{"GET", "/v1/diff", query, "", false};
+  }
+
+  std::optional<ApiCall> withFile(const std::string &name,
+                                  const std::string &query, bool isChange) {
+    auto text = readFile(name);
+    if (!text) {
+      Err << "can't read " << name << "\n";
+      Failed = SettingsExit::Refused;
+      return std::nullopt;
+    }
+    return ApiCall{"POST", "/v1/apply", item("file", name) + query,
+                   std::move(*text), isChange};
+  }
+
+  SettingsExit validate(const std::string &name) {
+    const auto text = readFile(name);
+    if (!text) {
+      Err << "can't read " << name << "\n";
+      return SettingsExit::Refused;
+    }
+    const auto tree = core::parseSettingsYaml(*text, name);
+    if (!tree) {
+      Err << tree.error().Message << "\n";
+      return SettingsExit::Refused;
+    }
+    Out << name << ": valid, " << tree->nodes().size() << " nodes\n";
+    return SettingsExit::Ok;
+  }
+
+  core::Result<support::HttpReply> send(const ApiCall &call,
+                                        const std::string &more) {
+    support::HttpCall http;
+    http.Method = call.Method;
+    std::string query = call.Query + more;
+    if (!query.empty())
+      query.front() = '?';
+    http.Url = "http://" + Options.Admin + call.Path + query;
+    http.Body = call.Body;
+    http.Timeout = Options.Timeout;
+    const auto token = readFile(Options.TokenFile);
+    http.Headers["Authorization"] = "Bearer " + firstLine(token.value_or(""));
+    if (!Options.Operator.empty())
+      http.Headers["X-Operator"] = firstLine(Options.Operator);
+    return Http.send(http);
+  }
+
+  SettingsExit ask(const ApiCall &call) {
+    const auto reply = send(call, "");
+    if (reply)
+      return show(*reply);
+    Err << reply.error().Message << "\n";
+    return SettingsExit::Unreachable;
+  }
+
+  SettingsExit change(const ApiCall &call) {
+    bool isResend = !Options.ChangeId.empty();
+    const auto id = isResend ? Options.ChangeId : newChangeId();
+    std::string common = item("change_id", id);
+    if (Options.BaseRevision)
+      common += item("base_revision", std::to_string(*Options.BaseRevision));
+    for (int n = 0; n < MostAttempts; ++n) {
+      if (n > 0)
+        std::this_thread::sleep_for(Options.RetryWait);
+      const auto reply =
+          send(call, common + (isResend ? "&resend=true" : "&resend=false"));
+      if (reply && reply->Status != OutcomeUnknownStatus)
+        return show(*reply);
+      // A first call that got no connection can't have changed anything.
+      if (!reply && !isResend &&
+          reply.error().Code == core::ErrorCode::StoreUnavailable) {
+        Err << reply.error().Message << "\n";
+        return SettingsExit::Unreachable;
+      }
+      isResend = true;
+    }
+    Err << "unknown: the change may have been made; ask again with "
+        << "--change-id=" << id << "\n";
+    return SettingsExit::Unknown;
+  }
+
+  SettingsExit show(const support::HttpReply &reply) {
+    const json body = json::parse(reply.Body, nullptr, false);
+    if (Options.Json)
+      Out << reply.Body << "\n";
+    else if (reply.Status < 300 && body.is_object())
+      printReply(body, Out);
+    else
+      printError(body, Err);
+    if (reply.Status < 300)
+      return SettingsExit::Ok;
+    return reply.Status == StoreUnavailableStatus ? SettingsExit::Unreachable
+                                                  : SettingsExit::Refused;
+  }
+
+  const SettingsCommandOptions &Options;
+  std::ostream &Out;
+  std::ostream &Err;
+  support::HttpClient Http;
+  /// Why the words gave no call, when it wasn't their form.
+  std::optional<SettingsExit> Failed;
+};
+
+} // namespace
+
+std::string settingsUsage() {
+  return R"(usage: savorytrestle settings COMMAND [flags]
+
+  get PATH [KEY]        what a subtree sets, or the value of KEY in force there
+  set PATH KEY VALUE    set a key; adds the node if its parent exists
+  unset PATH [KEY]      inherit a key again, or remove a node and what is below
+  explain PATH [KEY]    values in force, and the node that each comes from
+  diff FILE             what applying FILE would change
+  diff FROM [TO]        net change between two revisions
+  history [PATH]        the newest changes: who, when, old and new values
+  apply FILE            make the tree equal to a YAML file, in one change
+  validate FILE         check a YAML file; asks no host
+  status                the revision in force on each host
+  reference             all keys with their types, ranges and defaults
+
+PATH is /, /WORKSPACE, /WORKSPACE/SERVICE or /WORKSPACE/SERVICE/ROUTE.
+
+flags: --admin=IP:PORT   administration listener of any host
+       --token-file=FILE bearer token
+       --change-id=ID    sends a change again; it takes effect at most once
+       --base-revision=N refuses the change if its keys changed after N
+       --json            prints the reply as JSON
+
+exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown, 4 unreachable
+)";
+}
+
+int runSettings(const Words &words, const SettingsCommandOptions &options,
+                std::ostream &out, std::ostream &err) {
+  return static_cast<int>(Command(options, out, err).run(words));
+}
+
+int runSettings(const Words &words, const SettingsCommandOptions &options) {
+  return runSettings(words, options, std::cout, std::cerr);
+}
+
+} // namespace savorytrestle::operators
