--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,7 @@
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -8,11 +10,30 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
+#include "bench/Bench.h"
+#include "operators/SettingsCommand.h"
 #include "serve/Host.h"
 #include "support/Log.h"
 #include "support/Version.h"
 
 ABSL_FLAG(std::string, config, "", "serve, check: the host's YAML file");
+ABSL_FLAG(std::string, admin, "127.0.0.1:7080",
+          "settings: administration listener of any host");
+ABSL_FLAG(std::string, token_file, "",
+          "settings: file whose first line is the operator's token");
+ABSL_FLAG(std::string, change_id, "",
+          "settings: id of a change that is sent again");
+ABSL_FLAG(std::optional<std::uint64_t>, base_revision, std::nullopt,
+          "settings: revision the operator saw; later changes of the same keys "
+          "are a conflict");
+ABSL_FLAG(std::string, operator_name, "",
+          "settings: person named in the audit trail");
+ABSL_FLAG(bool, json, false, "settings, bench: prints JSON");
+ABSL_FLAG(std::string, bench_case, "all", "bench: one case, or all");
+ABSL_FLAG(std::string, deployment, "all", "bench: one deployment, or all");
+ABSL_FLAG(std::string, service, "all", "bench: one service, or all");
+ABSL_FLAG(std::uint64_t, seed, 1, "bench: seed");
+ABSL_FLAG(std::uint64_t, searches, 5000, "bench: searches of each run");
 
 namespace {
 
@@ -27,8 +48,14 @@
     "usage: savorytrestle COMMAND [flags]\n\n"
     "  serve --config=FILE   runs an entry host until SIGTERM or SIGINT\n"
     "  check --config=FILE   checks a host's YAML file and exits\n"
+    "  settings WORDS        reads and changes the settings; \"settings "
+    "help\"\n"
+    "  bench                 compares the search policy with the baseline on "
+    "a\n"
+    "                        virtual clock\n"
     "  version               prints the version\n\n"
-    "exit codes: 0 done, 1 failed or refused, 2 wrong usage\n";
+    "exit codes: 0 done, 1 failed or refused, 2 wrong usage,\n"
+    "3 outcome of a settings change unknown, 4 no host reached\n";
 
 /// Blocks the stop signals in this thread and all it starts.
 sigset_t blockStopSignals() {
@@ -68,6 +95,28 @@
   return (*host)->drain() ? ExitOk : ExitFailed;
 }
 
+int runSettings(const std::vector<std::string> &words) {
+  operators::SettingsCommandOptions options;
+  options.Admin = absl::GetFlag(FLAGS_admin);
+  options.TokenFile = absl::GetFlag(FLAGS_token_file);
+  options.ChangeId = absl::GetFlag(FLAGS_change_id);
+  options.BaseRevision = absl::GetFlag(FLAGS_base_revision);
+  options.Operator = absl::GetFlag(FLAGS_operator_name);
+  options.Json = absl::GetFlag(FLAGS_json);
+  return operators::runSettings(words, options);
+}
+
+int runBench() {
+  bench::BenchOptions options;
+  options.Case = absl::GetFlag(FLAGS_bench_case);
+  options.Deployment = absl::GetFlag(FLAGS_deployment);
+  options.Service = absl::GetFlag(FLAGS_service);
+  options.Seed = absl::GetFlag(FLAGS_seed);
+  options.Searches = absl::GetFlag(FLAGS_searches);
+  options.Json = absl::GetFlag(FLAGS_json);
+  return bench::runBench(options);
+}
+
 int usage(const std::string &why) {
   std::fprintf(stderr, "savorytrestle: %s\nTry savorytrestle --help\n",
                why.c_str());
@@ -82,6 +131,10 @@
     std::printf("savorytrestle %s\n", support::Version.data());
     return ExitOk;
   }
+  if (command == "settings")
+    return runSettings({words.begin() + 1, words.end()});
+  if (command == "bench")
+    return runBench();
   if (command != "serve" && command != "check")
     return usage("unknown command '" + command + "'");
   const std::string path = absl::GetFlag(FLAGS_config);
--- a/tests/PathFixture.h
+++ b/tests/PathFixture.h
@@ -33,15 +33,32 @@
     All.addLeaf("write-0", {});
   }
 
-  /// @brief Starts a host and waits until it serves searches.
+  /// @brief Starts a host and waits until it serves searches; the first one
+  /// puts the settings into the store.
   HostProcess &startHost(const std::string &serviceSettings = "") {
-    auto &host = All.addHost(
-        "wien", "settings_file: " + settingsFile(serviceSettings) + "\n");
+    auto &host = All.addHost("wien");
+    if (All.Hosts.size() == 1) {
+      EXPECT_TRUE(eventually(
+          [&] { return apply(host, settingsText(serviceSettings)); }));
+    }
     EXPECT_TRUE(eventually([&] { return host.ready(); }));
     EXPECT_TRUE(eventually([&] { return covered(search(host)) == Groups; }));
     return host;
   }
 
+  /// @brief Puts a whole settings tree in place, as the root operator.
+  static bool apply(const HostProcess &host, const std::string &yaml) {
+    return operate(host, "POST", "/v1/apply", yaml).Status == 200;
+  }
+
+  /// @brief Sends an administration request as the root operator.
+  static JsonReply operate(const HostProcess &host, const std::string &method,
+                           const std::string &path,
+                           const nlohmann::json &body = nullptr) {
+    return sendJson(method, "http://" + host.Operators + path, body,
+                    {{"Authorization", std::string("Bearer ") + RootToken}});
+  }
+
   /// @brief Sends one search.
   static JsonReply
   search(const HostProcess &host,
@@ -63,19 +80,17 @@
   Deployment All;
 
 private:
-  std::string settingsFile(const std::string &serviceSettings) {
-    const std::string path = All.Folder + "/tree.yaml";
-    std::ofstream file(path);
-    file << "workspaces:\n  preisaufsicht:\n    services:\n"
-            "      preisportal:\n"
-         << serviceSettings << "        leaves:\n";
+  std::string settingsText(const std::string &serviceSettings) {
+    std::string text = "workspaces:\n  preisaufsicht:\n    services:\n"
+                       "      preisportal:\n" +
+                       serviceSettings + "        leaves:\n";
     for (int n = 0; n < SearchLeaves; ++n)
-      file << leafLine(leaf(n), "g" + std::to_string(n / Replicas));
-    file << "        routes:\n          suche: {kind: search}\n"
-            "      meldestelle:\n        leaves:\n"
-         << leafLine(writeLeaf(), "w")
-         << "        routes:\n          melden: {kind: write}\n";
-    return path;
+      text += leafLine(leaf(n), "g" + std::to_string(n / Replicas));
+    text += "        routes:\n          suche: {kind: search}\n"
+            "      meldestelle:\n        leaves:\n" +
+            leafLine(writeLeaf(), "w") +
+            "        routes:\n          melden: {kind: write}\n";
+    return text;
   }
 
   static std::string leafLine(const LeafProcess &leaf,
--- a/tests/ProcessHarness.h
+++ b/tests/ProcessHarness.h
@@ -19,6 +19,9 @@
 
 namespace savorytrestle::testing {
 
+/// @brief Token of the root operator on every host of a test.
+inline constexpr const char *RootToken = "test-root-token";
+
 /// @brief A child process; killed when it goes out of scope.
 class Process {
 public:
--- a/tests/process-harness.cpp
+++ b/tests/process-harness.cpp
@@ -11,6 +11,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "operators/OperatorAuth.h"
+
 namespace savorytrestle::testing {
 
 using nlohmann::json;
@@ -202,6 +204,8 @@
       << ", region: here}\nlisten:\n  callers: " << host->Callers
       << "\n  operators: " << host->Operators << "\n  peers: " << host->Peers
       << "\nplatform: {store: \"" << Store << "\"}\n"
+      << "operators: {root_token_hash: " << operators::hashToken(RootToken)
+      << "}\n"
       << extra;
   restart(*host);
   Hosts.push_back(std::move(host));
