Crash records reach every host: the push ring took jobs of few threads only

Cause: the process test sends a request that crashes leaves through three hosts in turn; 4 to 6 leaves crashed where 2 are allowed. Hosts did not learn of each other's strikes. Found: moodycamel's try_enqueue allocates nothing, so it fails for each producer thread beyond the blocks it began with; the records' job came from the fan-out thread and was dropped. Ruled out: membership not known yet (3 s of waiting changed nothing), the merge rule, the text of the records. Also: a leaf that is being torn down still accepts connections, so a break is checked every 10 ms until it is refused; and a search that some leaf has answered is a bystander of a break and isn't blamed for it.

--- a/src/backend/CrashGuard.cpp
+++ b/src/backend/CrashGuard.cpp
@@ -77,6 +77,12 @@
   publish(found);
 }
 
+void CrashGuard::onBystander(const std::string &leafName,
+                             const core::Fingerprint &print) {
+  const std::lock_guard guard(Lock);
+  Quarantine.onEnd(leafName, print);
+}
+
 void CrashGuard::onLeafGone(const std::string &leafName,
                             std::uint64_t incarnation) {
   std::vector<QuarantineRecord> found;
--- a/src/backend/CrashGuard.h
+++ b/src/backend/CrashGuard.h
@@ -46,6 +46,11 @@
   void onEnd(const std::string &leafName, const core::Fingerprint &print,
              const core::AttemptResult &result);
 
+  /// @brief Notes that an attempt broke which can't be to blame.
+  /// @param leafName the leaf
+  /// @param print the request's fingerprint
+  void onBystander(const std::string &leafName, const core::Fingerprint &print);
+
   /// @brief Notes that a leaf refuses connections or came back as another
   /// process.
   /// @param leafName the leaf
--- a/src/backend/GuardedLeaves.h
+++ b/src/backend/GuardedLeaves.h
@@ -60,8 +60,16 @@
   void release(core::LeafIndex leaf, const core::AttemptResult &result,
                core::TimePoint now) {
     Pinned.release(leaf, result, now);
-    Guard->onEnd(name(leaf), Print, result);
-    if (result.Failure == core::AttemptFailure::Broken)
+    const bool broken = result.Failure == core::AttemptFailure::Broken;
+    if (!result.Failure && !result.Cancelled)
+      *Answered = true;
+    // A request that crashes the leaves it runs on has no answer from any: one
+    // that has is only a bystander of this break, and isn't blamed for it.
+    if (broken && *Answered)
+      Guard->onBystander(name(leaf), Print);
+    else
+      Guard->onEnd(name(leaf), Print, result);
+    if (broken)
       OnBroken(leaf);
   }
 
@@ -75,6 +83,8 @@
   std::shared_ptr<CrashGuard> Guard;
   core::Fingerprint Print;
   BrokenObserver OnBroken;
+  /// Whether any leaf has answered this search; shared by the copies.
+  std::shared_ptr<bool> Answered = std::make_shared<bool>(false);
 };
 
 static_assert(core::LeafSelector<GuardedLeaves>);
--- a/src/backend/ServiceRuntime.cpp
+++ b/src/backend/ServiceRuntime.cpp
@@ -11,6 +11,7 @@
 
 constexpr milliseconds PollInterval{1000};
 constexpr milliseconds PollTimeout{800};
+constexpr milliseconds CrashCheckInterval{10};
 constexpr int StatusOk = 200;
 /// Attempts slower than this quantile of the service's latency are hedged.
 constexpr double HedgeQuantile = 0.95;
@@ -128,6 +129,11 @@
     Guard->onLeafGone(name, before);
   else if (status && before != 0)
     Guard->onLeafAlive(name);
+  else if (result.Failure == CallFailure::Broken && !Stopped)
+    // A process that is being torn down may still accept connections; only a
+    // refused one proves that it has gone.
+    Loop.callAt(SteadyClock::now() + CrashCheckInterval,
+                [self = shared_from_this(), leaf] { self->askStatus(leaf); });
 }
 
 void ServiceRuntime::learn(core::LeafIndex leaf, const LeafStatus &status) {
--- a/src/hosts/PeerNode.cpp
+++ b/src/hosts/PeerNode.cpp
@@ -1,5 +1,7 @@
 #include "hosts/PeerNode.h"
 
+#include <array>
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -31,11 +33,8 @@
 /// How long the push thread waits for work before it looks whether to stop.
 constexpr milliseconds PushPoll{100};
 
-/// Jobs in the push ring. A job only names what is new, so one that finds the
-/// ring full is covered by those in it or by the next ask.
-constexpr std::size_t PushRing = 64;
-
 enum class PushJob { Settings, Hosts, Records };
+constexpr std::size_t PushKinds = 3;
 
 TimePoint clockNow() { return std::chrono::steady_clock::now(); }
 
@@ -94,14 +93,21 @@
   core::Result<std::string> call(PeerCaller &caller, const core::HostInfo &peer,
                                  const std::string &method,
                                  const std::string &params);
-  void enqueue(PushJob job) { Jobs.try_enqueue(job); }
+  // A kind that waits already is not added again, which bounds the ring by the
+  // number of kinds. The queue's try_enqueue would not do: it fails for each
+  // thread but the first ones, since it allocates nothing for a new producer.
+  void enqueue(PushJob job) {
+    if (!Waiting[static_cast<std::size_t>(job)].exchange(true))
+      Jobs.enqueue(job);
+  }
   bool pause(milliseconds time);
 
   PeerOptions Options;
   PeerCallbacks Use;
   PeerView View;
   RpcServer Rpc;
-  moodycamel::BlockingConcurrentQueue<PushJob> Jobs{PushRing};
+  moodycamel::BlockingConcurrentQueue<PushJob> Jobs;
+  std::array<std::atomic<bool>, PushKinds> Waiting{};
   // Used by the push thread only.
   std::uint64_t PushedSettings = 0;
   std::uint64_t PushedHosts = 0;
@@ -240,6 +246,8 @@
     PushJob job{};
     if (!Jobs.wait_dequeue_timed(job, PushPoll))
       continue;
+    // Before the push: what changes during it needs another one.
+    Waiting[static_cast<std::size_t>(job)] = false;
     if (job == PushJob::Records)
       pushRecords(caller);
     else
--- a/tests/ProcessHarness.h
+++ b/tests/ProcessHarness.h
@@ -50,7 +50,8 @@
   /// @brief Kills with SIGKILL and waits.
   void kill();
 
-  bool running() const { return Pid > 0; }
+  /// @brief Whether the process has ended by itself.
+  bool ended();
 
 private:
   pid_t Pid = 0;
--- a/tests/process-harness.cpp
+++ b/tests/process-harness.cpp
@@ -96,6 +96,14 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+bool Process::ended() {
+  siginfo_t info{};
+  return Pid > 0 &&
+         waitid(P_PID, static_cast<id_t>(Pid), &info,
+                WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         info.si_pid == Pid;
+}
+
 void Process::kill() {
   if (Pid <= 0)
     return;
--- a/tests/process-search.cpp
+++ b/tests/process-search.cpp
@@ -144,6 +144,53 @@
   }
 }
 
+TEST_F(SearchTest, ARequestThatCrashesLeavesIsStoppedOnEveryHost) {
+  startLeaves();
+  std::vector<const HostProcess *> hosts;
+  for (int n = 0; n < 3; ++n)
+    hosts.push_back(&startHost());
+  // The hosts come to know each other.
+  std::this_thread::sleep_for(3s);
+  // Innocent requests go on beside it, each of them new.
+  const Load load(hosts, 3, [](const JsonReply &) {});
+  const json fatal = {{"crash", true}};
+  int quarantined = 0;
+  for (int n = 0; n < 12; ++n) {
+    const auto reply = search(*hosts[static_cast<std::size_t>(n) % 3], fatal);
+    const auto error = reply.Body.value("error", json::object());
+    quarantined += error.value("code", "") == "quarantined" ? 1 : 0;
+    // Time for a caller to come back and for the hosts to tell each other.
+    std::this_thread::sleep_for(200ms);
+  }
+  int crashed = 0;
+  for (int n = 0; n < SearchLeaves; ++n)
+    crashed += leaf(n).Child.ended() ? 1 : 0;
+  EXPECT_LE(crashed, 2);
+  EXPECT_GE(quarantined, 10);
+  EXPECT_EQ(covered(search(*hosts[0], {{"text", "innocent"}})), Groups);
+}
+
+TEST_F(SearchTest, AFloodOfOneWorkspaceIsRefusedAtOnceWithRetryAfter) {
+  startLeaves({"--service_ms=50"});
+  const auto &host = startHost();
+  std::atomic<int> refused{0};
+  std::atomic<int> untyped{0};
+  {
+    const Load load({&host}, 60, [&](const JsonReply &reply) {
+      if (reply.Status == 200)
+        return;
+      ++refused;
+      const auto error = reply.Body.value("error", json::object());
+      const bool typed = error.value("code", "") == "overloaded" &&
+                         error.value("run", "") == "not_run" &&
+                         reply.Headers.count("retry-after") > 0;
+      untyped += typed ? 0 : 1;
+    });
+    std::this_thread::sleep_for(2s);
+  }
+  EXPECT_EQ(untyped, 0);
+}
+
 TEST_F(SearchTest, APausedHostTakesNoShareWithIt) {
   startLeaves();
   startHost();
