A refused resend is recorded, so that no earlier attempt of it lands later

A host that refuses a resent change can't know whether a swap of the first host is still on its way; with a stale read the refusal and the late effect could both happen.

Change: when an earlier attempt may be on its way, the refusal is itself swapped into the manifest with the change id. That makes the late swap name an old manifest, and every later attempt finds the id as refused.

Ruled out: answering unknown for every refused resend (an operator would never learn the end).

Test: ARefusedResendCanNotTakeEffectLater.

--- a/src/operators/SettingsManifest.cpp
+++ b/src/operators/SettingsManifest.cpp
@@ -150,6 +150,12 @@
   return it == manifest.Recent.end() ? nullptr : &*it;
 }
 
+void remember(SettingsManifest &manifest, RecentChange change) {
+  manifest.Recent.push_back(std::move(change));
+  if (manifest.Recent.size() > MaxRecentChanges)
+    manifest.Recent.erase(manifest.Recent.begin());
+}
+
 core::Result<PreparedManifest> advance(const SettingsManifest &before,
                                        const core::SettingsTree &tree,
                                        core::AuditEntry entry,
@@ -171,9 +177,7 @@
     storeLargeValue(item.Old, next.Entries);
     storeLargeValue(item.New, next.Entries);
   }
-  manifest.Recent.push_back({entry.ChangeId, entry.Revision, fingerprint});
-  if (manifest.Recent.size() > MaxRecentChanges)
-    manifest.Recent.erase(manifest.Recent.begin());
+  remember(manifest, {entry.ChangeId, entry.Revision, fingerprint});
   manifest.Audit.push_back(std::move(entry));
   pageOut(manifest, next.Entries);
   for (const auto &[key, value] : next.Entries)
--- a/src/operators/SettingsManifest.h
+++ b/src/operators/SettingsManifest.h
@@ -32,9 +32,13 @@
 /// @brief Audit pages kept; older ones are deleted.
 inline constexpr std::uint64_t MaxAuditPages = 1000;
 
-/// @brief An accepted change, remembered for resends.
+/// @brief Stands for the revision of a change that was refused for good.
+inline constexpr std::uint64_t RefusedRevision = 0;
+
+/// @brief An accepted or refused change, remembered for resends.
 struct RecentChange {
   std::string ChangeId;
+  /// Revision that it made, or RefusedRevision.
   std::uint64_t Revision = 0;
   /// Fingerprint of its edits.
   std::string Fingerprint;
@@ -99,6 +103,11 @@
 const RecentChange *findChange(const SettingsManifest &manifest,
                                const std::string &changeId);
 
+/// @brief Remembers a change, forgetting the oldest when there are too many.
+/// @param manifest changed in place
+/// @param change the change
+void remember(SettingsManifest &manifest, RecentChange change);
+
 /// @brief Makes the manifest that follows another one.
 /// @param before the manifest that the store holds
 /// @param tree the whole tree after the change
--- a/src/operators/SettingsStore.h
+++ b/src/operators/SettingsStore.h
@@ -98,6 +98,12 @@
                                         const core::ChangeRequest &request);
   std::optional<CommitResult> resent(const SettingsManifest &manifest,
                                      const core::ChangeRequest &request) const;
+  /// Records in the store that a change is refused, so that no earlier attempt
+  /// of it can take effect; nothing when the manifest moved meanwhile.
+  std::optional<CommitResult> settle(const Loaded &loaded,
+                                     const core::ChangeRequest &request,
+                                     CommitResult refusal);
+  CommitResult accept(const Loaded &before, const SettingsManifest &now);
   core::Result<void> writeEntries(const std::vector<ImmutableEntry> &entries);
   void dropOldPage(const AuditPageLink &last);
   CommitResult unavailable(bool uncertain, const std::string &reason) const;
@@ -315,6 +321,11 @@
                         manifest.Revision,
                         "the change id belongs to another change",
                         {}};
+  if (known->Revision == RefusedRevision)
+    return CommitResult{CommitOutcome::Conflict,
+                        manifest.Revision,
+                        "a change with this id was refused; use a new id",
+                        {}};
   return CommitResult{CommitOutcome::Accepted, known->Revision, "", {}};
 }
 
@@ -365,12 +376,27 @@
           {}};
 }
 
+template <platform::KvStore Kv>
+std::optional<CommitResult>
+SettingsStore<Kv>::settle(const Loaded &loaded,
+                          const core::ChangeRequest &request,
+                          CommitResult refusal) {
+  auto manifest = loaded.Manifest;
+  remember(manifest,
+           {request.ChangeId, RefusedRevision, core::fingerprint(request)});
+  const auto swapped = Store.compareAndSet(
+      ManifestKey, serialize(manifest), loaded.Modified, Options.CallTimeout);
+  if (!swapped)
+    return unavailable(true, swapped.error().Message);
+  return *swapped ? std::optional(std::move(refusal)) : std::nullopt;
+}
+
 template <platform::KvStore Kv>
 CommitResult SettingsStore<Kv>::commit(const core::ChangeRequest &request) {
-  // An earlier attempt of a resent change may have been made by another host.
-  bool uncertain = request.Resent;
-  platform::Revision uncertainAt = platform::NoEntry;
+  std::optional<platform::Revision> lostAt;
   NewestSeen = std::max(NewestSeen, request.KnownRevision);
+  // An earlier attempt of a resent change may be on its way from another host.
+  bool uncertain = request.Resent;
   for (int n = 0; n < Options.MaxAttempts; ++n) {
     const auto loaded = load();
     if (!loaded)
@@ -379,38 +405,44 @@
       return *known;
     // A swap that named an older manifest can't take effect any more. One that
     // named this manifest still can, until the manifest moves on.
-    if (n == 0)
-      uncertainAt = loaded->Modified;
-    uncertain = uncertain && loaded->Modified <= uncertainAt;
+    uncertain = request.Resent || (lostAt && loaded->Modified <= *lostAt);
     auto next = prepare(*loaded, request);
-    if (!next && (next.error().Outcome == CommitOutcome::NotMade ||
-                  loaded->Modified < uncertainAt))
+    if (!next && next.error().Outcome == CommitOutcome::NotMade)
       return unavailable(uncertain, next.error().Message);
-    // The uncertain swap was prepared from the same manifest, so a change that
-    // is refused here was refused there and never sent.
-    if (!next)
+    if (!next && !uncertain)
       return next.error();
+    if (!next) {
+      // A swap on its way could still make what is refused here.
+      if (auto settled = settle(*loaded, request, next.error()))
+        return *settled;
+      continue;
+    }
     if (const auto done = writeEntries(next->Entries); !done)
       return unavailable(uncertain, done.error().Message);
     const auto swapped =
         Store.compareAndSet(ManifestKey, serialize(next->Manifest),
                             loaded->Modified, Options.CallTimeout);
-    if (swapped && *swapped) {
-      NewestSeen = next->Manifest.Revision;
-      if (next->Manifest.LastPage.Number != loaded->Manifest.LastPage.Number)
-        dropOldPage(next->Manifest.LastPage);
-      return {CommitOutcome::Accepted, NewestSeen, "", {}};
-    }
+    if (swapped && *swapped)
+      return accept(*loaded, next->Manifest);
     if (!swapped && swapped.error().Code != core::ErrorCode::OutcomeUnknown)
       return unavailable(uncertain, swapped.error().Message);
     if (!swapped) {
       uncertain = true;
-      uncertainAt = loaded->Modified;
+      lostAt = std::max(lostAt.value_or(0), loaded->Modified);
     }
   }
   return unavailable(uncertain, "too many changes at once");
 }
 
+template <platform::KvStore Kv>
+CommitResult SettingsStore<Kv>::accept(const Loaded &before,
+                                       const SettingsManifest &now) {
+  NewestSeen = now.Revision;
+  if (now.LastPage.Number != before.Manifest.LastPage.Number)
+    dropOldPage(now.LastPage);
+  return {CommitOutcome::Accepted, NewestSeen, "", {}};
+}
+
 } // namespace savorytrestle::operators
 
 #endif
--- a/tests/unit-settings-command.cpp
+++ b/tests/unit-settings-command.cpp
@@ -40,6 +40,7 @@
     support::HttpServerOptions options;
     options.Listen = "127.0.0.1:0";
     options.Threads = 1;
+    options.KeepAlive = 10ms;
     Server = support::HttpServer::start(options, [this](const auto &request) {
                Queries.push_back(request.Query);
                support::HttpResponse response;
--- a/tests/unit-settings-store.cpp
+++ b/tests/unit-settings-store.cpp
@@ -152,6 +152,19 @@
   EXPECT_EQ(valueOf(First, "/a", "max_deadline"), "\"2 s\"");
 }
 
+TEST_F(SettingsStoreTest, ARefusedResendCanNotTakeEffectLater) {
+  First.commit(change("2", setEdit("/a", "max_deadline", "2 s")));
+  auto late = change("1", setEdit("/a", "max_deadline", "3 s"));
+  late.BaseRevision = 1;
+  late.Resent = true;
+  const auto before = Kv.get(ManifestKey, {}).value()->ModifyRevision;
+  EXPECT_EQ(Second.commit(late).Outcome, CommitOutcome::Conflict);
+  // A swap of an earlier attempt named the manifest as it was before.
+  EXPECT_FALSE(Kv.compareAndSet(ManifestKey, "late", before, {}).value());
+  late.BaseRevision.reset();
+  EXPECT_EQ(First.commit(late).Outcome, CommitOutcome::Conflict);
+}
+
 TEST_F(SettingsStoreTest, AChangeIdIsForOneChange) {
   First.commit(change("1", setEdit("/a", "canary", "true")));
   EXPECT_EQ(First.commit(change("1", setEdit("/a", "canary", "false"))).Outcome,
