--- /dev/null
+++ b/src/serve/Host.cpp
@@ -0,0 +1,172 @@
+#include "serve/Host.h"
+
+#include <random>
+#include <thread>
+
+#include "support/Log.h"
+
+namespace savorytrestle::serve {
+
+using std::chrono::milliseconds;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr milliseconds DrainPoll{10};
+constexpr milliseconds DrainDelay{200};
+constexpr unsigned OperatorThreads = 4;
+constexpr unsigned PeerThreads = 8;
+constexpr std::size_t MaxBodyBytes = 16 << 20;
+constexpr milliseconds ClaimDrain{2000};
+constexpr milliseconds ShareInterval{200};
+constexpr milliseconds ShareTime{1000};
+
+/// Counts a request in flight for as long as it lives.
+class InFlightGuard {
+public:
+  explicit InFlightGuard(std::atomic<unsigned> &count) : Count(count) {
+    ++Count;
+  }
+  InFlightGuard(const InFlightGuard &) = delete;
+  InFlightGuard &operator=(const InFlightGuard &) = delete;
+  ~InFlightGuard() { --Count; }
+
+private:
+  std::atomic<unsigned> &Count;
+};
+
+backend::LeafEngineOptions engineOptions(const HostConfig &config) {
+  return {config.FailureDomain, config.Policy == SearchPolicyKind::Baseline};
+}
+
+} // namespace
+
+Host::Host(const HostConfig &config)
+    : Config(config), Loop(backend::LeafTransportOptions{}, config.FanOutRing,
+                           std::random_device{}()),
+      Guard(std::make_shared<backend::CrashGuard>(
+          [this] { Control.publishRecords(); })),
+      Control(config, Guard),
+      Engine(Loop, Counts, Guard, engineOptions(config)),
+      Searches(Engine, Guard, config.MaxSearches),
+      Writes(Engine, config.Store, config.Id, config.MaxHosts),
+      Callers(backend(), Counts) {}
+
+Host::~Host() {
+  Stopping = true;
+  if (SlotFollower.joinable())
+    SlotFollower.join();
+  CallerListener.reset();
+  OperatorListener.reset();
+  PeerListener.reset();
+  Control.stopPeers();
+  Writes.stop(ClaimDrain);
+  Loop.stop();
+  Control.releaseSlot();
+}
+
+core::Result<std::unique_ptr<Host>> Host::start(const HostConfig &config) {
+  std::unique_ptr<Host> host(new Host(config));
+  if (const auto listening = host->listen(); !listening)
+    return tl::unexpected(listening.error());
+  host->Control.start([host = host.get()](const auto &inForce) {
+    host->Engine.apply(inForce->Routes);
+    host->Searches.apply(*inForce->Routes);
+    host->Counts.setGauge("savorytrestle_settings_revision",
+                          "Revision of the settings in force.",
+                          static_cast<double>(inForce->Blob.Revision));
+  });
+  host->SlotFollower = std::thread([host = host.get()] { host->followSlot(); });
+  support::LogLine("host_started")
+      .with("host", config.Id)
+      .with("callers", config.Callers)
+      .with("operators", config.Operators)
+      .with("peers", config.Peers);
+  return host;
+}
+
+// The share is handed on with a short time of its own, so that a process which
+// was paused finds it ended before this thread has looked at the lease again.
+void Host::followSlot() {
+  while (!Stopping) {
+    const auto slot = Control.slot();
+    core::HostShare share;
+    share.Slots = Config.MaxHosts + Config.SpareHosts;
+    share.ValidUntil = core::TimePoint();
+    if (slot) {
+      share.Slot = *slot;
+      share.ValidUntil = SteadyClock::now() + ShareTime;
+    }
+    Engine.setShare(share);
+    std::this_thread::sleep_for(ShareInterval);
+  }
+}
+
+core::Result<void> Host::listen() {
+  const auto open = [](std::unique_ptr<support::HttpServer> &listener,
+                       const std::string &address, unsigned threads,
+                       support::HttpServer::Handler handler) {
+    support::HttpServerOptions options;
+    options.Listen = address;
+    options.Threads = threads;
+    // A whole settings tree, for operators and peers.
+    options.MaxBodyBytes = MaxBodyBytes;
+    return support::HttpServer::start(options, std::move(handler))
+        .map([&](auto started) { listener = std::move(started); });
+  };
+  return open(CallerListener, Config.Callers, Config.CallerThreads,
+              [this](const auto &request) {
+                const InFlightGuard guard(InFlight);
+                return Callers.handle(request);
+              })
+      .and_then([&] {
+        return open(
+            OperatorListener, Config.Operators, OperatorThreads,
+            [this](const auto &request) { return operatorRequest(request); });
+      })
+      .and_then([&] {
+        return open(PeerListener, Config.Peers, PeerThreads,
+                    [this](const auto &request) {
+                      return Control.handlePeer(request);
+                    });
+      });
+}
+
+caller::CallerBackend Host::backend() {
+  caller::CallerBackend backend;
+  backend.Routes = [this] { return Control.routes(); };
+  backend.Search = [this](const auto &request) {
+    return Searches.run(request);
+  };
+  backend.Write = [this](const auto &request) { return Writes.run(request); };
+  backend.Ready = [this] { return Control.ready(); };
+  backend.Draining = [this] { return Draining.load(); };
+  return backend;
+}
+
+support::HttpResponse
+Host::operatorRequest(const support::HttpRequest &request) {
+  support::HttpResponse response;
+  if (request.Path == "/metrics") {
+    response.ContentType = "text/plain; version=0.0.4";
+    response.Body = Counts.text();
+    return response;
+  }
+  return Control.handleOperator(request);
+}
+
+bool Host::drain() {
+  Draining = true;
+  Control.setDraining();
+  support::LogLine("drain_started").with("in_flight", InFlight.load());
+  const auto until = SteadyClock::now() + Config.DrainTime;
+  // The balancer needs to see "not ready" before the listener goes.
+  std::this_thread::sleep_for(std::min(DrainDelay, Config.DrainTime));
+  while (InFlight > 0 && SteadyClock::now() < until)
+    std::this_thread::sleep_for(DrainPoll);
+  const bool clean = InFlight == 0;
+  support::LogLine("drain_ended").with("clean", clean ? "yes" : "no");
+  return clean;
+}
+
+} // namespace savorytrestle::serve
