--- a/include/savorytrestle/core/WriteKey.h
+++ b/include/savorytrestle/core/WriteKey.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "savorytrestle/core/Error.h"
 #include "savorytrestle/core/Time.h"
@@ -57,7 +58,10 @@
   /// @return "claims/WINDOW/BUCKET"
   std::string path() const;
 
-  auto operator<=>(const DocumentName &) const = default;
+  bool operator==(const DocumentName &) const = default;
+  bool operator<(const DocumentName &other) const {
+    return std::tie(Window, Bucket) < std::tie(other.Window, other.Bucket);
+  }
 };
 
 /// @brief Store prefix of all documents of a window.
--- a/src/platform/ClaimStore.h
+++ b/src/platform/ClaimStore.h
@@ -116,8 +116,7 @@
     }
     for (auto &job : late)
       if (auto *claim = std::get_if<PendingClaim>(&job))
-        refuse(std::move(*claim), core::ErrorCode::Draining,
-               "this host is stopping");
+        refuse(*claim, core::ErrorCode::Draining, "this host is stopping");
   }
 
   /// @brief Counters.
@@ -312,24 +311,26 @@
     claim.Done(std::move(verdict));
   }
 
-  void refuse(PendingClaim claim, core::ErrorCode code, std::string message) {
+  void refuse(const PendingClaim &claim, core::ErrorCode code,
+              std::string message) {
     ++Counts.Refused;
     claim.Done(tl::unexpected(
         core::unconfirmedClaim(claim.Request, code, std::move(message))));
   }
 
   /// Refuses a waiting claim; one that may be stored is released later.
-  void giveUp(PendingClaim claim, core::ErrorCode code, std::string message) {
+  void giveUp(const PendingClaim &claim, core::ErrorCode code,
+              std::string message) {
     --Waiting;
     if (claim.MayHaveLanded)
       abandon(claim.Request);
-    refuse(std::move(claim), code, std::move(message));
+    refuse(claim, code, std::move(message));
   }
 
   void refuseAll(ClaimBatch &batch, core::ErrorCode code,
                  const std::string &message) {
-    for (auto &claim : std::exchange(batch.Claims, {}))
-      giveUp(std::move(claim), code, message);
+    for (const auto &claim : std::exchange(batch.Claims, {}))
+      giveUp(claim, code, message);
   }
 
   void answerOverdue() {
@@ -341,8 +342,8 @@
       std::vector<PendingClaim> overdue;
       std::move(late, batch.Claims.end(), std::back_inserter(overdue));
       batch.Claims.erase(late, batch.Claims.end());
-      for (auto &claim : overdue)
-        giveUp(std::move(claim), core::ErrorCode::DeadlineExceeded,
+      for (const auto &claim : overdue)
+        giveUp(claim, core::ErrorCode::DeadlineExceeded,
                "the claim was not confirmed in time");
       for (auto &change : batch.Changes)
         if (change.AnswerBy <= now)
