Waiting claims in a class of their own

What waits for a document, and who is told what, is now ClaimBatches (no template); the thread keeps reading, writing, pacing and sweeping.

--- /dev/null
+++ b/src/platform/ClaimBatches.cpp
@@ -0,0 +1,215 @@
+#include "platform/ClaimBatches.h"
+
+#include <iterator>
+
+#include "support/Log.h"
+
+namespace savorytrestle::platform {
+
+using core::ClaimDecision;
+using core::ErrorCode;
+using SteadyClock = std::chrono::steady_clock;
+
+bool ClaimBatches::reserve() {
+  if (Waiting.fetch_add(1) < Options.MaxPending)
+    return true;
+  --Waiting;
+  return false;
+}
+
+void ClaimBatches::refuse(const PendingClaim &claim, ErrorCode code,
+                          std::string message) {
+  ++Counts.Refused;
+  claim.Done(tl::unexpected(
+      core::unconfirmedClaim(claim.Request, code, std::move(message))));
+}
+
+void ClaimBatches::add(PendingClaim claim) {
+  auto &batch = batchOf(claim.Request);
+  // A caller waits: tried at once even when changes wait for the store.
+  batch.NotBefore = {};
+  batch.Claims.push_back(std::move(claim));
+}
+
+void ClaimBatches::add(PendingChange change) {
+  batchOf(change.Request).Changes.push_back(std::move(change));
+}
+
+ClaimBatch &ClaimBatches::batchOf(const core::ClaimRequest &request) {
+  auto &batch = Batches[core::documentOf(request.Key, Options.Limits)];
+  if (batch.empty())
+    batch.Since = SteadyClock::now();
+  return batch;
+}
+
+core::TimePoint ClaimBatches::nextEvent(core::TimePoint latest,
+                                        core::TimePoint paced) const {
+  for (const auto &[name, batch] : Batches)
+    latest = std::min(batch.earliestAnswer(latest),
+                      std::max(batch.NotBefore, paced));
+  return latest;
+}
+
+std::optional<core::DocumentName>
+ClaimBatches::oldestReady(core::TimePoint now) const {
+  auto oldest = Batches.end();
+  for (auto it = Batches.begin(); it != Batches.end(); ++it)
+    if (it->second.NotBefore <= now &&
+        (oldest == Batches.end() || it->second.Since < oldest->second.Since))
+      oldest = it;
+  return oldest == Batches.end() ? std::nullopt : std::optional(oldest->first);
+}
+
+std::vector<core::ClaimVerdict>
+ClaimBatches::propose(const core::DocumentName &document,
+                      core::ClaimBucket &bucket) const {
+  const auto &batch = Batches.at(document);
+  for (const auto &change : batch.Changes) {
+    if (change.Outcome)
+      bucket.record(change.Request, *change.Outcome, Options.Limits);
+    else
+      bucket.release(change.Request);
+  }
+  std::vector<core::ClaimVerdict> verdicts;
+  verdicts.reserve(batch.Claims.size());
+  for (const auto &claim : batch.Claims)
+    verdicts.push_back(bucket.claim(claim.Request, Options.Limits));
+  return verdicts;
+}
+
+void ClaimBatches::settle(const core::DocumentName &document,
+                          const std::vector<core::ClaimVerdict> &verdicts) {
+  ClaimBatch batch = std::move(Batches.extract(document).mapped());
+  for (auto &change : batch.Changes)
+    change.tell({});
+  for (std::size_t i = 0; i < batch.Claims.size(); ++i) {
+    if (verdicts[i].Decision == ClaimDecision::Granted)
+      grant(batch.Claims[i]);
+    else
+      answer(batch.Claims[i], verdicts[i]);
+  }
+}
+
+// A pause before this point may have used up the time: the document may even
+// have expired and been made anew, so the key's age is checked once more.
+void ClaimBatches::grant(const PendingClaim &claim) {
+  const auto age =
+      core::checkAge(claim.Request.Key, Options.Wall(), Options.Limits);
+  if (age && SteadyClock::now() < claim.Deadline) {
+    ++Counts.Granted;
+    return answer(claim, core::ClaimVerdict{ClaimDecision::Granted, {}});
+  }
+  abandon(claim.Request);
+  if (!age)
+    return answer(claim, tl::unexpected(age.error()));
+  // The claim is this attempt's, so no other one was dispatched.
+  answer(claim, tl::unexpected(core::Error{
+                    ErrorCode::DeadlineExceeded,
+                    "no time was left to dispatch the write",
+                    core::RunState::NotRun, core::WriteRetryAfter}));
+}
+
+void ClaimBatches::abandon(const core::ClaimRequest &request) {
+  ++Counts.Abandoned;
+  add(PendingChange{request, {}, {}, nullptr});
+}
+
+void ClaimBatches::answer(const PendingClaim &claim,
+                          core::Result<core::ClaimVerdict> verdict) {
+  --Waiting;
+  claim.Done(std::move(verdict));
+}
+
+void ClaimBatches::giveUp(const PendingClaim &claim, ErrorCode code,
+                          std::string message) {
+  --Waiting;
+  if (claim.MayHaveLanded)
+    abandon(claim.Request);
+  refuse(claim, code, std::move(message));
+}
+
+void ClaimBatches::refuseAll(ClaimBatch &batch, ErrorCode code,
+                             const std::string &message) {
+  for (const auto &claim : std::exchange(batch.Claims, {}))
+    giveUp(claim, code, message);
+}
+
+void ClaimBatches::onLostReply(
+    const core::DocumentName &document,
+    const std::vector<core::ClaimVerdict> &verdicts) {
+  ++Counts.LostReplies;
+  auto &batch = Batches.at(document);
+  for (std::size_t i = 0; i < batch.Claims.size(); ++i)
+    if (verdicts[i].Decision == ClaimDecision::Granted)
+      batch.Claims[i].MayHaveLanded = true;
+}
+
+void ClaimBatches::onStoreDown() {
+  for (auto &[name, batch] : Batches) {
+    refuseAll(batch, ErrorCode::StoreUnavailable,
+              "the claim can't be confirmed");
+    // Past the retention nobody can ask for the outcome any more.
+    std::erase_if(batch.Changes, [this](const auto &change) {
+      return !core::checkAge(change.Request.Key, Options.Wall(),
+                             Options.Limits);
+    });
+    for (auto &change : batch.Changes)
+      change.tell(core::makeError(ErrorCode::StoreUnavailable,
+                                  "the store can't be reached"));
+    batch.NotBefore = SteadyClock::now() + Options.RetryPause;
+  }
+  eraseEmpty();
+}
+
+void ClaimBatches::onUnreadable(const core::DocumentName &document) {
+  support::LogLine("claim_document_unreadable")
+      .with("document", document.path());
+  auto &batch = Batches.at(document);
+  refuseAll(batch, ErrorCode::Internal, "the claim document can't be read");
+  for (auto &change : batch.Changes)
+    change.tell(core::makeError(ErrorCode::Internal,
+                                "the claim document can't be read"));
+  batch.NotBefore = SteadyClock::now() + Options.RetryPause;
+  eraseEmpty();
+}
+
+void ClaimBatches::answerOverdue() {
+  const auto now = SteadyClock::now();
+  for (auto &[name, batch] : Batches) {
+    refuseOverdue(batch, now);
+    for (auto &change : batch.Changes)
+      if (change.AnswerBy <= now)
+        change.tell(
+            core::makeError(ErrorCode::DeadlineExceeded, "not stored yet"));
+  }
+  eraseEmpty();
+}
+
+void ClaimBatches::refuseOverdue(ClaimBatch &batch, core::TimePoint now) {
+  const auto late = std::stable_partition(
+      batch.Claims.begin(), batch.Claims.end(),
+      [now](const auto &claim) { return now < claim.Deadline; });
+  std::vector<PendingClaim> overdue;
+  std::move(late, batch.Claims.end(), std::back_inserter(overdue));
+  batch.Claims.erase(late, batch.Claims.end());
+  for (const auto &claim : overdue)
+    giveUp(claim, ErrorCode::DeadlineExceeded,
+           "the claim was not confirmed in time");
+}
+
+void ClaimBatches::drop() {
+  for (auto &[name, batch] : Batches) {
+    refuseAll(batch, ErrorCode::Draining, "this host is stopping");
+    if (!batch.Changes.empty())
+      support::LogLine("write_changes_dropped")
+          .with("document", name.path())
+          .with("count", batch.Changes.size());
+  }
+  Batches.clear();
+}
+
+void ClaimBatches::eraseEmpty() {
+  std::erase_if(Batches, [](const auto &it) { return it.second.empty(); });
+}
+
+} // namespace savorytrestle::platform
--- a/src/platform/ClaimStore.h
+++ b/src/platform/ClaimStore.h
@@ -10,8 +10,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <map>
-#include <memory>
 #include <random>
 #include <thread>
 #include <utility>
@@ -19,9 +17,8 @@
 
 #include <concurrentqueue/blockingconcurrentqueue.h>
 
-#include "platform/ClaimTypes.h"
+#include "platform/ClaimBatches.h"
 #include "platform/KvStore.h"
-#include "support/Log.h"
 
 namespace savorytrestle::platform {
 
@@ -70,13 +67,11 @@
         !age)
       return done(tl::unexpected(age.error()));
     if (Stopping)
-      return refuse({std::move(request), deadline, std::move(done)},
-                    ErrorCode::Draining, "this host is stopping");
-    if (Waiting.fetch_add(1) >= Options.MaxPending) {
-      --Waiting;
-      return refuse({std::move(request), deadline, std::move(done)},
-                    ErrorCode::Overloaded, "too many writes wait");
-    }
+      return Batches.refuse({std::move(request), deadline, std::move(done)},
+                            ErrorCode::Draining, "this host is stopping");
+    if (!Batches.reserve())
+      return Batches.refuse({std::move(request), deadline, std::move(done)},
+                            ErrorCode::Overloaded, "too many writes wait");
     Ring.enqueue(PendingClaim{std::move(request), deadline, std::move(done)});
   }
 
@@ -116,7 +111,8 @@
     }
     for (auto &job : late)
       if (auto *claim = std::get_if<PendingClaim>(&job))
-        refuse(*claim, core::ErrorCode::Draining, "this host is stopping");
+        Batches.refuse(*claim, core::ErrorCode::Draining,
+                       "this host is stopping");
   }
 
   /// @brief Counters.
@@ -132,23 +128,17 @@
   void run() {
     while (!finished()) {
       receive();
-      answerOverdue();
+      Batches.answerOverdue();
       Pacer.setRate(WriteRate);
       const auto now = SteadyClock::now();
       if (now < Pacer.next())
         continue;
-      if (const auto it = oldestReady(now); it != Batches.end())
-        commit(it);
+      if (const auto document = Batches.oldestReady(now))
+        commit(*document);
       else
         sweep(now);
     }
-    for (auto &[name, batch] : Batches) {
-      refuseAll(batch, core::ErrorCode::Draining, "this host is stopping");
-      if (!batch.Changes.empty())
-        support::LogLine("write_changes_dropped")
-            .with("document", name.path())
-            .with("count", batch.Changes.size());
-    }
+    Batches.drop();
   }
 
   bool finished() const {
@@ -163,228 +153,54 @@
                                  untilNext());
     for (auto &job : jobs) {
       if (auto *claim = std::get_if<PendingClaim>(&job))
-        addClaim(std::move(*claim));
+        Batches.add(std::move(*claim));
       else if (auto *change = std::get_if<PendingChange>(&job))
-        addChange(std::move(*change));
+        Batches.add(std::move(*change));
     }
   }
 
   std::chrono::microseconds untilNext() const {
     const auto now = SteadyClock::now();
-    auto next = now + core::Duration(MaxWait);
-    for (const auto &[name, batch] : Batches)
-      next = std::min(batch.earliestAnswer(next),
-                      std::max(batch.NotBefore, Pacer.next()));
+    const auto next = Batches.nextEvent(now + MaxWait, Pacer.next());
     return std::chrono::duration_cast<std::chrono::microseconds>(
         std::max(next - now, core::Duration::zero()));
   }
 
-  ClaimBatch &batchOf(const core::ClaimRequest &request) {
-    auto &batch = Batches[core::documentOf(request.Key, Options.Limits)];
-    if (batch.empty())
-      batch.Since = SteadyClock::now();
-    return batch;
-  }
-
-  void addClaim(PendingClaim claim) {
-    auto &batch = batchOf(claim.Request);
-    // A caller waits: tried at once even when changes wait for the store.
-    batch.NotBefore = {};
-    batch.Claims.push_back(std::move(claim));
-  }
-
-  void addChange(PendingChange change) {
-    batchOf(change.Request).Changes.push_back(std::move(change));
-  }
-
-  auto oldestReady(core::TimePoint now) {
-    auto oldest = Batches.end();
-    for (auto it = Batches.begin(); it != Batches.end(); ++it)
-      if (it->second.NotBefore <= now &&
-          (oldest == Batches.end() || it->second.Since < oldest->second.Since))
-        oldest = it;
-    return oldest;
-  }
-
-  using BatchIterator =
-      typename std::map<core::DocumentName, ClaimBatch>::iterator;
-
   /// One read and, if something changes, one compare-and-swap. A batch that
   /// lost to another host or whose reply was lost stays, and is read again.
-  void commit(BatchIterator it) {
-    const std::string path = it->first.path();
-    auto &batch = it->second;
+  void commit(const core::DocumentName &document) {
     ++Counts.Reads;
-    const auto entry = Kv.get(path, Options.StoreTimeout);
-    if (!entry)
-      return onStoreDown();
+    const auto entry = Kv.get(document.path(), Options.StoreTimeout);
+    if (!entry) {
+      Pacer.spend(SteadyClock::now(), false);
+      return Batches.onStoreDown();
+    }
     auto bucket = *entry ? core::ClaimBucket::parse((*entry)->Value)
                          : core::Result<core::ClaimBucket>();
+    Pacer.spend(SteadyClock::now(), bucket.has_value());
     if (!bucket)
-      return onUnreadable(it);
-    const auto verdicts = propose(*bucket, batch);
-    const bool wrote = bucket->isModified();
-    Pacer.spend(SteadyClock::now(), wrote);
-    if (wrote) {
-      ++Counts.Writes;
-      const auto revision = *entry ? (*entry)->ModifyRevision : NoEntry;
-      const auto stored = Kv.compareAndSet(path, bucket->dump(), revision,
-                                           Options.StoreTimeout);
-      if (!stored)
-        return onUnconfirmed(batch, verdicts, stored.error());
-      if (!*stored) {
-        ++Counts.Conflicts;
-        return;
-      }
-    }
-    const ClaimBatch settled = std::exchange(batch, {});
-    Batches.erase(it);
-    settle(settled, verdicts);
-  }
-
-  std::vector<core::ClaimVerdict> propose(core::ClaimBucket &bucket,
-                                          const ClaimBatch &batch) const {
-    for (const auto &change : batch.Changes) {
-      if (change.Outcome)
-        bucket.record(change.Request, *change.Outcome, Options.Limits);
-      else
-        bucket.release(change.Request);
-    }
-    std::vector<core::ClaimVerdict> verdicts;
-    verdicts.reserve(batch.Claims.size());
-    for (const auto &claim : batch.Claims)
-      verdicts.push_back(bucket.claim(claim.Request, Options.Limits));
-    return verdicts;
-  }
-
-  void onUnconfirmed(ClaimBatch &batch,
-                     const std::vector<core::ClaimVerdict> &verdicts,
-                     const core::Error &error) {
-    if (error.Code != core::ErrorCode::OutcomeUnknown)
-      return onStoreDown();
-    ++Counts.LostReplies;
-    for (std::size_t i = 0; i < batch.Claims.size(); ++i)
-      if (verdicts[i].Decision == core::ClaimDecision::Granted)
-        batch.Claims[i].MayHaveLanded = true;
-  }
-
-  void settle(ClaimBatch batch,
-              const std::vector<core::ClaimVerdict> &verdicts) {
-    for (auto &change : batch.Changes)
-      change.tell({});
-    for (std::size_t i = 0; i < batch.Claims.size(); ++i) {
-      auto &claim = batch.Claims[i];
-      if (verdicts[i].Decision == core::ClaimDecision::Granted)
-        grant(std::move(claim));
-      else
-        answer(claim, verdicts[i]);
-    }
-  }
-
-  /// A pause before this point may have used up the time: the document may even
-  /// have expired and been made anew, so the key's age is checked once more.
-  void grant(PendingClaim claim) {
-    const auto age =
-        core::checkAge(claim.Request.Key, Options.Wall(), Options.Limits);
-    if (age && SteadyClock::now() < claim.Deadline) {
-      ++Counts.Granted;
-      return answer(claim,
-                    core::ClaimVerdict{core::ClaimDecision::Granted, {}});
-    }
-    abandon(claim.Request);
-    if (!age)
-      return answer(claim, tl::unexpected(age.error()));
-    // The claim is this attempt's, so no other one was dispatched.
-    answer(claim, tl::unexpected(core::Error{
-                      core::ErrorCode::DeadlineExceeded,
-                      "no time was left to dispatch the write",
-                      core::RunState::NotRun, core::WriteRetryAfter}));
-  }
-
-  void abandon(const core::ClaimRequest &request) {
-    ++Counts.Abandoned;
-    addChange({request, {}, {}, nullptr});
-  }
-
-  void answer(PendingClaim &claim, core::Result<core::ClaimVerdict> verdict) {
-    --Waiting;
-    claim.Done(std::move(verdict));
-  }
-
-  void refuse(const PendingClaim &claim, core::ErrorCode code,
-              std::string message) {
-    ++Counts.Refused;
-    claim.Done(tl::unexpected(
-        core::unconfirmedClaim(claim.Request, code, std::move(message))));
-  }
-
-  /// Refuses a waiting claim; one that may be stored is released later.
-  void giveUp(const PendingClaim &claim, core::ErrorCode code,
-              std::string message) {
-    --Waiting;
-    if (claim.MayHaveLanded)
-      abandon(claim.Request);
-    refuse(claim, code, std::move(message));
-  }
-
-  void refuseAll(ClaimBatch &batch, core::ErrorCode code,
-                 const std::string &message) {
-    for (const auto &claim : std::exchange(batch.Claims, {}))
-      giveUp(claim, code, message);
-  }
-
-  void answerOverdue() {
-    const auto now = SteadyClock::now();
-    for (auto &[name, batch] : Batches) {
-      const auto late = std::stable_partition(
-          batch.Claims.begin(), batch.Claims.end(),
-          [&](const auto &claim) { return now < claim.Deadline; });
-      std::vector<PendingClaim> overdue;
-      std::move(late, batch.Claims.end(), std::back_inserter(overdue));
-      batch.Claims.erase(late, batch.Claims.end());
-      for (const auto &claim : overdue)
-        giveUp(claim, core::ErrorCode::DeadlineExceeded,
-               "the claim was not confirmed in time");
-      for (auto &change : batch.Changes)
-        if (change.AnswerBy <= now)
-          change.tell(core::makeError(core::ErrorCode::DeadlineExceeded,
-                                      "not stored yet"));
-    }
-    std::erase_if(Batches, [](const auto &it) { return it.second.empty(); });
-  }
-
-  /// The store can't be reached: whoever waits is answered now, and what has to
-  /// be stored in the end is tried again after a pause.
-  void onStoreDown() {
-    const auto now = SteadyClock::now();
-    Pacer.spend(now, false);
-    for (auto &[name, batch] : Batches) {
-      refuseAll(batch, core::ErrorCode::StoreUnavailable,
-                "the claim can't be confirmed");
-      std::erase_if(batch.Changes, [this](const auto &change) {
-        return !core::checkAge(change.Request.Key, Options.Wall(),
-                               Options.Limits);
-      });
-      for (auto &change : batch.Changes)
-        change.tell(core::makeError(core::ErrorCode::StoreUnavailable,
-                                    "the store can't be reached"));
-      batch.NotBefore = now + Options.RetryPause;
-    }
-    std::erase_if(Batches, [](const auto &it) { return it.second.empty(); });
-  }
-
-  void onUnreadable(BatchIterator it) {
-    support::LogLine("claim_document_unreadable")
-        .with("document", it->first.path());
-    refuseAll(it->second, core::ErrorCode::Internal,
-              "the claim document can't be read");
-    for (auto &change : it->second.Changes)
-      change.tell(core::makeError(core::ErrorCode::Internal,
-                                  "the claim document can't be read"));
-    it->second.NotBefore = SteadyClock::now() + Options.RetryPause;
-    Pacer.spend(SteadyClock::now(), false);
-    if (it->second.empty())
-      Batches.erase(it);
+      return Batches.onUnreadable(document);
+    const auto verdicts = Batches.propose(document, *bucket);
+    if (!bucket->isModified())
+      return Batches.settle(document, verdicts);
+    const auto revision = *entry ? (*entry)->ModifyRevision : NoEntry;
+    store(document, bucket->dump(), revision, verdicts);
+  }
+
+  void store(const core::DocumentName &document, const std::string &value,
+             Revision revision,
+             const std::vector<core::ClaimVerdict> &verdicts) {
+    ++Counts.Writes;
+    const auto stored = Kv.compareAndSet(document.path(), value, revision,
+                                         Options.StoreTimeout);
+    if (stored && *stored)
+      return Batches.settle(document, verdicts);
+    if (stored)
+      ++Counts.Conflicts;
+    else if (stored.error().Code == core::ErrorCode::OutcomeUnknown)
+      Batches.onLostReply(document, verdicts);
+    else
+      Batches.onStoreDown();
   }
 
   /// Deletes expired documents when there is nothing else to do. Hosts pick
@@ -422,13 +238,11 @@
   std::atomic<std::uint64_t> LastAttempt{0};
   std::atomic<double> WriteRate;
   ClaimStoreStats Counts;
-  /// Claims that wait in the ring or a batch.
-  std::atomic<std::size_t> Waiting{0};
   moodycamel::BlockingConcurrentQueue<Job> Ring;
   std::atomic<bool> Stopping{false};
   std::atomic<core::TimePoint> StopBy{core::TimePoint()};
   // The claim thread's own.
-  std::map<core::DocumentName, ClaimBatch> Batches;
+  ClaimBatches Batches{Options, Counts};
   std::vector<KvEntry> Expired;
   WritePacer Pacer;
   core::TimePoint NextSweep;
--- a/src/platform/ClaimTypes.h
+++ b/src/platform/ClaimTypes.h
@@ -2,17 +2,13 @@
 #define SAVORYTRESTLE_PLATFORM_CLAIM_TYPES_H
 
 /// @file
-/// @brief What platform/ClaimStore.h takes and keeps: options, counters, and
-/// the changes that wait for one document.
+/// @brief Options, counters and the write pace of platform/ClaimStore.h.
 
 #include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <optional>
-#include <utility>
-#include <vector>
 
 #include "savorytrestle/core/ClaimBucket.h"
 
@@ -63,57 +59,6 @@
   std::atomic<std::uint64_t> DocumentsDeleted{0};
 };
 
-/// @brief A claim that waits for its decision.
-struct PendingClaim {
-  core::ClaimRequest Request;
-  /// When it is refused if there is no decision yet.
-  core::TimePoint Deadline;
-  ClaimDone Done;
-  /// A write that held it was sent and its reply lost.
-  bool MayHaveLanded = false;
-};
-
-/// @brief An outcome or a release that waits to be stored.
-struct PendingChange {
-  core::ClaimRequest Request;
-  /// Nothing for a release.
-  std::optional<core::WriteOutcome> Outcome;
-  /// When Done is told at the latest.
-  core::TimePoint AnswerBy;
-  ChangeDone Done;
-
-  /// @brief Calls Done unless that was done before.
-  /// @param result what to tell
-  void tell(const core::Result<void> &result) {
-    if (const auto done = std::exchange(Done, nullptr))
-      done(result);
-  }
-};
-
-/// @brief Everything that waits for one document.
-struct ClaimBatch {
-  std::vector<PendingClaim> Claims;
-  std::vector<PendingChange> Changes;
-  /// Arrival of the oldest member, for first come, first served.
-  core::TimePoint Since;
-  /// Not tried before this.
-  core::TimePoint NotBefore;
-
-  bool empty() const { return Claims.empty() && Changes.empty(); }
-
-  /// @brief When somebody has to be told at the latest.
-  /// @param latest returned when nobody has to be before it
-  /// @return the time; O(members)
-  core::TimePoint earliestAnswer(core::TimePoint latest) const {
-    for (const auto &claim : Claims)
-      latest = std::min(latest, claim.Deadline);
-    for (const auto &change : Changes)
-      if (change.Done)
-        latest = std::min(latest, change.AnswerBy);
-    return latest;
-  }
-};
-
 /// @brief Spreads store writes evenly, with a small burst.
 class WritePacer {
 public:
