Bench of store calls per write; eight documents a window

The test of a lost leaf reply now waits for what the host stores in the background: without that, a release after the dispatch went unnoticed.

--- /dev/null
+++ b/bench/write-claims.cpp
@@ -0,0 +1,172 @@
+// Measures the store calls and the added latency of keyed writes.
+//
+//   write-claims --rate=200 --hosts=7 --buckets=8 --owner=false
+//
+// Writes arrive at an even rate over the hosts, which share an in-process store
+// with a latency of its own. `--buckets=1000000` gives each key a document (one
+// claim, one compare-and-swap), `--owner` sends each key to the one host that
+// is chosen for its document. Prints one line of key=value pairs.
+
+#include <algorithm>
+#include <cstdio>
+#include <future>
+#include <random>
+#include <thread>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include "../tests/FakeKvStore.h"
+#include "backend/WriteSession.h"
+#include "platform/ClaimStore.h"
+
+ABSL_FLAG(double, rate, 100, "writes a second over all hosts");
+ABSL_FLAG(int, seconds, 5, "how long writes arrive");
+ABSL_FLAG(int, hosts, 7, "hosts");
+ABSL_FLAG(int, buckets, 8, "documents of a window");
+ABSL_FLAG(bool, owner, false, "send a key to its document's host");
+ABSL_FLAG(double, store_writes, 200, "store writes a second over all hosts");
+ABSL_FLAG(int, store_ms, 3, "latency of a store call");
+ABSL_FLAG(int, deadline_ms, 1000, "deadline of a write");
+
+namespace {
+
+using namespace savorytrestle;
+using SteadyClock = std::chrono::steady_clock;
+using Millis = std::chrono::duration<double, std::milli>;
+
+/// The in-process store, a network away.
+struct RemoteStore : standins::FakeKvStore {
+  explicit RemoteStore(const FakeKvStore &store) : FakeKvStore(store) {}
+
+  core::Result<std::optional<platform::KvEntry>>
+  get(const std::string &key, std::chrono::milliseconds timeout) {
+    travel();
+    return FakeKvStore::get(key, timeout);
+  }
+  core::Result<bool> compareAndSet(const std::string &key,
+                                   const std::string &value,
+                                   platform::Revision revision,
+                                   std::chrono::milliseconds timeout) {
+    travel();
+    return FakeKvStore::compareAndSet(key, value, revision, timeout);
+  }
+
+private:
+  static void travel() {
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(absl::GetFlag(FLAGS_store_ms)));
+  }
+};
+
+using Claimer = platform::ClaimStore<RemoteStore>;
+using Answer = core::Result<backend::KeyedAnswer>;
+
+struct Ended {
+  bool Ran = false;
+  Millis Latency{};
+};
+
+core::WallTime wallNow() {
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+/// The leaf answers at once, so that the latency is that of the claim and of
+/// the record.
+std::future<Ended> send(Claimer &claims, const core::WriteKey &key) {
+  auto ended = std::make_shared<std::promise<Ended>>();
+  const auto began = SteadyClock::now();
+  const auto dispatch = [](const backend::DispatchDone &done) {
+    done(std::string("\"filed\""));
+  };
+  backend::WriteSession<Claimer, decltype(dispatch)>::start(
+      claims,
+      claims.makeRequest(key, core::requestDigest("file", "{}"),
+                         core::UnknownSend),
+      began + std::chrono::milliseconds(absl::GetFlag(FLAGS_deadline_ms)),
+      dispatch, [ended, began](const Answer &answer) {
+        ended->set_value({answer.has_value(), SteadyClock::now() - began});
+      });
+  return ended->get_future();
+}
+
+std::vector<Ended> sendAll(std::vector<std::unique_ptr<Claimer>> &hosts,
+                           const core::WriteLimits &limits) {
+  std::mt19937_64 random(1);
+  std::vector<std::future<Ended>> running;
+  const double rate = absl::GetFlag(FLAGS_rate);
+  const auto count =
+      static_cast<std::size_t>(rate * absl::GetFlag(FLAGS_seconds));
+  const auto began = SteadyClock::now();
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::chrono::duration<double> due(static_cast<double>(i) / rate);
+    std::this_thread::sleep_until(
+        began + std::chrono::duration_cast<core::Duration>(due));
+    const auto key = core::parseWriteKey(
+                         "w", core::makeUuidV7(wallNow(), random(), random()))
+                         .value();
+    const auto host = absl::GetFlag(FLAGS_owner)
+                          ? core::documentOf(key, limits).Bucket
+                          : random();
+    running.push_back(send(*hosts[host % hosts.size()], key));
+  }
+  std::vector<Ended> ended;
+  ended.reserve(count);
+  for (auto &it : running)
+    ended.push_back(it.get());
+  return ended;
+}
+
+double percentile(std::vector<Ended> &ended, double part) {
+  const auto at = ended.begin() + static_cast<std::ptrdiff_t>(
+                                      part * static_cast<double>(ended.size()));
+  std::nth_element(
+      ended.begin(), at, ended.end(),
+      [](const auto &a, const auto &b) { return a.Latency < b.Latency; });
+  return at->Latency.count();
+}
+
+void report(std::vector<Ended> ended,
+            const std::vector<std::unique_ptr<Claimer>> &hosts,
+            const standins::FakeKvStore &store) {
+  std::uint64_t conflicts = 0;
+  for (const auto &host : hosts)
+    conflicts += host->stats().Conflicts;
+  const auto count = static_cast<double>(ended.size());
+  const auto ran = std::count_if(ended.begin(), ended.end(),
+                                 [](const auto &it) { return it.Ran; });
+  std::size_t largest = 0;
+  for (const auto &entry : store.State->list("claims/"))
+    largest = std::max(largest, entry.Value.size());
+  std::printf("rate=%.0f hosts=%zu buckets=%d owner=%d writes=%zu ran=%td "
+              "store_writes_per_write=%.3f store_reads_per_write=%.3f "
+              "conflicts_per_write=%.4f p50_ms=%.1f p99_ms=%.1f "
+              "largest_document=%zu\n",
+              absl::GetFlag(FLAGS_rate), hosts.size(),
+              absl::GetFlag(FLAGS_buckets),
+              static_cast<int>(absl::GetFlag(FLAGS_owner)), ended.size(), ran,
+              store.Faults->Writes / count, store.Faults->Reads / count,
+              static_cast<double>(conflicts) / count, percentile(ended, 0.5),
+              percentile(ended, 0.99), largest);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  absl::ParseCommandLine(argc, argv);
+  const auto hostCount = static_cast<unsigned>(absl::GetFlag(FLAGS_hosts));
+  platform::ClaimStoreOptions options;
+  options.Limits.Buckets =
+      static_cast<std::uint32_t>(absl::GetFlag(FLAGS_buckets));
+  options.WritesPerSecond = absl::GetFlag(FLAGS_store_writes) / hostCount;
+  const standins::FakeKvStore store;
+  std::vector<std::unique_ptr<Claimer>> hosts;
+  for (unsigned i = 0; i < hostCount; ++i)
+    hosts.push_back(std::make_unique<Claimer>(
+        RemoteStore(store), "host-" + std::to_string(i), options));
+  auto ended = sendAll(hosts, options.Limits);
+  const int writes = store.Faults->Writes;
+  report(std::move(ended), hosts, store);
+  return writes > 0 ? 0 : 1;
+}
--- a/tests/unit-claim-store.cpp
+++ b/tests/unit-claim-store.cpp
@@ -135,6 +135,8 @@
 TEST_F(ClaimStoreTest, ALostLeafReplyStaysUnknown) {
   Ledger.Ending = WriteLedger::ReplyLost;
   EXPECT_EQ(A.send(A.key(1)).get().error().Run, RunState::Unknown);
+  // Whatever the host stores in the background is stored after this.
+  A.Claims->stop(5s);
   Ledger.Ending = WriteLedger::Replied;
   EXPECT_EQ(B.send(B.key(1), 2).get().error().Run, RunState::Unknown);
   EXPECT_EQ(Ledger.executions(1), 1U);
