--- a/src/serve/Host.h
+++ b/src/serve/Host.h
@@ -11,10 +11,10 @@
 #include "backend/FanOutLoop.h"
 #include "backend/LeafEngine.h"
 #include "caller/CallerApi.h"
-#include "hosts/HostSlotKeeper.h"
-#include "operators/SettingsReplica.h"
-#include "platform/HttpKvStore.h"
+#include "serve/ControlPlane.h"
 #include "serve/HostConfig.h"
+#include "serve/SearchPath.h"
+#include "serve/WritePath.h"
 #include "support/HttpServer.h"
 #include "support/Metrics.h"
 
@@ -42,26 +42,25 @@
 
   core::Result<void> listen();
   caller::CallerBackend backend();
-  core::Result<core::SearchAnswer> search(const caller::CallerRequest &request);
-  core::Result<caller::WriteAnswer> write(const caller::CallerRequest &request);
   support::HttpResponse operatorRequest(const support::HttpRequest &request);
-  core::Result<void> loadSettingsFile();
   void followSlot();
 
   const HostConfig Config;
   support::Metrics Counts;
   backend::FanOutLoop Loop;
+  const std::shared_ptr<backend::CrashGuard> Guard;
+  ControlPlane Control;
   backend::LeafEngine Engine;
+  SearchPath Searches;
+  WritePath Writes;
   caller::CallerApi Callers;
-  operators::SettingsReplica Settings;
-  hosts::HostSlotKeeper<platform::HttpKvStore> Slot;
   std::thread SlotFollower;
-  std::atomic<bool> HasSlot{false};
   std::atomic<bool> Stopping{false};
   std::atomic<bool> Draining{false};
   std::atomic<unsigned> InFlight{0};
   std::unique_ptr<support::HttpServer> CallerListener;
   std::unique_ptr<support::HttpServer> OperatorListener;
+  std::unique_ptr<support::HttpServer> PeerListener;
 };
 
 } // namespace savorytrestle::serve
