--- a/src/serve/Host.cpp
+++ b/src/serve/Host.cpp
@@ -1,6 +1,5 @@
 #include "serve/Host.h"
 
-#include <future>
 #include <random>
 #include <thread>
 
@@ -8,19 +7,19 @@
 
 namespace savorytrestle::serve {
 
-using core::Error;
-using core::ErrorCode;
-using core::RunState;
 using std::chrono::milliseconds;
 using SteadyClock = std::chrono::steady_clock;
 
 namespace {
 
-// Past the deadline the fan-out thread owes the answer at once; this bounds the
-// wait for it should that thread be starved.
-constexpr milliseconds AnswerGrace{1000};
 constexpr milliseconds DrainPoll{10};
 constexpr milliseconds DrainDelay{200};
+constexpr unsigned OperatorThreads = 4;
+constexpr unsigned PeerThreads = 8;
+constexpr std::size_t MaxBodyBytes = 16 << 20;
+constexpr milliseconds ClaimDrain{2000};
+constexpr milliseconds ShareInterval{200};
+constexpr milliseconds ShareTime{1000};
 
 /// Counts a request in flight for as long as it lives.
 class InFlightGuard {
@@ -36,18 +35,8 @@
   std::atomic<unsigned> &Count;
 };
 
-/// Waits for a value that another thread sets; the state is shared, so that a
-/// late setter finds it alive after the waiter has given up.
-template <typename T>
-core::Result<T>
-await(const std::shared_ptr<std::promise<core::Result<T>>> &slot,
-      core::TimePoint deadline, RunState runAfterTimeout) {
-  auto future = slot->get_future();
-  if (future.wait_until(deadline + AnswerGrace) == std::future_status::ready)
-    return future.get();
-  return tl::unexpected<Error>(Error{ErrorCode::DeadlineExceeded,
-                                     "the deadline passed", runAfterTimeout,
-                                     milliseconds(1000)});
+backend::LeafEngineOptions engineOptions(const HostConfig &config) {
+  return {config.FailureDomain, config.Policy == SearchPolicyKind::Baseline};
 }
 
 } // namespace
@@ -55,18 +44,39 @@
 Host::Host(const HostConfig &config)
     : Config(config), Loop(backend::LeafTransportOptions{}, config.FanOutRing,
                            std::random_device{}()),
-      Engine(Loop, Counts), Callers(backend(), Counts) {}
+      Guard(std::make_shared<backend::CrashGuard>(
+          [this] { Control.publishRecords(); })),
+      Control(config, Guard),
+      Engine(Loop, Counts, Guard, engineOptions(config)),
+      Searches(Engine, Guard, config.MaxSearches),
+      Writes(Engine, config.Store, config.Id, config.MaxHosts),
+      Callers(backend(), Counts) {}
 
 Host::~Host() {
+  Stopping = true;
+  if (SlotFollower.joinable())
+    SlotFollower.join();
   CallerListener.reset();
   OperatorListener.reset();
+  PeerListener.reset();
+  Control.stopPeers();
+  Writes.stop(ClaimDrain);
   Loop.stop();
+  Control.releaseSlot();
 }
 
 core::Result<std::unique_ptr<Host>> Host::start(const HostConfig &config) {
   std::unique_ptr<Host> host(new Host(config));
   if (const auto listening = host->listen(); !listening)
     return tl::unexpected(listening.error());
+  host->Control.start([host = host.get()](const auto &inForce) {
+    host->Engine.apply(inForce->Routes);
+    host->Searches.apply(*inForce->Routes);
+    host->Counts.setGauge("savorytrestle_settings_revision",
+                          "Revision of the settings in force.",
+                          static_cast<double>(inForce->Blob.Revision));
+  });
+  host->SlotFollower = std::thread([host = host.get()] { host->followSlot(); });
   support::LogLine("host_started")
       .with("host", config.Id)
       .with("callers", config.Callers)
@@ -75,71 +85,65 @@
   return host;
 }
 
+// The share is handed on with a short time of its own, so that a process which
+// was paused finds it ended before this thread has looked at the lease again.
+void Host::followSlot() {
+  while (!Stopping) {
+    const auto slot = Control.slot();
+    core::HostShare share;
+    share.Slots = Config.MaxHosts + Config.SpareHosts;
+    share.ValidUntil = core::TimePoint();
+    if (slot) {
+      share.Slot = *slot;
+      share.ValidUntil = SteadyClock::now() + ShareTime;
+    }
+    Engine.setShare(share);
+    std::this_thread::sleep_for(ShareInterval);
+  }
+}
+
 core::Result<void> Host::listen() {
-  support::HttpServerOptions options;
-  options.Listen = Config.Callers;
-  options.Threads = Config.CallerThreads;
-  auto callers = support::HttpServer::start(
-      options, [this](const support::HttpRequest &request) {
-        const InFlightGuard guard(InFlight);
-        return Callers.handle(request);
+  const auto open = [](std::unique_ptr<support::HttpServer> &listener,
+                       const std::string &address, unsigned threads,
+                       support::HttpServer::Handler handler) {
+    support::HttpServerOptions options;
+    options.Listen = address;
+    options.Threads = threads;
+    // A whole settings tree, for operators and peers.
+    options.MaxBodyBytes = MaxBodyBytes;
+    return support::HttpServer::start(options, std::move(handler))
+        .map([&](auto started) { listener = std::move(started); });
+  };
+  return open(CallerListener, Config.Callers, Config.CallerThreads,
+              [this](const auto &request) {
+                const InFlightGuard guard(InFlight);
+                return Callers.handle(request);
+              })
+      .and_then([&] {
+        return open(
+            OperatorListener, Config.Operators, OperatorThreads,
+            [this](const auto &request) { return operatorRequest(request); });
+      })
+      .and_then([&] {
+        return open(PeerListener, Config.Peers, PeerThreads,
+                    [this](const auto &request) {
+                      return Control.handlePeer(request);
+                    });
       });
-  if (!callers)
-    return tl::unexpected(callers.error());
-  CallerListener = std::move(*callers);
-  options.Listen = Config.Operators;
-  options.Threads = 4;
-  auto operators = support::HttpServer::start(
-      options, [this](const support::HttpRequest &request) {
-        return operatorRequest(request);
-      });
-  if (!operators)
-    return tl::unexpected(operators.error());
-  OperatorListener = std::move(*operators);
-  return {};
 }
 
 caller::CallerBackend Host::backend() {
   caller::CallerBackend backend;
-  backend.Routes = [this] { return std::atomic_load(&Routes); };
-  backend.Search = [this](const auto &request) { return search(request); };
-  backend.Write = [this](const auto &request) { return write(request); };
-  backend.Ready = [this] { return std::atomic_load(&Routes) != nullptr; };
+  backend.Routes = [this] { return Control.routes(); };
+  backend.Search = [this](const auto &request) {
+    return Searches.run(request);
+  };
+  backend.Write = [this](const auto &request) { return Writes.run(request); };
+  backend.Ready = [this] { return Control.ready(); };
   backend.Draining = [this] { return Draining.load(); };
   return backend;
 }
 
-core::Result<core::SearchAnswer>
-Host::search(const caller::CallerRequest &request) {
-  using Answer = core::Result<core::SearchAnswer>;
-  auto slot = std::make_shared<std::promise<Answer>>();
-  backend::SearchJob job{request.RequestId, request.Route, request.Body,
-                         request.Deadline};
-  const auto posted = Engine.search(std::move(job), [slot](Answer answer) {
-    slot->set_value(std::move(answer));
-  });
-  if (!posted)
-    return tl::unexpected(posted.error());
-  return await(slot, request.Deadline, RunState::Unknown);
-}
-
-core::Result<caller::WriteAnswer>
-Host::write(const caller::CallerRequest &request) {
-  using Outcome = core::Result<std::string>;
-  auto slot = std::make_shared<std::promise<Outcome>>();
-  backend::WriteJob job{request.RequestId, request.Route, "", request.Body,
-                        request.Deadline};
-  const auto posted = Engine.write(std::move(job), [slot](Outcome outcome) {
-    slot->set_value(std::move(outcome));
-  });
-  if (!posted)
-    return tl::unexpected(posted.error());
-  auto outcome = await(slot, request.Deadline, RunState::Unknown);
-  if (!outcome)
-    return tl::unexpected(outcome.error());
-  return caller::WriteAnswer{RunState::Ran, std::move(*outcome), false};
-}
-
 support::HttpResponse
 Host::operatorRequest(const support::HttpRequest &request) {
   support::HttpResponse response;
@@ -148,18 +152,12 @@
     response.Body = Counts.text();
     return response;
   }
-  return caller::errorResponse(
-      Error{ErrorCode::NotFound, "no such path", RunState::NotRun, {}}, "");
-}
-
-void Host::publish(std::shared_ptr<const core::RouteTable> routes) {
-  Engine.apply(routes);
-  support::LogLine("settings_in_force").with("revision", routes->Revision);
-  std::atomic_store(&Routes, std::move(routes));
+  return Control.handleOperator(request);
 }
 
 bool Host::drain() {
   Draining = true;
+  Control.setDraining();
   support::LogLine("drain_started").with("in_flight", InFlight.load());
   const auto until = SteadyClock::now() + Config.DrainTime;
   // The balancer needs to see "not ready" before the listener goes.
--- a/src/serve/Host.h
+++ b/src/serve/Host.h
@@ -6,11 +6,15 @@
 
 #include <atomic>
 #include <memory>
+#include <thread>
 
 #include "backend/FanOutLoop.h"
 #include "backend/LeafEngine.h"
 #include "caller/CallerApi.h"
+#include "serve/ControlPlane.h"
 #include "serve/HostConfig.h"
+#include "serve/SearchPath.h"
+#include "serve/WritePath.h"
 #include "support/HttpServer.h"
 #include "support/Metrics.h"
 
@@ -38,21 +42,25 @@
 
   core::Result<void> listen();
   caller::CallerBackend backend();
-  core::Result<core::SearchAnswer> search(const caller::CallerRequest &request);
-  core::Result<caller::WriteAnswer> write(const caller::CallerRequest &request);
   support::HttpResponse operatorRequest(const support::HttpRequest &request);
-  void publish(std::shared_ptr<const core::RouteTable> routes);
+  void followSlot();
 
   const HostConfig Config;
   support::Metrics Counts;
   backend::FanOutLoop Loop;
+  const std::shared_ptr<backend::CrashGuard> Guard;
+  ControlPlane Control;
   backend::LeafEngine Engine;
+  SearchPath Searches;
+  WritePath Writes;
   caller::CallerApi Callers;
-  std::shared_ptr<const core::RouteTable> Routes;
+  std::thread SlotFollower;
+  std::atomic<bool> Stopping{false};
   std::atomic<bool> Draining{false};
   std::atomic<unsigned> InFlight{0};
   std::unique_ptr<support::HttpServer> CallerListener;
   std::unique_ptr<support::HttpServer> OperatorListener;
+  std::unique_ptr<support::HttpServer> PeerListener;
 };
 
 } // namespace savorytrestle::serve
--- a/src/serve/HostConfig.h
+++ b/src/serve/HostConfig.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include "savorytrestle/core/Error.h"
 
@@ -39,6 +40,8 @@
   unsigned CallerThreads = 64;
   /// Searches and writes that may wait for the fan-out thread.
   std::size_t FanOutRing = 1024;
+  /// Searches that run at once; more wait briefly or are refused.
+  unsigned MaxSearches = 64;
   /// Longest time a graceful shutdown waits for requests in flight.
   std::chrono::milliseconds DrainTime{5000};
   /// Entry hosts that may hold a slot at once.
@@ -47,6 +50,9 @@
   unsigned SpareHosts = 1;
   /// SHA-256 of the root operator's token, in hex; empty turns changes off.
   std::string RootTokenHash;
+  /// Peer listeners of other hosts, asked for the settings when the store is
+  /// down at the start.
+  std::vector<std::string> SeedPeers;
   SearchPolicyKind Policy = SearchPolicyKind::TailAware;
 };
 
--- /dev/null
+++ b/tests/PathFixture.h
@@ -0,0 +1,105 @@
+#ifndef SAVORYTRESTLE_TESTS_PATH_FIXTURE_H
+#define SAVORYTRESTLE_TESTS_PATH_FIXTURE_H
+
+/// @file
+/// @brief A small deployment: one search service of three groups with three
+/// replicas, one write service, and as many hosts as a test starts.
+
+#include <fstream>
+
+#include <gtest/gtest.h>
+
+#include "ProcessHarness.h"
+
+namespace savorytrestle::testing {
+
+/// @brief Fixture of the process tests that go through the whole path.
+class PathTest : public ::testing::Test {
+protected:
+  static constexpr int Groups = 3;
+  static constexpr int Replicas = 3;
+  static constexpr int SearchLeaves = Groups * Replicas;
+
+  /// @brief Starts all leaves.
+  /// @param searchArguments further flags of the search leaves
+  void startLeaves(const std::vector<std::string> &searchArguments = {}) {
+    for (int n = 0; n < SearchLeaves; ++n) {
+      std::vector<std::string> arguments = {
+          "--indexes=7:" + std::to_string(n / Replicas) + ":3"};
+      arguments.insert(arguments.end(), searchArguments.begin(),
+                       searchArguments.end());
+      All.addLeaf("search-" + std::to_string(n), arguments);
+    }
+    All.addLeaf("write-0", {});
+  }
+
+  /// @brief Starts a host and waits until it serves searches; the first one
+  /// puts the settings into the store.
+  HostProcess &startHost(const std::string &serviceSettings = "") {
+    auto &host = All.addHost("wien");
+    if (All.Hosts.size() == 1) {
+      EXPECT_TRUE(eventually(
+          [&] { return apply(host, settingsText(serviceSettings)); }));
+    }
+    EXPECT_TRUE(eventually([&] { return host.ready(); }));
+    EXPECT_TRUE(eventually([&] { return covered(search(host)) == Groups; }));
+    return host;
+  }
+
+  /// @brief Puts a whole settings tree in place, as the root operator.
+  static bool apply(const HostProcess &host, const std::string &yaml) {
+    return operate(host, "POST", "/v1/apply", yaml).Status == 200;
+  }
+
+  /// @brief Sends an administration request as the root operator.
+  static JsonReply operate(const HostProcess &host, const std::string &method,
+                           const std::string &path,
+                           const nlohmann::json &body = nullptr) {
+    return sendJson(method, "http://" + host.Operators + path, body,
+                    {{"Authorization", std::string("Bearer ") + RootToken}});
+  }
+
+  /// @brief Sends one search.
+  static JsonReply
+  search(const HostProcess &host,
+         const nlohmann::json &query = {{"text", "gel"}},
+         std::chrono::milliseconds deadline = std::chrono::milliseconds(1000)) {
+    return host.call("/v1/preisaufsicht/suche", query, deadline);
+  }
+
+  /// @brief Shards answered, or -1 for anything but a search answer.
+  static int covered(const JsonReply &reply) {
+    if (reply.Status != 200)
+      return -1;
+    return reply.Body["coverage"]["shards_answered"].get<int>();
+  }
+
+  LeafProcess &leaf(int n) { return *All.Leaves[static_cast<std::size_t>(n)]; }
+  LeafProcess &writeLeaf() { return *All.Leaves.back(); }
+
+  Deployment All;
+
+private:
+  std::string settingsText(const std::string &serviceSettings) {
+    std::string text = "workspaces:\n  preisaufsicht:\n    services:\n"
+                       "      preisportal:\n" +
+                       serviceSettings + "        leaves:\n";
+    for (int n = 0; n < SearchLeaves; ++n)
+      text += leafLine(leaf(n), "g" + std::to_string(n / Replicas));
+    text += "        routes:\n          suche: {kind: search}\n"
+            "      meldestelle:\n        leaves:\n" +
+            leafLine(writeLeaf(), "w") +
+            "        routes:\n          melden: {kind: write}\n";
+    return text;
+  }
+
+  static std::string leafLine(const LeafProcess &leaf,
+                              const std::string &group) {
+    return "          - {name: " + leaf.Name + ", address: \"" + leaf.Address +
+           "\", failure_domain: wien, group: " + group + "}\n";
+  }
+};
+
+} // namespace savorytrestle::testing
+
+#endif
