--- a/include/savorytrestle/core/WriteKey.h
+++ b/include/savorytrestle/core/WriteKey.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "savorytrestle/core/Error.h"
 #include "savorytrestle/core/Time.h"
@@ -25,7 +26,7 @@
   /// Keys minted within one window share documents, which expire whole.
   std::chrono::milliseconds Window{std::chrono::minutes(1)};
   /// Documents of one window.
-  std::uint32_t Buckets = 16;
+  std::uint32_t Buckets = 8;
   /// A reply body up to this many bytes is kept with the outcome.
   std::uint32_t KeptBodyBytes = 1024;
   /// Document size from which no further reply bodies are kept.
@@ -57,7 +58,10 @@
   /// @return "claims/WINDOW/BUCKET"
   std::string path() const;
 
-  auto operator<=>(const DocumentName &) const = default;
+  bool operator==(const DocumentName &) const = default;
+  bool operator<(const DocumentName &other) const {
+    return std::tie(Window, Bucket) < std::tie(other.Window, other.Bucket);
+  }
 };
 
 /// @brief Store prefix of all documents of a window.
