--- a/src/backend/ServiceRuntime.cpp
+++ b/src/backend/ServiceRuntime.cpp
@@ -1,5 +1,7 @@
 #include "backend/ServiceRuntime.h"
 
+#include <algorithm>
+#include <map>
 #include <numeric>
 
 namespace savorytrestle::backend {
@@ -13,8 +15,6 @@
 constexpr milliseconds PollTimeout{800};
 constexpr milliseconds CrashCheckInterval{10};
 constexpr int StatusOk = 200;
-/// Attempts slower than this quantile of the service's latency are hedged.
-constexpr double HedgeQuantile = 0.95;
 
 core::LeafPoolSettings poolSettings(const std::string &failureDomain,
                                     std::uint64_t seed) {
@@ -37,7 +37,7 @@
                              const core::ServiceSettings &settings,
                              std::uint64_t seed)
     : Pool(poolSettings(failureDomain, seed)),
-      Budget(settings.ExtraLoadFraction), Latency(HedgeQuantile) {}
+      Budget(settings.ExtraLoadFraction) {}
 
 ServiceRuntime::ServiceRuntime(
     std::shared_ptr<const core::ServiceSettings> settings,
@@ -56,18 +56,26 @@
                        [self = shared_from_this()](core::LeafIndex leaf) {
                          self->askStatus(leaf);
                        });
-  return {std::move(leaves), Catalog, Memory->Budget, Memory->Latency};
+  return {std::move(leaves), Catalog, Memory->Budget, Hedges};
 }
 
 void ServiceRuntime::adopt(const ServiceRuntime &earlier) {
-  for (core::LeafIndex leaf = 0; leaf < Status.size(); ++leaf) {
-    for (core::LeafIndex old = 0; old < earlier.Status.size(); ++old) {
-      const auto &now = Settings->Leaves[leaf];
-      const auto &before = earlier.Settings->Leaves[old];
-      if (now.Name == before.Name && now.Address == before.Address &&
-          earlier.Status[old])
-        learn(leaf, *earlier.Status[old]);
-    }
+  const auto &now = Settings->Leaves;
+  const auto &before = earlier.Settings->Leaves;
+  const auto same = [](const core::LeafSettings &a,
+                       const core::LeafSettings &b) {
+    return a.Name == b.Name && a.Address == b.Address;
+  };
+  if (std::equal(now.begin(), now.end(), before.begin(), before.end(), same))
+    Hedges = earlier.Hedges;
+  std::map<std::string, core::LeafIndex> places;
+  for (core::LeafIndex leaf = 0; leaf < now.size(); ++leaf)
+    places.emplace(now[leaf].Name, leaf);
+  for (core::LeafIndex old = 0; old < before.size(); ++old) {
+    const auto it = places.find(before[old].Name);
+    if (it != places.end() && same(now[it->second], before[old]) &&
+        earlier.Status[old])
+      learn(it->second, *earlier.Status[old]);
   }
 }
 
--- a/src/backend/ServiceRuntime.h
+++ b/src/backend/ServiceRuntime.h
@@ -14,7 +14,7 @@
 #include "backend/GuardedLeaves.h"
 #include "backend/LeafProtocol.h"
 #include "savorytrestle/core/ExtraLoadBudget.h"
-#include "savorytrestle/core/LatencyTracker.h"
+#include "savorytrestle/core/HedgeDelays.h"
 #include "savorytrestle/core/LeafPool.h"
 #include "savorytrestle/core/SnapshotCatalog.h"
 #include "savorytrestle/core/TailAwareSearch.h"
@@ -32,7 +32,6 @@
 
   core::LeafPool Pool;
   core::ExtraLoadBudget Budget;
-  core::LatencyTracker Latency;
 };
 
 /// @brief One service under one revision of its settings: polls its leaves and
@@ -99,6 +98,8 @@
   const std::shared_ptr<CrashGuard> Guard;
   const core::PinnedLeaves Pinned;
   core::SnapshotCatalog Catalog;
+  /// By position in this revision's leaf list.
+  core::HedgeDelays Hedges;
   std::vector<core::LeafIndex> All;
   /// Last status by leaf; nothing before the first one.
   std::vector<std::optional<LeafStatus>> Status;
