--- a/src/core/SettingsSchema.cpp
+++ b/src/core/SettingsSchema.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iomanip>
 #include <sstream>
 
 namespace savorytrestle::core {
@@ -161,7 +162,8 @@
 
 std::string allowedValues(const SettingSpec &spec) {
   std::ostringstream out;
-  out << kindName(spec.Kind);
+  // Enough digits for the largest limit to print as a whole number.
+  out << std::setprecision(12) << kindName(spec.Kind);
   const auto asText = [](double millis) {
     return formatDuration(
         std::chrono::milliseconds(static_cast<std::int64_t>(millis)));
--- a/src/operators/SettingsStore.h
+++ b/src/operators/SettingsStore.h
@@ -7,12 +7,7 @@
 /// A change writes immutable, content-addressed entries first and then swaps
 /// the manifest that names them, so that it takes effect whole or not at all.
 
-#include <algorithm>
-#include <map>
-
-#include "operators/SettingsManifest.h"
-#include "operators/SettingsReplica.h"
-#include "platform/KvStore.h"
+#include "operators/SettingsReader.h"
 
 namespace savorytrestle::operators {
 
@@ -40,14 +35,6 @@
   std::vector<core::AuditEntry> Since;
 };
 
-/// @brief Bounds on the store's calls.
-struct SettingsStoreOptions {
-  /// Bound on each call.
-  std::chrono::milliseconds CallTimeout{1000};
-  /// Attempts of one change at the compare-and-swap.
-  int MaxAttempts = 12;
-};
-
 /// @brief The settings tree in the store; one thread at a time.
 template <platform::KvStore Kv> class SettingsStore {
 public:
@@ -55,7 +42,7 @@
   /// @param store the client
   /// @param options bounds
   explicit SettingsStore(Kv &store, SettingsStoreOptions options = {})
-      : Store(store), Options(options) {}
+      : Store(store), Options(options), Reader(store, options) {}
 
   /// @brief Reads the whole tree, fetching only parts that changed.
   /// @return the blob (revision 0 when nothing was ever set), or
@@ -76,162 +63,47 @@
                                                       std::size_t limit);
 
 private:
-  struct Loaded {
-    SettingsManifest Manifest;
-    platform::Revision Modified = platform::NoEntry;
-    core::SettingsTree Tree;
-  };
   template <typename T> using Outcome = tl::expected<T, CommitResult>;
 
-  core::Result<Loaded> load();
-  core::Result<Loaded> loadManifest();
-  /// False when a part is gone because the manifest has moved on.
-  core::Result<bool> loadNodes(Loaded &loaded);
-  /// Visits entries, newest first, until the visitor returns false; gives
-  /// false when a page is gone.
-  template <typename Visitor>
-  core::Result<bool> walk(const SettingsManifest &manifest, Visitor visit);
-  core::Result<std::optional<AuditPage>> readPage(const std::string &key);
-  Outcome<PreparedManifest> prepare(const Loaded &loaded,
+  Outcome<PreparedManifest> prepare(const LoadedSettings &loaded,
                                     const core::ChangeRequest &request);
-  std::optional<CommitResult> collision(const Loaded &loaded,
+  std::optional<CommitResult> collision(const LoadedSettings &loaded,
                                         const core::ChangeRequest &request);
   std::optional<CommitResult> resent(const SettingsManifest &manifest,
                                      const core::ChangeRequest &request) const;
   /// Records in the store that a change is refused, so that no earlier attempt
   /// of it can take effect; nothing when the manifest moved meanwhile.
-  std::optional<CommitResult> settle(const Loaded &loaded,
+  std::optional<CommitResult> settle(const LoadedSettings &loaded,
                                      const core::ChangeRequest &request,
                                      CommitResult refusal);
-  CommitResult accept(const Loaded &before, const SettingsManifest &now);
+  CommitResult accept(const LoadedSettings &before,
+                      const SettingsManifest &now);
   core::Result<void> writeEntries(const std::vector<ImmutableEntry> &entries);
   void dropOldPage(const AuditPageLink &last);
   CommitResult unavailable(bool uncertain, const std::string &reason) const;
 
   Kv &Store;
   SettingsStoreOptions Options;
-  /// Content of the parts that the last manifest read refers to.
-  std::map<std::string, std::string> Parts;
-  /// Newest revision seen; an older manifest is a stale read.
-  std::uint64_t NewestSeen = 0;
+  SettingsReader<Kv> Reader;
 };
 
-template <platform::KvStore Kv>
-core::Result<typename SettingsStore<Kv>::Loaded>
-SettingsStore<Kv>::loadManifest() {
-  auto entry = Store.get(ManifestKey, Options.CallTimeout);
-  if (!entry)
-    return tl::unexpected(entry.error());
-  Loaded loaded;
-  if (*entry) {
-    auto manifest = parseManifest((*entry)->Value);
-    if (!manifest)
-      return tl::unexpected(manifest.error());
-    loaded.Manifest = std::move(*manifest);
-    loaded.Modified = (*entry)->ModifyRevision;
-  }
-  if (loaded.Manifest.Revision < NewestSeen)
-    return core::makeError(core::ErrorCode::StoreUnavailable,
-                           "the store shows revision " +
-                               std::to_string(loaded.Manifest.Revision) +
-                               ", older than " + std::to_string(NewestSeen));
-  NewestSeen = loaded.Manifest.Revision;
-  return loaded;
-}
-
-template <platform::KvStore Kv>
-core::Result<bool> SettingsStore<Kv>::loadNodes(Loaded &loaded) {
-  std::map<std::string, std::string> parts;
-  nlohmann::json nodes = nlohmann::json::object();
-  for (const auto &[workspace, key] : loaded.Manifest.Nodes) {
-    if (const auto it = Parts.find(key); it != Parts.end()) {
-      parts[key] = it->second;
-    } else {
-      auto entry = Store.get(key, Options.CallTimeout);
-      if (!entry)
-        return tl::unexpected(entry.error());
-      if (!*entry)
-        return false;
-      parts[key] = (*entry)->Value;
-    }
-    nodes.update(nlohmann::json::parse(parts[key], nullptr, false));
-  }
-  Parts = std::move(parts);
-  auto tree = core::SettingsTree::fromJson(nodes);
-  if (!tree)
-    return tl::unexpected(tree.error());
-  loaded.Tree = std::move(*tree);
-  return true;
-}
-
-template <platform::KvStore Kv>
-core::Result<typename SettingsStore<Kv>::Loaded> SettingsStore<Kv>::load() {
-  constexpr int MaxReads = 3;
-  for (int n = 0; n < MaxReads; ++n) {
-    auto loaded = loadManifest();
-    if (!loaded)
-      return loaded;
-    const auto complete = loadNodes(*loaded);
-    if (!complete)
-      return tl::unexpected(complete.error());
-    if (*complete)
-      return loaded;
-  }
-  return core::makeError(core::ErrorCode::StoreUnavailable,
-                         "parts of the settings are missing in the store");
-}
-
 template <platform::KvStore Kv>
 core::Result<core::VersionedBlob> SettingsStore<Kv>::read() {
-  auto loaded = load();
+  auto loaded = Reader.load();
   if (!loaded)
     return tl::unexpected(loaded.error());
   return toBlob(loaded->Tree, loaded->Manifest.Revision);
 }
 
-template <platform::KvStore Kv>
-core::Result<std::optional<AuditPage>>
-SettingsStore<Kv>::readPage(const std::string &key) {
-  auto entry = Store.get(key, Options.CallTimeout);
-  if (!entry)
-    return tl::unexpected(entry.error());
-  if (!*entry)
-    return std::optional<AuditPage>();
-  auto page = parseAuditPage((*entry)->Value);
-  if (!page)
-    return tl::unexpected(page.error());
-  return std::optional(std::move(*page));
-}
-
-template <platform::KvStore Kv>
-template <typename Visitor>
-core::Result<bool> SettingsStore<Kv>::walk(const SettingsManifest &manifest,
-                                           Visitor visit) {
-  AuditPage page{manifest.LastPage, manifest.Audit};
-  for (;;) {
-    for (auto it = page.Entries.rbegin(); it != page.Entries.rend(); ++it)
-      if (!visit(*it))
-        return true;
-    if (page.Previous.Key.empty())
-      return true;
-    auto next = readPage(page.Previous.Key);
-    if (!next)
-      return tl::unexpected(next.error());
-    if (!*next)
-      return false;
-    page = std::move(**next);
-  }
-}
-
 template <platform::KvStore Kv>
 core::Result<std::vector<core::AuditEntry>>
 SettingsStore<Kv>::history(std::uint64_t before, std::size_t limit) {
-  const auto loaded = loadManifest();
+  const auto loaded = Reader.loadManifest();
   if (!loaded)
     return tl::unexpected(loaded.error());
   std::vector<core::AuditEntry> found;
   const auto walked =
-      walk(loaded->Manifest, [&](const core::AuditEntry &entry) {
+      Reader.walk(loaded->Manifest, [&](const core::AuditEntry &entry) {
         if (entry.Revision < before && found.size() < limit)
           found.push_back(entry);
         return found.size() < limit;
@@ -243,7 +115,7 @@
 
 template <platform::KvStore Kv>
 std::optional<CommitResult>
-SettingsStore<Kv>::collision(const Loaded &loaded,
+SettingsStore<Kv>::collision(const LoadedSettings &loaded,
                              const core::ChangeRequest &request) {
   const auto newest = loaded.Manifest.Revision;
   const auto base = request.BaseRevision.value_or(newest);
@@ -251,19 +123,20 @@
     return std::nullopt;
   CommitResult lost{CommitOutcome::Conflict, newest, "", {}};
   auto oldest = newest + 1;
-  const auto walked = walk(loaded.Manifest, [&](const core::AuditEntry &entry) {
-    if (entry.Revision <= base)
-      return false;
-    oldest = entry.Revision;
-    const auto touches = [&](const core::AuditItem &item) {
-      return std::any_of(
-          request.Edits.begin(), request.Edits.end(),
-          [&](const auto &edit) { return core::collides(edit, item); });
-    };
-    if (std::any_of(entry.Items.begin(), entry.Items.end(), touches))
-      lost.Since.push_back(entry);
-    return true;
-  });
+  const auto walked =
+      Reader.walk(loaded.Manifest, [&](const core::AuditEntry &entry) {
+        if (entry.Revision <= base)
+          return false;
+        oldest = entry.Revision;
+        const auto touches = [&](const core::AuditItem &item) {
+          return std::any_of(
+              request.Edits.begin(), request.Edits.end(),
+              [&](const auto &edit) { return core::collides(edit, item); });
+        };
+        if (std::any_of(entry.Items.begin(), entry.Items.end(), touches))
+          lost.Since.push_back(entry);
+        return true;
+      });
   if (!walked)
     return CommitResult{
         CommitOutcome::NotMade, newest, walked.error().Message, {}};
@@ -279,7 +152,7 @@
 
 template <platform::KvStore Kv>
 typename SettingsStore<Kv>::template Outcome<PreparedManifest>
-SettingsStore<Kv>::prepare(const Loaded &loaded,
+SettingsStore<Kv>::prepare(const LoadedSettings &loaded,
                            const core::ChangeRequest &request) {
   const auto revision = loaded.Manifest.Revision;
   if (auto lost = collision(loaded, request))
@@ -366,19 +239,19 @@
                                             const std::string &reason) const {
   if (uncertain)
     return {CommitOutcome::Unknown,
-            NewestSeen,
+            Reader.newestSeen(),
             "the change may have been made (" + reason +
                 "); ask again with the same change id",
             {}};
   return {CommitOutcome::NotMade,
-          NewestSeen,
+          Reader.newestSeen(),
           "the change was not made: " + reason,
           {}};
 }
 
 template <platform::KvStore Kv>
 std::optional<CommitResult>
-SettingsStore<Kv>::settle(const Loaded &loaded,
+SettingsStore<Kv>::settle(const LoadedSettings &loaded,
                           const core::ChangeRequest &request,
                           CommitResult refusal) {
   auto manifest = loaded.Manifest;
@@ -394,11 +267,11 @@
 template <platform::KvStore Kv>
 CommitResult SettingsStore<Kv>::commit(const core::ChangeRequest &request) {
   std::optional<platform::Revision> lostAt;
-  NewestSeen = std::max(NewestSeen, request.KnownRevision);
+  Reader.noteRevision(request.KnownRevision);
   // An earlier attempt of a resent change may be on its way from another host.
   bool uncertain = request.Resent;
   for (int n = 0; n < Options.MaxAttempts; ++n) {
-    const auto loaded = load();
+    const auto loaded = Reader.load();
     if (!loaded)
       return unavailable(uncertain, loaded.error().Message);
     if (auto known = resent(loaded->Manifest, request))
@@ -435,12 +308,12 @@
 }
 
 template <platform::KvStore Kv>
-CommitResult SettingsStore<Kv>::accept(const Loaded &before,
+CommitResult SettingsStore<Kv>::accept(const LoadedSettings &before,
                                        const SettingsManifest &now) {
-  NewestSeen = now.Revision;
+  Reader.noteRevision(now.Revision);
   if (now.LastPage.Number != before.Manifest.LastPage.Number)
     dropOldPage(now.LastPage);
-  return {CommitOutcome::Accepted, NewestSeen, "", {}};
+  return {CommitOutcome::Accepted, Reader.newestSeen(), "", {}};
 }
 
 } // namespace savorytrestle::operators
