LatencyTracker keeps its name: per-leaf medians and hedge delays of a service

LatencyTracker is now the service's tracker and LatencyQuantile the single estimate inside it; callers compile unchanged.

--- /dev/null
+++ b/src/core/LatencyQuantile.cpp
@@ -0,0 +1,48 @@
+#include "savorytrestle/core/LatencyQuantile.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace savorytrestle::core {
+
+namespace {
+
+/// Relative step of the estimate; larger follows faster and jitters more.
+constexpr double Step = 0.02;
+/// Step of the first samples, which come from far away.
+constexpr double FirstStep = 0.2;
+
+double toLog(Duration latency) {
+  const auto nanos =
+      std::chrono::duration_cast<std::chrono::nanoseconds>(latency).count();
+  return std::log(static_cast<double>(std::max<std::int64_t>(nanos, 1)));
+}
+
+} // namespace
+
+LatencyQuantile::LatencyQuantile(double quantile) : Quantile(quantile) {}
+
+void LatencyQuantile::record(Duration latency) {
+  const double sample = toLog(latency);
+  if (Samples == 0)
+    LogEstimate = sample;
+  const double step = Samples < MinSamples ? FirstStep : Step;
+  // In balance when a fraction Quantile of the samples lies at or below.
+  LogEstimate += step * (sample > LogEstimate ? Quantile : Quantile - 1);
+  Samples = std::min(Samples + 1, MinSamples);
+}
+
+void LatencyQuantile::recordAtLeast(Duration elapsed) {
+  if (Samples > 0 && toLog(elapsed) > LogEstimate)
+    record(elapsed);
+}
+
+std::optional<Duration> LatencyQuantile::estimate() const {
+  if (Samples < MinSamples)
+    return std::nullopt;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::nano>(std::exp(LogEstimate)));
+}
+
+} // namespace savorytrestle::core
