--- a/tests/unit-claim-store.cpp
+++ b/tests/unit-claim-store.cpp
@@ -165,6 +165,7 @@
   const auto late = A.send(A.key(1), 1).get();
   EXPECT_EQ(late.error().Code, ErrorCode::DeadlineExceeded);
   EXPECT_EQ(late.error().Run, RunState::NotRun);
+  EXPECT_EQ(Store.Faults->Writes, 0);
   platform::ClaimStoreOptions none;
   none.MaxPending = 0;
   WriteHost full(Store, "host-3", Ledger, none);
