--- a/tests/ProcessHarness.h
+++ b/tests/ProcessHarness.h
@@ -19,6 +19,9 @@
 
 namespace savorytrestle::testing {
 
+/// @brief Token of the root operator on every host of a test.
+inline constexpr const char *RootToken = "test-root-token";
+
 /// @brief A child process; killed when it goes out of scope.
 class Process {
 public:
@@ -47,7 +50,8 @@
   /// @brief Kills with SIGKILL and waits.
   void kill();
 
-  bool running() const { return Pid > 0; }
+  /// @brief Whether the process has ended by itself.
+  bool ended();
 
 private:
   pid_t Pid = 0;
--- a/tests/process-harness.cpp
+++ b/tests/process-harness.cpp
@@ -11,6 +11,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "operators/OperatorAuth.h"
+
 namespace savorytrestle::testing {
 
 using nlohmann::json;
@@ -94,6 +96,14 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+bool Process::ended() {
+  siginfo_t info{};
+  return Pid > 0 &&
+         waitid(P_PID, static_cast<id_t>(Pid), &info,
+                WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         info.si_pid == Pid;
+}
+
 void Process::kill() {
   if (Pid <= 0)
     return;
@@ -202,6 +212,8 @@
       << ", region: here}\nlisten:\n  callers: " << host->Callers
       << "\n  operators: " << host->Operators << "\n  peers: " << host->Peers
       << "\nplatform: {store: \"" << Store << "\"}\n"
+      << "operators: {root_token_hash: " << operators::hashToken(RootToken)
+      << "}\n"
       << extra;
   restart(*host);
   Hosts.push_back(std::move(host));
