--- a/include/savorytrestle/core/RouteSettings.h
+++ b/include/savorytrestle/core/RouteSettings.h
@@ -57,8 +57,6 @@
   std::string Name;
   RouteKind Kind = RouteKind::Search;
   AnswerPolicy Policy = AnswerPolicy::CoverageFirst;
-  /// Deadline used when the caller names none.
-  std::chrono::milliseconds DefaultDeadline{1000};
   /// Longest deadline a caller may ask for.
   std::chrono::milliseconds MaxDeadline{10000};
   /// When a tail-first route answers with what it has.
@@ -71,8 +69,6 @@
   double Weight = 1.0;
   /// Sends a search to one leaf first and fans out once that has answered.
   bool Canary = true;
-  /// How long the outcome of a keyed write is kept for resends.
-  std::chrono::milliseconds WriteKeyRetention{std::chrono::hours(24)};
 };
 
 /// @brief All routes in force, by workspace and route name.
--- a/src/core/SettingsResolve.cpp
+++ b/src/core/SettingsResolve.cpp
@@ -60,7 +60,6 @@
   if (!hasLeaves(tree, path.parent()))
     problems.push_back({path.parent().text(), "leaves",
                         "a service with routes needs at least one leaf"});
-  checkOrder(view, path, "default_deadline", problems);
   checkOrder(view, path, "latency_target", problems);
 }
 
@@ -85,14 +84,12 @@
     route.Kind = RouteKind::Write;
   if (view.read<std::string>("policy") == "tail_first")
     route.Policy = AnswerPolicy::TailFirst;
-  view.into<milliseconds>("default_deadline", route.DefaultDeadline);
   view.into<milliseconds>("max_deadline", route.MaxDeadline);
   view.into<milliseconds>("latency_target", route.LatencyTarget);
   view.into<double>("coverage_floor", route.CoverageFloor);
   view.into<std::int64_t>("max_body", route.MaxBodyBytes);
   view.into<double>("weight", route.Weight);
   view.into<bool>("canary", route.Canary);
-  view.into<milliseconds>("write_key_retention", route.WriteKeyRetention);
   return route;
 }
 
--- a/tests/unit-settings-store.cpp
+++ b/tests/unit-settings-store.cpp
@@ -80,7 +80,7 @@
 }
 
 TEST_F(SettingsStoreTest, ARebasedChangeIsCheckedAgainstTheWholeTree) {
-  auto mine = change("1", setEdit("/a/s/r", "default_deadline", "4 s"));
+  auto mine = change("1", setEdit("/a/s/r", "latency_target", "4 s"));
   mine.Edits.insert(
       mine.Edits.begin(),
       {setEdit("/a/s", "leaves",
@@ -92,7 +92,7 @@
   };
   const auto result = First.commit(mine);
   EXPECT_EQ(result.Outcome, CommitOutcome::Invalid);
-  EXPECT_THAT(result.Message, HasSubstr("/a/s/r default_deadline: 4 s"));
+  EXPECT_THAT(result.Message, HasSubstr("/a/s/r latency_target: 4 s"));
 }
 
 TEST_F(SettingsStoreTest, ARemovedWorkspaceCollidesWithChangesInIt) {
--- a/tests/unit-settings-tree.cpp
+++ b/tests/unit-settings-tree.cpp
@@ -15,7 +15,7 @@
 const std::string Yaml = R"(max_deadline: 5 s
 workspaces:
   aufsicht:
-    default_deadline: 300 ms
+    coverage_floor: 0.8
     weight: 2
     services:
       portal:
@@ -55,9 +55,9 @@
   const auto &route = table.Routes.at({"aufsicht", "suche"});
   EXPECT_EQ(table.Revision, 3U);
   EXPECT_EQ(route.MaxDeadline, 5s);
-  EXPECT_EQ(route.DefaultDeadline, 300ms);
   EXPECT_EQ(route.LatencyTarget, 90ms);
-  EXPECT_EQ(route.CoverageFloor, 0.9);
+  EXPECT_EQ(route.CoverageFloor, 0.8);
+  EXPECT_EQ(route.MaxBodyBytes, 65536U);
   EXPECT_EQ(route.Service->LeafSlots, 4U);
   EXPECT_EQ(table.WorkspaceWeights.at("aufsicht"), 2.0);
   EXPECT_EQ(table.Routes.at({"aufsicht", "melden"}).Kind, RouteKind::Write);
@@ -78,8 +78,8 @@
     return tree().effective(at, *findSetting(key))->Source;
   };
   EXPECT_EQ(sourceOf("max_deadline"), path("/"));
-  EXPECT_EQ(sourceOf("default_deadline"), path("/aufsicht"));
-  EXPECT_EQ(sourceOf("coverage_floor"), std::nullopt);
+  EXPECT_EQ(sourceOf("coverage_floor"), path("/aufsicht"));
+  EXPECT_EQ(sourceOf("extra_load_fraction"), std::nullopt);
   EXPECT_GT(tree().explain(at).size(), 10U);
 }
 
@@ -97,7 +97,7 @@
 }
 
 TEST(SettingsYaml, ChecksKeysAgainstEachOther) {
-  EXPECT_THAT(failure(Yaml + "default_deadline: 1 s\nlatency_target: 6 s\n"),
+  EXPECT_THAT(failure(Yaml + "latency_target: 6 s\n"),
               HasSubstr("/aufsicht/portal/melden latency_target: 6 s is over"));
   EXPECT_THAT(failure("workspaces: {a: {services: {b: {routes: "
                       "{c: {kind: search}}}}}}"),
