--- a/include/savorytrestle/core/LatencyTracker.h
+++ b/include/savorytrestle/core/LatencyTracker.h
@@ -2,54 +2,45 @@
 #define SAVORYTRESTLE_CORE_LATENCY_TRACKER_H
 
 /// @file
-/// @brief Latency of a service's leaves, and when an attempt is due for a
-/// hedge.
+/// @brief Running estimate of one latency quantile.
 
+#include <cstdint>
 #include <optional>
-#include <vector>
 
-#include "savorytrestle/core/LatencyQuantile.h"
-#include "savorytrestle/core/SearchTypes.h"
+#include "savorytrestle/core/Time.h"
 
 namespace savorytrestle::core {
 
-/// @brief Each leaf's median latency plus a service-wide quantile of what
-/// attempts take beyond their leaf's median.
-///
-/// A near leaf is hedged earlier than a far one. No leaf gets more time than a
-/// high quantile over all leaves, so that a slow one isn't indulged.
+/// @brief Estimates one quantile of a service's attempt latencies by stochastic
+/// approximation: a few words of state that follow shifts by themselves.
 class LatencyTracker {
 public:
-  /// Leaves most of a 5% budget to hedges and some of it to retries.
-  static constexpr double DefaultQuantile = 0.96;
+  /// Samples before the estimate is offered.
+  static constexpr std::uint32_t MinSamples = 50;
 
-  /// @brief Makes the trackers.
-  /// @param quantile fraction of attempts that end before their delay
-  explicit LatencyTracker(double quantile = DefaultQuantile)
-      : Excess(quantile), Overall(quantile + (1 - quantile) / 2) {}
+  /// @brief Makes a tracker.
+  /// @param quantile the quantile to follow, between 0 and 1
+  explicit LatencyTracker(double quantile);
 
-  /// @brief Takes the latency of an answered attempt. O(1) amortised.
-  /// @param leaf the leaf
+  /// @brief Takes the latency of an answered attempt. O(1).
   /// @param latency from dispatch to reply
-  void record(LeafIndex leaf, Duration latency);
+  void record(Duration latency);
 
   /// @brief Takes an attempt that was cancelled before its reply. O(1).
-  /// @param leaf the leaf
+  ///
+  /// It counts only when it had already outlasted the estimate; below that,
+  /// nothing is known about it.
   /// @param elapsed from dispatch to cancellation
-  void recordAtLeast(LeafIndex leaf, Duration elapsed);
+  void recordAtLeast(Duration elapsed);
 
-  /// @brief When to hedge an attempt on a leaf.
-  /// @param leaf the leaf
-  /// @return the delay, that of all leaves while too little is known of this
-  /// one, or nothing; O(1)
-  std::optional<Duration> hedgeDelay(LeafIndex leaf) const;
+  /// @brief The estimate.
+  /// @return nothing before @ref MinSamples
+  std::optional<Duration> estimate() const;
 
 private:
-  std::optional<Duration> median(LeafIndex leaf) const;
-
-  std::vector<LatencyQuantile> Medians;
-  LatencyQuantile Excess;
-  LatencyQuantile Overall;
+  double Quantile;
+  double LogEstimate = 0;
+  std::uint32_t Samples = 0;
 };
 
 } // namespace savorytrestle::core
--- a/include/savorytrestle/core/ServiceState.h
+++ b/include/savorytrestle/core/ServiceState.h
@@ -5,7 +5,7 @@
 /// @brief What the searches of one service share.
 
 #include "savorytrestle/core/ExtraLoadBudget.h"
-#include "savorytrestle/core/LatencyTracker.h"
+#include "savorytrestle/core/HedgeDelays.h"
 #include "savorytrestle/core/LeafSelector.h"
 #include "savorytrestle/core/SnapshotCatalog.h"
 
@@ -18,7 +18,7 @@
   Selector Leaves;
   SnapshotCatalog &Catalog;
   ExtraLoadBudget &Budget;
-  LatencyTracker &Latency;
+  HedgeDelays &Hedges;
 };
 
 } // namespace savorytrestle::core
--- a/include/savorytrestle/core/TailAwareSearch.h
+++ b/include/savorytrestle/core/TailAwareSearch.h
@@ -18,8 +18,10 @@
 
 namespace savorytrestle::core {
 
-/// @brief Searches one snapshot; every leaf it acquires is released by the time
-/// FinishSearch is returned or @ref abandon is called.
+/// @brief Searches one snapshot; see the file's brief.
+///
+/// Every leaf it acquires is released by the time FinishSearch is returned or
+/// @ref abandon is called.
 template <LeafSelector Selector> class TailAwareSearch {
 public:
   /// @brief Prepares a search.
@@ -71,7 +73,7 @@
       return settle(now);
     }
     end(reply.Id, {std::nullopt, false, now - attempt.SentAt, reply.Load}, now);
-    Service.Latency.record(attempt.Leaf, now - attempt.SentAt);
+    Service.Hedges.record(attempt.Leaf, now - attempt.SentAt);
     if (Progress[attempt.Shard].Outstanding > 0)
       cancelActive(attempt.Shard, now);
     Progress.answer(attempt.Shard, std::move(reply.Rows));
@@ -141,7 +143,7 @@
     return settle(now);
   }
 
-  /// @brief Counts attempts whose connection broke once they were sent.
+  /// @brief Counts attempts whose connection broke after the request was sent.
   std::uint32_t brokenAttempts() const { return Broken; }
 
 private:
@@ -161,8 +163,8 @@
 
   TimePoint leafDeadline(TimePoint now) const {
     // With little time left, half of it is kept for the way back.
-    const Duration half = (Parameters.Deadline - now) / 2;
-    return Parameters.Deadline - std::min(Parameters.ReturnAllowance, half);
+    const Duration left = Parameters.Deadline - now;
+    return Parameters.Deadline - std::min(Parameters.ReturnAllowance, left / 2);
   }
 
   void pin(const Snapshot &snapshot, TimePoint now) {
@@ -196,10 +198,9 @@
       Service.Budget.onFirstAttempt();
     progress.Unreached = false;
     Progress.markSent(shard, *leaf);
-    const AttemptId id =
-        Attempts.open(*leaf, shard, now,
-                      Service.Latency.hedgeDelay(*leaf).value_or(
-                          Parameters.DefaultHedgeDelay));
+    const AttemptId id = Attempts.open(
+        *leaf, shard, now,
+        Service.Hedges.delay(*leaf).value_or(Parameters.DefaultHedgeDelay));
     const bool extra = again || Restarted;
     ExtraAttempts += extra ? 1 : 0;
     Actions.emplace_back(SendAttempt{id, *leaf, shard, Progress.version(),
@@ -211,10 +212,8 @@
     if (send(shard, now, rng))
       return;
     const bool hopeless = Progress[shard].Untried.empty() && !NeedsNewer;
-    if (hopeless || now >= WaitUntil) {
-      Progress.lose(shard);
-      return;
-    }
+    if (hopeless || now >= WaitUntil)
+      return Progress.lose(shard);
     Progress.setWaiting(shard);
     if (!NextAdmission)
       NextAdmission = now + Parameters.AdmissionRetry;
@@ -304,10 +303,8 @@
     if (Progress[shard].Outstanding == 0)
       Progress.setIdle(shard);
     // An unreadable reply still shows that the leaf survived the request.
-    if (failure == AttemptFailure::Malformed) {
-      leaveCanary(now, rng);
-      return;
-    }
+    if (failure == AttemptFailure::Malformed)
+      return leaveCanary(now, rng);
     if (isNotRun(failure))
       --CanaryAttempts;
     sendCanary(now, rng);
@@ -352,7 +349,7 @@
     if (now >= Parameters.Deadline)
       result = {AttemptFailure::Expired, false, elapsed, std::nullopt};
     end(id, result, now);
-    Service.Latency.recordAtLeast(Attempts[id].Leaf, elapsed);
+    Service.Hedges.recordAtLeast(Attempts[id].Leaf, elapsed);
     Actions.emplace_back(CancelAttempt{id});
   }
 
--- a/src/bench/Drivers.h
+++ b/src/bench/Drivers.h
@@ -68,7 +68,7 @@
   }
   Policy make(core::TimePoint deadline) {
     Parameters.Deadline = deadline;
-    return {{Pool.pin(), Catalog, Budget, Latency}, Parameters};
+    return {{Pool.pin(), Catalog, Budget, Hedges}, Parameters};
   }
 
 private:
@@ -86,7 +86,7 @@
   core::LeafPool Pool;
   core::SnapshotCatalog Catalog;
   core::ExtraLoadBudget Budget;
-  core::LatencyTracker Latency;
+  core::HedgeDelays Hedges;
   core::SearchParameters Parameters;
 };
 
--- a/src/core/LatencyTracker.cpp
+++ b/src/core/LatencyTracker.cpp
@@ -2,44 +2,47 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace savorytrestle::core {
 
 namespace {
 
-/// Least excess told to its tracker, which works on logarithms.
-constexpr Duration MinExcess = std::chrono::microseconds(100);
+/// Relative step of the estimate; larger follows faster and jitters more.
+constexpr double Step = 0.02;
+/// Step of the first samples, which come from far away.
+constexpr double FirstStep = 0.2;
+
+double toLog(Duration latency) {
+  const auto nanos =
+      std::chrono::duration_cast<std::chrono::nanoseconds>(latency).count();
+  return std::log(static_cast<double>(std::max<std::int64_t>(nanos, 1)));
+}
 
 } // namespace
 
-void LatencyTracker::record(LeafIndex leaf, Duration latency) {
-  if (leaf >= Medians.size())
-    Medians.resize(leaf + 1, LatencyQuantile(0.5));
-  Overall.record(latency);
-  if (const auto usual = median(leaf))
-    Excess.record(std::max(latency - *usual, MinExcess));
-  Medians[leaf].record(latency);
-}
+LatencyTracker::LatencyTracker(double quantile) : Quantile(quantile) {}
 
-void LatencyTracker::recordAtLeast(LeafIndex leaf, Duration elapsed) {
-  Overall.recordAtLeast(elapsed);
-  // The leaf's median isn't told: one that has become slow must not be given
-  // more and more time.
-  if (const auto usual = median(leaf))
-    Excess.recordAtLeast(std::max(elapsed - *usual, MinExcess));
+void LatencyTracker::record(Duration latency) {
+  const double sample = toLog(latency);
+  if (Samples == 0)
+    LogEstimate = sample;
+  const double step = Samples < MinSamples ? FirstStep : Step;
+  // In balance when a fraction Quantile of the samples lies at or below.
+  LogEstimate += step * (sample > LogEstimate ? Quantile : Quantile - 1);
+  Samples = std::min(Samples + 1, MinSamples);
 }
 
-std::optional<Duration> LatencyTracker::hedgeDelay(LeafIndex leaf) const {
-  const auto overall = Overall.estimate();
-  const auto usual = median(leaf);
-  const auto excess = Excess.estimate();
-  if (!overall || !usual || !excess)
-    return overall;
-  return std::min(*usual + *excess, *overall);
+void LatencyTracker::recordAtLeast(Duration elapsed) {
+  if (Samples > 0 && toLog(elapsed) > LogEstimate)
+    record(elapsed);
 }
 
-std::optional<Duration> LatencyTracker::median(LeafIndex leaf) const {
-  return leaf < Medians.size() ? Medians[leaf].estimate() : std::nullopt;
+std::optional<Duration> LatencyTracker::estimate() const {
+  if (Samples < MinSamples)
+    return std::nullopt;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::nano>(std::exp(LogEstimate)));
 }
 
 } // namespace savorytrestle::core
--- /dev/null
+++ b/tests/unit-hedge-delays.cpp
@@ -0,0 +1,57 @@
+#include "savorytrestle/core/HedgeDelays.h"
+
+#include <gtest/gtest.h>
+
+using namespace savorytrestle::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr LeafIndex Near = 0;
+constexpr LeafIndex Far = 1;
+
+/// A near leaf that takes 5 ms and a far one that takes 12 ms.
+HedgeDelays learned() {
+  HedgeDelays hedges;
+  for (int n = 0; n < 2000; ++n) {
+    hedges.record(Near, n % 10 == 0 ? 8ms : 5ms);
+    hedges.record(Far, n % 10 == 0 ? 15ms : 12ms);
+  }
+  return hedges;
+}
+
+TEST(HedgeDelays, KnowsNothingAtFirst) {
+  EXPECT_FALSE(HedgeDelays().delay(Near).has_value());
+}
+
+TEST(HedgeDelays, ANearLeafIsHedgedEarlierThanAFarOne) {
+  const auto hedges = learned();
+  const auto gap = hedges.delay(Far).value() - hedges.delay(Near).value();
+  EXPECT_GT(gap, 4ms);
+  EXPECT_LT(gap, 8ms);
+  EXPECT_GT(hedges.delay(Near).value(), 6ms);
+}
+
+TEST(HedgeDelays, AnUnknownLeafGetsTheDelayOfAll) {
+  const auto hedges = learned();
+  EXPECT_GE(hedges.delay(7).value(), hedges.delay(Far).value());
+}
+
+TEST(HedgeDelays, ASlowLeafIsNotIndulged) {
+  auto hedges = learned();
+  const auto before = hedges.delay(7).value();
+  for (int n = 0; n < 60; ++n)
+    hedges.record(2, 100ms);
+  EXPECT_LT(hedges.delay(2).value(), 2 * before + 20ms);
+  EXPECT_LT(hedges.delay(2).value(), 100ms);
+}
+
+TEST(HedgeDelays, CancelledAttemptsRaiseTheDelay) {
+  auto hedges = learned();
+  const auto before = hedges.delay(Near).value();
+  for (int n = 0; n < 20; ++n)
+    hedges.recordAtLeast(Near, 50ms);
+  EXPECT_GT(hedges.delay(Near).value(), before);
+}
+
+} // namespace
--- a/tests/unit-latency-tracker.cpp
+++ b/tests/unit-latency-tracker.cpp
@@ -1,5 +1,7 @@
 #include "savorytrestle/core/LatencyTracker.h"
 
+#include <random>
+
 #include <gtest/gtest.h>
 
 using namespace savorytrestle::core;
@@ -7,52 +9,47 @@
 
 namespace {
 
-constexpr LeafIndex Near = 0;
-constexpr LeafIndex Far = 1;
-
-/// A near leaf that takes 5 ms and a far one that takes 12 ms.
-LatencyTracker learned() {
-  LatencyTracker tracker;
-  for (int n = 0; n < 2000; ++n) {
-    tracker.record(Near, n % 10 == 0 ? 8ms : 5ms);
-    tracker.record(Far, n % 10 == 0 ? 15ms : 12ms);
-  }
-  return tracker;
-}
-
-TEST(LatencyTracker, KnowsNothingAtFirst) {
-  EXPECT_FALSE(LatencyTracker().hedgeDelay(Near).has_value());
+Duration uniform(std::mt19937_64 &rng, double scale) {
+  // 53 bits of the generator, so that each platform draws the same.
+  const double unit = static_cast<double>(rng() >> 11) * 0x1p-53;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(scale * (1 + 9 * unit)));
 }
 
-TEST(LatencyTracker, ANearLeafIsHedgedEarlierThanAFarOne) {
-  const auto tracker = learned();
-  const auto gap =
-      tracker.hedgeDelay(Far).value() - tracker.hedgeDelay(Near).value();
-  EXPECT_GT(gap, 4ms);
-  EXPECT_LT(gap, 8ms);
-  EXPECT_GT(tracker.hedgeDelay(Near).value(), 6ms);
+double estimateMillis(const LatencyTracker &tracker) {
+  return std::chrono::duration<double, std::milli>(tracker.estimate().value())
+      .count();
 }
 
-TEST(LatencyTracker, AnUnknownLeafGetsTheDelayOfAll) {
-  const auto tracker = learned();
-  EXPECT_GE(tracker.hedgeDelay(7).value(), tracker.hedgeDelay(Far).value());
+TEST(LatencyTracker, OffersNothingBeforeEnoughSamples) {
+  LatencyTracker tracker(0.95);
+  for (std::uint32_t n = 1; n < LatencyTracker::MinSamples; ++n)
+    tracker.record(1ms);
+  EXPECT_FALSE(tracker.estimate().has_value());
+  tracker.record(1ms);
+  EXPECT_TRUE(tracker.estimate().has_value());
 }
 
-TEST(LatencyTracker, ASlowLeafIsNotIndulged) {
-  auto tracker = learned();
-  const auto before = tracker.hedgeDelay(7).value();
-  for (int n = 0; n < 60; ++n)
-    tracker.record(2, 100ms);
-  EXPECT_LT(tracker.hedgeDelay(2).value(), 2 * before + 20ms);
-  EXPECT_LT(tracker.hedgeDelay(2).value(), 100ms);
+TEST(LatencyTracker, FollowsTheQuantileThroughAShift) {
+  std::mt19937_64 rng(1);
+  LatencyTracker tracker(0.95);
+  for (int n = 0; n < 5000; ++n)
+    tracker.record(uniform(rng, 1));
+  EXPECT_NEAR(estimateMillis(tracker), 9.55, 1.0);
+  for (int n = 0; n < 5000; ++n)
+    tracker.record(uniform(rng, 5));
+  EXPECT_NEAR(estimateMillis(tracker), 47.75, 5.0);
 }
 
-TEST(LatencyTracker, CancelledAttemptsRaiseTheDelay) {
-  auto tracker = learned();
-  const auto before = tracker.hedgeDelay(Near).value();
-  for (int n = 0; n < 20; ++n)
-    tracker.recordAtLeast(Near, 50ms);
-  EXPECT_GT(tracker.hedgeDelay(Near).value(), before);
+TEST(LatencyTracker, AnEarlyCancelSaysNothing) {
+  LatencyTracker tracker(0.5);
+  for (int n = 0; n < 100; ++n)
+    tracker.record(10ms);
+  const auto before = tracker.estimate();
+  tracker.recordAtLeast(1ms);
+  EXPECT_EQ(tracker.estimate(), before);
+  tracker.recordAtLeast(100ms);
+  EXPECT_GT(tracker.estimate(), before);
 }
 
 } // namespace
--- a/tests/unit-tail-aware-search.cpp
+++ b/tests/unit-tail-aware-search.cpp
@@ -26,7 +26,7 @@
   }
   Policy &search() {
     Made.emplace(
-        ServiceState<standins::FakeSelector>{Leaves, Catalog, Budget, Latency},
+        ServiceState<standins::FakeSelector>{Leaves, Catalog, Budget, Hedges},
         Parameters);
     return *Made;
   }
@@ -77,7 +77,7 @@
   standins::FakeSelector Leaves;
   SnapshotCatalog Catalog;
   ExtraLoadBudget Budget{0.05};
-  LatencyTracker Latency;
+  HedgeDelays Hedges;
   SearchParameters Parameters{.Deadline = Start + 1s};
   Rng Random{1};
   std::optional<Policy> Made;
@@ -154,7 +154,7 @@
 TEST_F(TailAwareSearchTest, HedgesASlowAttemptAndCancelsTheLoser) {
   publish(Version, 2);
   for (int n = 0; n < 100; ++n)
-    Latency.record(0, 10ms);
+    Hedges.record(0, 10ms);
   const auto attempts = startAndSend();
   reply(attempts[0]);
   const auto due = Made->nextTimer().value();
