A slot that is not held does not count as the share before

Cause: the host hands the pool an ended share of slot 0 until it holds a slot; the pool took that for the share before and held one that grows back for 15 s.

An ended share now only ends the admission. The new test was seen to fail without the check. Ruled out: no hold after an ended share at all (a host that lost its slot for a moment may still differ from hosts on older settings).

Conclusion: the first slot counts at once; the hold is for changes only.

--- a/include/savorytrestle/core/LeafPool.h
+++ b/include/savorytrestle/core/LeafPool.h
@@ -99,7 +99,8 @@
   void setLeaves(const ServiceSettings &service, TimePoint now);
 
   /// @brief Sets the host slot; until then nothing is admitted.
-  /// @param share the slot and for how long it is held
+  /// @param share the slot and for how long it is held; one whose time is over
+  /// ends the admission and changes nothing else
   /// @param now current time
   void setShare(const HostShare &share, TimePoint now);
 
--- a/src/core/LeafPool.cpp
+++ b/src/core/LeafPool.cpp
@@ -223,6 +223,13 @@
 }
 
 void LeafPool::setShare(const HostShare &share, TimePoint now) {
+  if (now >= share.ValidUntil) {
+    // A slot that is no longer held says nothing about the one to come; the
+    // shares stay, so that the next slot's are compared with real ones.
+    if (Common->Share)
+      Common->Share->ValidUntil = share.ValidUntil;
+    return;
+  }
   const bool sameSlot = Common->Share && Common->Share->Slot == share.Slot &&
                         Common->Share->Slots == share.Slots;
   Common->Share = share;
--- a/tests/unit-leaf-pool.cpp
+++ b/tests/unit-leaf-pool.cpp
@@ -91,6 +91,23 @@
   EXPECT_TRUE(fresh.acquire(only, Now + 29s, Random));
 }
 
+TEST_F(LeafPoolTest, ASlotThatIsNotHeldYetDoesNotHoldTheFirstShareBack) {
+  // With 9 slots one that ranks late gets 4 of 40, the others 5.
+  std::optional<std::uint32_t> late;
+  for (std::uint32_t slot = 0; slot < 9; ++slot)
+    if (connectionShare("leaf-0", 40, slot, 9) == 4)
+      late = slot;
+  ASSERT_TRUE(late);
+  LeafPool fresh{{}};
+  fresh.setLeaves(service(1), Now);
+  fresh.setShare({*late, 9, TimePoint{}}, Now);
+  EXPECT_EQ(fresh.info(Now)[0].Share, 0U);
+  fresh.setShare({(*late + 1) % 9, 9, Now + 30s}, Now);
+  EXPECT_EQ(fresh.info(Now)[0].Share, 5U);
+  fresh.setShare({0, 9, TimePoint{}}, Now + 1s);
+  EXPECT_EQ(fresh.info(Now + 1s)[0].Share, 0U);
+}
+
 TEST_F(LeafPoolTest, AGrowingShareIsHeldBackAndAShrinkingOneIsNot) {
   auto changed = service(3);
   changed.LeafConnections = 80;
