Peers send the parts that changed in place of the whole value

A sender remembers at which revision each part (member of a top-level member) changed last and sends those since the receiver's revision; the receiver checks the checksum of the whole result, else it gets the whole. The list of slots travels in the same way. Besides: a list of slots with equal contents now takes the higher revision, as peers would pull it again on each ask; the age of that list is passed on, so that wrong views (dead watchers in every view) mend within seconds without each look at the store reading all slots. PeerNode.cpp is split by duty. Ruled out: RFC 6902 patches (the sender would have to keep whole old trees) and merge patches (they can't replace an object). Seen to fail against the fault: checksum of the result unchecked, parts of the first revision after the base left out.

--- /dev/null
+++ b/src/hosts/PeerDuties.cpp
@@ -0,0 +1,242 @@
+// The duties of a peer node, a thread for each.
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "hosts/PeerNodeImpl.h"
+
+namespace savorytrestle::hosts {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Least time between two watch calls: the store may answer a watch early
+/// without news.
+constexpr milliseconds WatchSpacing{200};
+
+/// Time between asks while no settings are in force.
+constexpr milliseconds StartupInterval{200};
+
+/// A list of slots older than this is read by the next host that looks at the
+/// store; longer than news takes to pass through the fleet.
+constexpr milliseconds MaxSlotsAge{10000};
+
+/// How long the push thread waits for work before it looks whether to stop.
+constexpr milliseconds PushPoll{100};
+
+std::string payloadOf(const std::vector<platform::KvEntry> &entries) {
+  nlohmann::json payload = nlohmann::json::object();
+  for (const auto &entry : entries)
+    payload[entry.Key] = entry.Value;
+  return payload.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+bool PeerNode::Impl::watches() const {
+  return core::isWatcher(Options.Self.Id, live(),
+                         Options.Timing.WatchersPerRegion);
+}
+
+// The age counts from before the call: a watch may have been answered at any
+// time since.
+void PeerNode::Impl::takeMark(const StoreFeed &feed, const SettingsMark &mark,
+                              TimePoint at) {
+  if (mark.Revision > Use.CurrentBlob().Revision) {
+    auto blob = feed.ReadSettings();
+    View.onStoreCalled(blob.has_value(), clockNow());
+    if (blob)
+      accept({Topic::Settings, std::move(*blob), std::nullopt});
+  }
+  if (Use.CurrentBlob().Revision >= mark.Revision)
+    View.onStoreSeen(at);
+}
+
+void PeerNode::Impl::takeSlots(const platform::WatchResult &seen,
+                               TimePoint at) {
+  auto blob = core::makeBlob(seen.Index, payloadOf(seen.Entries));
+  if (blob.Payload != View.hosts().Payload)
+    accept({Topic::Hosts, std::move(blob), std::nullopt});
+  View.onSlotsSeen(at);
+}
+
+void PeerNode::Impl::watchSettings() {
+  const StoreFeed feed = Use.MakeFeed();
+  platform::Revision index = 0;
+  do {
+    if (!watches()) {
+      index = 0;
+      continue;
+    }
+    const auto at = clockNow();
+    const auto mark = feed.WatchSettings(index, Options.Timing.WatchWait);
+    View.onStoreCalled(mark.has_value(), clockNow());
+    index = mark ? mark->Index : 0;
+    if (mark)
+      takeMark(feed, *mark, at);
+  } while (pause(WatchSpacing));
+}
+
+void PeerNode::Impl::watchSlots() {
+  const StoreFeed feed = Use.MakeFeed();
+  platform::Revision index = 0;
+  do {
+    if (!watches()) {
+      index = 0;
+      continue;
+    }
+    const auto at = clockNow();
+    const auto seen = feed.WatchSlots(index, Options.Timing.WatchWait);
+    View.onStoreCalled(seen.has_value(), clockNow());
+    index = seen ? seen->Index : 0;
+    if (seen)
+      takeSlots(*seen, at);
+  } while (pause(WatchSpacing));
+}
+
+void PeerNode::Impl::push() {
+  PeerCaller caller(Options.CallTimeout);
+  while (pause(milliseconds(0))) {
+    PushJob job{};
+    if (!Jobs.wait_dequeue_timed(job, PushPoll))
+      continue;
+    if (job == PushJob::Records)
+      pushRecords(caller);
+    else
+      pushBlob(caller,
+               job == PushJob::Settings ? Topic::Settings : Topic::Hosts);
+  }
+}
+
+void PeerNode::Impl::pushBlob(PeerCaller &caller, Topic kind) {
+  const auto revision = blobOf(kind).Revision;
+  auto &pushed = kind == Topic::Settings ? PushedSettings : PushedHosts;
+  if (revision <= pushed)
+    return;
+  pushed = revision;
+  for (const auto &target : core::pushTargets(Options.Self.Id, live(), revision,
+                                              Options.Timing.Fanout))
+    sendMark(caller, target, kind, revision);
+}
+
+// The mark goes first: most targets have the revision from another host by
+// then, and the parts are sent only to those that lack it.
+void PeerNode::Impl::sendMark(PeerCaller &caller, const core::HostInfo &target,
+                              Topic kind, std::uint64_t revision) {
+  const auto reply = call(caller, target, "offer", writeMark(kind, revision));
+  if (const auto theirs = reply ? readBlob(*reply) : std::nullopt)
+    sendFrom(caller, target, kind, theirs->Blob.Revision);
+}
+
+// A delta that the target could not apply is followed by the whole.
+void PeerNode::Impl::sendFrom(PeerCaller &caller, const core::HostInfo &target,
+                              Topic kind, std::uint64_t theirs) {
+  const auto mine = blobOf(kind).Revision;
+  if (theirs >= mine)
+    return;
+  const auto reply = call(caller, target, "push", messageFor(kind, theirs));
+  const auto after = reply ? readBlob(*reply) : std::nullopt;
+  if (after && after->Blob.Revision < mine)
+    call(caller, target, "push", messageFor(kind, 0));
+}
+
+void PeerNode::Impl::pushRecords(PeerCaller &caller) {
+  const auto records = Use.LocalRecords();
+  const auto digest = digestOf(records);
+  if (digest == std::exchange(PushedRecords, digest))
+    return;
+  for (const auto &target : core::pushTargets(Options.Self.Id, live(), digest,
+                                              Options.Timing.Fanout))
+    call(caller, target, "records", writeRecords(records));
+}
+
+void PeerNode::Impl::ask() {
+  const StoreFeed feed = Use.MakeFeed();
+  PeerCaller caller(Options.CallTimeout);
+  core::StoreCheckTimer timer(Options.Timing);
+  core::Rng rng(Options.Seed);
+  milliseconds interval{0};
+  do {
+    askOne(caller, rng);
+    checkStore(feed, timer, rng);
+    const bool started = Use.CurrentBlob().Revision > 0;
+    const auto base = started ? Options.Timing.AskInterval : StartupInterval;
+    const auto span = static_cast<std::uint64_t>(base.count() / 2 + 1);
+    interval = base * 3 / 4 + milliseconds(rng() % span);
+  } while (pause(interval));
+}
+
+std::optional<core::HostInfo> PeerNode::Impl::partner(core::Rng &rng) const {
+  const auto &self = Options.Self;
+  if (auto found = core::askTarget(self.Id, self.Region, live(), rng))
+    return found;
+  auto seeds = Use.Seeds();
+  std::erase_if(seeds, [&](const core::HostInfo &host) {
+    return host.PeerAddress == self.PeerAddress;
+  });
+  if (seeds.empty())
+    return std::nullopt;
+  return seeds[rng() % seeds.size()];
+}
+
+void PeerNode::Impl::askOne(PeerCaller &caller, core::Rng &rng) {
+  const auto peer = partner(rng);
+  if (!peer)
+    return;
+  const auto at = clockNow();
+  const auto reply = call(caller, *peer, "ask", writeState(state()));
+  const auto theirs = reply ? readState(*reply) : std::nullopt;
+  if (!theirs)
+    return;
+  if (theirs->StoreDown)
+    View.onPeerStoreDown(clockNow());
+  compare(caller, *peer, Topic::Settings, theirs->SettingsRevision);
+  compare(caller, *peer, Topic::Hosts, theirs->HostsRevision);
+  if (theirs->RecordsDigest != digestOf(Use.LocalRecords()))
+    if (const auto records =
+            call(caller, *peer, "records", writeRecords(Use.LocalRecords())))
+      merge(readRecords(*records).value_or(""));
+  if (Use.CurrentBlob().Revision >= theirs->SettingsRevision)
+    View.onStoreSeen(at - theirs->Age);
+  if (View.hosts().Revision >= theirs->HostsRevision)
+    View.onSlotsSeen(at - theirs->HostsAge);
+}
+
+void PeerNode::Impl::compare(PeerCaller &caller, const core::HostInfo &peer,
+                             Topic kind, std::uint64_t theirs) {
+  const auto mine = blobOf(kind).Revision;
+  if (mine > theirs)
+    sendFrom(caller, peer, kind, theirs);
+  // A delta that does not apply is asked for again as the whole.
+  for (const auto have : {mine, std::uint64_t(0)}) {
+    if (blobOf(kind).Revision >= theirs)
+      return;
+    const auto reply = call(caller, peer, "pull", writeMark(kind, have));
+    if (const auto blob = reply ? readBlob(*reply) : std::nullopt)
+      accept(*blob);
+  }
+}
+
+void PeerNode::Impl::checkStore(const StoreFeed &feed,
+                                core::StoreCheckTimer &timer, core::Rng &rng) {
+  const auto at = clockNow();
+  const bool started = Use.CurrentBlob().Revision > 0;
+  const auto hosts = live();
+  const auto age = started ? View.age(at) : Options.Timing.HardAge;
+  if (!timer.due(age, hosts.size(), at, rng))
+    return;
+  const auto mark = feed.WatchSettings(0, milliseconds(0));
+  timer.onChecked(mark.has_value(), clockNow(), rng);
+  View.onStoreCalled(mark.has_value(), clockNow());
+  if (!mark)
+    return;
+  takeMark(feed, *mark, at);
+  // Nobody seems to watch: the list of hosts may be what is wrong.
+  if (hosts.empty() || View.slotsAge(at) >= MaxSlotsAge)
+    if (const auto seen = feed.WatchSlots(0, milliseconds(0)))
+      takeSlots(*seen, at);
+}
+
+} // namespace savorytrestle::hosts
--- a/src/hosts/PeerMessages.cpp
+++ b/src/hosts/PeerMessages.cpp
@@ -31,6 +31,21 @@
   return kind == Topic::Settings ? "settings" : "hosts";
 }
 
+// A malformed delta stays empty and fails the checksum when it is applied.
+core::BlobDelta readDelta(json &parsed, const core::VersionedBlob &blob) {
+  core::BlobDelta delta;
+  delta.Base = valueOf<std::uint64_t>(parsed, "base", 0);
+  delta.Revision = blob.Revision;
+  delta.Checksum = blob.Checksum;
+  if (const auto it = parsed.find("changed"); it != parsed.end())
+    delta.Changed = std::move(*it);
+  if (const auto it = parsed.find("removed"); it != parsed.end())
+    for (const auto &name : *it)
+      if (name.is_string())
+        delta.Removed.push_back(name.get<std::string>());
+  return delta;
+}
+
 std::optional<Topic> topicOf(const std::string &text) {
   if (text == nameOf(Topic::Settings))
     return Topic::Settings;
@@ -48,6 +63,7 @@
                {"hosts", state.HostsRevision},
                {"records", state.RecordsDigest},
                {"age_ms", state.Age.count()},
+               {"hosts_age_ms", state.HostsAge.count()},
                {"store_down", state.StoreDown}});
 }
 
@@ -63,28 +79,40 @@
   state.RecordsDigest = valueOf<std::uint64_t>(parsed, "records", 0);
   state.Age =
       std::chrono::milliseconds(valueOf<std::int64_t>(parsed, "age_ms", 0));
+  state.HostsAge = std::chrono::milliseconds(
+      valueOf<std::int64_t>(parsed, "hosts_age_ms", 0));
   state.StoreDown = valueOf(parsed, "store_down", false);
   return state;
 }
 
 std::string writeBlob(const TopicBlob &blob) {
-  return dump({{"topic", nameOf(blob.Kind)},
-               {"revision", blob.Blob.Revision},
-               {"checksum", blob.Blob.Checksum},
-               {"payload", blob.Blob.Payload}});
+  json value = {{"topic", nameOf(blob.Kind)},
+                {"revision", blob.Blob.Revision},
+                {"checksum", blob.Blob.Checksum}};
+  if (blob.Delta) {
+    value["base"] = blob.Delta->Base;
+    value["changed"] = blob.Delta->Changed;
+    value["removed"] = blob.Delta->Removed;
+  } else {
+    value["payload"] = blob.Blob.Payload;
+  }
+  return dump(value);
 }
 
 std::optional<TopicBlob> readBlob(const std::string &text) {
-  const json parsed = json::parse(text, nullptr, false);
+  json parsed = json::parse(text, nullptr, false);
   if (!parsed.is_object())
     return std::nullopt;
   const auto kind = topicOf(valueOf(parsed, "topic", std::string()));
   if (!kind)
     return std::nullopt;
-  TopicBlob blob{*kind, {}};
+  TopicBlob blob{*kind, {}, std::nullopt};
   blob.Blob.Revision = valueOf<std::uint64_t>(parsed, "revision", 0);
   blob.Blob.Checksum = valueOf<std::uint64_t>(parsed, "checksum", 0);
-  blob.Blob.Payload = valueOf(parsed, "payload", std::string());
+  if (parsed.contains("base"))
+    blob.Delta = readDelta(parsed, blob.Blob);
+  else
+    blob.Blob.Payload = valueOf(parsed, "payload", std::string());
   return blob;
 }
 
--- a/src/hosts/PeerMessages.h
+++ b/src/hosts/PeerMessages.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "savorytrestle/core/BlobDelta.h"
 #include "savorytrestle/core/VersionedBlob.h"
 
 namespace savorytrestle::hosts {
@@ -30,6 +31,9 @@
   /// How long ago the store's state was known to be no newer than
   /// SettingsRevision.
   std::chrono::milliseconds Age{0};
+  /// How long ago the store's slots were known to be no newer than
+  /// HostsRevision.
+  std::chrono::milliseconds HostsAge{0};
   /// Whether the host failed to reach the store of late.
   bool StoreDown = false;
 };
@@ -38,6 +42,8 @@
 struct TopicBlob {
   Topic Kind = Topic::Settings;
   core::VersionedBlob Blob;
+  /// When set it stands in for the payload.
+  std::optional<core::BlobDelta> Delta;
 };
 
 /// @brief Writes a state as JSON text.
--- /dev/null
+++ b/src/hosts/PeerNodeImpl.h
@@ -0,0 +1,109 @@
+#ifndef SAVORYTRESTLE_HOSTS_PEER_NODE_IMPL_H
+#define SAVORYTRESTLE_HOSTS_PEER_NODE_IMPL_H
+
+/// @file
+/// @brief State of a peer node; for the sources of PeerNode only.
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include <concurrentqueue/blockingconcurrentqueue.h>
+
+#include "hosts/PeerCaller.h"
+#include "hosts/PeerNode.h"
+#include "hosts/PeerView.h"
+#include "hosts/rpc/RpcServer.h"
+#include "savorytrestle/core/BlobDelta.h"
+
+namespace savorytrestle::hosts {
+
+using core::TimePoint;
+
+/// @brief Jobs in the push ring. A job only names what is new, so one that
+/// finds the ring full is covered by those in it or by the next ask.
+inline constexpr std::size_t PushRing = 64;
+
+/// @brief What the push thread is told to pass on.
+enum class PushJob { Settings, Hosts, Records };
+
+/// @brief Reads the monotonic clock.
+/// @return the time
+inline TimePoint clockNow() { return std::chrono::steady_clock::now(); }
+
+/// @brief Digest of shared records.
+/// @param text the records
+/// @return their XXH3
+std::uint64_t digestOf(const std::string &text);
+
+/// @brief State and duties of a peer node.
+struct PeerNode::Impl {
+  Impl(PeerOptions options, PeerCallbacks callbacks);
+
+  // What is known.
+  core::VersionedBlob blobOf(Topic kind) const;
+  std::string messageFor(Topic kind, std::uint64_t theirs);
+  PeerState state() const;
+  std::vector<core::HostInfo> live() const { return View.live(clockNow()); }
+  bool accept(const TopicBlob &offered);
+  void merge(const std::string &records);
+
+  // Duties, one thread each.
+  void watchSettings();
+  void watchSlots();
+  void push();
+  void ask();
+
+  // Steps of the duties.
+  bool watches() const;
+  void takeMark(const StoreFeed &feed, const SettingsMark &mark, TimePoint at);
+  void takeSlots(const platform::WatchResult &seen, TimePoint at);
+  void pushBlob(PeerCaller &caller, Topic kind);
+  void sendMark(PeerCaller &caller, const core::HostInfo &target, Topic kind,
+                std::uint64_t revision);
+  void sendFrom(PeerCaller &caller, const core::HostInfo &target, Topic kind,
+                std::uint64_t theirs);
+  void pushRecords(PeerCaller &caller);
+  void askOne(PeerCaller &caller, core::Rng &rng);
+  std::optional<core::HostInfo> partner(core::Rng &rng) const;
+  void compare(PeerCaller &caller, const core::HostInfo &peer, Topic kind,
+               std::uint64_t theirs);
+  void checkStore(const StoreFeed &feed, core::StoreCheckTimer &timer,
+                  core::Rng &rng);
+
+  // Answers to peers.
+  void addMethods();
+  std::string onAsk(const std::string &params);
+  std::string onOffer(const std::string &params);
+  std::string onPush(const std::string &params);
+  std::string onPull(const std::string &params);
+  std::string onRecords(const std::string &params);
+
+  core::Result<std::string> call(PeerCaller &caller, const core::HostInfo &peer,
+                                 const std::string &method,
+                                 const std::string &params);
+  void enqueue(PushJob job) { Jobs.try_enqueue(job); }
+  bool pause(std::chrono::milliseconds time);
+
+  PeerOptions Options;
+  PeerCallbacks Use;
+  PeerView View;
+  RpcServer Rpc;
+  std::mutex HistoryLock;
+  core::PartHistory Settings;
+  core::PartHistory Hosts;
+  moodycamel::BlockingConcurrentQueue<PushJob> Jobs{PushRing};
+  // Used by the push thread only.
+  std::uint64_t PushedSettings = 0;
+  std::uint64_t PushedHosts = 0;
+  std::uint64_t PushedRecords = 0;
+
+  std::mutex StopLock;
+  std::condition_variable Wake;
+  bool Stopping = false;
+  std::vector<std::thread> Threads;
+};
+
+} // namespace savorytrestle::hosts
+
+#endif
--- a/src/hosts/PeerView.cpp
+++ b/src/hosts/PeerView.cpp
@@ -28,7 +28,8 @@
       if (auto host = core::readHost(item.get<std::string>()))
         holders.push_back(std::move(*host));
   const std::lock_guard guard(Lock);
-  if (blob.Revision <= Hosts.Revision || blob.Payload == Hosts.Payload)
+  // Equal contents still take the higher revision: peers compare revisions.
+  if (blob.Revision <= Hosts.Revision)
     return false;
   Members.setHosts(std::move(holders));
   Hosts = std::move(blob);
@@ -74,6 +75,16 @@
   return std::max(now - StoreSeen, core::Duration::zero());
 }
 
+void PeerView::onSlotsSeen(core::TimePoint at) {
+  const std::lock_guard guard(Lock);
+  SlotsSeen = std::max(SlotsSeen, at);
+}
+
+core::Duration PeerView::slotsAge(core::TimePoint now) const {
+  const std::lock_guard guard(Lock);
+  return std::max(now - SlotsSeen, core::Duration::zero());
+}
+
 void PeerView::onStoreCalled(bool reached, core::TimePoint now) {
   const std::lock_guard guard(Lock);
   if (reached)
--- a/src/hosts/PeerView.h
+++ b/src/hosts/PeerView.h
@@ -21,7 +21,7 @@
   /// @param self identity of this host
   /// @param now the time, from which ages count
   PeerView(const std::string &self, core::TimePoint now)
-      : Members(self), StoreSeen(now) {}
+      : Members(self), StoreSeen(now), SlotsSeen(now) {}
 
   /// @brief Takes a newer list of slot holders.
   /// @param blob JSON object of slot key to host text
@@ -60,6 +60,15 @@
   /// @return the age, never negative
   core::Duration age(core::TimePoint now) const;
 
+  /// @brief The store's slots were no newer than this host's list.
+  /// @param at when that was so
+  void onSlotsSeen(core::TimePoint at);
+
+  /// @brief How long ago the list of slots was last known to be the newest.
+  /// @param now the time
+  /// @return the age, never negative
+  core::Duration slotsAge(core::TimePoint now) const;
+
   /// @brief A call to the store by this host ended.
   /// @param reached whether the store answered
   /// @param now the time
@@ -84,6 +93,7 @@
   core::Membership Members;
   core::VersionedBlob Hosts;
   core::TimePoint StoreSeen;
+  core::TimePoint SlotsSeen;
   std::optional<core::TimePoint> StoreFailed;
   std::optional<core::TimePoint> PeerStoreDown;
 };
--- a/tests/unit-peer-node.cpp
+++ b/tests/unit-peer-node.cpp
@@ -18,16 +18,22 @@
 
 using nlohmann::json;
 
+core::VersionedBlob settingsOf(std::uint64_t revision) {
+  const json payload = {{"revision", revision},
+                        {"nodes", {{"a", revision}, {"b", "unchanged"}}}};
+  return core::makeBlob(revision, payload.dump());
+}
+
 core::Result<core::VersionedBlob> readTree(standins::FakeKvStore &store) {
   const auto entry = store.get(hosts::ManifestKey, 1s);
   if (!entry)
     return tl::unexpected(entry.error());
   if (!*entry)
     return core::VersionedBlob{};
-  return core::makeBlob(std::stoull((*entry)->Value), (*entry)->Value);
+  return settingsOf(std::stoull((*entry)->Value));
 }
 
-/// One host with its listener; settings are the text of their revision.
+/// One host with its listener.
 class Node {
 public:
   Node(const standins::FakeKvStore &store, const std::string &id,
@@ -126,7 +132,7 @@
     const std::lock_guard guard(Lock);
     if (blob.Revision <= Blob.Revision)
       return false;
-    Reverted = Reverted || blob.Payload != std::to_string(blob.Revision);
+    Reverted = Reverted || blob.Checksum != settingsOf(blob.Revision).Checksum;
     Blob = blob;
     return true;
   }
@@ -183,6 +189,16 @@
                         entry ? entry->ModifyRevision : platform::NoEntry, 1s);
   }
 
+  std::string request(std::size_t node, const std::string &method,
+                      const std::string &params) {
+    support::HttpRequest call;
+    call.Method = "POST";
+    call.Path = "/rpc";
+    call.Body = R"({"jsonrpc":"2.0","id":1,"method":")" + method +
+                R"(","params":)" + params + "}";
+    return Nodes[node]->Peer->handle(call).Body;
+  }
+
   bool allAt(std::uint64_t revision) {
     return eventually([&] {
       for (auto &node : Nodes)
@@ -249,24 +265,43 @@
   startNodes(1);
   ASSERT_TRUE(allAt(5));
   const auto push = [&](core::VersionedBlob blob) {
-    support::HttpRequest request;
-    request.Method = "POST";
-    request.Path = "/rpc";
-    request.Body = R"({"jsonrpc":"2.0","id":1,"method":"push","params":)" +
-                   hosts::writeBlob({hosts::Topic::Settings, std::move(blob)}) +
-                   "}";
-    return Nodes[0]->Peer->handle(request).Body;
+    request(0, "push",
+            hosts::writeBlob(
+                {hosts::Topic::Settings, std::move(blob), std::nullopt}));
   };
-  auto broken = core::makeBlob(6, "6");
-  broken.Payload = "7";
+  auto broken = settingsOf(6);
+  broken.Payload = settingsOf(7).Payload;
   push(broken);
   EXPECT_EQ(Nodes[0]->revision(), 5U);
-  push(core::makeBlob(4, "4"));
+  push(settingsOf(4));
   EXPECT_EQ(Nodes[0]->revision(), 5U);
-  push(core::makeBlob(6, "6"));
+  push(settingsOf(6));
   EXPECT_EQ(Nodes[0]->revision(), 6U);
 }
 
+TEST_F(PeerNodes, APeerGetsOnlyThePartsThatChanged) {
+  setSettings(1);
+  startNodes(2);
+  ASSERT_TRUE(allAt(1));
+  const auto mark = hosts::writeMark(hosts::Topic::Settings, 1);
+  request(0, "pull", mark);
+  setSettings(2);
+  ASSERT_TRUE(allAt(2));
+  const auto reply = request(0, "pull", mark);
+  EXPECT_NE(reply.find("changed"), std::string::npos);
+  EXPECT_EQ(reply.find("unchanged"), std::string::npos) << reply;
+}
+
+TEST_F(PeerNodes, ADeltaThatDoesNotFitIsRefused) {
+  setSettings(1);
+  startNodes(1);
+  ASSERT_TRUE(allAt(1));
+  core::BlobDelta delta{1, 2, settingsOf(2).Checksum, {{"x", 1}}, {}};
+  hosts::TopicBlob message{hosts::Topic::Settings, settingsOf(2), delta};
+  request(0, "push", hosts::writeBlob(message));
+  EXPECT_EQ(Nodes[0]->revision(), 1U);
+}
+
 TEST_F(PeerNodes, StatusNamesTheRevisionOnEachHost) {
   setSettings(2);
   startNodes(3);
