A withdrawn index version is noticed at once; nobody waits for refused leaves

A leaf that no longer holds a version makes the host ask all leaves of the service for their status (at most every 100 ms); a refused connection marks a leaf as down in the catalog, whose denominator stays.

--- a/src/backend/LeafEngine.cpp
+++ b/src/backend/LeafEngine.cpp
@@ -187,6 +187,8 @@
   auto session = std::make_shared<SearchSession<P>>(
       std::move(policy), std::move(context), Loop,
       [self = shared_from_this(), runtime](const AttemptEvent &event) {
+        if (event.Failure == core::AttemptFailure::WrongVersion)
+          runtime->refresh();
         self->Counts.countAttempt(
             event.Failure ? std::string(failureName(*event.Failure)) : "ok");
       },
--- a/src/backend/ServiceRuntime.cpp
+++ b/src/backend/ServiceRuntime.cpp
@@ -13,6 +13,7 @@
 
 constexpr milliseconds PollInterval{1000};
 constexpr milliseconds PollTimeout{800};
+constexpr milliseconds RefreshInterval{100};
 constexpr milliseconds CrashCheckInterval{10};
 constexpr int StatusOk = 200;
 
@@ -95,6 +96,15 @@
               [self = shared_from_this(), leaf] { self->poll(leaf); });
 }
 
+void ServiceRuntime::refresh() {
+  const auto now = SteadyClock::now();
+  if (now < LastRefresh + RefreshInterval)
+    return;
+  LastRefresh = now;
+  for (const core::LeafIndex leaf : All)
+    askStatus(leaf);
+}
+
 void ServiceRuntime::askStatus(core::LeafIndex leaf) {
   const auto now = SteadyClock::now();
   LeafCall call;
@@ -116,8 +126,11 @@
     learn(leaf, *status);
     return;
   }
-  // Its shards stay in the catalog: what the pool sees of the leaf decides
-  // whether it gets work, and the coverage denominator must not shrink.
+  // A refused connection is proof that the leaf can't be searched now. Its
+  // shards stay in the catalog, so the coverage denominator doesn't shrink; any
+  // other silence is left to what the pool sees of the leaf.
+  if (result.Failure == CallFailure::NotSent)
+    Catalog.setState(leaf, core::LeafState::Down);
   core::LeafStatus report;
   report.Healthy = false;
   Memory->Pool.onStatus(Settings->Leaves[leaf].Name, report,
--- a/src/backend/ServiceRuntime.h
+++ b/src/backend/ServiceRuntime.h
@@ -52,6 +52,10 @@
   /// @brief Polls each leaf's status now and every second, until @ref stop.
   void startPolling();
 
+  /// @brief Polls every leaf now, as one of them turned out to hold another
+  /// index version than was known; at most once in a tenth of a second.
+  void refresh();
+
   /// @brief Ends the polling; running searches keep the state alive.
   void stop() { Stopped = true; }
 
@@ -103,6 +107,7 @@
   std::vector<core::LeafIndex> All;
   /// Last status by leaf; nothing before the first one.
   std::vector<std::optional<LeafStatus>> Status;
+  core::TimePoint LastRefresh;
   bool Stopped = false;
 };
 
--- a/tests/process-search.cpp
+++ b/tests/process-search.cpp
@@ -75,6 +75,12 @@
   ASSERT_EQ(reply.Status, 200);
   EXPECT_EQ(reply.Body["coverage"]["shards_total"], 3);
   EXPECT_EQ(reply.Body["coverage"]["missing_shards"], json::array({0}));
+  // Once the leaves are known to be gone, nobody waits for them.
+  EXPECT_TRUE(eventually([&] {
+    const auto start = std::chrono::steady_clock::now();
+    search(host, {{"text", "gone"}}, 5000ms);
+    return std::chrono::steady_clock::now() - start < 2500ms;
+  }));
 }
 
 TEST_F(SearchTest, ADrainingLeafGetsNoNewWorkAfterThreeSeconds) {
