The test of deleted parts catches a part in use

Cause: a trial that named parts by their nodes alone passed ReplacedPartsAreDeletedAndNeverOneInUse: with two alternating values the deleted part was never the one in use. Values now recur every 5 revisions, which divides the 65 after which a part goes, and each revision is read by a second client.

Seen to fail with parts named by content alone; passes as it is.

--- a/tests/unit-settings-store.cpp
+++ b/tests/unit-settings-store.cpp
@@ -200,10 +200,14 @@
 }
 
 TEST_F(SettingsStoreTest, ReplacedPartsAreDeletedAndNeverOneInUse) {
-  // Values alternate, so that parts with the same nodes come again.
-  for (int n = 0; n < 200; ++n)
-    First.commit(change(std::to_string(n),
-                        setEdit("/a", "canary", n % 2 ? "true" : "false")));
+  // Values come again every 5 revisions, and so just when the part that first
+  // held them is deleted, after 65.
+  for (int n = 0; n < 200; ++n) {
+    const auto value = std::to_string(n % 5 + 1) + " s";
+    First.commit(
+        change(std::to_string(n), setEdit("/a", "max_deadline", value)));
+    ASSERT_TRUE(Second.read()) << n;
+  }
   EXPECT_LE(Kv.list("settings/node/", {}).value().size(),
             RetiredPartRevisions + 2);
   EXPECT_EQ(Second.read()->Revision, 201U);
