Peers close their connections in the reply, so that repeated calls succeed

Cause: a caller asked for the connection to be closed, the reply did not say so, and libcurl kept the dead connection for the next call to the same peer; since no request is sent twice, so that call failed. The test was seen to fail first. Ruled out: keeping connections alive, as partners change with each call and each kept connection holds a worker thread of the peer's listener.

--- a/src/hosts/PeerNode.cpp
+++ b/src/hosts/PeerNode.cpp
@@ -171,6 +171,9 @@
   support::HttpResponse response;
   if (request.Path == RpcPath && request.Method == "POST") {
     response.Body = State->Rpc.handle(request.Body);
+    // Without this the caller keeps the connection, finds it closed on its next
+    // call, and may not send that call a second time.
+    response.Headers["Connection"] = "close";
     return response;
   }
   response.Status = 404;
--- a/tests/unit-peer-node.cpp
+++ b/tests/unit-peer-node.cpp
@@ -10,6 +10,7 @@
 
 #include "FakeKvStore.h"
 #include "hosts/HostSlotKeeper.h"
+#include "hosts/PeerCaller.h"
 
 using namespace savorytrestle;
 using namespace std::chrono_literals;
@@ -302,6 +303,15 @@
   EXPECT_EQ(Nodes[0]->revision(), 1U);
 }
 
+TEST_F(PeerNodes, ManyCallsToOnePeerAllSucceed) {
+  startNodes(1);
+  hosts::PeerCaller caller(5s);
+  for (int n = 0; n < 200; ++n) {
+    const auto reply = caller.call(Nodes[0]->Self.PeerAddress, "ask", "{}");
+    ASSERT_TRUE(reply) << "call " << n << ": " << reply.error().Message;
+  }
+}
+
 TEST_F(PeerNodes, StatusNamesTheRevisionOnEachHost) {
   setSettings(2);
   startNodes(3);
