--- a/src/core/SettingsSchema.cpp
+++ b/src/core/SettingsSchema.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iomanip>
 #include <sstream>
 
 namespace savorytrestle::core {
@@ -26,12 +27,6 @@
      .Choices = "coverage_first|tail_first",
      .Doc = "coverage_first waits for missing shards up to the deadline; "
             "tail_first answers at latency_target once coverage_floor is met."},
-    {.Key = "default_deadline",
-     .Kind = TimeSpan,
-     .Default = "1 s",
-     .Minimum = 1,
-     .Maximum = LongestDeadlineMs,
-     .Doc = "Deadline of a request that names none."},
     {.Key = "max_deadline",
      .Kind = TimeSpan,
      .Default = "10 s",
@@ -103,13 +98,9 @@
     {.Key = "canary",
      .Kind = Bool,
      .Default = "true",
-     .Doc = "Sends a search to one leaf first and fans out once it answered."},
-    {.Key = "write_key_retention",
-     .Kind = TimeSpan,
-     .Default = "24 h",
-     .Minimum = 1000,
-     .Maximum = 720 * MillisPerHour,
-     .Doc = "How long the outcome of a keyed write is kept for resends."},
+     .Doc =
+         "Sends a search that is not known as good to one leaf first, so that "
+         "one that crashes leaves crashes two at most."},
     {.Key = "operator_token_hash",
      .Kind = TokenHash,
      .Highest = Root,
@@ -161,7 +152,8 @@
 
 std::string allowedValues(const SettingSpec &spec) {
   std::ostringstream out;
-  out << kindName(spec.Kind);
+  // Enough digits for the largest limit to print as a whole number.
+  out << std::setprecision(12) << kindName(spec.Kind);
   const auto asText = [](double millis) {
     return formatDuration(
         std::chrono::milliseconds(static_cast<std::int64_t>(millis)));
--- a/src/hosts/PeerDuties.cpp
+++ b/src/hosts/PeerDuties.cpp
@@ -102,6 +102,8 @@
     PushJob job{};
     if (!Jobs.wait_dequeue_timed(job, PushPoll))
       continue;
+    // Before the push: what changes during it needs another one.
+    Waiting[static_cast<std::size_t>(job)] = false;
     if (job == PushJob::Records)
       pushRecords(caller);
     else
--- a/src/hosts/PeerNodeImpl.h
+++ b/src/hosts/PeerNodeImpl.h
@@ -4,6 +4,8 @@
 /// @file
 /// @brief State of a peer node; for the sources of PeerNode only.
 
+#include <array>
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -20,13 +22,12 @@
 
 using core::TimePoint;
 
-/// @brief Jobs in the push ring. A job only names what is new, so one that
-/// finds the ring full is covered by those in it or by the next ask.
-inline constexpr std::size_t PushRing = 64;
-
 /// @brief What the push thread is told to pass on.
 enum class PushJob { Settings, Hosts, Records };
 
+/// @brief Number of kinds of push jobs.
+inline constexpr std::size_t PushKinds = 3;
+
 /// @brief Reads the monotonic clock.
 /// @return the time
 inline TimePoint clockNow() { return std::chrono::steady_clock::now(); }
@@ -82,7 +83,13 @@
   core::Result<std::string> call(PeerCaller &caller, const core::HostInfo &peer,
                                  const std::string &method,
                                  const std::string &params);
-  void enqueue(PushJob job) { Jobs.try_enqueue(job); }
+  // A kind that waits already is not added again, which bounds the ring by the
+  // number of kinds. The queue's try_enqueue would not do: it fails for each
+  // thread but the first ones, since it allocates nothing for a new producer.
+  void enqueue(PushJob job) {
+    if (!Waiting[static_cast<std::size_t>(job)].exchange(true))
+      Jobs.enqueue(job);
+  }
   bool pause(std::chrono::milliseconds time);
 
   PeerOptions Options;
@@ -92,7 +99,8 @@
   std::mutex HistoryLock;
   core::PartHistory Settings;
   core::PartHistory Hosts;
-  moodycamel::BlockingConcurrentQueue<PushJob> Jobs{PushRing};
+  moodycamel::BlockingConcurrentQueue<PushJob> Jobs;
+  std::array<std::atomic<bool>, PushKinds> Waiting{};
   // Used by the push thread only.
   std::uint64_t PushedSettings = 0;
   std::uint64_t PushedHosts = 0;
--- a/src/operators/SettingsStore.h
+++ b/src/operators/SettingsStore.h
@@ -7,12 +7,7 @@
 /// A change writes immutable, content-addressed entries first and then swaps
 /// the manifest that names them, so that it takes effect whole or not at all.
 
-#include <algorithm>
-#include <map>
-
-#include "operators/SettingsManifest.h"
-#include "operators/SettingsReplica.h"
-#include "platform/KvStore.h"
+#include "operators/SettingsReader.h"
 
 namespace savorytrestle::operators {
 
@@ -40,14 +35,6 @@
   std::vector<core::AuditEntry> Since;
 };
 
-/// @brief Bounds on the store's calls.
-struct SettingsStoreOptions {
-  /// Bound on each call.
-  std::chrono::milliseconds CallTimeout{1000};
-  /// Attempts of one change at the compare-and-swap.
-  int MaxAttempts = 12;
-};
-
 /// @brief The settings tree in the store; one thread at a time.
 template <platform::KvStore Kv> class SettingsStore {
 public:
@@ -55,7 +42,7 @@
   /// @param store the client
   /// @param options bounds
   explicit SettingsStore(Kv &store, SettingsStoreOptions options = {})
-      : Store(store), Options(options) {}
+      : Store(store), Options(options), Reader(store, options) {}
 
   /// @brief Reads the whole tree, fetching only parts that changed.
   /// @return the blob (revision 0 when nothing was ever set), or
@@ -76,156 +63,47 @@
                                                       std::size_t limit);
 
 private:
-  struct Loaded {
-    SettingsManifest Manifest;
-    platform::Revision Modified = platform::NoEntry;
-    core::SettingsTree Tree;
-  };
   template <typename T> using Outcome = tl::expected<T, CommitResult>;
 
-  core::Result<Loaded> load();
-  core::Result<Loaded> loadManifest();
-  /// False when a part is gone because the manifest has moved on.
-  core::Result<bool> loadNodes(Loaded &loaded);
-  /// Visits entries, newest first, until the visitor returns false; gives
-  /// false when a page is gone.
-  template <typename Visitor>
-  core::Result<bool> walk(const SettingsManifest &manifest, Visitor visit);
-  core::Result<std::optional<AuditPage>> readPage(const std::string &key);
-  Outcome<PreparedManifest> prepare(const Loaded &loaded,
+  Outcome<PreparedManifest> prepare(const LoadedSettings &loaded,
                                     const core::ChangeRequest &request);
-  std::optional<CommitResult> collision(const Loaded &loaded,
+  std::optional<CommitResult> collision(const LoadedSettings &loaded,
                                         const core::ChangeRequest &request);
   std::optional<CommitResult> resent(const SettingsManifest &manifest,
                                      const core::ChangeRequest &request) const;
+  /// Records in the store that a change is refused, so that no earlier attempt
+  /// of it can take effect; nothing when the manifest moved meanwhile.
+  std::optional<CommitResult> settle(const LoadedSettings &loaded,
+                                     const core::ChangeRequest &request,
+                                     CommitResult refusal);
+  CommitResult accept(const LoadedSettings &before,
+                      const SettingsManifest &now);
   core::Result<void> writeEntries(const std::vector<ImmutableEntry> &entries);
   void dropOldPage(const AuditPageLink &last);
   CommitResult unavailable(bool uncertain, const std::string &reason) const;
 
   Kv &Store;
   SettingsStoreOptions Options;
-  /// Content of the parts that the last manifest read refers to.
-  std::map<std::string, std::string> Parts;
-  /// Newest revision seen; an older manifest is a stale read.
-  std::uint64_t NewestSeen = 0;
+  SettingsReader<Kv> Reader;
 };
 
-template <platform::KvStore Kv>
-core::Result<typename SettingsStore<Kv>::Loaded>
-SettingsStore<Kv>::loadManifest() {
-  auto entry = Store.get(ManifestKey, Options.CallTimeout);
-  if (!entry)
-    return tl::unexpected(entry.error());
-  Loaded loaded;
-  if (*entry) {
-    auto manifest = parseManifest((*entry)->Value);
-    if (!manifest)
-      return tl::unexpected(manifest.error());
-    loaded.Manifest = std::move(*manifest);
-    loaded.Modified = (*entry)->ModifyRevision;
-  }
-  if (loaded.Manifest.Revision < NewestSeen)
-    return core::makeError(core::ErrorCode::StoreUnavailable,
-                           "the store shows revision " +
-                               std::to_string(loaded.Manifest.Revision) +
-                               ", older than " + std::to_string(NewestSeen));
-  NewestSeen = loaded.Manifest.Revision;
-  return loaded;
-}
-
-template <platform::KvStore Kv>
-core::Result<bool> SettingsStore<Kv>::loadNodes(Loaded &loaded) {
-  std::map<std::string, std::string> parts;
-  nlohmann::json nodes = nlohmann::json::object();
-  for (const auto &[workspace, key] : loaded.Manifest.Nodes) {
-    if (const auto it = Parts.find(key); it != Parts.end()) {
-      parts[key] = it->second;
-    } else {
-      auto entry = Store.get(key, Options.CallTimeout);
-      if (!entry)
-        return tl::unexpected(entry.error());
-      if (!*entry)
-        return false;
-      parts[key] = (*entry)->Value;
-    }
-    nodes.update(nlohmann::json::parse(parts[key], nullptr, false));
-  }
-  Parts = std::move(parts);
-  auto tree = core::SettingsTree::fromJson(nodes);
-  if (!tree)
-    return tl::unexpected(tree.error());
-  loaded.Tree = std::move(*tree);
-  return true;
-}
-
-template <platform::KvStore Kv>
-core::Result<typename SettingsStore<Kv>::Loaded> SettingsStore<Kv>::load() {
-  constexpr int MaxReads = 3;
-  for (int n = 0; n < MaxReads; ++n) {
-    auto loaded = loadManifest();
-    if (!loaded)
-      return loaded;
-    const auto complete = loadNodes(*loaded);
-    if (!complete)
-      return tl::unexpected(complete.error());
-    if (*complete)
-      return loaded;
-  }
-  return core::makeError(core::ErrorCode::StoreUnavailable,
-                         "parts of the settings are missing in the store");
-}
-
 template <platform::KvStore Kv>
 core::Result<core::VersionedBlob> SettingsStore<Kv>::read() {
-  auto loaded = load();
+  auto loaded = Reader.load();
   if (!loaded)
     return tl::unexpected(loaded.error());
   return toBlob(loaded->Tree, loaded->Manifest.Revision);
 }
 
-template <platform::KvStore Kv>
-core::Result<std::optional<AuditPage>>
-SettingsStore<Kv>::readPage(const std::string &key) {
-  auto entry = Store.get(key, Options.CallTimeout);
-  if (!entry)
-    return tl::unexpected(entry.error());
-  if (!*entry)
-    return std::optional<AuditPage>();
-  auto page = parseAuditPage((*entry)->Value);
-  if (!page)
-    return tl::unexpected(page.error());
-  return std::optional(std::move(*page));
-}
-
-template <platform::KvStore Kv>
-template <typename Visitor>
-core::Result<bool> SettingsStore<Kv>::walk(const SettingsManifest &manifest,
-                                           Visitor visit) {
-  AuditPage page{manifest.LastPage, manifest.Audit};
-  for (;;) {
-    for (auto it = page.Entries.rbegin(); it != page.Entries.rend(); ++it)
-      if (!visit(*it))
-        return true;
-    if (page.Previous.Key.empty())
-      return true;
-    auto next = readPage(page.Previous.Key);
-    if (!next)
-      return tl::unexpected(next.error());
-    if (!*next)
-      return false;
-    page = std::move(**next);
-  }
-}
-
 template <platform::KvStore Kv>
 core::Result<std::vector<core::AuditEntry>>
 SettingsStore<Kv>::history(std::uint64_t before, std::size_t limit) {
-  const auto loaded = loadManifest();
+  const auto loaded = Reader.loadManifest();
   if (!loaded)
     return tl::unexpected(loaded.error());
   std::vector<core::AuditEntry> found;
   const auto walked =
-      walk(loaded->Manifest, [&](const core::AuditEntry &entry) {
+      Reader.walk(loaded->Manifest, [&](const core::AuditEntry &entry) {
         if (entry.Revision < before && found.size() < limit)
           found.push_back(entry);
         return found.size() < limit;
@@ -237,7 +115,7 @@
 
 template <platform::KvStore Kv>
 std::optional<CommitResult>
-SettingsStore<Kv>::collision(const Loaded &loaded,
+SettingsStore<Kv>::collision(const LoadedSettings &loaded,
                              const core::ChangeRequest &request) {
   const auto newest = loaded.Manifest.Revision;
   const auto base = request.BaseRevision.value_or(newest);
@@ -245,19 +123,20 @@
     return std::nullopt;
   CommitResult lost{CommitOutcome::Conflict, newest, "", {}};
   auto oldest = newest + 1;
-  const auto walked = walk(loaded.Manifest, [&](const core::AuditEntry &entry) {
-    if (entry.Revision <= base)
-      return false;
-    oldest = entry.Revision;
-    const auto touches = [&](const core::AuditItem &item) {
-      return std::any_of(
-          request.Edits.begin(), request.Edits.end(),
-          [&](const auto &edit) { return core::collides(edit, item); });
-    };
-    if (std::any_of(entry.Items.begin(), entry.Items.end(), touches))
-      lost.Since.push_back(entry);
-    return true;
-  });
+  const auto walked =
+      Reader.walk(loaded.Manifest, [&](const core::AuditEntry &entry) {
+        if (entry.Revision <= base)
+          return false;
+        oldest = entry.Revision;
+        const auto touches = [&](const core::AuditItem &item) {
+          return std::any_of(
+              request.Edits.begin(), request.Edits.end(),
+              [&](const auto &edit) { return core::collides(edit, item); });
+        };
+        if (std::any_of(entry.Items.begin(), entry.Items.end(), touches))
+          lost.Since.push_back(entry);
+        return true;
+      });
   if (!walked)
     return CommitResult{
         CommitOutcome::NotMade, newest, walked.error().Message, {}};
@@ -273,7 +152,7 @@
 
 template <platform::KvStore Kv>
 typename SettingsStore<Kv>::template Outcome<PreparedManifest>
-SettingsStore<Kv>::prepare(const Loaded &loaded,
+SettingsStore<Kv>::prepare(const LoadedSettings &loaded,
                            const core::ChangeRequest &request) {
   const auto revision = loaded.Manifest.Revision;
   if (auto lost = collision(loaded, request))
@@ -315,6 +194,11 @@
                         manifest.Revision,
                         "the change id belongs to another change",
                         {}};
+  if (known->Revision == RefusedRevision)
+    return CommitResult{CommitOutcome::Conflict,
+                        manifest.Revision,
+                        "a change with this id was refused; use a new id",
+                        {}};
   return CommitResult{CommitOutcome::Accepted, known->Revision, "", {}};
 }
 
@@ -355,62 +239,83 @@
                                             const std::string &reason) const {
   if (uncertain)
     return {CommitOutcome::Unknown,
-            NewestSeen,
+            Reader.newestSeen(),
             "the change may have been made (" + reason +
                 "); ask again with the same change id",
             {}};
   return {CommitOutcome::NotMade,
-          NewestSeen,
+          Reader.newestSeen(),
           "the change was not made: " + reason,
           {}};
 }
 
+template <platform::KvStore Kv>
+std::optional<CommitResult>
+SettingsStore<Kv>::settle(const LoadedSettings &loaded,
+                          const core::ChangeRequest &request,
+                          CommitResult refusal) {
+  auto manifest = loaded.Manifest;
+  remember(manifest,
+           {request.ChangeId, RefusedRevision, core::fingerprint(request)});
+  const auto swapped = Store.compareAndSet(
+      ManifestKey, serialize(manifest), loaded.Modified, Options.CallTimeout);
+  if (!swapped)
+    return unavailable(true, swapped.error().Message);
+  return *swapped ? std::optional(std::move(refusal)) : std::nullopt;
+}
+
 template <platform::KvStore Kv>
 CommitResult SettingsStore<Kv>::commit(const core::ChangeRequest &request) {
-  // An earlier attempt of a resent change may have been made by another host.
+  std::optional<platform::Revision> lostAt;
+  Reader.noteRevision(request.KnownRevision);
+  // An earlier attempt of a resent change may be on its way from another host.
   bool uncertain = request.Resent;
-  platform::Revision uncertainAt = platform::NoEntry;
-  NewestSeen = std::max(NewestSeen, request.KnownRevision);
   for (int n = 0; n < Options.MaxAttempts; ++n) {
-    const auto loaded = load();
+    const auto loaded = Reader.load();
     if (!loaded)
       return unavailable(uncertain, loaded.error().Message);
     if (auto known = resent(loaded->Manifest, request))
       return *known;
     // A swap that named an older manifest can't take effect any more. One that
     // named this manifest still can, until the manifest moves on.
-    if (n == 0)
-      uncertainAt = loaded->Modified;
-    uncertain = uncertain && loaded->Modified <= uncertainAt;
+    uncertain = request.Resent || (lostAt && loaded->Modified <= *lostAt);
     auto next = prepare(*loaded, request);
-    if (!next && (next.error().Outcome == CommitOutcome::NotMade ||
-                  loaded->Modified < uncertainAt))
+    if (!next && next.error().Outcome == CommitOutcome::NotMade)
       return unavailable(uncertain, next.error().Message);
-    // The uncertain swap was prepared from the same manifest, so a change that
-    // is refused here was refused there and never sent.
-    if (!next)
+    if (!next && !uncertain)
       return next.error();
+    if (!next) {
+      // A swap on its way could still make what is refused here.
+      if (auto settled = settle(*loaded, request, next.error()))
+        return *settled;
+      continue;
+    }
     if (const auto done = writeEntries(next->Entries); !done)
       return unavailable(uncertain, done.error().Message);
     const auto swapped =
         Store.compareAndSet(ManifestKey, serialize(next->Manifest),
                             loaded->Modified, Options.CallTimeout);
-    if (swapped && *swapped) {
-      NewestSeen = next->Manifest.Revision;
-      if (next->Manifest.LastPage.Number != loaded->Manifest.LastPage.Number)
-        dropOldPage(next->Manifest.LastPage);
-      return {CommitOutcome::Accepted, NewestSeen, "", {}};
-    }
+    if (swapped && *swapped)
+      return accept(*loaded, next->Manifest);
     if (!swapped && swapped.error().Code != core::ErrorCode::OutcomeUnknown)
       return unavailable(uncertain, swapped.error().Message);
     if (!swapped) {
       uncertain = true;
-      uncertainAt = loaded->Modified;
+      lostAt = std::max(lostAt.value_or(0), loaded->Modified);
     }
   }
   return unavailable(uncertain, "too many changes at once");
 }
 
+template <platform::KvStore Kv>
+CommitResult SettingsStore<Kv>::accept(const LoadedSettings &before,
+                                       const SettingsManifest &now) {
+  Reader.noteRevision(now.Revision);
+  if (now.LastPage.Number != before.Manifest.LastPage.Number)
+    dropOldPage(now.LastPage);
+  return {CommitOutcome::Accepted, Reader.newestSeen(), "", {}};
+}
+
 } // namespace savorytrestle::operators
 
 #endif
--- a/tests/unit-settings-store.cpp
+++ b/tests/unit-settings-store.cpp
@@ -80,7 +80,7 @@
 }
 
 TEST_F(SettingsStoreTest, ARebasedChangeIsCheckedAgainstTheWholeTree) {
-  auto mine = change("1", setEdit("/a/s/r", "default_deadline", "4 s"));
+  auto mine = change("1", setEdit("/a/s/r", "latency_target", "4 s"));
   mine.Edits.insert(
       mine.Edits.begin(),
       {setEdit("/a/s", "leaves",
@@ -92,7 +92,7 @@
   };
   const auto result = First.commit(mine);
   EXPECT_EQ(result.Outcome, CommitOutcome::Invalid);
-  EXPECT_THAT(result.Message, HasSubstr("/a/s/r default_deadline: 4 s"));
+  EXPECT_THAT(result.Message, HasSubstr("/a/s/r latency_target: 4 s"));
 }
 
 TEST_F(SettingsStoreTest, ARemovedWorkspaceCollidesWithChangesInIt) {
@@ -152,6 +152,19 @@
   EXPECT_EQ(valueOf(First, "/a", "max_deadline"), "\"2 s\"");
 }
 
+TEST_F(SettingsStoreTest, ARefusedResendCanNotTakeEffectLater) {
+  First.commit(change("2", setEdit("/a", "max_deadline", "2 s")));
+  auto late = change("1", setEdit("/a", "max_deadline", "3 s"));
+  late.BaseRevision = 1;
+  late.Resent = true;
+  const auto before = Kv.get(ManifestKey, {}).value()->ModifyRevision;
+  EXPECT_EQ(Second.commit(late).Outcome, CommitOutcome::Conflict);
+  // A swap of an earlier attempt named the manifest as it was before.
+  EXPECT_FALSE(Kv.compareAndSet(ManifestKey, "late", before, {}).value());
+  late.BaseRevision.reset();
+  EXPECT_EQ(First.commit(late).Outcome, CommitOutcome::Conflict);
+}
+
 TEST_F(SettingsStoreTest, AChangeIdIsForOneChange) {
   First.commit(change("1", setEdit("/a", "canary", "true")));
   EXPECT_EQ(First.commit(change("1", setEdit("/a", "canary", "false"))).Outcome,
