--- /dev/null
+++ b/tests/process-writes.cpp
@@ -0,0 +1,230 @@
+#include "PathFixture.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "savorytrestle/core/WriteKey.h"
+
+using namespace savorytrestle;
+using namespace savorytrestle::testing;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261203;
+constexpr std::size_t Hosts = 3;
+constexpr std::size_t Callers = 48;
+constexpr std::size_t KeysPerCaller = 42;
+constexpr unsigned MaxSends = 4;
+constexpr std::chrono::milliseconds Deadline = 1500ms;
+
+/// One key and everything its caller was told.
+struct Filing {
+  std::string Key;
+  json Body;
+  /// The caller gives the filing up once it is told that it was not run.
+  bool GivesUp = false;
+  unsigned Sends = 0;
+  /// Run state of the last answer; empty when there was none.
+  std::string Told;
+  bool EverRan = false;
+};
+
+class WritesUnderFaults : public PathTest {
+protected:
+  void SetUp() override {
+    startLeaves();
+    for (std::size_t i = 0; i < Hosts; ++i)
+      startHost();
+  }
+
+  static Filing makeFiling(std::mt19937_64 &random) {
+    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+    Filing filing;
+    filing.Key = core::makeUuidV7(now, random(), random());
+    filing.Body = {{"studio", random() % 1000}};
+    filing.GivesUp = random() % 2 == 0;
+    return filing;
+  }
+
+  /// Sends once; the caller forgets what it was told before.
+  void send(Filing &filing, const HostProcess &host) {
+    ++filing.Sends;
+    const auto reply =
+        host.call("/v1/preisaufsicht/melden", filing.Body, Deadline,
+                  {{"Idempotency-Key", filing.Key},
+                   {"Send-Number", std::to_string(filing.Sends)}});
+    filing.Told.clear();
+    if (reply.Body.is_object())
+      filing.Told =
+          reply.Status == 200
+              ? reply.Body.value("run", "")
+              : reply.Body.value("error", json::object()).value("run", "");
+    filing.EverRan = filing.EverRan || filing.Told == "ran";
+    const std::lock_guard guard(Lock);
+    ++Answers[filing.Told];
+  }
+
+  void runCaller(std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    for (std::size_t i = 0; i < KeysPerCaller; ++i) {
+      auto filing = makeFiling(random);
+      while (filing.Sends < MaxSends) {
+        send(filing, *All.Hosts[random() % Hosts]);
+        if (filing.Told == "ran" ||
+            (filing.Told == "not_run" && filing.GivesUp))
+          break;
+        std::this_thread::sleep_for(std::chrono::milliseconds(random() % 200));
+      }
+      const std::lock_guard guard(Lock);
+      Filings.push_back(std::move(filing));
+    }
+  }
+
+  void stopAndContinue(HostProcess &host, std::chrono::milliseconds pause) {
+    host.Child.signal(SIGSTOP);
+    std::this_thread::sleep_for(pause);
+    host.Child.signal(SIGCONT);
+  }
+
+  void storeFault(const json &fault, const json &calm,
+                  std::chrono::milliseconds time) {
+    All.storeControl(fault);
+    std::this_thread::sleep_for(time);
+    All.storeControl(calm);
+  }
+
+  void leafFault(const std::string &knob, std::chrono::milliseconds time) {
+    writeLeaf().control({{knob, true}});
+    std::this_thread::sleep_for(time);
+    writeLeaf().control({{knob, false}});
+  }
+
+  /// One fault after the other, each at a random moment on a random host.
+  void injectFaults() {
+    std::mt19937_64 random(Seed);
+    for (unsigned turn = 0; Running; ++turn) {
+      auto &host = *All.Hosts[random() % Hosts];
+      const std::chrono::milliseconds time(200 + random() % 1000);
+      switch (turn % 7) {
+      case 0:
+        stopAndContinue(host, 2 * time);
+        break;
+      case 1:
+        storeFault({{"lose_percent", 40}}, {{"lose_percent", 0}}, time);
+        break;
+      case 2:
+        All.restart(host);
+        break;
+      case 3:
+        storeFault({{"outage", true}}, {{"outage", false}}, time);
+        break;
+      case 4:
+        leafFault("lose_write_replies", time / 4);
+        break;
+      case 5:
+        leafFault("shedding", time / 4);
+        break;
+      case 6:
+        storeFault({{"delay_ms", 120}}, {{"delay_ms", 0}}, time);
+        break;
+      }
+      ++Faults;
+      std::this_thread::sleep_for(std::chrono::milliseconds(random() % 300));
+    }
+  }
+
+  void runAll() {
+    std::thread faults([this] { injectFaults(); });
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < Callers; ++i)
+      callers.emplace_back([this, i] { runCaller(Seed + 1 + i); });
+    for (auto &it : callers)
+      it.join();
+    Running = false;
+    faults.join();
+  }
+
+  /// What is under way in hosts and leaf ends within its deadline.
+  void settle() {
+    for (const auto &host : All.Hosts)
+      EXPECT_TRUE(eventually([&] { return host->ready(); }, 30s));
+    std::this_thread::sleep_for(2 * Deadline);
+  }
+
+  static unsigned executions(const json &log, const Filing &filing) {
+    return log.value(filing.Key, 0U);
+  }
+
+  std::mutex Lock;
+  std::vector<Filing> Filings;
+  /// Answers by run state; empty when there was none.
+  std::map<std::string, unsigned> Answers;
+  std::atomic<bool> Running{true};
+  unsigned Faults = 0;
+};
+
+TEST_F(WritesUnderFaults, NothingRunsTwiceAndNotRunIsTrue) {
+  runAll();
+  settle();
+  const json log = writeLeaf().control()["writes"];
+  ASSERT_TRUE(log.is_object());
+  unsigned doubled = 0;
+  unsigned falseNotRun = 0;
+  unsigned falseRan = 0;
+  std::size_t ran = 0;
+  for (const auto &filing : Filings) {
+    const auto count = executions(log, filing);
+    doubled += count > 1 ? 1 : 0;
+    falseNotRun += filing.Told == "not_run" && count > 0 ? 1 : 0;
+    falseRan += filing.EverRan && count != 1 ? 1 : 0;
+    ran += count;
+  }
+  std::printf("seed=%llu filings=%zu executed=%zu faults=%u doubled=%u "
+              "false_not_run=%u false_ran=%u\nanswers: ran=%u not_run=%u "
+              "unknown=%u none=%u\n",
+              static_cast<unsigned long long>(Seed), Filings.size(), ran,
+              Faults, doubled, falseNotRun, falseRan, Answers["ran"],
+              Answers["not_run"], Answers["unknown"], Answers[""]);
+  EXPECT_GE(Filings.size(), 2000U);
+  EXPECT_EQ(doubled, 0U);
+  EXPECT_EQ(falseNotRun, 0U);
+  EXPECT_EQ(falseRan, 0U);
+  // The run shows something only if it met each kind of answer, and faults.
+  EXPECT_GE(Faults, 14U);
+  EXPECT_GT(Answers["ran"], 500U);
+  EXPECT_GT(Answers["not_run"], 0U);
+  EXPECT_GT(Answers["unknown"], 0U);
+}
+
+TEST_F(WritesUnderFaults, AnOutageRefusesWritesWhileSearchesGoOn) {
+  std::mt19937_64 random(Seed);
+  All.storeControl({{"outage", true}});
+  auto filing = makeFiling(random);
+  send(filing, *All.Hosts[0]);
+  EXPECT_EQ(filing.Told, "not_run");
+  const auto reply =
+      All.Hosts[1]->call("/v1/preisaufsicht/melden", filing.Body, Deadline,
+                         {{"Idempotency-Key", filing.Key}});
+  EXPECT_EQ(reply.Status, 503);
+  EXPECT_EQ(reply.Body["error"]["run"], "unknown");
+  EXPECT_EQ(reply.Headers.count("retry-after"), 1U);
+  EXPECT_EQ(covered(search(*All.Hosts[0])), Groups);
+  EXPECT_TRUE(writeLeaf().control()["writes"].empty());
+  All.storeControl({{"outage", false}});
+  EXPECT_TRUE(eventually([&] {
+    send(filing, *All.Hosts[1]);
+    return filing.Told == "ran";
+  }));
+  EXPECT_EQ(executions(writeLeaf().control()["writes"], filing), 1U);
+}
+
+} // namespace
