Host list and lease times wired; idle connections no longer shut operators out

CivetWeb gives each open connection a thread; the operators' listener had four, all held by idle kept-alive connections. Now 16 threads and 2 s of keep-alive.

--- a/src/serve/ControlPlane.cpp
+++ b/src/serve/ControlPlane.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+constexpr milliseconds HostListInterval{1000};
+constexpr milliseconds HostListTimeout{500};
+
 std::uint64_t randomNumber() {
   std::random_device random;
   return (static_cast<std::uint64_t>(random()) << 32U) | random();
@@ -33,6 +36,7 @@
   hosts::SlotKeeperOptions options;
   options.Self = self;
   options.Slots = config.MaxHosts + config.SpareHosts;
+  options.Timing = core::slotTiming(config.MaxHosts);
   options.PeersConfirmOutage = [&peers] { return peers.peersConfirmOutage(); };
   options.Seed = randomNumber();
   return options;
@@ -73,6 +77,27 @@
   Replica.observe(std::move(onSettings));
   Slot.start();
   Peers.start();
+  if (!Config.HostList.empty())
+    HostListReader = std::jthread(
+        [this](const std::stop_token &stop) { followHostList(stop); });
+}
+
+void ControlPlane::stopPeers() {
+  HostListReader = {};
+  Peers.stop();
+}
+
+void ControlPlane::followHostList(const std::stop_token &stop) {
+  platform::HostList list(Config.HostList);
+  while (!stop.stop_requested()) {
+    // A list that can't be read changes nothing: it is a hint.
+    if (auto listed = list.read(HostListTimeout)) {
+      Peers.setLeaving(std::move(listed->Leaving));
+      const std::lock_guard guard(ListedLock);
+      Listed = std::move(listed->Live);
+    }
+    std::this_thread::sleep_for(HostListInterval);
+  }
 }
 
 bool ControlPlane::ready() const {
@@ -94,7 +119,8 @@
   };
   callbacks.MakeFeed = [address = Config.Store] { return makeFeed(address); };
   callbacks.Seeds = [this] {
-    std::vector<core::HostInfo> seeds;
+    const std::lock_guard guard(ListedLock);
+    std::vector<core::HostInfo> seeds = Listed;
     for (const auto &address : Config.SeedPeers) {
       core::HostInfo seed;
       seed.PeerAddress = address;
--- a/src/serve/ControlPlane.h
+++ b/src/serve/ControlPlane.h
@@ -6,6 +6,8 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <thread>
 
 #include "backend/CrashGuard.h"
 #include "hosts/HostSlotKeeper.h"
@@ -13,6 +15,7 @@
 #include "operators/AdminApi.h"
 #include "operators/SettingsReplica.h"
 #include "operators/SettingsStore.h"
+#include "platform/HostList.h"
 #include "platform/HttpKvStore.h"
 #include "serve/HostConfig.h"
 
@@ -39,7 +42,7 @@
   void setDraining() { Slot.setDraining(); }
 
   /// @brief Ends the threads of the peer node; the slot is kept.
-  void stopPeers() { Peers.stop(); }
+  void stopPeers();
 
   /// @brief Releases the host slot; call once no connection to a leaf is left.
   void releaseSlot() { Slot.stop(); }
@@ -78,6 +81,7 @@
 private:
   using Store = platform::HttpKvStore;
 
+  void followHostList(const std::stop_token &stop);
   hosts::PeerCallbacks callbacks();
   operators::SettingsBackend settingsBackend();
   operators::AdminApiOptions adminOptions();
@@ -93,6 +97,10 @@
   hosts::PeerNode Peers;
   hosts::HostSlotKeeper<Store> Slot;
   operators::AdminApi Admin;
+  std::mutex ListedLock;
+  /// Hosts that the platform's list calls live.
+  std::vector<core::HostInfo> Listed;
+  std::jthread HostListReader;
 };
 
 } // namespace savorytrestle::serve
--- a/src/serve/Host.cpp
+++ b/src/serve/Host.cpp
@@ -14,8 +14,12 @@
 
 constexpr milliseconds DrainPoll{10};
 constexpr milliseconds DrainDelay{200};
-constexpr unsigned OperatorThreads = 4;
-constexpr unsigned PeerThreads = 8;
+// CivetWeb gives each open connection a thread, idle ones too: few threads with
+// long-lived connections would shut other operators and peers out.
+constexpr unsigned OperatorThreads = 16;
+constexpr unsigned PeerThreads = 16;
+constexpr milliseconds OperatorKeepAlive{2000};
+constexpr milliseconds CallerKeepAlive{30000};
 constexpr std::size_t MaxBodyBytes = 16 << 20;
 constexpr milliseconds ClaimDrain{2000};
 constexpr milliseconds ShareInterval{200};
@@ -105,27 +109,31 @@
 core::Result<void> Host::listen() {
   const auto open = [](std::unique_ptr<support::HttpServer> &listener,
                        const std::string &address, unsigned threads,
+                       milliseconds keepAlive,
                        support::HttpServer::Handler handler) {
     support::HttpServerOptions options;
     options.Listen = address;
     options.Threads = threads;
+    options.KeepAlive = keepAlive;
     // A whole settings tree, for operators and peers.
     options.MaxBodyBytes = MaxBodyBytes;
     return support::HttpServer::start(options, std::move(handler))
         .map([&](auto started) { listener = std::move(started); });
   };
   return open(CallerListener, Config.Callers, Config.CallerThreads,
+              CallerKeepAlive,
               [this](const auto &request) {
                 const InFlightGuard guard(InFlight);
                 return Callers.handle(request);
               })
       .and_then([&] {
-        return open(
-            OperatorListener, Config.Operators, OperatorThreads,
-            [this](const auto &request) { return operatorRequest(request); });
+        return open(OperatorListener, Config.Operators, OperatorThreads,
+                    OperatorKeepAlive, [this](const auto &request) {
+                      return operatorRequest(request);
+                    });
       })
       .and_then([&] {
-        return open(PeerListener, Config.Peers, PeerThreads,
+        return open(PeerListener, Config.Peers, PeerThreads, OperatorKeepAlive,
                     [this](const auto &request) {
                       return Control.handlePeer(request);
                     });
--- a/src/serve/HostConfig.cpp
+++ b/src/serve/HostConfig.cpp
@@ -30,7 +30,7 @@
   listen.refuseOthers();
   auto platform = root.map("platform");
   config.Store = platform.address("store", "");
-  config.HostList = platform.text("host_list", "");
+  config.HostList = platform.optionalAddress("host_list");
   platform.refuseOthers();
   auto limits = root.map("limits");
   config.CallerThreads =
--- a/src/support/YamlReader.cpp
+++ b/src/support/YamlReader.cpp
@@ -113,6 +113,14 @@
   return node.Scalar();
 }
 
+std::string YamlMap::optionalAddress(const std::string &key) {
+  const YAML::Node &view = Node;
+  if (view.IsMap() && view[key].IsDefined())
+    return address(key, "");
+  Known.push_back(key);
+  return {};
+}
+
 std::vector<std::string> YamlMap::addresses(const std::string &key) {
   const auto node = find(key);
   std::vector<std::string> list;
--- a/src/support/YamlReader.h
+++ b/src/support/YamlReader.h
@@ -53,6 +53,11 @@
   /// @return the address
   std::string address(const std::string &key, const std::string &fallback);
 
+  /// @brief Reads "ip:port" that need not be there.
+  /// @param key its key
+  /// @return the address; empty when absent
+  std::string optionalAddress(const std::string &key);
+
   /// @brief Reads a list of "ip:port".
   /// @param key its key
   /// @return the addresses; empty when absent
--- a/tests/standins/KvState.h
+++ b/tests/standins/KvState.h
@@ -75,7 +75,7 @@
 
   platform::LeaseId openLease(std::chrono::milliseconds timeToLive) {
     const std::lock_guard guard(Lock);
-    const auto id = "lease-" + std::to_string(++LastLease);
+    auto id = "lease-" + std::to_string(++LastLease);
     Leases[id] = {timeToLive, std::chrono::steady_clock::now() + timeToLive};
     return id;
   }
