--- a/spec/writes.pml
+++ b/spec/writes.pml
@@ -39,7 +39,6 @@
 byte executedBy = 0;
 byte toldNotRun = 0;
 byte current = 0;
-bool waiting = false;
 byte reopened = 0;
 
 bool crash[2];
@@ -48,15 +47,15 @@
 
 chan inbox[2] = [SENDS] of {byte};
 
+/* A caller hears only of its current send. */
 inline answerRan(answered, writer) {
   atomic {
     if
-    :: waiting && answered == current ->
+    :: answered == current ->
        assert(executions == 1 && writer == executedBy);
 #ifdef MUTANT_PROBE_REPLAYS
        assert(answered == writer);
 #endif
-       waiting = false
     :: else
     fi
   }
@@ -65,22 +64,17 @@
 inline answerNotRun(answered) {
   atomic {
     if
-    :: waiting && answered == current ->
+    :: answered == current ->
        assert(executions == 0);
-       toldNotRun = answered;
-       waiting = false
+       toldNotRun = answered
     :: else
     fi
   }
 }
 
+/* Says nothing that could be false. */
 inline answerUnknown(answered) {
-  atomic {
-    if
-    :: waiting && answered == current -> waiting = false
-    :: else
-    fi
-  }
+  skip
 }
 
 inline readEntry() {
@@ -307,7 +301,6 @@
   :: atomic {
        current < SENDS ->
        current++;
-       waiting = true;
        /* The hosts are alike, so that the first send may name one of them. */
        if
        :: inbox[0]!current
