--- a/src/caller/CallerApi.cpp
+++ b/src/caller/CallerApi.cpp
@@ -190,6 +190,19 @@
   return checked;
 }
 
+namespace {
+
+/// A refusal here proves nothing about earlier sends of the same key: only a
+/// write without a key, or the first send of one, is known not to have run.
+Error withProvedRun(Error error, const HttpRequest &request) {
+  if (request.header("idempotency-key") &&
+      request.header("send-number") != std::optional<std::string>("1"))
+    error.Run = RunState::Unknown;
+  return error;
+}
+
+} // namespace
+
 CallerApi::CallerApi(CallerBackend backend, support::Metrics &metrics)
     : Backend(std::move(backend)), Counts(metrics) {}
 
@@ -202,7 +215,7 @@
     Error error{draining ? ErrorCode::Draining : ErrorCode::StoreUnavailable,
                 draining ? "this host is stopping" : "no settings yet",
                 RunState::NotRun, milliseconds(1000)};
-    HttpResponse response = errorResponse(error, "");
+    HttpResponse response = errorResponse(withProvedRun(error, request), "");
     // Lets the balancer's connection move to another host at once.
     response.Headers["Connection"] = "close";
     return response;
@@ -211,7 +224,8 @@
       checkRequest(request, *routes, std::chrono::steady_clock::now());
   if (!checked) {
     Counts.countRequest("-", "-", std::string(name(checked.error().Code)), {});
-    return errorResponse(checked.error(), requestIdOf(request));
+    return errorResponse(withProvedRun(checked.error(), request),
+                         requestIdOf(request));
   }
   return run(*checked);
 }
