All connections to a leaf stay within the host's share

Cause: the transport's limit was a constant 5 rather than the share; status polls and cancels went out beside the requests that the pool had admitted, and a write opened its connection beside idle kept ones.

Now each call names the share, and the transport starts it only while fewer calls than that run to the leaf. Polls and cancels go first and requests leave them one connection; with a share of 1 they wait for the request to end. A fresh connection replaces an idle one at the limit. After a share shrank each call closes one connection too many. A poll that expired in the queue says nothing about the leaf; a write that did is answered as not run. A cancel of an attempt that still waits drops it. Without a slot no leaf is polled; the statuses are asked for as soon as a slot is held.

Ruled out: libcurl's own limit per host (one number for all leaves, set only while a fresh connection is opened), and a smaller share in the pool (does not count the calls that go on after a cancel).

AFloodStaysWithinEachLeafsConnectionCap now runs 7 hosts against a cap of 8, with writes to the same leaves. Before: 10 to 12 connections at the nine leaves (bound 9, one being the test's own); after: passed, 2 runs of 2. The new unit tests of the transport pass; they were not each seen failing. Of the other process tests two were run (OneReplicaLost, ADrainingLeaf), both passed.

LeafTransport::abort, which nothing called, gave way to dropWaiting.

--- a/include/savorytrestle/core/LeafPool.h
+++ b/include/savorytrestle/core/LeafPool.h
@@ -69,6 +69,12 @@
   /// @param now current time
   void release(LeafIndex leaf, const AttemptResult &result, TimePoint now);
 
+  /// @brief Connections this host may have to a leaf.
+  /// @param leaf the leaf
+  /// @param now current time
+  /// @return the share; 0 while no host slot is held
+  std::uint32_t connections(LeafIndex leaf, TimePoint now) const;
+
 private:
   friend class LeafPool;
   struct Leaf;
--- a/src/backend/LeafEngine.cpp
+++ b/src/backend/LeafEngine.cpp
@@ -49,6 +49,8 @@
 
 /// What a leaf's reply to a write proves about its execution.
 core::Result<std::string> readWriteResult(const LeafCallResult &result) {
+  if (result.NeverStarted)
+    return refuse(ErrorCode::Overloaded, "no connection was free in time");
   if (result.Failure == CallFailure::NotSent)
     return refuse(ErrorCode::BackendFailed, "the backend server is not there");
   if (result.Failure)
@@ -143,9 +145,15 @@
 }
 
 void LeafEngine::State::setShare(const core::HostShare &share) {
+  const auto now = SteadyClock::now();
+  const bool wasHeld = Share && now < Share->ValidUntil;
   Share = share;
-  for (const auto &[key, runtime] : Services)
-    runtime->memory()->Pool.setShare(share, SteadyClock::now());
+  for (const auto &[key, runtime] : Services) {
+    runtime->memory()->Pool.setShare(share, now);
+    // Without a share no leaf could be asked; searches wait for the answers.
+    if (!wasHeld && now < share.ValidUntil)
+      runtime->askAll();
+  }
 }
 
 std::shared_ptr<ServiceRuntime>
@@ -182,7 +190,9 @@
 void LeafEngine::State::run(P policy, const SearchJob &job,
                             const std::shared_ptr<ServiceRuntime> &runtime,
                             SearchDone done) {
-  SearchContext context{job.RequestId, job.Query, runtime->settings()};
+  SearchContext context{
+      job.RequestId, job.Query, runtime->settings(),
+      [runtime](core::LeafIndex leaf) { return runtime->connections(leaf); }};
   // The runtime is captured because the policy refers into it.
   auto session = std::make_shared<SearchSession<P>>(
       std::move(policy), std::move(context), Loop,
@@ -217,6 +227,7 @@
   call.Body = encode(message);
   call.Deadline = job.Deadline - AnswerMargin;
   call.FreshConnection = true;
+  call.MostConnections = pinned->connections(*leaf, now);
   Loop.transport().send(
       std::move(call), now,
       [done, leaf, pinned = *pinned](const LeafCallResult &result) mutable {
--- a/src/backend/LeafTransport.h
+++ b/src/backend/LeafTransport.h
@@ -29,6 +29,12 @@
   /// Uses a connection of its own, for calls that must not meet an idle
   /// connection which the leaf has just closed.
   bool FreshConnection = false;
+  /// Status polls and cancels: they go before searches and writes, which leave
+  /// them one connection where the leaf's limit is above 1.
+  bool Control = false;
+  /// Connections this host may have to the leaf from now on, idle ones
+  /// included; nothing stands for the transport's default.
+  std::optional<std::uint32_t> MostConnections;
 };
 
 /// @brief Why a call brought no reply.
@@ -45,12 +51,14 @@
   int Status = 0;
   std::string Body;
   core::Duration Latency{};
+  /// Expired while it waited for a connection: says nothing about the leaf.
+  bool NeverStarted = false;
 };
 
 /// @brief Limits of the transport.
 struct LeafTransportOptions {
-  /// Connections kept to one leaf at most; more calls wait in libcurl.
-  unsigned ConnectionsPerLeaf = 5;
+  /// Connections to one leaf at most, for calls that name no limit.
+  std::uint32_t ConnectionsPerLeaf = 5;
   /// Replies over this many bytes count as broken.
   std::size_t MaxReplyBytes = 8 << 20;
 };
@@ -58,6 +66,10 @@
 /// @brief Runs calls on the thread that calls @ref turn; only @ref wake may be
 /// called by other threads.
 ///
+/// All connections to a leaf, idle ones included, stay within the limit that
+/// its calls name; calls beyond it wait. After the limit shrank, each call
+/// closes one connection too many.
+///
 /// A request is never sent twice: libcurl would silently repeat one whose
 /// reused connection broke, and this class stops it from doing so.
 class LeafTransport {
@@ -75,13 +87,15 @@
   /// @brief Starts a call.
   /// @param call what to send, and until when to wait
   /// @param now current time
-  /// @param done takes the result; not called for an aborted call
+  /// @param done takes the result; not called for a dropped call
   /// @return the call's identity
   CallId send(LeafCall call, core::TimePoint now, Done done);
 
-  /// @brief Drops a call and closes its connection.
-  /// @param id the call; unknown ones are ignored
-  void abort(CallId id);
+  /// @brief Drops a call that still waits for a connection.
+  /// @param id the call
+  /// @return false when it has started or ended, or is unknown; O(waiting calls
+  ///   of the leaf)
+  bool dropWaiting(CallId id);
 
   /// @brief Sends and receives what is ready, waiting up to the given time.
   /// @param wait longest wait
@@ -90,10 +104,15 @@
   /// @brief Ends the current wait of @ref turn; safe from any thread.
   void wake();
 
-  /// @brief Calls that have not ended.
+  /// @brief Calls that have not ended, waiting ones included.
   /// @return their number
   std::size_t running() const;
 
+  /// @brief Connections open to a leaf, idle ones included.
+  /// @param url any URL of the leaf
+  /// @return their number
+  std::uint32_t openConnections(const std::string &url) const;
+
 private:
   struct Impl;
 
--- a/src/backend/SearchSession.h
+++ b/src/backend/SearchSession.h
@@ -21,6 +21,8 @@
   /// The caller's query as JSON text.
   std::string Query;
   std::shared_ptr<const core::ServiceSettings> Service;
+  /// Connections this host may have to a leaf now.
+  std::function<std::uint32_t(core::LeafIndex)> Connections;
 };
 
 /// @brief Observes how attempts end; called on the loop's thread.
@@ -82,6 +84,7 @@
     call.Url = leafUrl(attempt.Leaf, "/v1/search");
     call.Body = encode(message);
     call.Deadline = attempt.Deadline;
+    call.MostConnections = Context.Connections(attempt.Leaf);
     auto self = this->shared_from_this();
     const auto id = attempt.Id;
     const CallId callId = Loop.transport().send(
@@ -97,10 +100,16 @@
     const auto it = Attempts.find(cancel.Id);
     if (it == Attempts.end())
       return;
+    if (Loop.transport().dropWaiting(it->second.Call)) {
+      Attempts.erase(it);
+      return;
+    }
     LeafCall call;
     call.Url = leafUrl(it->second.Leaf, "/v1/cancel");
     call.Body = encodeCancel(Context.RequestId, cancel.Id);
     call.Deadline = now + CancelTime;
+    call.Control = true;
+    call.MostConnections = Context.Connections(it->second.Leaf);
     Attempts.erase(it);
     Loop.transport().send(std::move(call), now, [](const LeafCallResult &) {});
   }
--- a/src/backend/ServiceRuntime.cpp
+++ b/src/backend/ServiceRuntime.cpp
@@ -84,6 +84,11 @@
     poll(leaf);
 }
 
+void ServiceRuntime::askAll() {
+  for (const core::LeafIndex leaf : All)
+    askStatus(leaf);
+}
+
 void ServiceRuntime::poll(core::LeafIndex leaf) {
   if (Stopped)
     return;
@@ -100,6 +105,8 @@
   LeafCall call;
   call.Url = "http://" + Settings->Leaves[leaf].Address + "/v1/status";
   call.Deadline = now + PollTimeout;
+  call.Control = true;
+  call.MostConnections = Pinned.connections(leaf, now);
   Loop.transport().send(
       std::move(call), now,
       [self = shared_from_this(), leaf](const LeafCallResult &result) {
@@ -109,6 +116,8 @@
 
 void ServiceRuntime::onStatus(core::LeafIndex leaf,
                               const LeafCallResult &result) {
+  if (result.NeverStarted)
+    return;
   const auto status =
       result.Status == StatusOk ? decodeStatus(result.Body) : std::nullopt;
   judge(leaf, result, status);
--- a/src/backend/ServiceRuntime.h
+++ b/src/backend/ServiceRuntime.h
@@ -52,6 +52,9 @@
   /// @brief Polls each leaf's status now and every second, until @ref stop.
   void startPolling();
 
+  /// @brief Asks each leaf's status once, besides the polling.
+  void askAll();
+
   /// @brief Ends the polling; running searches keep the state alive.
   void stop() { Stopped = true; }
 
@@ -80,6 +83,13 @@
   /// @param earlier the runtime before the change
   void adopt(const ServiceRuntime &earlier);
 
+  /// @brief Connections this host may have to a leaf now.
+  /// @param leaf position in this revision's leaf list
+  /// @return the share; 0 while no host slot is held
+  std::uint32_t connections(core::LeafIndex leaf) const {
+    return Pinned.connections(leaf, std::chrono::steady_clock::now());
+  }
+
   /// @brief Index positions of all leaves, for choosing one for a write.
   /// @return 0 to the number of leaves less one
   const std::vector<core::LeafIndex> &allLeaves() const { return All; }
--- a/src/core/LeafPool.cpp
+++ b/src/core/LeafPool.cpp
@@ -190,6 +190,11 @@
     --state.Outstanding;
 }
 
+std::uint32_t PinnedLeaves::connections(LeafIndex leaf, TimePoint now) const {
+  const bool held = Common->Share && now < Common->Share->ValidUntil;
+  return held && leaf < Leaves->size() ? (*Leaves)[leaf]->Share.at(now) : 0;
+}
+
 LeafPool::LeafPool(LeafPoolSettings settings)
     : Common(std::make_shared<PinnedLeaves::Shared>()),
       Leaves(std::make_shared<PinnedLeaves::Table>()) {
--- a/tests/PathFixture.h
+++ b/tests/PathFixture.h
@@ -35,11 +35,15 @@
 
   /// @brief Starts a host and waits until it serves searches; the first one
   /// puts the settings into the store.
-  HostProcess &startHost(const std::string &serviceSettings = "") {
+  /// @param serviceSettings further settings of the search service
+  /// @param furtherRoutes further routes of the search service
+  HostProcess &startHost(const std::string &serviceSettings = "",
+                         const std::string &furtherRoutes = "") {
     auto &host = All.addHost("wien");
     if (All.Hosts.size() == 1) {
-      EXPECT_TRUE(eventually(
-          [&] { return apply(host, settingsText(serviceSettings)); }));
+      EXPECT_TRUE(eventually([&] {
+        return apply(host, settingsText(serviceSettings, furtherRoutes));
+      }));
     }
     EXPECT_TRUE(eventually([&] { return host.ready(); }));
     EXPECT_TRUE(eventually([&] { return covered(search(host)) == Groups; }));
@@ -80,14 +84,15 @@
   Deployment All;
 
 private:
-  std::string settingsText(const std::string &serviceSettings) {
+  std::string settingsText(const std::string &serviceSettings,
+                           const std::string &furtherRoutes) {
     std::string text = "workspaces:\n  preisaufsicht:\n    services:\n"
                        "      preisportal:\n" +
                        serviceSettings + "        leaves:\n";
     for (int n = 0; n < SearchLeaves; ++n)
       text += leafLine(leaf(n), "g" + std::to_string(n / Replicas));
-    text += "        routes:\n          suche: {kind: search}\n"
-            "      meldestelle:\n        leaves:\n" +
+    text += "        routes:\n          suche: {kind: search}\n" +
+            furtherRoutes + "      meldestelle:\n        leaves:\n" +
             leafLine(writeLeaf(), "w") +
             "        routes:\n          melden: {kind: write}\n";
     return text;
--- a/tests/process-search.cpp
+++ b/tests/process-search.cpp
@@ -127,16 +127,30 @@
   EXPECT_GT(newer, 0);
 }
 
+// As many hosts as the slots are meant for, and a cap that leaves each of them
+// one connection for searches, polls and cancels together.
 TEST_F(SearchTest, AFloodStaysWithinEachLeafsConnectionCap) {
   startLeaves({"--connections=8", "--service_ms=20"});
   const std::string cap = "        leaf_connections: 8\n";
   std::vector<const HostProcess *> hosts;
-  for (int n = 0; n < 3; ++n)
-    hosts.push_back(&startHost(cap));
+  for (int n = 0; n < 7; ++n)
+    hosts.push_back(&startHost(cap, "          filen: {kind: write}\n"));
+  std::atomic<int> answered{0};
+  std::atomic<int> filed{0};
   {
-    const Load load(hosts, 24, [](const JsonReply &) {});
-    std::this_thread::sleep_for(3s);
+    const Load load(hosts, 28, [&](const JsonReply &reply) {
+      answered += covered(reply) > 0 ? 1 : 0;
+    });
+    for (int n = 0; n < 60; ++n) {
+      const auto &host = *hosts[static_cast<std::size_t>(n) % hosts.size()];
+      const auto reply =
+          host.call("/v1/preisaufsicht/filen", {{"n", n}}, 1000ms);
+      filed += reply.Status == 200 ? 1 : 0;
+      std::this_thread::sleep_for(50ms);
+    }
   }
+  EXPECT_GT(answered, 0);
+  EXPECT_GT(filed, 0);
   for (int n = 0; n < SearchLeaves; ++n) {
     // One connection is this test's own.
     EXPECT_LE(leaf(n).control()["most_connections"].get<int>(), 8 + 1)
--- a/tests/unit-leaf-transport.cpp
+++ b/tests/unit-leaf-transport.cpp
@@ -9,6 +9,8 @@
 
 #include <gtest/gtest.h>
 
+#include "support/HttpServer.h"
+
 using namespace savorytrestle::backend;
 using namespace std::chrono_literals;
 using SteadyClock = std::chrono::steady_clock;
@@ -75,6 +77,61 @@
   std::thread Server;
 };
 
+/// A leaf that counts its connections; "/hang" is answered only once told.
+class CountingLeaf {
+public:
+  CountingLeaf() {
+    savorytrestle::support::HttpServerOptions options;
+    options.Listen = "127.0.0.1:0";
+    options.Threads = 16;
+    options.OnConnection = [this](int change) {
+      const int now = Connections += change;
+      int most = Most;
+      while (now > most && !Most.compare_exchange_weak(most, now)) {
+      }
+    };
+    Server = savorytrestle::support::HttpServer::start(
+                 options,
+                 [this](const savorytrestle::support::HttpRequest &request) {
+                   while (request.Path == "/hang" && !Go)
+                     std::this_thread::sleep_for(1ms);
+                   savorytrestle::support::HttpResponse response;
+                   response.Body = "{}";
+                   return response;
+                 })
+                 .value();
+  }
+  ~CountingLeaf() { Go = true; }
+
+  LeafCall call(const std::string &path, std::uint32_t limit) const {
+    LeafCall call;
+    call.Url = "http://127.0.0.1:" + std::to_string(Server->port()) + path;
+    call.Body = "{}";
+    call.Deadline = SteadyClock::now() + 20s;
+    call.MostConnections = limit;
+    return call;
+  }
+
+  std::atomic<int> Connections{0};
+  std::atomic<int> Most{0};
+  std::atomic<bool> Go{false};
+
+private:
+  std::unique_ptr<savorytrestle::support::HttpServer> Server;
+};
+
+/// Sends a call and counts it in `ok` when it is answered.
+void send(LeafTransport &transport, LeafCall call, int &ok) {
+  transport.send(
+      std::move(call), SteadyClock::now(),
+      [&ok](const LeafCallResult &result) { ok += result.Status == 200; });
+}
+
+void finishAll(LeafTransport &transport) {
+  while (transport.running() > 0)
+    transport.turn(10ms);
+}
+
 LeafCallResult run(LeafTransport &transport, const std::string &url) {
   LeafCallResult outcome;
   bool done = false;
@@ -108,4 +165,129 @@
             CallFailure::NotSent);
 }
 
+TEST(LeafTransport, AllKindsOfCallsStayWithinTheLeafsLimit) {
+  CountingLeaf leaf;
+  LeafTransport transport(LeafTransportOptions{});
+  leaf.Go = true;
+  int ok = 0;
+  for (int round = 0; round < 20; ++round) {
+    for (int n = 0; n < 9; ++n) {
+      auto call = leaf.call("/hang", 3);
+      call.Control = n % 3 == 1;
+      // A write that finds only idle connections must replace one of them.
+      call.FreshConnection = n % 3 == 2 && round % 2 == 1;
+      send(transport, std::move(call), ok);
+    }
+    finishAll(transport);
+    // The leaf notices a closed connection a little after this side closed it.
+    std::this_thread::sleep_for(5ms);
+  }
+  EXPECT_EQ(ok, 180);
+  EXPECT_GE(leaf.Most, 2);
+  EXPECT_LE(leaf.Connections, 3);
+}
+
+TEST(LeafTransport, AFreshConnectionReplacesAnIdleOneAtTheLimit) {
+  CountingLeaf leaf;
+  LeafTransport transport(LeafTransportOptions{});
+  int ok = 0;
+  for (int n = 0; n < 20; ++n) {
+    send(transport, leaf.call("/poll", 1), ok);
+    finishAll(transport);
+    auto write = leaf.call("/write", 1);
+    write.FreshConnection = true;
+    send(transport, std::move(write), ok);
+    EXPECT_EQ(transport.openConnections(leaf.call("/", 1).Url), 1U);
+    finishAll(transport);
+  }
+  EXPECT_EQ(ok, 40);
+}
+
+TEST(LeafTransport, HangingRequestsLeaveAConnectionForThePoll) {
+  CountingLeaf leaf;
+  LeafTransport transport(LeafTransportOptions{});
+  int hung = 0;
+  int polled = 0;
+  for (int n = 0; n < 5; ++n)
+    send(transport, leaf.call("/hang", 3), hung);
+  auto poll = leaf.call("/poll", 3);
+  poll.Control = true;
+  send(transport, std::move(poll), polled);
+  while (polled == 0 && transport.running() == 6)
+    transport.turn(10ms);
+  EXPECT_EQ(polled, 1);
+  EXPECT_EQ(hung, 0);
+  EXPECT_LE(leaf.Most, 3);
+  leaf.Go = true;
+  finishAll(transport);
+  EXPECT_EQ(hung, 5);
+}
+
+TEST(LeafTransport, AShareOfOnePollsOnceNothingIsOutstanding) {
+  CountingLeaf leaf;
+  LeafTransport transport(LeafTransportOptions{});
+  int hung = 0;
+  int polled = 0;
+  send(transport, leaf.call("/hang", 1), hung);
+  send(transport, leaf.call("/hang", 1), hung);
+  auto poll = leaf.call("/poll", 1);
+  poll.Control = true;
+  send(transport, std::move(poll), polled);
+  for (int n = 0; n < 20; ++n)
+    transport.turn(1ms);
+  EXPECT_EQ(polled, 0);
+  leaf.Go = true;
+  finishAll(transport);
+  EXPECT_EQ(polled, 1);
+  EXPECT_EQ(hung, 2);
+  EXPECT_EQ(leaf.Most, 1);
+}
+
+TEST(LeafTransport, ACallThatExpiresInTheQueueSaysSo) {
+  CountingLeaf leaf;
+  LeafTransport transport(LeafTransportOptions{});
+  auto call = leaf.call("/poll", 0);
+  call.Deadline = SteadyClock::now() + 5ms;
+  LeafCallResult result;
+  transport.send(std::move(call), SteadyClock::now(),
+                 [&](LeafCallResult outcome) { result = std::move(outcome); });
+  finishAll(transport);
+  EXPECT_EQ(result.Failure, CallFailure::Expired);
+  EXPECT_TRUE(result.NeverStarted);
+  EXPECT_EQ(leaf.Most, 0);
+}
+
+TEST(LeafTransport, ADroppedCallIsNotSent) {
+  CountingLeaf leaf;
+  LeafTransport transport(LeafTransportOptions{});
+  int ok = 0;
+  const auto id =
+      transport.send(leaf.call("/poll", 0), SteadyClock::now(),
+                     [&](const LeafCallResult & /*result*/) { ++ok; });
+  EXPECT_TRUE(transport.dropWaiting(id));
+  EXPECT_FALSE(transport.dropWaiting(id));
+  EXPECT_EQ(transport.running(), 0U);
+  EXPECT_EQ(ok, 0);
+}
+
+TEST(LeafTransport, AShrunkLimitClosesOneConnectionWithEachCall) {
+  CountingLeaf leaf;
+  LeafTransport transport(LeafTransportOptions{});
+  int ok = 0;
+  for (int n = 0; n < 4; ++n)
+    send(transport, leaf.call("/hang", 5), ok);
+  while (leaf.Connections < 4)
+    transport.turn(1ms);
+  leaf.Go = true;
+  finishAll(transport);
+  const std::string url = leaf.call("/", 1).Url;
+  EXPECT_EQ(transport.openConnections(url), 4U);
+  for (int n = 0; n < 4; ++n) {
+    send(transport, leaf.call("/poll", 1), ok);
+    finishAll(transport);
+  }
+  EXPECT_EQ(transport.openConnections(url), 1U);
+  EXPECT_EQ(ok, 8);
+}
+
 } // namespace
