A slot inside its lapse grace is never offered

Cause: when no other slot was free, SlotChooser offered those that had lapsed of late, whose paused holder may still have connections open: a wrong sum of shares rather than less capacity.

Seen failing before the change: SlotChooser.KeepsALapsedSlotUnusedForTheGrace- WhateverElseIsFree, SlotChooser.PausedHoldersNeverShareASlotWithTheirSuccessors (both after chooseSlot's tests) and HostSlotKeeper.AHolderWhoseSlotWasTaken- TakesAnother. After: the 33 tests of SlotChooser, HostSlotKeeper, SlotLease, Membership and PeerNode pass; the rest was not run.

Price: when all hosts die together without release, their successors wait for the grace, 60 s, counted from when each first saw the slot free.

--- a/include/savorytrestle/core/Membership.h
+++ b/include/savorytrestle/core/Membership.h
@@ -140,8 +140,7 @@
   /// @param rng orders equally good slots, so that hosts that start together
   ///   seldom meet
   /// @return numbers in the order to try: never used, released, lapsed longer
-  ///   ago than the grace; when there are none of these, those that lapsed of
-  ///   late; O(n log n)
+  ///   ago than the grace; empty when there are none of these; O(n log n)
   std::vector<SlotNumber> order(const std::vector<SlotUse> &slots,
                                 TimePoint now, Rng &rng);
 
--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -117,7 +117,6 @@
     SlotNumber Number;
   };
   std::vector<Candidate> usable;
-  std::vector<Candidate> lapsed;
   for (const auto &use : slots) {
     if (use.Held) {
       FreeSince.erase(use.Number);
@@ -126,18 +125,19 @@
     const auto since = FreeSince.try_emplace(use.Number, now).first->second;
     const bool fresh = !use.EverClaimed;
     const bool rested = now - since >= Timing.LapseGrace;
-    const Candidate candidate{fresh ? 0 : (use.Released ? 1 : 2), since, rng(),
-                              use.Number};
-    (fresh || use.Released || rested ? usable : lapsed).push_back(candidate);
+    // A paused holder's connections may still be open: to go without a slot
+    // costs capacity, to share one could pass the leaves' caps.
+    if (fresh || use.Released || rested)
+      usable.push_back(
+          {fresh ? 0 : (use.Released ? 1 : 2), since, rng(), use.Number});
   }
-  auto &chosen = usable.empty() ? lapsed : usable;
-  std::sort(chosen.begin(), chosen.end(), [](const auto &a, const auto &b) {
+  std::sort(usable.begin(), usable.end(), [](const auto &a, const auto &b) {
     return std::tie(a.Rank, a.FreeSince, a.Tie) <
            std::tie(b.Rank, b.FreeSince, b.Tie);
   });
   std::vector<SlotNumber> numbers;
-  numbers.reserve(chosen.size());
-  for (const auto &candidate : chosen)
+  numbers.reserve(usable.size());
+  for (const auto &candidate : usable)
     numbers.push_back(candidate.Number);
   return numbers;
 }
