--- a/include/savorytrestle/core/HostShare.h
+++ b/include/savorytrestle/core/HostShare.h
@@ -10,8 +10,6 @@
 /// no belief about which hosts are alive can make them exceed it.
 
 #include <cstdint>
-#include <optional>
-#include <span>
 #include <string_view>
 
 #include "savorytrestle/core/Time.h"
@@ -42,28 +40,6 @@
 std::uint32_t connectionShare(std::string_view leafName, std::uint32_t cap,
                               std::uint32_t slot, std::uint32_t slots);
 
-/// @brief What a starting host has seen of a slot's lease.
-struct SlotObservation {
-  /// Whether a host holds its lease now.
-  bool Held = false;
-  /// Whether any host ever held it.
-  bool EverHeld = false;
-  /// For how long this host itself has watched the lease absent, with the store
-  /// answering all the while.
-  Duration FreeFor{};
-};
-
-/// @brief Chooses the slot a starting host tries to lease.
-///
-/// A slot that was never held goes first, then the one free for longest, once
-/// its former holder must have noticed its lapse.
-/// @param slots observations by slot number
-/// @param grace least time a lapsed slot stays unused; longer than a holder
-/// goes on after its last renewal (@ref HostShare::ValidUntil)
-/// @return the slot, or nothing while none is free; O(slots)
-std::optional<std::uint32_t> chooseSlot(std::span<const SlotObservation> slots,
-                                        Duration grace);
-
 } // namespace savorytrestle::core
 
 #endif
--- a/src/backend/LeafEngine.cpp
+++ b/src/backend/LeafEngine.cpp
@@ -95,11 +95,11 @@
 
   void apply(const core::RouteTable &routes);
   void setShare(const core::HostShare &share);
-  void search(SearchJob job, SearchDone done);
+  void search(const SearchJob &job, SearchDone done);
   template <core::SearchPolicy P>
   void run(P policy, const SearchJob &job,
            const std::shared_ptr<ServiceRuntime> &runtime, SearchDone done);
-  void write(WriteJob job, const WriteDone &done);
+  void write(const WriteJob &job, const WriteDone &done);
   std::shared_ptr<ServiceRuntime> find(const core::RouteSettings &route);
   std::shared_ptr<ServiceRuntime>
   make(const std::shared_ptr<const core::ServiceSettings> &settings,
@@ -163,7 +163,7 @@
   return it == Services.end() ? nullptr : it->second;
 }
 
-void LeafEngine::State::search(SearchJob job, SearchDone done) {
+void LeafEngine::State::search(const SearchJob &job, SearchDone done) {
   const auto runtime = find(job.Route);
   if (!runtime || !runtime->snapshot()) {
     done(refuse(ErrorCode::BackendFailed, "no index version is known yet"));
@@ -208,7 +208,7 @@
   session->start();
 }
 
-void LeafEngine::State::write(WriteJob job, const WriteDone &done) {
+void LeafEngine::State::write(const WriteJob &job, const WriteDone &done) {
   const auto runtime = find(job.Route);
   const auto now = SteadyClock::now();
   auto pinned = runtime ? std::optional(runtime->memory()->Pool.pin())
@@ -250,7 +250,7 @@
     std::this_thread::sleep_for(milliseconds(1));
 }
 
-void LeafEngine::apply(std::shared_ptr<const core::RouteTable> routes) {
+void LeafEngine::apply(const std::shared_ptr<const core::RouteTable> &routes) {
   postSurely([state = Shared, routes] { state->apply(*routes); });
 }
 
@@ -261,17 +261,16 @@
 core::Result<void> LeafEngine::search(SearchJob job, SearchDone done) {
   if (!Loop.post([state = Shared, job = std::move(job),
                   done = std::move(done)]() mutable {
-        state->search(std::move(job), std::move(done));
+        state->search(job, std::move(done));
       }))
     return refuse(ErrorCode::Overloaded, "this host's queue is full");
   return {};
 }
 
 core::Result<void> LeafEngine::write(WriteJob job, WriteDone done) {
-  if (!Loop.post([state = Shared, job = std::move(job),
-                  done = std::move(done)]() mutable {
-        state->write(std::move(job), done);
-      }))
+  if (!Loop.post(
+          [state = Shared, job = std::move(job),
+           done = std::move(done)]() mutable { state->write(job, done); }))
     return refuse(ErrorCode::Overloaded, "this host's queue is full");
   return {};
 }
--- a/src/backend/LeafEngine.h
+++ b/src/backend/LeafEngine.h
@@ -65,7 +65,7 @@
 
   /// @brief Takes new settings over; running searches keep the old ones.
   /// @param routes settings in force
-  void apply(std::shared_ptr<const core::RouteTable> routes);
+  void apply(const std::shared_ptr<const core::RouteTable> &routes);
 
   /// @brief Sets this host's share of every leaf's connections.
   /// @param share the host slot; a share that has ended admits nothing
--- a/src/core/HostShare.cpp
+++ b/src/core/HostShare.cpp
@@ -38,21 +38,4 @@
   return base + (rank(leafName, slot, slots) < remainder ? 1 : 0);
 }
 
-std::optional<std::uint32_t> chooseSlot(std::span<const SlotObservation> slots,
-                                        Duration grace) {
-  std::optional<std::uint32_t> best;
-  for (std::uint32_t slot = 0; slot < slots.size(); ++slot) {
-    const auto &seen = slots[slot];
-    if (seen.Held)
-      continue;
-    if (!seen.EverHeld)
-      return slot;
-    if (seen.FreeFor < grace)
-      continue;
-    if (!best || seen.FreeFor > slots[*best].FreeFor)
-      best = slot;
-  }
-  return best;
-}
-
 } // namespace savorytrestle::core
