--- a/include/savorytrestle/core/SearchTypes.h
+++ b/include/savorytrestle/core/SearchTypes.h
@@ -116,6 +116,9 @@
   std::uint32_t ShardsTotal = 0;
   /// Shards whose rows are missing, in rising order.
   std::vector<ShardIndex> Missing;
+  /// Names of the groups known to hold the missing shards, sorted; policies
+  /// leave it empty, as names are the engine's to know.
+  std::vector<std::string> MissingGroups;
   std::vector<nlohmann::json> Rows;
   /// Attempts sent beyond the first for each shard.
   std::uint32_t ExtraAttempts = 0;
--- a/src/backend/LeafEngine.cpp
+++ b/src/backend/LeafEngine.cpp
@@ -202,7 +202,9 @@
         self->Counts.countAttempt(
             event.Failure ? std::string(failureName(*event.Failure)) : "ok");
       },
-      [done = std::move(done)](core::SearchAnswer answer) {
+      [done = std::move(done), runtime](core::SearchAnswer answer) {
+        answer.MissingGroups =
+            runtime->groupsOf(answer.Version, answer.Missing);
         done(std::move(answer));
       });
   session->start();
--- a/src/backend/ServiceRuntime.cpp
+++ b/src/backend/ServiceRuntime.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <numeric>
+#include <set>
 
 namespace savorytrestle::backend {
 
@@ -60,6 +61,21 @@
   return {std::move(leaves), Catalog, Memory->Budget, Hedges};
 }
 
+std::vector<std::string>
+ServiceRuntime::groupsOf(core::IndexVersion version,
+                         const std::vector<core::ShardIndex> &shards) const {
+  const std::set<core::ShardIndex> wanted(shards.begin(), shards.end());
+  std::set<std::string> groups;
+  for (const core::LeafIndex leaf : All) {
+    if (wanted.empty() || !Status[leaf])
+      continue;
+    for (const auto &index : Status[leaf]->Indexes)
+      if (index.Version == version && wanted.count(index.Shard) > 0)
+        groups.insert(Settings->Leaves[leaf].Group);
+  }
+  return {groups.begin(), groups.end()};
+}
+
 void ServiceRuntime::adopt(const ServiceRuntime &earlier) {
   const auto &now = Settings->Leaves;
   const auto &before = earlier.Settings->Leaves;
--- a/src/backend/ServiceRuntime.h
+++ b/src/backend/ServiceRuntime.h
@@ -83,6 +83,14 @@
     return Catalog.current();
   }
 
+  /// @brief Names the groups that hold shards of a version.
+  /// @param version the index version
+  /// @param shards the shards
+  /// @return sorted names; O(leaves * log shards)
+  std::vector<std::string>
+  groupsOf(core::IndexVersion version,
+           const std::vector<core::ShardIndex> &shards) const;
+
   /// @brief Takes over what an earlier revision knew of the same leaves.
   /// @param earlier the runtime before the change
   void adopt(const ServiceRuntime &earlier);
--- a/src/caller/CallerApi.cpp
+++ b/src/caller/CallerApi.cpp
@@ -143,7 +143,8 @@
           {"coverage",
            {{"shards_answered", answer.ShardsAnswered},
             {"shards_total", answer.ShardsTotal},
-            {"missing_shards", missing}}},
+            {"missing_shards", missing},
+            {"missing_groups", answer.MissingGroups}}},
           {"extra_attempts", answer.ExtraAttempts},
           {"rows", std::move(answer.Rows)}};
 }
@@ -287,6 +288,7 @@
       200, {{"request_id", request.RequestId},
             {"run", core::name(answer->Run)},
             {"replayed", answer->Replayed},
+            {"result_kept", answer->ResultKept},
             {"result", json::parse(answer->Result, nullptr, false)}});
 }
 
--- a/tests/process-search.cpp
+++ b/tests/process-search.cpp
@@ -75,6 +75,7 @@
   ASSERT_EQ(reply.Status, 200);
   EXPECT_EQ(reply.Body["coverage"]["shards_total"], 3);
   EXPECT_EQ(reply.Body["coverage"]["missing_shards"], json::array({0}));
+  EXPECT_EQ(reply.Body["coverage"]["missing_groups"], json::array({"g0"}));
   // Once the leaves are known to be gone, nobody waits for them.
   EXPECT_TRUE(eventually([&] {
     const auto start = std::chrono::steady_clock::now();
