--- a/src/core/SettingsSchema.cpp
+++ b/src/core/SettingsSchema.cpp
@@ -12,7 +12,6 @@
 using enum SettingKind;
 using enum SettingsLevel;
 
-constexpr double MillisPerHour = 3600.0 * 1000.0;
 constexpr double LongestDeadlineMs = 600.0 * 1000.0;
 
 constexpr SettingSpec Schema[] = {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,6 +14,7 @@
 #include "operators/SettingsCommand.h"
 #include "serve/Host.h"
 #include "support/Log.h"
+#include "support/StopSignals.h"
 #include "support/Version.h"
 
 ABSL_FLAG(std::string, config, "", "serve, check: the host's YAML file");
@@ -57,16 +58,6 @@
     "exit codes: 0 done, 1 failed or refused, 2 wrong usage,\n"
     "3 outcome of a settings change unknown, 4 no host reached\n";
 
-/// Blocks the stop signals in this thread and all it starts.
-sigset_t blockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
-}
-
 int check(const std::string &path) {
   const auto config = serve::loadHostConfig(path);
   if (!config) {
@@ -78,7 +69,7 @@
 }
 
 int runHost(const std::string &path) {
-  const sigset_t signals = blockStopSignals();
+  const support::StopSignals signals;
   std::signal(SIGPIPE, SIG_IGN);
   const auto config = serve::loadHostConfig(path);
   if (!config) {
@@ -90,8 +81,7 @@
     std::fprintf(stderr, "%s\n", host.error().Message.c_str());
     return ExitFailed;
   }
-  int received = 0;
-  sigwait(&signals, &received);
+  signals.wait();
   return (*host)->drain() ? ExitOk : ExitFailed;
 }
 
--- a/tests/standins/kv-standin.cpp
+++ b/tests/standins/kv-standin.cpp
@@ -2,8 +2,6 @@
 // API that platform/HttpKvStore.h speaks, with faults set over /control.
 
 #include <atomic>
-#include <csignal>
-#include <cstdio>
 #include <random>
 #include <thread>
 
@@ -13,7 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "standins/KvState.h"
-#include "support/HttpServer.h"
+#include "standins/Serve.h"
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
 ABSL_FLAG(int, threads, 64, "connections served at once");
@@ -200,26 +198,14 @@
 
 int main(int argc, char **argv) {
   absl::ParseCommandLine(argc, argv);
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const support::StopSignals signals;
   KvServer kv(absl::GetFlag(FLAGS_reads_per_second),
               absl::GetFlag(FLAGS_writes_per_second));
   support::HttpServerOptions options;
   options.Listen = absl::GetFlag(FLAGS_listen);
   options.Threads = static_cast<unsigned>(absl::GetFlag(FLAGS_threads));
   options.MaxBodyBytes = 2 << 20;
-  auto server = support::HttpServer::start(
-      options, [&](const HttpRequest &request) { return kv.handle(request); });
-  if (!server) {
-    std::fprintf(stderr, "%s\n", server.error().Message.c_str());
-    return 1;
-  }
-  std::printf("port=%d\n", (*server)->port());
-  std::fflush(stdout);
-  int received = 0;
-  sigwait(&signals, &received);
-  return 0;
+  return standins::serve(signals, options, [&](const HttpRequest &request) {
+    return kv.handle(request);
+  });
 }
--- a/tests/standins/leaf-standin.cpp
+++ b/tests/standins/leaf-standin.cpp
@@ -1,8 +1,6 @@
 // Stand-in for a backend server (leaf): the interface of
 // backend/LeafProtocol.h over a few slots, with faults set over /control.
 
-#include <csignal>
-#include <cstdio>
 #include <thread>
 
 #include <unistd.h>
@@ -13,7 +11,7 @@
 #include <absl/strings/str_split.h>
 
 #include "standins/LeafModel.h"
-#include "support/HttpServer.h"
+#include "standins/Serve.h"
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
 ABSL_FLAG(std::string, name, "leaf", "name that its rows carry");
@@ -233,11 +231,7 @@
 
 int main(int argc, char **argv) {
   absl::ParseCommandLine(argc, argv);
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const support::StopSignals signals;
   Leaf leaf(absl::GetFlag(FLAGS_name),
             static_cast<unsigned>(absl::GetFlag(FLAGS_slots)),
             static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed)));
@@ -259,8 +253,8 @@
           std::max(counters.MostConnections, counters.Connections);
     });
   };
-  auto server = support::HttpServer::start(
-      options, [&](const HttpRequest &request) -> HttpResponse {
+  return standins::serve(
+      signals, options, [&](const HttpRequest &request) -> HttpResponse {
         if (request.Path != "/control" && leaf.overCap(cap + 1)) {
           HttpResponse closed;
           closed.Abort = true;
@@ -268,13 +262,4 @@
         }
         return leaf.handle(request);
       });
-  if (!server) {
-    std::fprintf(stderr, "%s\n", server.error().Message.c_str());
-    return 1;
-  }
-  std::printf("port=%d\n", (*server)->port());
-  std::fflush(stdout);
-  int received = 0;
-  sigwait(&signals, &received);
-  return 0;
 }
