--- a/src/support/HttpClient.cpp
+++ b/src/support/HttpClient.cpp
@@ -5,6 +5,8 @@
 #include <memory>
 #include <utility>
 
+#include <absl/strings/str_cat.h>
+
 #include "support/SendGuard.h"
 
 namespace savorytrestle::support {
@@ -78,7 +80,7 @@
   HttpReply reply;
   curl_slist *list = curl_slist_append(nullptr, "Expect:");
   for (const auto &[key, value] : call.Headers)
-    list = curl_slist_append(list, (key + ": " + value).c_str());
+    list = curl_slist_append(list, absl::StrCat(key, ": ", value).c_str());
   const std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers(
       list, &curl_slist_free_all);
   curl_easy_setopt(handle, CURLOPT_URL, call.Url.c_str());
--- a/src/support/HttpServer.cpp
+++ b/src/support/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <vector>
 
+#include <absl/strings/str_cat.h>
 #include <civetweb.h>
 
 namespace savorytrestle::support {
@@ -57,7 +58,7 @@
   out += "Content-Type: " + response.ContentType + "\r\n";
   out += "Content-Length: " + std::to_string(response.Body.size()) + "\r\n";
   for (const auto &[key, value] : response.Headers)
-    out += key + ": " + value + "\r\n";
+    absl::StrAppend(&out, key, ": ", value, "\r\n");
   out += "\r\n";
   out += response.Body;
   mg_write(connection, out.data(), out.size());
--- a/src/support/YamlReader.cpp
+++ b/src/support/YamlReader.cpp
@@ -52,8 +52,8 @@
   return inet_pton(AF_INET, host.c_str(), buf) == 1;
 }
 
-YamlMap::YamlMap(YAML::Node node, std::string path, YamlFaults &faults)
-    : Node(std::move(node)), Path(std::move(path)), Faults(faults) {
+YamlMap::YamlMap(const YAML::Node &node, std::string path, YamlFaults &faults)
+    : Node(node), Path(std::move(path)), Faults(faults) {
   if (!Node.IsMap() && !Node.IsNull())
     fault(Node, "", "a mapping of keys to values");
 }
--- a/src/support/YamlReader.h
+++ b/src/support/YamlReader.h
@@ -34,7 +34,7 @@
   /// @param node the node; anything but a mapping is a fault
   /// @param path dotted path of the node, for messages
   /// @param faults takes the faults
-  YamlMap(YAML::Node node, std::string path, YamlFaults &faults);
+  YamlMap(const YAML::Node &node, std::string path, YamlFaults &faults);
 
   /// @brief Reads text.
   /// @param key its key
--- a/tests/process-harness.cpp
+++ b/tests/process-harness.cpp
@@ -45,6 +45,7 @@
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   const std::string program = std::string(BINARY_DIR) + "/" + arguments.front();
   std::vector<char *> argv;
+  argv.reserve(arguments.size() + 1);
   for (const auto &argument : arguments)
     argv.push_back(const_cast<char *>(argument.c_str()));
   argv.push_back(nullptr);
@@ -136,7 +137,8 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
-  bind(fd, reinterpret_cast<sockaddr *>(&address), size);
+  if (bind(fd, reinterpret_cast<sockaddr *>(&address), size) != 0)
+    return 0;
   getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
   close(fd);
   return ntohs(address.sin_port);
--- a/tests/process-path.cpp
+++ b/tests/process-path.cpp
@@ -39,7 +39,7 @@
   const auto &host = startHost();
   const auto searchesBefore = leaf(0).control()["searches"];
   const auto post = [&](const std::string &path, const json &body,
-                        std::map<std::string, std::string> headers) {
+                        const std::map<std::string, std::string> &headers) {
     return sendJson("POST", "http://" + host.Callers + path, body, headers);
   };
   const std::string path = "/v1/preisaufsicht/suche";
--- a/tests/process-search.cpp
+++ b/tests/process-search.cpp
@@ -15,8 +15,8 @@
 /// Runs searches on several threads until it goes out of scope.
 class Load {
 public:
-  Load(std::vector<const HostProcess *> hosts, int threads,
-       std::function<void(const JsonReply &)> check) {
+  Load(const std::vector<const HostProcess *> &hosts, int threads,
+       const std::function<void(const JsonReply &)> &check) {
     for (int n = 0; n < threads; ++n)
       Threads.emplace_back([this, hosts, n, check] {
         for (auto turn = static_cast<std::size_t>(n); !Stop; ++turn) {
@@ -140,6 +140,7 @@
   startLeaves({"--connections=8", "--service_ms=20"});
   const std::string cap = "        leaf_connections: 8\n";
   std::vector<const HostProcess *> hosts;
+  hosts.reserve(7);
   for (int n = 0; n < 7; ++n)
     hosts.push_back(&startHost(cap, "          filen: {kind: write}\n"));
   std::atomic<int> answered{0};
@@ -168,6 +169,7 @@
 TEST_F(SearchTest, ARequestThatCrashesLeavesIsStoppedOnEveryHost) {
   startLeaves();
   std::vector<const HostProcess *> hosts;
+  hosts.reserve(3);
   for (int n = 0; n < 3; ++n)
     hosts.push_back(&startHost());
   // The hosts come to know each other.
--- a/tests/unit-leaf-transport.cpp
+++ b/tests/unit-leaf-transport.cpp
@@ -26,8 +26,8 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(Listener, reinterpret_cast<sockaddr *>(&address), size);
-    listen(Listener, 8);
+    EXPECT_EQ(bind(Listener, reinterpret_cast<sockaddr *>(&address), size), 0);
+    EXPECT_EQ(listen(Listener, 8), 0);
     getsockname(Listener, reinterpret_cast<sockaddr *>(&address), &size);
     Port = ntohs(address.sin_port);
     Server = std::thread([this] { serve(); });
