--- a/tests/ProcessHarness.h
+++ b/tests/ProcessHarness.h
@@ -140,12 +140,22 @@
   /// @brief Starts a host again from its file.
   void restart(HostProcess &host) const;
 
+  /// @brief Starts the host list stand-in; hosts added later read it.
+  /// @param lag until a change of the list shows
+  void startHostList(std::chrono::milliseconds lag);
+
+  /// @brief Sets what the host list names as live.
+  void listHosts() const;
+
   /// @brief Changes the store's faults and reads its counters.
   nlohmann::json storeControl(const nlohmann::json &change = nullptr) const;
 
   std::string Folder;
   std::string Store;
   Process StoreChild;
+  /// Address of the host list stand-in; empty until @ref startHostList.
+  std::string HostList;
+  Process HostListChild;
   std::vector<std::unique_ptr<LeafProcess>> Leaves;
   std::vector<std::unique_ptr<HostProcess>> Hosts;
 };
--- a/tests/process-harness.cpp
+++ b/tests/process-harness.cpp
@@ -182,6 +182,7 @@
   Hosts.clear();
   Leaves.clear();
   StoreChild.kill();
+  HostListChild.kill();
   if (std::getenv("KEEP_LOGS") == nullptr)
     std::filesystem::remove_all(Folder);
 }
@@ -213,7 +214,8 @@
       << "host: {id: " << host->Id << ", failure_domain: " << failureDomain
       << ", region: here}\nlisten:\n  callers: " << host->Callers
       << "\n  operators: " << host->Operators << "\n  peers: " << host->Peers
-      << "\nplatform: {store: \"" << Store << "\"}\n"
+      << "\nplatform: {store: \"" << Store << "\""
+      << (HostList.empty() ? "" : ", host_list: \"" + HostList + "\"") << "}\n"
       << "operators: {root_token_hash: " << operators::hashToken(RootToken)
       << "}\n"
       << extra;
@@ -229,6 +231,23 @@
               Folder + "/" + host.Id + ".log");
 }
 
+void Deployment::startHostList(std::chrono::milliseconds lag) {
+  HostListChild = Process({"host-list-standin", "--listen=127.0.0.1:0",
+                           "--lag_ms=" + std::to_string(lag.count())});
+  HostList = "127.0.0.1:" + std::to_string(HostListChild.readPort());
+}
+
+void Deployment::listHosts() const {
+  json list = json::array();
+  for (const auto &host : Hosts)
+    list.push_back({{"id", host->Id},
+                    {"peer_address", host->Peers},
+                    {"failure_domain", "wien"},
+                    {"region", "here"},
+                    {"state", "live"}});
+  sendJson("POST", "http://" + HostList + "/control", list);
+}
+
 json Deployment::storeControl(const json &change) const {
   return sendJson("POST", "http://" + Store + "/control", change).Body;
 }
--- a/tests/process-settings.cpp
+++ b/tests/process-settings.cpp
@@ -208,4 +208,15 @@
   EXPECT_TRUE(eventually([&] { return late.ready(); }, 8000ms));
 }
 
+TEST_F(SettingsTest, AHostThatStartsInAnOutageFindsItsPeersInTheHostList) {
+  startLeaves();
+  All.startHostList(300ms);
+  startHost();
+  const auto revision = *revisionOn(*All.Hosts[0]);
+  All.listHosts();
+  All.storeControl({{"outage", true}});
+  const auto &late = All.addHost("graz");
+  EXPECT_TRUE(eventually([&] { return revisionOn(late) == revision; }, 8000ms));
+}
+
 } // namespace
--- /dev/null
+++ b/tests/standins/host-list-standin.cpp
@@ -0,0 +1,73 @@
+// Stand-in for the platform's list of live and leaving hosts: GET /v1/hosts, as
+// platform/HostList.h reads it. POST /control sets the list, which shows after
+// the lag.
+
+#include <deque>
+#include <mutex>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <nlohmann/json.hpp>
+
+#include "savorytrestle/core/Time.h"
+#include "standins/Serve.h"
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
+ABSL_FLAG(int, lag_ms, 0, "milliseconds until a change shows");
+
+namespace {
+
+using namespace savorytrestle;
+using SteadyClock = std::chrono::steady_clock;
+
+/// Versions of the list, each shown once its time has come.
+class LaggingList {
+public:
+  explicit LaggingList(std::chrono::milliseconds lag) : Lag(lag) {}
+
+  void set(std::string list) {
+    const std::lock_guard guard(Lock);
+    Coming.push_back({SteadyClock::now() + Lag, std::move(list)});
+  }
+
+  std::string shown() {
+    const std::lock_guard guard(Lock);
+    while (!Coming.empty() && Coming.front().ShowsAt <= SteadyClock::now()) {
+      Current = std::move(Coming.front().List);
+      Coming.pop_front();
+    }
+    return Current;
+  }
+
+private:
+  struct Change {
+    core::TimePoint ShowsAt;
+    std::string List;
+  };
+
+  const std::chrono::milliseconds Lag;
+  std::mutex Lock;
+  std::string Current = "[]";
+  std::deque<Change> Coming;
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+  absl::ParseCommandLine(argc, argv);
+  const support::StopSignals signals;
+  LaggingList list{std::chrono::milliseconds(absl::GetFlag(FLAGS_lag_ms))};
+  support::HttpServerOptions options;
+  options.Listen = absl::GetFlag(FLAGS_listen);
+  return standins::serve(signals, options,
+                         [&](const support::HttpRequest &request) {
+                           support::HttpResponse response;
+                           if (request.Path == "/control")
+                             list.set(request.Body);
+                           else if (request.Path == "/v1/hosts")
+                             response.Body = list.shown();
+                           else
+                             response.Status = 404;
+                           return response;
+                         });
+}
