One loop watches the store for settings and for slots

The two watch threads had the same loop, and what it does in an outage or when it stops being this host's turn must not drift apart.

--- a/src/hosts/PeerDuties.cpp
+++ b/src/hosts/PeerDuties.cpp
@@ -62,8 +62,11 @@
   View.onSlotsSeen(at);
 }
 
-void PeerNode::Impl::watchSettings() {
-  const StoreFeed feed = Use.MakeFeed();
+/// Repeats a watch of the store while it is this host's turn.
+/// Watch is called with the index to wait beyond, Take with what it saw and the
+/// time before the call.
+template <typename Watch, typename Take>
+void PeerNode::Impl::watchStore(Watch watch, Take take) {
   platform::Revision index = 0;
   do {
     if (!watches()) {
@@ -71,29 +74,34 @@
       continue;
     }
     const auto at = clockNow();
-    const auto mark = feed.WatchSettings(index, Options.Timing.WatchWait);
-    View.onStoreCalled(mark.has_value(), clockNow());
-    index = mark ? mark->Index : 0;
-    if (mark)
-      takeMark(feed, *mark, at);
+    const auto seen = watch(index);
+    View.onStoreCalled(seen.has_value(), clockNow());
+    index = seen ? seen->Index : 0;
+    if (seen)
+      take(*seen, at);
   } while (pause(WatchSpacing));
 }
 
+void PeerNode::Impl::watchSettings() {
+  const StoreFeed feed = Use.MakeFeed();
+  watchStore(
+      [&](platform::Revision after) {
+        return feed.WatchSettings(after, Options.Timing.WatchWait);
+      },
+      [&](const SettingsMark &mark, TimePoint at) {
+        takeMark(feed, mark, at);
+      });
+}
+
 void PeerNode::Impl::watchSlots() {
   const StoreFeed feed = Use.MakeFeed();
-  platform::Revision index = 0;
-  do {
-    if (!watches()) {
-      index = 0;
-      continue;
-    }
-    const auto at = clockNow();
-    const auto seen = feed.WatchSlots(index, Options.Timing.WatchWait);
-    View.onStoreCalled(seen.has_value(), clockNow());
-    index = seen ? seen->Index : 0;
-    if (seen)
-      takeSlots(*seen, at);
-  } while (pause(WatchSpacing));
+  watchStore(
+      [&](platform::Revision after) {
+        return feed.WatchSlots(after, Options.Timing.WatchWait);
+      },
+      [&](const platform::WatchResult &seen, TimePoint at) {
+        takeSlots(seen, at);
+      });
 }
 
 void PeerNode::Impl::push() {
--- a/src/hosts/PeerNodeImpl.h
+++ b/src/hosts/PeerNodeImpl.h
@@ -50,6 +50,8 @@
   void merge(const std::string &records);
 
   // Duties, one thread each.
+  template <typename Watch, typename Take>
+  void watchStore(Watch watch, Take take);
   void watchSettings();
   void watchSlots();
   void push();
