--- a/bench/write-claims.cpp
+++ b/bench/write-claims.cpp
@@ -18,7 +18,7 @@
 
 #include "../tests/FakeKvStore.h"
 #include "backend/WriteSession.h"
-#include "platform/ClaimStore.h"
+#include "store/ClaimStore.h"
 
 ABSL_FLAG(double, rate, 100, "writes a second over all hosts");
 ABSL_FLAG(int, seconds, 5, "how long writes arrive");
@@ -39,14 +39,14 @@
 struct RemoteStore : standins::FakeKvStore {
   explicit RemoteStore(const FakeKvStore &store) : FakeKvStore(store) {}
 
-  core::Result<std::optional<platform::KvEntry>>
+  core::Result<std::optional<store::KvEntry>>
   get(const std::string &key, std::chrono::milliseconds timeout) {
     travel();
     return FakeKvStore::get(key, timeout);
   }
   core::Result<bool> compareAndSet(const std::string &key,
                                    const std::string &value,
-                                   platform::Revision revision,
+                                   store::Revision revision,
                                    std::chrono::milliseconds timeout) {
     travel();
     return FakeKvStore::compareAndSet(key, value, revision, timeout);
@@ -59,7 +59,7 @@
   }
 };
 
-using Claimer = platform::ClaimStore<RemoteStore>;
+using Claimer = store::ClaimStore<RemoteStore>;
 using Answer = core::Result<backend::KeyedAnswer>;
 
 struct Ended {
@@ -156,7 +156,7 @@
 int main(int argc, char **argv) {
   absl::ParseCommandLine(argc, argv);
   const auto hostCount = static_cast<unsigned>(absl::GetFlag(FLAGS_hosts));
-  platform::ClaimStoreOptions options;
+  store::ClaimStoreOptions options;
   options.Limits.Buckets =
       static_cast<std::uint32_t>(absl::GetFlag(FLAGS_buckets));
   options.WritesPerSecond = absl::GetFlag(FLAGS_store_writes) / hostCount;
--- /dev/null
+++ b/include/savorytrestle/core/LapsedEntries.h
@@ -0,0 +1,54 @@
+#ifndef SAVORYTRESTLE_CORE_LAPSED_ENTRIES_H
+#define SAVORYTRESTLE_CORE_LAPSED_ENTRIES_H
+
+/// @file
+/// @brief Which removed leaf entries may only have lapsed while the store was
+/// away. Answers store outages, during which all leaves may lose their entry.
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "savorytrestle/core/Time.h"
+
+namespace savorytrestle::core {
+
+/// @brief Holds removals back for as long as living leaves take to write their
+/// entry again.
+class LapsedEntries {
+public:
+  /// @brief Makes a keeper.
+  /// @param returnTime how long after the store's return a lapsed entry may
+  /// still come back
+  explicit LapsedEntries(Duration returnTime) : ReturnTime(returnTime) {}
+
+  /// @brief The store is reached again. O(1).
+  void onStoreRegained(TimePoint now) { HoldUntil = now + ReturnTime; }
+
+  /// @brief An entry was removed or isn't listed any more. O(log held).
+  /// @param id the leaf
+  /// @param now the time
+  /// @return true when the leaf is to be dropped now, false when it is held
+  bool onRemoved(const std::string &id, TimePoint now);
+
+  /// @brief An entry was written. O(log held).
+  void onPut(const std::string &id) { Held.erase(id); }
+
+  /// @brief Whether any removal is held back.
+  bool holds() const { return !Held.empty(); }
+
+  /// @brief When held removals fall due.
+  TimePoint due() const { return HoldUntil; }
+
+  /// @brief Takes the removals that have fallen due. O(held).
+  std::vector<std::string> takeDue(TimePoint now);
+
+private:
+  Duration ReturnTime;
+  TimePoint HoldUntil{};
+  std::map<std::string, TimePoint> Held;
+};
+
+} // namespace savorytrestle::core
+
+#endif
--- /dev/null
+++ b/include/savorytrestle/core/ServingConfig.h
@@ -0,0 +1,92 @@
+#ifndef SAVORYTRESTLE_CORE_SERVING_CONFIG_H
+#define SAVORYTRESTLE_CORE_SERVING_CONFIG_H
+
+/// @file
+/// @brief One version of the routes and services that operators have put in
+/// force, and the lookup of a request's route.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace savorytrestle::core {
+
+/// @brief A service that takes a share of a route's requests.
+struct WeightedService {
+  std::string Service;
+  double Weight = 1;
+};
+
+/// @brief What operators say of one route.
+struct RouteRule {
+  std::string Name;
+  std::string Host;
+  /// Begins and ends with a slash.
+  std::string PathPrefix;
+  /// Whether a request may be executed more than once.
+  bool Idempotent = false;
+  /// Longest time that a caller is kept waiting.
+  std::chrono::milliseconds Timeout{0};
+  /// Time within which an answer is in time.
+  std::chrono::milliseconds Objective{0};
+  /// 0 is the most urgent.
+  int Priority = 0;
+  /// Most leaves of one service that may execute one request.
+  int MaxLeaves = 1;
+  /// Services that share the requests; empty when the route is sharded.
+  std::vector<WeightedService> Targets;
+  /// Services that each hold one shard; empty when the route isn't sharded.
+  std::vector<std::string> Shards;
+  /// Records in the answer of a sharded route.
+  std::size_t TopRecords = 0;
+  /// Least share of the shards in a successful answer, 0 to 1.
+  double MinShardShare = 1;
+
+  /// @brief Whether a request goes to every shard.
+  bool sharded() const { return !Shards.empty(); }
+};
+
+/// @brief What operators say of one service.
+struct ServiceRule {
+  std::string Name;
+  /// Connections that one leaf accepts from all callers together.
+  int MaxConnections = 0;
+};
+
+/// @brief Bounds on what callers may send.
+struct CallerLimits {
+  std::size_t MaxHeaderBytes = 16384;
+  std::size_t MaxBodyBytes = 262144;
+  std::chrono::milliseconds HeaderTimeout{3000};
+  std::chrono::milliseconds IdleTimeout{15000};
+};
+
+/// @brief One version of the configuration; immutable once indexed.
+class ServingConfig {
+public:
+  std::uint64_t Version = 0;
+  std::vector<RouteRule> Routes;
+  std::vector<ServiceRule> Services;
+  CallerLimits Limits;
+
+  /// @brief Builds the lookup; called once, after all fields are set.
+  void index();
+
+  /// @brief Finds the route of a request: of the host's routes, the one with
+  /// the longest prefix that begins the path. O(routes of the host).
+  /// @param host the request's host, without a port
+  /// @param path the request's path, without its query
+  /// @return the route, or null
+  const RouteRule *find(std::string_view host, std::string_view path) const;
+
+private:
+  /// Routes of each host, longest prefix first.
+  std::map<std::string, std::vector<const RouteRule *>, std::less<>> ByHost;
+};
+
+} // namespace savorytrestle::core
+
+#endif
--- /dev/null
+++ b/include/savorytrestle/core/SharedRetryBudget.h
@@ -0,0 +1,59 @@
+#ifndef SAVORYTRESTLE_CORE_SHARED_RETRY_BUDGET_H
+#define SAVORYTRESTLE_CORE_SHARED_RETRY_BUDGET_H
+
+/// @file
+/// @brief One host's part of the extra load that all hosts together may put on
+/// a service.
+
+#include "savorytrestle/core/Time.h"
+
+namespace savorytrestle::core {
+
+/// @brief Bound on extra arrivals at a service, over all hosts, in any window.
+struct RetryBudgetRule {
+  /// Extra arrivals for each request.
+  double Ratio = 0.2;
+  /// Extra arrivals allowed beyond the ratio in each window.
+  double Extra = 0;
+  /// Length of the window.
+  Duration Window{};
+};
+
+/// @brief Token bucket of one service on one host.
+///
+/// A bucket that holds at most this host's part of the allowance and earns the
+/// ratio for each request can't exceed ratio * requests + part in any window,
+/// so the parts of all hosts add up to the rule without a message between them.
+class SharedRetryBudget {
+public:
+  /// @brief Makes a bucket that is empty but for one token, since an earlier
+  /// process of this host may have spent the part within the same window.
+  explicit SharedRetryBudget(RetryBudgetRule rule = {}) : Rule(rule) {}
+
+  /// @brief Takes the number of hosts that share the allowance.
+  /// @param hosts how many, at least 1
+  void setHosts(double hosts);
+
+  /// @brief Earns the ratio for a request of a caller. O(1).
+  void onRequest();
+
+  /// @brief Spends a token if there is one; O(1).
+  /// @param now the time
+  /// @return true when one extra request may be sent
+  bool take(TimePoint now);
+
+  /// @brief Tokens held, for logs and metrics.
+  double tokens() const { return Tokens; }
+
+private:
+  void refill(TimePoint now);
+
+  RetryBudgetRule Rule;
+  double Part = 1;
+  double Tokens = 1;
+  TimePoint Refilled{};
+};
+
+} // namespace savorytrestle::core
+
+#endif
--- a/src/backend/WriteSession.h
+++ b/src/backend/WriteSession.h
@@ -35,7 +35,7 @@
 
 /// @brief Runs one keyed write; keeps itself alive until it is answered.
 ///
-/// Claims is platform::ClaimStore over some store.
+/// Claims is store::ClaimStore over some store.
 template <typename Claims, WriteDispatcher Dispatcher>
 class WriteSession
     : public std::enable_shared_from_this<WriteSession<Claims, Dispatcher>> {
--- /dev/null
+++ b/src/core/HedgePolicy.cpp
@@ -0,0 +1,58 @@
+#include "savorytrestle/core/HedgePolicy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace savorytrestle::core {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Hedge after this many expected latencies, but within these shares of the
+/// objective: a second leaf needs time to answer too.
+constexpr double HedgeLatencies = 2.5;
+constexpr double EarliestHedge = 0.15;
+constexpr double LatestHedge = 0.4;
+/// A connection takes one round trip; a lost opening packet is sent again only
+/// after a second.
+constexpr milliseconds ConnectTimeout{150};
+/// Part of the objective left for the way to the caller.
+constexpr double SettleShare = 0.9;
+
+} // namespace
+
+HedgePlan planHedge(const RouteRule &route, Duration expected) {
+  const double objective =
+      static_cast<double>(Duration(route.Objective).count());
+  const double delay =
+      std::clamp(HedgeLatencies * static_cast<double>(expected.count()),
+                 EarliestHedge * objective, LatestHedge * objective);
+  return {Duration(static_cast<Duration::rep>(delay)), ConnectTimeout};
+}
+
+std::size_t leastShards(const RouteRule &route) {
+  // The small term keeps 0.9 of 10 at 9 despite rounding.
+  const double least =
+      route.MinShardShare * static_cast<double>(route.Shards.size());
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(std::ceil(least - 1e-9)));
+}
+
+Duration settleAfter(const RouteRule &route) {
+  return std::chrono::duration_cast<Duration>(route.Objective * SettleShare);
+}
+
+SettleDecision settle(const RouteRule &route, const ShardTally &progress,
+                      Duration elapsed) {
+  const std::size_t least = leastShards(route);
+  if (progress.Total - progress.Failed < least)
+    return SettleDecision::GiveUp;
+  if (progress.Answered + progress.Failed == progress.Total)
+    return SettleDecision::Answer;
+  if (elapsed >= settleAfter(route) && progress.Answered >= least)
+    return SettleDecision::Answer;
+  return SettleDecision::Wait;
+}
+
+} // namespace savorytrestle::core
--- /dev/null
+++ b/src/core/LeafScore.cpp
@@ -0,0 +1,150 @@
+#include "savorytrestle/core/LeafScore.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace savorytrestle::core {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+double ratio(Duration a, Duration b) {
+  return static_cast<double>(a.count()) /
+         static_cast<double>(std::max<Duration::rep>(1, b.count()));
+}
+
+Duration scaled(Duration span, double factor) {
+  return std::chrono::duration_cast<Duration>(span * factor);
+}
+
+/// Weight of a new sample of a service's latency.
+constexpr double LatencyWeight = 0.05;
+/// A sample counts as this many estimates at the most, so that a pause at one
+/// leaf doesn't move what is expected of all.
+constexpr double LatencyCap = 3;
+/// Weight of a new sample of a leaf's slowness and of its failures.
+constexpr double SlownessWeight = 0.3;
+constexpr double FailureWeight = 0.25;
+constexpr double MaxSlowness = 40;
+/// Time in which doubt about a leaf falls to a third, after which it is tried
+/// again.
+constexpr milliseconds SlownessMemory{3000};
+constexpr milliseconds FailureMemory{4000};
+/// Age of the oldest request, in expected latencies, below which it says
+/// nothing of the leaf.
+constexpr double UsualSpread = 2.5;
+/// Time that a failed request costs its caller until a retry has answered, in
+/// expected latencies.
+constexpr double RetryCost = 5;
+/// Slowness of a leaf that has just started (measured on both sites).
+constexpr double ColdSlowness = 1.6;
+/// Round trips and the price of bytes between failure domains and regions.
+constexpr milliseconds SameRegionCost{15};
+constexpr milliseconds RemoteCost{30};
+/// How long a reported load says something.
+constexpr milliseconds LoadAge{400};
+/// First and longest time for which an unreachable leaf is left alone.
+constexpr milliseconds FirstAvoidance{300};
+constexpr milliseconds LongestAvoidance{1200};
+
+double decayed(double value, TimePoint since, TimePoint now,
+               milliseconds memory) {
+  return value * std::exp(-ratio(now - since, memory));
+}
+
+} // namespace
+
+void ExpectedLatency::record(Duration latency) {
+  const Duration sample = std::min(latency, scaled(Estimate, LatencyCap));
+  Estimate += scaled(sample - Estimate, LatencyWeight);
+}
+
+LeafScore::LeafScore(LeafDistance distance, int slots)
+    : Distance(distance), Slots(std::max(1, slots)) {}
+
+std::uint64_t LeafScore::onSend(TimePoint now, Duration expected) {
+  const std::uint64_t handle = NextHandle++;
+  Sent.emplace(handle, Outstanding{now, expected});
+  return handle;
+}
+
+void LeafScore::onEnd(std::uint64_t handle) { Sent.erase(handle); }
+
+void LeafScore::onAnswer(TimePoint now, Duration latency, Duration expected) {
+  addSlowness(now, ratio(latency, expected));
+  FailureShare = failureShare(now) * (1 - FailureWeight);
+  FailureAt = now;
+  UnreachableInRow = 0;
+}
+
+void LeafScore::onAbandoned(TimePoint now, Duration elapsed,
+                            Duration expected) {
+  if (const double sample = ratio(elapsed, expected); sample > UsualSpread)
+    addSlowness(now, sample);
+}
+
+void LeafScore::addSlowness(TimePoint now, double sample) {
+  Slowness = 1 + decayed(Slowness - 1, SlownessAt, now, SlownessMemory);
+  Slowness +=
+      SlownessWeight * (std::clamp(sample, 0.1, MaxSlowness) - Slowness);
+  SlownessAt = now;
+}
+
+void LeafScore::onFailure(TimePoint now) {
+  FailureShare = failureShare(now);
+  FailureShare += FailureWeight * (1 - FailureShare);
+  FailureAt = now;
+  UnreachableInRow = 0;
+}
+
+void LeafScore::onUnreachable(TimePoint now) {
+  const auto wait = FirstAvoidance * (1 << std::min(UnreachableInRow, 4));
+  ++UnreachableInRow;
+  AvoidUntil = now + std::min<milliseconds>(wait, LongestAvoidance);
+}
+
+void LeafScore::onLoad(TimePoint now, const ReportedLoad &load) {
+  Load = load;
+  LoadAt = now;
+  if (load.Slots > 0)
+    Slots = load.Slots;
+}
+
+bool LeafScore::avoided(TimePoint now) const { return now < AvoidUntil; }
+
+double LeafScore::slowness(TimePoint now) const {
+  const double past =
+      1 + decayed(Slowness - 1, SlownessAt, now, SlownessMemory);
+  if (Sent.empty())
+    return past;
+  const Outstanding &oldest = Sent.begin()->second;
+  const double age = ratio(now - oldest.At, oldest.Expected);
+  return age > UsualSpread ? std::max(past, age) : past;
+}
+
+double LeafScore::failureShare(TimePoint now) const {
+  return decayed(FailureShare, FailureAt, now, FailureMemory);
+}
+
+Duration LeafScore::cost(TimePoint now, Duration expected) const {
+  double factor = slowness(now);
+  if (now < ColdUntil)
+    factor *= ColdSlowness;
+  const bool fresh = LoadAt != TimePoint{} && now - LoadAt < LoadAge;
+  const double own = static_cast<double>(Sent.size());
+  const double busy =
+      fresh ? std::max(own, static_cast<double>(Load.Running)) + Load.Waiting
+            : own;
+  // Up to the slots, requests don't wait; a nearly full leaf slows down.
+  factor *= 1 + std::max(0.0, busy - Slots + 1) / Slots + 0.2 * busy / Slots;
+  factor += RetryCost * failureShare(now);
+  Duration cost = scaled(expected, factor);
+  if (Distance == LeafDistance::SameRegion)
+    cost += SameRegionCost;
+  else if (Distance == LeafDistance::Remote)
+    cost += RemoteCost;
+  return cost;
+}
+
+} // namespace savorytrestle::core
--- /dev/null
+++ b/src/core/RefusalPolicy.cpp
@@ -0,0 +1,17 @@
+#include "savorytrestle/core/RefusalPolicy.h"
+
+namespace savorytrestle::core {
+
+namespace {
+
+/// Part of the objective that a refused caller waits.
+constexpr double WaitShare = 0.3;
+
+} // namespace
+
+std::chrono::milliseconds retryAfter(const RouteRule &route) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(route.Objective *
+                                                               WaitShare);
+}
+
+} // namespace savorytrestle::core
--- /dev/null
+++ b/src/entry/CallerSession.cpp
@@ -0,0 +1,164 @@
+#include "entry/CallerSession.h"
+
+#include <boost/beast/http/write.hpp>
+
+#include "entry/Answers.h"
+#include "support/SocketOptions.h"
+
+namespace savorytrestle::entry {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t ReadBytes = 4096;
+/// Bytes taken ahead of a request that is being worked on.
+constexpr std::size_t MaxReadAhead = 65536;
+
+} // namespace
+
+CallerSession::CallerSession(boost::asio::ip::tcp::socket socket,
+                             std::shared_ptr<const SessionContext> context)
+    : Socket(std::move(socket)), Context(std::move(context)),
+      Since(std::chrono::steady_clock::now()) {}
+
+void CallerSession::start() {
+  support::setLowDelay(Socket);
+  newParser();
+  read();
+}
+
+void CallerSession::newParser() {
+  Request.emplace();
+  Request->eager(true);
+  Request->header_limit(
+      static_cast<std::uint32_t>(Context->Limits.MaxHeaderBytes));
+  Request->body_limit(Context->Limits.MaxBodyBytes);
+}
+
+void CallerSession::sweep(TimePoint now) {
+  if (State == Phase::Idle && now - Since > Context->Limits.IdleTimeout)
+    return close();
+  if (State == Phase::Receiving && !Request->is_header_done() &&
+      now - Since > Context->Limits.HeaderTimeout)
+    refuse(http::status::request_timeout, "request head not sent in time");
+}
+
+void CallerSession::closeIfIdle() {
+  if (State == Phase::Idle)
+    close();
+}
+
+void CallerSession::read() {
+  if (Reading || State == Phase::Closed)
+    return;
+  Reading = true;
+  Socket.async_read_some(
+      Buffer.prepare(ReadBytes),
+      [self = shared_from_this()](error_code ec, std::size_t n) {
+        self->Reading = false;
+        self->onRead(ec, n);
+      });
+}
+
+void CallerSession::onRead(error_code ec, std::size_t n) {
+  if (State == Phase::Closed)
+    return;
+  if (ec) {
+    if (State == Phase::Working && Cancel)
+      Cancel();
+    return close();
+  }
+  Buffer.commit(n);
+  if (busy()) {
+    if (Buffer.size() < MaxReadAhead)
+      read();
+    return;
+  }
+  parse();
+}
+
+void CallerSession::parse() {
+  error_code ec;
+  while (Buffer.size() > 0 && !Request->is_done()) {
+    if (State == Phase::Idle) {
+      State = Phase::Receiving;
+      Since = std::chrono::steady_clock::now();
+    }
+    const std::size_t used = Request->put(Buffer.data(), ec);
+    Buffer.consume(used);
+    if (ec == http::error::need_more) {
+      ec = {};
+      break;
+    }
+    if (ec == http::error::header_limit)
+      return refuse(http::status::request_header_fields_too_large,
+                    "request head too large");
+    if (ec == http::error::body_limit)
+      return refuse(http::status::payload_too_large, "request body too large");
+    if (ec)
+      return refuse(http::status::bad_request, ec.message());
+    if (used == 0)
+      break;
+  }
+  if (Request->is_done())
+    dispatch();
+  read();
+}
+
+void CallerSession::dispatch() {
+  State = Phase::Working;
+  Keep = Request->keep_alive();
+  const std::uint64_t turn = ++Turn;
+  auto cancel = Context->Handle(
+      Request->release(), [self = shared_from_this(), turn](CallerAnswer done) {
+        if (self->Turn == turn && self->State == Phase::Working)
+          self->answer(std::move(done), self->Keep);
+      });
+  if (State == Phase::Working && Turn == turn)
+    Cancel = std::move(cancel);
+}
+
+void CallerSession::refuse(http::status status, const std::string &why) {
+  answer(errorAnswer(status, why), false);
+}
+
+void CallerSession::answer(CallerAnswer done, bool keep) {
+  State = Phase::Answering;
+  Cancel = nullptr;
+  Keep = keep && !Context->Draining;
+  Answer.emplace(std::move(done));
+  Answer->version(11);
+  Answer->keep_alive(Keep);
+  Answer->prepare_payload();
+  http::async_write(Socket, *Answer,
+                    [self = shared_from_this()](error_code ec, std::size_t) {
+                      self->onWritten(ec);
+                    });
+}
+
+void CallerSession::onWritten(error_code ec) {
+  if (State == Phase::Closed)
+    return;
+  if (ec || !Keep)
+    return close();
+  Answer.reset();
+  State = Phase::Idle;
+  Since = std::chrono::steady_clock::now();
+  newParser();
+  if (Buffer.size() > 0)
+    parse();
+  else
+    read();
+}
+
+void CallerSession::close() {
+  State = Phase::Closed;
+  Cancel = nullptr;
+  error_code ignored; // the peer may have closed it already
+  Socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  Socket.close(ignored);
+}
+
+} // namespace savorytrestle::entry
--- /dev/null
+++ b/src/entry/Listener.h
@@ -0,0 +1,60 @@
+#ifndef SAVORYTRESTLE_ENTRY_LISTENER_H
+#define SAVORYTRESTLE_ENTRY_LISTENER_H
+
+/// @file
+/// @brief Accepts connections and keeps an eye on them.
+
+#include <utility>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "entry/CallerSession.h"
+#include "savorytrestle/core/Error.h"
+
+namespace savorytrestle::entry {
+
+/// @brief One listening socket and its connections.
+class Listener : public std::enable_shared_from_this<Listener> {
+public:
+  /// @brief Makes a listener that isn't open yet.
+  Listener(boost::asio::io_context &context,
+           std::shared_ptr<SessionContext> shared);
+
+  /// @brief Opens it and begins to accept.
+  /// @param address "ip:port"
+  /// @return an error when the address can't be listened on
+  core::Result<void> open(const std::string &address);
+
+  /// @brief Accepts no further connections.
+  void closeDoor();
+
+  /// @brief Ends connections without a request.
+  void closeIdle();
+
+  /// @brief Connections with a request in hand.
+  std::size_t busy() const;
+
+  /// @brief All open connections.
+  std::size_t connections();
+
+private:
+  void accept();
+  void onAccept(boost::system::error_code ec,
+                boost::asio::ip::tcp::socket socket);
+  void sweepLater();
+
+  boost::asio::io_context &Io;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer SweepTimer;
+  std::shared_ptr<SessionContext> Shared;
+  std::vector<std::weak_ptr<CallerSession>> Sessions;
+};
+
+} // namespace savorytrestle::entry
+
+#endif
--- /dev/null
+++ b/src/entry/RequestRecord.cpp
@@ -0,0 +1,64 @@
+#include "entry/RequestRecord.h"
+
+#include <string_view>
+
+#include "support/Log.h"
+
+namespace savorytrestle::entry {
+
+using SteadyClock = std::chrono::steady_clock;
+
+void RequestRecords::onFinished(
+    const leaf::CallContext &context,
+    const std::vector<std::shared_ptr<leaf::ServiceCall>> &calls,
+    unsigned status, const char *outcome) {
+  const auto now = SteadyClock::now();
+  const auto elapsed = now - context.Start;
+  Counts.countRequest("", context.Route.Name, outcome, elapsed);
+  const bool served = std::string_view(outcome) == "ok";
+  if (!(served ? Served : Failed).take(now))
+    return;
+  int attempts = 0;
+  std::string trouble;
+  for (const auto &call : calls) {
+    attempts += call->attempts();
+    const bool answered =
+        call->ended() && call->end() == leaf::CallEnd::Answered;
+    if (answered && call->attempts() == 1)
+      continue;
+    // Only what isn't plain success is spelled out, to keep lines short.
+    if (!trouble.empty())
+      trouble += ';';
+    trouble += call->serviceName() + ":" + call->leafId() + ":" +
+               std::to_string(call->attempts()) + ":" + call->why();
+  }
+  support::LogLine line("request_done");
+  line.with("request", context.RequestId)
+      .with("route", context.Route.Name)
+      .with("version", context.Config->Version)
+      .with("outcome", outcome)
+      .with("status", status)
+      .with("calls", calls.size())
+      .with("attempts", attempts)
+      .with("elapsed", elapsed)
+      .with("deadline", context.Deadline - context.Start);
+  if (!trouble.empty())
+    line.with("trouble", trouble);
+}
+
+void RequestRecords::onTurnedAway(const std::string &requestId,
+                                  const std::string &route,
+                                  std::uint64_t version, unsigned status,
+                                  const std::string &why) {
+  Counts.countRequest("", route, "turned_away", std::chrono::nanoseconds(0));
+  if (!Failed.take(SteadyClock::now()))
+    return;
+  support::LogLine("request_turned_away")
+      .with("request", requestId)
+      .with("route", route)
+      .with("version", version)
+      .with("status", status)
+      .with("why", why);
+}
+
+} // namespace savorytrestle::entry
--- /dev/null
+++ b/src/entry/RequestRecord.h
@@ -0,0 +1,51 @@
+#ifndef SAVORYTRESTLE_ENTRY_REQUEST_RECORD_H
+#define SAVORYTRESTLE_ENTRY_REQUEST_RECORD_H
+
+/// @file
+/// @brief What became of requests: a log line each, and metrics.
+
+#include <utility>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "leaf/ServiceCall.h"
+#include "support/LineBudget.h"
+#include "support/Metrics.h"
+
+namespace savorytrestle::entry {
+
+/// @brief Logs and counts finished requests.
+class RequestRecords {
+public:
+  explicit RequestRecords(support::Metrics &metrics) : Counts(metrics) {}
+
+  /// @brief A request that reached its route is over.
+  /// @param context the request
+  /// @param calls its calls
+  /// @param status status of the answer; 0 when its caller had left
+  /// @param outcome what became of it, for logs and metrics
+  void onFinished(const leaf::CallContext &context,
+                  const std::vector<std::shared_ptr<leaf::ServiceCall>> &calls,
+                  unsigned status, const char *outcome);
+
+  /// @brief A request was turned away before any leaf was asked.
+  /// @param requestId its identity
+  /// @param route its route's name; empty when it has none
+  /// @param version version of the configuration; 0 for none
+  /// @param status status of the answer
+  /// @param why the reason
+  void onTurnedAway(const std::string &requestId, const std::string &route,
+                    std::uint64_t version, unsigned status,
+                    const std::string &why);
+
+private:
+  support::Metrics &Counts;
+  support::LineBudget Served;
+  support::LineBudget Failed;
+};
+
+} // namespace savorytrestle::entry
+
+#endif
--- /dev/null
+++ b/src/entry/RequestRouter.h
@@ -0,0 +1,70 @@
+#ifndef SAVORYTRESTLE_ENTRY_REQUEST_ROUTER_H
+#define SAVORYTRESTLE_ENTRY_REQUEST_ROUTER_H
+
+/// @file
+/// @brief Finds the route of a caller's request and starts its run.
+
+#include <utility>
+
+#include <memory>
+#include <random>
+
+#include <boost/asio/io_context.hpp>
+
+#include "entry/CallerSession.h"
+#include "entry/RequestRecord.h"
+#include "leaf/LeafDirectory.h"
+#include "support/HeaderNames.h"
+
+namespace savorytrestle::entry {
+
+/// @brief Checks requests and hands them to their services.
+class RequestRouter {
+public:
+  /// @brief Makes a router that knows no configuration.
+  /// @param io runs the requests' timers
+  /// @param leaves all services
+  /// @param metrics counts what becomes of requests
+  /// @param names header names of callers and leaves
+  RequestRouter(boost::asio::io_context &io, leaf::LeafDirectory &leaves,
+                support::Metrics &metrics, support::HeaderNames names);
+
+  /// @brief Takes the configuration in force.
+  void setConfig(std::shared_ptr<const core::ServingConfig> config) {
+    Config = std::move(config);
+  }
+
+  /// @brief Begins a request.
+  /// @param request the request
+  /// @param respond takes its answer, at once or later
+  /// @return ends the request when its caller leaves
+  CancelRequest handle(CallerRequest request, Respond respond);
+
+private:
+  struct Refusal {
+    boost::beast::http::status Status;
+    std::string Why;
+    std::optional<std::chrono::milliseconds> RetryAfter;
+  };
+
+  std::optional<Refusal> check(const CallerRequest &request,
+                               const core::RouteRule *route) const;
+  std::shared_ptr<const leaf::CallContext>
+  contextOf(CallerRequest request, const core::RouteRule &route) const;
+  std::vector<leaf::Service *> servicesOf(const core::RouteRule &route);
+  bool enoughReachable(const core::RouteRule &route,
+                       const std::vector<leaf::Service *> &services) const;
+  void turnAway(const CallerRequest &request, const core::RouteRule *route,
+                const Refusal &refusal, const Respond &respond);
+
+  boost::asio::io_context &Io;
+  leaf::LeafDirectory &Leaves;
+  RequestRecords Records;
+  support::HeaderNames Names;
+  std::shared_ptr<const core::ServingConfig> Config;
+  std::minstd_rand Random;
+};
+
+} // namespace savorytrestle::entry
+
+#endif
--- /dev/null
+++ b/src/entry/RequestRun.cpp
@@ -0,0 +1,206 @@
+#include "entry/RequestRun.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_join.h>
+
+#include "entry/Answers.h"
+#include "savorytrestle/core/RefusalPolicy.h"
+#include "savorytrestle/core/TopRecords.h"
+
+namespace savorytrestle::entry {
+
+namespace http = boost::beast::http;
+using core::TimePoint;
+using leaf::CallEnd;
+using leaf::ServiceCall;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+bool success(const leaf::LeafAnswer &answer) {
+  return answer.result_int() >= 200 && answer.result_int() < 300;
+}
+
+/// Headers of a leaf's answer that concern only its connection.
+constexpr http::field HopByHop[] = {
+    http::field::connection,        http::field::keep_alive,
+    http::field::transfer_encoding, http::field::content_length,
+    http::field::upgrade,           http::field::trailer};
+
+} // namespace
+
+RequestRun::RequestRun(boost::asio::io_context &io,
+                       std::shared_ptr<const leaf::CallContext> context,
+                       RequestRecords &records, Respond respond)
+    : Context(std::move(context)), Records(records),
+      OnAnswer(std::move(respond)), Timer(io) {}
+
+void RequestRun::start(const std::vector<leaf::Service *> &services) {
+  Calls.reserve(services.size());
+  for (leaf::Service *service : services) {
+    Calls.push_back(std::make_shared<ServiceCall>(
+        Context, *service, [self = shared_from_this()](ServiceCall &) {
+          if (self->Started)
+            self->step();
+        }));
+    Calls.back()->start();
+  }
+  Started = true;
+  step();
+}
+
+void RequestRun::step() {
+  if (Done)
+    return;
+  const auto now = SteadyClock::now();
+  if (Context->Route.sharded())
+    stepSharded(now);
+  else
+    stepPlain(now);
+  if (!Done && now >= Context->Deadline)
+    giveUp(now);
+  if (!Done)
+    arm();
+}
+
+void RequestRun::stepPlain(TimePoint now) {
+  const ServiceCall &call = *Calls.front();
+  if (!call.ended())
+    return;
+  switch (call.end()) {
+  case CallEnd::Answered:
+    return answerPlain();
+  case CallEnd::Rejected:
+  case CallEnd::Unreachable:
+    return finish(errorAnswer(http::status::service_unavailable, call.why(),
+                              core::retryAfter(Context->Route)),
+                  "refused");
+  case CallEnd::Lost:
+    return giveUp(now);
+  }
+}
+
+void RequestRun::stepSharded(TimePoint now) {
+  switch (core::settle(Context->Route, progress(), now - Context->Start)) {
+  case core::SettleDecision::Wait:
+    return;
+  case core::SettleDecision::Answer:
+    return answerSharded();
+  case core::SettleDecision::GiveUp:
+    return giveUp(now);
+  }
+}
+
+core::ShardTally RequestRun::progress() const {
+  core::ShardTally progress;
+  progress.Total = Calls.size();
+  for (const auto &call : Calls) {
+    if (!call->ended())
+      continue;
+    if (call->end() == CallEnd::Answered && success(call->answer()))
+      ++progress.Answered;
+    else
+      ++progress.Failed;
+  }
+  return progress;
+}
+
+void RequestRun::answerPlain() {
+  CallerAnswer answer = Calls.front()->answer();
+  for (const http::field field : HopByHop)
+    answer.erase(field);
+  const bool ok = success(answer);
+  finish(std::move(answer), ok ? "ok" : "leaf_failed");
+}
+
+void RequestRun::answerSharded() {
+  std::vector<std::string_view> parts;
+  std::vector<std::string> signatures;
+  for (const auto &call : Calls) {
+    if (!call->ended() || call->end() != CallEnd::Answered ||
+        !success(call->answer()))
+      continue;
+    parts.emplace_back(call->answer().body());
+    const auto it = call->answer().find(Context->Names.LeafSignature);
+    signatures.emplace_back(it->value().data(), it->value().size());
+  }
+  CallerAnswer answer{http::status::ok, 11};
+  answer.set(Context->Names.RequestId, Context->RequestId);
+  answer.set(Context->Names.PartSignatures, absl::StrJoin(signatures, ", "));
+  const std::size_t missing = Calls.size() - parts.size();
+  answer.set(Context->Names.MissingShards, std::to_string(missing));
+  answer.set(http::field::content_type, "application/octet-stream");
+  answer.body() = core::greatestRecords(parts, Context->Route.TopRecords);
+  finish(std::move(answer), missing == 0 ? "ok" : "partial");
+}
+
+void RequestRun::giveUp(TimePoint now) {
+  // With the time spent, an answer of the least share is still worth giving.
+  if (Context->Route.sharded() &&
+      progress().Answered >= core::leastShards(Context->Route))
+    return answerSharded();
+  if (!anyMayHaveRun())
+    return finish(errorAnswer(http::status::service_unavailable,
+                              "no leaf could be reached",
+                              core::retryAfter(Context->Route)),
+                  "refused");
+  if (now >= Context->Deadline)
+    return finish(errorAnswer(http::status::gateway_timeout,
+                              "no answer within the time allowed"),
+                  "timeout");
+  finish(errorAnswer(http::status::bad_gateway, "too few leaves answered"),
+         "failed");
+}
+
+bool RequestRun::anyMayHaveRun() const {
+  return std::any_of(Calls.begin(), Calls.end(),
+                     [](const auto &call) { return call->mayHaveRun(); });
+}
+
+void RequestRun::finish(CallerAnswer answer, const char *outcome) {
+  Done = true;
+  Timer.cancel();
+  for (const auto &call : Calls)
+    call->cancel();
+  Records.onFinished(*Context, Calls, answer.result_int(), outcome);
+  const auto onAnswer = std::move(OnAnswer);
+  onAnswer(std::move(answer));
+}
+
+void RequestRun::cancel() {
+  if (Done)
+    return;
+  Done = true;
+  Timer.cancel();
+  for (const auto &call : Calls)
+    call->cancel();
+  Records.onFinished(*Context, Calls, 0, "caller_left");
+  OnAnswer = nullptr;
+}
+
+void RequestRun::arm() {
+  TimePoint next = Context->Deadline;
+  for (const auto &call : Calls)
+    next = std::min(next, call->nextWake());
+  if (Context->Route.sharded())
+    if (const auto at = Context->Start + core::settleAfter(Context->Route);
+        at > SteadyClock::now())
+      next = std::min(next, at);
+  if (next == Armed)
+    return;
+  Armed = next;
+  Timer.expires_at(next);
+  Timer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code &ec) {
+        if (ec || self->Done)
+          return;
+        self->Armed = TimePoint::max();
+        const auto now = SteadyClock::now();
+        for (const auto &call : self->Calls)
+          call->onTime(now);
+        self->step();
+      });
+}
+
+} // namespace savorytrestle::entry
--- /dev/null
+++ b/src/entry/RequestRun.h
@@ -0,0 +1,68 @@
+#ifndef SAVORYTRESTLE_ENTRY_REQUEST_RUN_H
+#define SAVORYTRESTLE_ENTRY_REQUEST_RUN_H
+
+/// @file
+/// @brief One request of a caller, from its route to its answer.
+
+#include <utility>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "entry/CallerSession.h"
+#include "entry/RequestRecord.h"
+#include "leaf/ServiceCall.h"
+#include "savorytrestle/core/HedgePolicy.h"
+
+namespace savorytrestle::entry {
+
+/// @brief A request being worked on: one call for a plain route, one for each
+/// shard of a sharded one. It keeps itself alive until it has answered.
+class RequestRun : public std::enable_shared_from_this<RequestRun> {
+public:
+  /// @brief Makes a run.
+  /// @param io runs its timer
+  /// @param context the request as it goes to leaves
+  /// @param records takes what became of it
+  /// @param respond takes its answer
+  RequestRun(boost::asio::io_context &io,
+             std::shared_ptr<const leaf::CallContext> context,
+             RequestRecords &records, Respond respond);
+
+  /// @brief Sends it to the leaves of these services.
+  /// @param services one for a plain route, the shards of a sharded one
+  void start(const std::vector<leaf::Service *> &services);
+
+  /// @brief Its caller has left: leaves are told to stop.
+  void cancel();
+
+private:
+  using ServiceCallPtr = std::shared_ptr<leaf::ServiceCall>;
+
+  void step();
+  void stepPlain(core::TimePoint now);
+  void stepSharded(core::TimePoint now);
+  void answerPlain();
+  void answerSharded();
+  void giveUp(core::TimePoint now);
+  void finish(CallerAnswer answer, const char *outcome);
+  core::ShardTally progress() const;
+  bool anyMayHaveRun() const;
+  void arm();
+
+  std::shared_ptr<const leaf::CallContext> Context;
+  RequestRecords &Records;
+  Respond OnAnswer;
+  boost::asio::steady_timer Timer;
+  std::vector<ServiceCallPtr> Calls;
+  core::TimePoint Armed = core::TimePoint::max();
+  bool Started = false;
+  bool Done = false;
+};
+
+} // namespace savorytrestle::entry
+
+#endif
--- a/src/hosts/HostSlotKeeper.h
+++ b/src/hosts/HostSlotKeeper.h
@@ -11,8 +11,8 @@
 #include <utility>
 
 #include "hosts/SlotKeys.h"
-#include "platform/KvStore.h"
 #include "savorytrestle/core/Membership.h"
+#include "store/KvStore.h"
 #include "support/Log.h"
 
 namespace savorytrestle::hosts {
@@ -40,7 +40,7 @@
 ///
 /// The slot is this host's share of every leaf. The keeper owns its client of
 /// the store; slot may be called by any thread.
-template <platform::KvStore Store> class HostSlotKeeper {
+template <store::KvStore Store> class HostSlotKeeper {
 public:
   /// @brief Makes a keeper that holds nothing and makes no call yet.
   /// @param store client that only this keeper uses
@@ -218,7 +218,7 @@
   // The record is written before the slot is taken, so that a slot whose holder
   // dies in between counts as lapsed and not as released.
   bool tryClaim(const StoredRecord &seen, core::SlotNumber number,
-                const platform::LeaseId &lease) {
+                const store::LeaseId &lease) {
     const std::string record = writeRecord({selfNonce(), false});
     if (!tookEffect(Client.compareAndSet(recordKey(number), record,
                                          seen.Revision, Options.CallTimeout),
@@ -233,7 +233,7 @@
   /// Resolves a write whose reply was lost by reading back.
   bool tookEffect(const core::Result<bool> &result, const std::string &key,
                   const std::string &value,
-                  const std::optional<platform::LeaseId> &lease) {
+                  const std::optional<store::LeaseId> &lease) {
     if (result)
       return *result;
     if (result.error().Code != core::ErrorCode::OutcomeUnknown)
@@ -254,7 +254,7 @@
   // Used by the worker only.
   core::SlotChooser Chooser;
   core::Rng Random;
-  platform::LeaseId LeaseName;
+  store::LeaseId LeaseName;
   core::SlotNumber Held = 0;
 };
 
--- a/src/hosts/PeerDuties.cpp
+++ b/src/hosts/PeerDuties.cpp
@@ -26,7 +26,7 @@
 /// How long the push thread waits for work before it looks whether to stop.
 constexpr milliseconds PushPoll{100};
 
-std::string payloadOf(const std::vector<platform::KvEntry> &entries) {
+std::string payloadOf(const std::vector<store::KvEntry> &entries) {
   nlohmann::json payload = nlohmann::json::object();
   for (const auto &entry : entries)
     payload[entry.Key] = entry.Value;
@@ -54,8 +54,7 @@
     View.onStoreSeen(at);
 }
 
-void PeerNode::Impl::takeSlots(const platform::WatchResult &seen,
-                               TimePoint at) {
+void PeerNode::Impl::takeSlots(const store::WatchResult &seen, TimePoint at) {
   auto blob = core::makeBlob(seen.Index, payloadOf(seen.Entries));
   if (blob.Payload != View.hosts().Payload)
     accept({Topic::Hosts, std::move(blob), std::nullopt});
@@ -67,7 +66,7 @@
 /// time before the call.
 template <typename Watch, typename Take>
 void PeerNode::Impl::watchStore(Watch watch, Take take) {
-  platform::Revision index = 0;
+  store::Revision index = 0;
   do {
     if (!watches()) {
       index = 0;
@@ -85,7 +84,7 @@
 void PeerNode::Impl::watchSettings() {
   const StoreFeed feed = Use.MakeFeed();
   watchStore(
-      [&](platform::Revision after) {
+      [&](store::Revision after) {
         return feed.WatchSettings(after, Options.Timing.WatchWait);
       },
       [&](const SettingsMark &mark, TimePoint at) {
@@ -96,10 +95,10 @@
 void PeerNode::Impl::watchSlots() {
   const StoreFeed feed = Use.MakeFeed();
   watchStore(
-      [&](platform::Revision after) {
+      [&](store::Revision after) {
         return feed.WatchSlots(after, Options.Timing.WatchWait);
       },
-      [&](const platform::WatchResult &seen, TimePoint at) {
+      [&](const store::WatchResult &seen, TimePoint at) {
         takeSlots(seen, at);
       });
 }
--- a/src/hosts/SlotKeys.cpp
+++ b/src/hosts/SlotKeys.cpp
@@ -54,7 +54,7 @@
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-SlotTable readSlots(const std::vector<platform::KvEntry> &entries,
+SlotTable readSlots(const std::vector<store::KvEntry> &entries,
                     std::uint32_t slots) {
   SlotTable table;
   table.Records.resize(slots);
@@ -75,7 +75,7 @@
 }
 
 std::vector<core::HostInfo>
-readHolders(const std::vector<platform::KvEntry> &entries) {
+readHolders(const std::vector<store::KvEntry> &entries) {
   std::vector<core::HostInfo> holders;
   for (const auto &entry : entries)
     if (numberAfter(SlotPrefix, entry.Key))
--- a/src/hosts/SlotKeys.h
+++ b/src/hosts/SlotKeys.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "platform/KvStore.h"
 #include "savorytrestle/core/Membership.h"
+#include "store/KvStore.h"
 
 namespace savorytrestle::hosts {
 
@@ -34,7 +34,7 @@
 /// @brief A record with its revision.
 struct StoredRecord {
   SlotRecord Record;
-  platform::Revision Revision = platform::NoEntry;
+  store::Revision Revision = store::NoEntry;
 };
 
 /// @brief All slots as read in one call.
@@ -63,14 +63,14 @@
 /// @param entries the entries; unknown or malformed ones are passed over
 /// @param slots how many slots exist
 /// @return the table; O(entries)
-SlotTable readSlots(const std::vector<platform::KvEntry> &entries,
+SlotTable readSlots(const std::vector<store::KvEntry> &entries,
                     std::uint32_t slots);
 
 /// @brief Reads the holders of slots.
 /// @param entries the entries under SlotPrefix
 /// @return the hosts; malformed entries are passed over
 std::vector<core::HostInfo>
-readHolders(const std::vector<platform::KvEntry> &entries);
+readHolders(const std::vector<store::KvEntry> &entries);
 
 } // namespace savorytrestle::hosts
 
--- a/src/hosts/StoreFeed.h
+++ b/src/hosts/StoreFeed.h
@@ -10,8 +10,8 @@
 #include <utility>
 
 #include "hosts/SlotKeys.h"
-#include "platform/KvStore.h"
 #include "savorytrestle/core/VersionedBlob.h"
+#include "store/KvStore.h"
 
 namespace savorytrestle::hosts {
 
@@ -23,20 +23,20 @@
   /// Revision of the tree; 0 when there is none yet.
   std::uint64_t Revision = 0;
   /// Store index to wait beyond in the next watch.
-  platform::Revision Index = 0;
+  store::Revision Index = 0;
 };
 
 /// @brief Reads of one thread; each thread of a node makes its own.
 struct StoreFeed {
   /// Waits until the manifest may have changed; after 0 answers at once.
-  std::function<core::Result<SettingsMark>(platform::Revision after,
+  std::function<core::Result<SettingsMark>(store::Revision after,
                                            std::chrono::milliseconds wait)>
       WatchSettings;
   /// Reads the whole tree.
   std::function<core::Result<core::VersionedBlob>()> ReadSettings;
   /// Waits until a slot may have changed hands; after 0 answers at once.
-  std::function<core::Result<platform::WatchResult>(
-      platform::Revision after, std::chrono::milliseconds wait)>
+  std::function<core::Result<store::WatchResult>(
+      store::Revision after, std::chrono::milliseconds wait)>
       WatchSlots;
 };
 
@@ -48,13 +48,13 @@
 /// @param readTree reads the whole tree
 /// @param revisionOf reads the revision out of the manifest's value
 /// @return the feed
-template <platform::KvStore Store, typename ReadTree, typename RevisionOf>
+template <store::KvStore Store, typename ReadTree, typename RevisionOf>
 StoreFeed makeStoreFeed(std::shared_ptr<Store> store, ReadTree readTree,
                         RevisionOf revisionOf) {
   StoreFeed feed;
   feed.WatchSettings =
       [store, revisionOf](
-          platform::Revision after,
+          store::Revision after,
           std::chrono::milliseconds wait) -> core::Result<SettingsMark> {
     auto seen = store->watch(ManifestKey, after, wait);
     if (!seen)
@@ -66,7 +66,7 @@
     return mark;
   };
   feed.ReadSettings = [store, readTree] { return readTree(*store); };
-  feed.WatchSlots = [store](platform::Revision after,
+  feed.WatchSlots = [store](store::Revision after,
                             std::chrono::milliseconds wait) {
     return store->watch(SlotPrefix, after, wait);
   };
--- /dev/null
+++ b/src/leaf/Leaf.cpp
@@ -0,0 +1,74 @@
+#include "leaf/Leaf.h"
+
+#include <algorithm>
+
+namespace savorytrestle::leaf {
+
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+/// Share of the leaf's idle time-out after which a connection isn't used again:
+/// the leaf may be closing it while a request is on its way.
+constexpr double IdleUse = 0.7;
+
+bool aged(const LeafConnection &connection, SteadyClock::time_point now) {
+  return now - connection.idleSince() > connection.keepAlive() * IdleUse;
+}
+
+} // namespace
+
+Leaf::Leaf(boost::asio::io_context &context, core::LeafEntry entry,
+           const boost::asio::ip::tcp::endpoint &address,
+           core::LeafDistance distance)
+    : Context(context), Entry(std::move(entry)), Address(address),
+      Score(distance, Entry.Slots) {
+  update(Entry);
+}
+
+void Leaf::update(core::LeafEntry entry) {
+  Entry = std::move(entry);
+  Score.setColdUntil(SteadyClock::now() + Entry.WarmUpLeft);
+  if (Entry.Draining)
+    retire();
+}
+
+void Leaf::retire() {
+  Retired = true;
+  const auto idle = std::move(Idle);
+  Idle.clear();
+  for (const auto &connection : idle)
+    connection->close();
+}
+
+bool Leaf::hasRoom() const {
+  return !Idle.empty() || Connections < MaxConnections;
+}
+
+std::shared_ptr<LeafConnection> Leaf::checkOut() {
+  const auto now = SteadyClock::now();
+  while (!Idle.empty()) {
+    auto connection = std::move(Idle.back());
+    Idle.pop_back();
+    if (connection->ready() && !aged(*connection, now))
+      return connection;
+    connection->close();
+  }
+  if (Connections >= MaxConnections)
+    return nullptr;
+  ++Connections;
+  return std::make_shared<LeafConnection>(Context, [weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      --self->Connections;
+  });
+}
+
+void Leaf::checkIn(std::shared_ptr<LeafConnection> connection) {
+  if (!connection->ready())
+    return;
+  if (Retired)
+    return connection->close();
+  Idle.push_back(std::move(connection));
+}
+
+} // namespace savorytrestle::leaf
--- /dev/null
+++ b/src/leaf/LeafConnection.cpp
@@ -0,0 +1,186 @@
+#include "leaf/LeafConnection.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/string_view.h>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "support/SocketOptions.h"
+
+namespace savorytrestle::leaf {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t ReadBytes = 8192;
+constexpr std::size_t MaxAnswerBytes = 4 << 20;
+/// Bytes sent that no one acknowledges for so long end the connection.
+constexpr milliseconds UnackedTimeout{2000};
+/// How long a leaf that states nothing is taken to keep an idle connection.
+constexpr milliseconds DefaultKeepAlive{4000};
+
+/// Reads "timeout=N" of a Keep-Alive header.
+milliseconds statedKeepAlive(const LeafAnswer &answer) {
+  const auto header = answer.find(http::field::keep_alive);
+  if (header == answer.end())
+    return DefaultKeepAlive;
+  const auto text = header->value();
+  const auto at = text.find("timeout=");
+  int seconds = 0;
+  if (at == boost::beast::string_view::npos)
+    return DefaultKeepAlive;
+  const auto rest = text.substr(at + 8);
+  const auto end = rest.find_first_not_of("0123456789");
+  const auto digits = rest.substr(0, end);
+  if (!absl::SimpleAtoi(absl::string_view(digits.data(), digits.size()),
+                        &seconds))
+    return DefaultKeepAlive;
+  return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+LeafConnection::LeafConnection(boost::asio::io_context &context,
+                               CloseHandler onClose)
+    : Socket(context), OnClose(std::move(onClose)),
+      KeepAlive(DefaultKeepAlive) {}
+
+void LeafConnection::send(const tcp::endpoint &address, LeafRequest request,
+                          ReplyHandler onReply) {
+  Request = std::move(request);
+  OnReply = std::move(onReply);
+  Answer.emplace();
+  Answer->body_limit(MaxAnswerBytes);
+  Answer->eager(true);
+  if (Request.method() == http::verb::head)
+    Answer->skip(true);
+  if (Open)
+    write();
+  else
+    connect(address);
+}
+
+void LeafConnection::close() {
+  OnReply = nullptr;
+  shut();
+}
+
+void LeafConnection::connect(const tcp::endpoint &address) {
+  Connecting = true;
+  Socket.async_connect(address, [self = shared_from_this()](error_code ec) {
+    self->Connecting = false;
+    if (self->Closed)
+      return;
+    if (ec)
+      return self->fail(Delivery::NotSent, "connect: " + ec.message());
+    self->Open = true;
+    support::setLowDelay(self->Socket);
+    support::setUnackedTimeout(self->Socket, UnackedTimeout);
+    self->read();
+    self->write();
+  });
+}
+
+void LeafConnection::write() {
+  Writing = true;
+  http::async_write(Socket, Request,
+                    [self = shared_from_this()](error_code ec, std::size_t) {
+                      self->Writing = false;
+                      if (ec && self->OnReply)
+                        self->fail(Delivery::Broken, "write: " + ec.message());
+                    });
+}
+
+void LeafConnection::read() {
+  Socket.async_read_some(
+      Buffer.prepare(ReadBytes),
+      [self = shared_from_this()](error_code ec, std::size_t n) {
+        self->onRead(ec, n);
+      });
+}
+
+void LeafConnection::onRead(error_code ec, std::size_t n) {
+  if (Closed)
+    return;
+  if (ec == boost::asio::error::eof && OnReply && Answer->got_some() &&
+      !Answer->is_done()) {
+    // An answer without a length ends with the connection; any other is cut
+    // short, which the parser tells apart.
+    error_code end;
+    Answer->put_eof(end);
+    if (!end && Answer->is_done()) {
+      Open = false;
+      return finishAnswer();
+    }
+  }
+  if (ec)
+    return fail(Delivery::Broken, "read: " + ec.message());
+  Buffer.commit(n);
+  if (!OnReply)
+    return fail(Delivery::Broken, "bytes that belong to no request");
+  parse();
+}
+
+void LeafConnection::parse() {
+  error_code ec;
+  while (Buffer.size() > 0 && !Answer->is_done()) {
+    const std::size_t used = Answer->put(Buffer.data(), ec);
+    Buffer.consume(used);
+    if (ec == http::error::need_more) {
+      ec = {};
+      break;
+    }
+    if (ec)
+      return fail(Delivery::Broken, "answer: " + ec.message());
+    if (used == 0)
+      break;
+  }
+  if (Answer->is_done())
+    finishAnswer();
+  else
+    read();
+}
+
+void LeafConnection::finishAnswer() {
+  LeafReply done;
+  done.How = Delivery::Answered;
+  // A leaf may answer before it has read the whole body; another request would
+  // then stand where the rest of that body is due.
+  const bool keep =
+      Open && !Writing && Answer->keep_alive() && Buffer.size() == 0;
+  done.Answer = Answer->release();
+  KeepAlive = statedKeepAlive(done.Answer);
+  IdleSince = std::chrono::steady_clock::now();
+  auto onReply = std::move(OnReply);
+  OnReply = nullptr;
+  if (keep)
+    read();
+  else
+    shut();
+  onReply(std::move(done));
+}
+
+void LeafConnection::fail(Delivery how, const std::string &why) {
+  auto onReply = std::move(OnReply);
+  OnReply = nullptr;
+  shut();
+  if (onReply)
+    onReply({how, {}, why});
+}
+
+void LeafConnection::shut() {
+  if (Closed)
+    return;
+  Closed = true;
+  Open = false;
+  error_code ignored; // closing a socket that is already closed is no fault
+  Socket.close(ignored);
+  if (OnClose)
+    OnClose();
+}
+
+} // namespace savorytrestle::leaf
--- /dev/null
+++ b/src/leaf/LeafDirectory.cpp
@@ -0,0 +1,159 @@
+#include "leaf/LeafDirectory.h"
+
+#include <algorithm>
+
+#include "support/Log.h"
+#include "support/SocketOptions.h"
+
+namespace savorytrestle::leaf {
+
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+/// Hosts assumed until the store has told how many there are.
+constexpr std::size_t AssumedHosts = 16;
+/// Connections to a leaf that are left to hosts not yet known, as a share.
+constexpr double ShareOfConnections = 0.85;
+/// Leaves of nearly the same cost take turns, or all hosts would choose the
+/// same one.
+constexpr double CostSpread = 0.2;
+
+void drop(std::vector<std::shared_ptr<Leaf>> &leaves, const Leaf *leaf) {
+  leaves.erase(
+      std::remove_if(leaves.begin(), leaves.end(),
+                     [leaf](const auto &it) { return it.get() == leaf; }),
+      leaves.end());
+}
+
+bool takes(const Leaf &leaf, core::TimePoint now) {
+  return leaf.usable() && leaf.hasRoom() && !leaf.score().avoided(now);
+}
+
+} // namespace
+
+LeafDirectory::LeafDirectory(boost::asio::io_context &context, HostPlace place,
+                             core::RetryBudgetRule rule)
+    : Context(context), Place(std::move(place)), Rule(rule),
+      Hosts(AssumedHosts), Random(std::random_device{}()) {}
+
+Service &LeafDirectory::service(const std::string &name) {
+  auto &service = Services[name];
+  if (!service) {
+    service = std::make_unique<Service>();
+    service->Name = name;
+    service->Budget = core::SharedRetryBudget(Rule);
+    service->Budget.setHosts(static_cast<double>(Hosts));
+  }
+  return *service;
+}
+
+void LeafDirectory::apply(const core::ServingConfig &config) {
+  for (const core::ServiceRule &rule : config.Services) {
+    Service &known = service(rule.Name);
+    known.MaxConnections = rule.MaxConnections;
+    for (const auto &leaf : known.Leaves)
+      setShare(known, *leaf);
+  }
+}
+
+void LeafDirectory::put(const core::LeafEntry &entry) {
+  if (const auto it = ById.find(entry.Id); it != ById.end()) {
+    const core::LeafEntry &known = it->second->entry();
+    if (known.Address == entry.Address && known.Service == entry.Service &&
+        known.StartedAt == entry.StartedAt) {
+      it->second->update(entry);
+      return;
+    }
+    remove(entry.Id);
+  }
+  boost::asio::ip::tcp::endpoint address;
+  if (!support::parseEndpoint(entry.Address, address)) {
+    support::LogLine("leaf_entry_skipped")
+        .with("leaf", entry.Id)
+        .with("why", "address");
+    return;
+  }
+  auto leaf = std::make_shared<Leaf>(Context, entry, address,
+                                     distanceTo(entry.FailureDomain));
+  Service &owner = service(entry.Service);
+  setShare(owner, *leaf);
+  owner.Leaves.push_back(leaf);
+  ById.emplace(entry.Id, std::move(leaf));
+}
+
+void LeafDirectory::remove(const std::string &id) {
+  const auto it = ById.find(id);
+  if (it == ById.end())
+    return;
+  it->second->retire();
+  drop(service(it->second->entry().Service).Leaves, it->second.get());
+  ById.erase(it);
+}
+
+std::vector<std::string> LeafDirectory::ids() const {
+  std::vector<std::string> ids;
+  ids.reserve(ById.size());
+  for (const auto &[id, leaf] : ById)
+    ids.push_back(id);
+  return ids;
+}
+
+void LeafDirectory::setHosts(std::size_t hosts) {
+  Hosts = std::max<std::size_t>(1, hosts);
+  for (const auto &[name, service] : Services) {
+    service->Budget.setHosts(static_cast<double>(Hosts));
+    for (const auto &leaf : service->Leaves)
+      setShare(*service, *leaf);
+  }
+}
+
+std::shared_ptr<Leaf>
+LeafDirectory::choose(const Service &service, core::Duration expected,
+                      const std::vector<std::shared_ptr<Leaf>> &tried) {
+  const auto now = SteadyClock::now();
+  std::uniform_real_distribution<double> spread(1, 1 + CostSpread);
+  std::shared_ptr<Leaf> best;
+  double bestCost = 0;
+  for (const auto &leaf : service.Leaves) {
+    if (!takes(*leaf, now) ||
+        std::find(tried.begin(), tried.end(), leaf) != tried.end())
+      continue;
+    const double cost =
+        spread(Random) *
+        static_cast<double>(leaf->score().cost(now, expected).count());
+    if (!best || cost < bestCost) {
+      best = leaf;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+bool LeafDirectory::reachable(const Service &service) const {
+  const auto now = SteadyClock::now();
+  return std::any_of(service.Leaves.begin(), service.Leaves.end(),
+                     [now](const auto &leaf) { return takes(*leaf, now); });
+}
+
+core::LeafDistance
+LeafDirectory::distanceTo(const std::string &failureDomain) const {
+  if (failureDomain == Place.FailureDomain)
+    return core::LeafDistance::SameDomain;
+  const auto own = Place.Regions.find(Place.FailureDomain);
+  const auto other = Place.Regions.find(failureDomain);
+  const bool same = own != Place.Regions.end() &&
+                    other != Place.Regions.end() &&
+                    own->second == other->second;
+  return same ? core::LeafDistance::SameRegion : core::LeafDistance::Remote;
+}
+
+void LeafDirectory::setShare(const Service &service, Leaf &leaf) const {
+  if (service.MaxConnections <= 0)
+    return;
+  const double share =
+      ShareOfConnections * service.MaxConnections / static_cast<double>(Hosts);
+  leaf.setMaxConnections(std::max<std::size_t>(1, std::size_t(share)));
+}
+
+} // namespace savorytrestle::leaf
--- /dev/null
+++ b/src/leaf/LeafDirectory.h
@@ -0,0 +1,94 @@
+#ifndef SAVORYTRESTLE_LEAF_LEAF_DIRECTORY_H
+#define SAVORYTRESTLE_LEAF_LEAF_DIRECTORY_H
+
+/// @file
+/// @brief All services and their leaves as this host knows them.
+
+#include <utility>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "leaf/Leaf.h"
+#include "savorytrestle/core/ServingConfig.h"
+#include "savorytrestle/core/SharedRetryBudget.h"
+
+namespace savorytrestle::leaf {
+
+/// @brief Where this host stands.
+struct HostPlace {
+  std::string FailureDomain;
+  /// Region of each failure domain.
+  std::map<std::string, std::string> Regions;
+};
+
+/// @brief One service: its leaves, and what is shared between its requests.
+struct Service {
+  std::string Name;
+  std::vector<std::shared_ptr<Leaf>> Leaves;
+  core::SharedRetryBudget Budget;
+  /// What each route's requests take here, by the route's name.
+  std::map<std::string, core::ExpectedLatency, std::less<>> Latencies;
+  int MaxConnections = 0;
+};
+
+/// @brief Services and leaves; used on the data thread only.
+class LeafDirectory {
+public:
+  /// @brief Makes an empty directory.
+  /// @param context runs the handlers of connections
+  /// @param place where this host stands
+  /// @param rule bound on extra load, for each service
+  LeafDirectory(boost::asio::io_context &context, HostPlace place,
+                core::RetryBudgetRule rule);
+
+  /// @brief The service of a name, made when it isn't known; stays valid.
+  Service &service(const std::string &name);
+
+  /// @brief Takes the services of a configuration.
+  void apply(const core::ServingConfig &config);
+
+  /// @brief Takes a leaf's entry; a new start under a known identity replaces
+  /// the one before.
+  void put(const core::LeafEntry &entry);
+
+  /// @brief A leaf's entry is gone.
+  void remove(const std::string &id);
+
+  /// @brief Identities of all leaves with an entry.
+  std::vector<std::string> ids() const;
+
+  /// @brief Takes the number of hosts that share the leaves.
+  void setHosts(std::size_t hosts);
+
+  /// @brief Chooses the leaf for a request: the cheapest one that takes
+  /// requests, has room and wasn't tried.
+  /// @param service its service
+  /// @param expected what the request is expected to take
+  /// @param tried leaves that it went to before
+  /// @return the leaf, or null; O(leaves of the service)
+  std::shared_ptr<Leaf> choose(const Service &service, core::Duration expected,
+                               const std::vector<std::shared_ptr<Leaf>> &tried);
+
+  /// @brief Whether any leaf of the service would take a request now.
+  bool reachable(const Service &service) const;
+
+private:
+  core::LeafDistance distanceTo(const std::string &failureDomain) const;
+  void setShare(const Service &service, Leaf &leaf) const;
+
+  boost::asio::io_context &Context;
+  HostPlace Place;
+  core::RetryBudgetRule Rule;
+  std::map<std::string, std::unique_ptr<Service>> Services;
+  std::map<std::string, std::shared_ptr<Leaf>> ById;
+  std::size_t Hosts;
+  std::minstd_rand Random;
+};
+
+} // namespace savorytrestle::leaf
+
+#endif
--- /dev/null
+++ b/src/leaf/ServiceCall.cpp
@@ -0,0 +1,263 @@
+#include "leaf/ServiceCall.h"
+
+#include <algorithm>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+namespace savorytrestle::leaf {
+
+using core::TimePoint;
+using SteadyClock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Part of the objective that such a request is expected to take before any
+/// has been answered.
+constexpr double PriorShare = 0.15;
+/// Connections that one call tries to open before it gives up.
+constexpr int MaxSends = 5;
+constexpr unsigned Misdirected = 421;
+
+std::string_view view(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+bool success(const LeafAnswer &answer) {
+  return answer.result_int() >= 200 && answer.result_int() < 300;
+}
+
+} // namespace
+
+ServiceCall::ServiceCall(std::shared_ptr<const CallContext> context,
+                         Service &service, EndHandler onEnd)
+    : Context(std::move(context)), At(service), OnEnd(std::move(onEnd)) {}
+
+core::ExpectedLatency &ServiceCall::expected() {
+  const core::RouteRule &route = Context->Route;
+  const auto it = At.Latencies.find(route.Name);
+  if (it != At.Latencies.end())
+    return it->second;
+  const auto prior =
+      std::chrono::duration_cast<core::Duration>(route.Objective * PriorShare);
+  return At.Latencies.emplace(route.Name, core::ExpectedLatency(prior))
+      .first->second;
+}
+
+bool ServiceCall::start() {
+  At.Budget.onRequest();
+  Plan = core::planHedge(Context->Route, expected().get());
+  if (launch(Cause::First, SteadyClock::now()))
+    return true;
+  End = CallEnd::Unreachable;
+  Why = "no leaf takes requests";
+  return false;
+}
+
+bool ServiceCall::launch(Cause cause, TimePoint now) {
+  if (Sent >= MaxSends || now >= Context->Deadline)
+    return false;
+  const auto expect = expected().get();
+  auto to = Context->Leaves.choose(At, expect, Tried);
+  if (!to)
+    return false;
+  const bool extra = cause == Cause::Hedge || cause == Cause::Resend;
+  if (extra && !At.Budget.take(now))
+    return false;
+  auto connection = to->checkOut();
+  if (!connection)
+    return false;
+  Tried.push_back(to);
+  ++Sent;
+  ++Run;
+  MayHaveRun = true;
+  const std::size_t index = Attempts.size();
+  Attempts.push_back(
+      {to, connection, to->score().onSend(now, expect), now, false});
+  connection->send(to->address(), requestFor(*to, now),
+                   [self = shared_from_this(), index](LeafReply reply) {
+                     self->onReply(index, std::move(reply));
+                   });
+  return true;
+}
+
+LeafRequest ServiceCall::requestFor(const Leaf &to, TimePoint now) const {
+  LeafRequest request = Context->Request;
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(Context->Deadline - now);
+  request.set(Context->Names.Deadline,
+              std::to_string(std::max<std::int64_t>(1, left.count())));
+  request.set(Context->Names.ExpectedLeaf, to.entry().Id);
+  return request;
+}
+
+void ServiceCall::onReply(std::size_t index, LeafReply reply) {
+  Attempt &attempt = Attempts[index];
+  if (attempt.Over)
+    return;
+  attempt.Over = true;
+  attempt.To->score().onEnd(attempt.Handle);
+  const auto now = SteadyClock::now();
+  if (reply.How == Delivery::Answered)
+    return onAnswer(attempt, std::move(reply), now);
+  Why = reply.Why;
+  LeafId = attempt.To->entry().Id;
+  if (reply.How == Delivery::NotSent) {
+    --Run;
+    MayHaveRun = Run > 0;
+    attempt.To->score().onUnreachable(now);
+    return tryAgain(Run > 0 ? CallEnd::Lost : CallEnd::Unreachable,
+                    Cause::Replace, now);
+  }
+  attempt.To->score().onFailure(now);
+  tryAgain(CallEnd::Lost, repeatCause(), now);
+}
+
+std::optional<ServiceCall::Cause> ServiceCall::repeatCause() const {
+  if (!Context->Route.Idempotent)
+    return std::nullopt;
+  return Cause::Resend;
+}
+
+void ServiceCall::onAnswer(Attempt &attempt, LeafReply reply, TimePoint now) {
+  const LeafAnswer &answer = reply.Answer;
+  Leaf &from = *attempt.To;
+  LeafId = from.entry().Id;
+  if (!genuine(answer)) {
+    attempt.Connection->close();
+    from.score().onFailure(now);
+    Why = "answer of another request";
+    return tryAgain(CallEnd::Lost, repeatCause(), now);
+  }
+  noteLoad(from, answer, now);
+  from.checkIn(attempt.Connection);
+  if (answer.find(Context->Names.NotExecuted) != answer.end() ||
+      answer.result_int() == Misdirected) {
+    --Run;
+    MayHaveRun = Run > 0;
+    Why = "leaf did not run it: " + std::to_string(answer.result_int());
+    if (answer.result_int() == Misdirected)
+      from.retire();
+    from.score().onFailure(now);
+    return tryAgain(Run > 0 ? CallEnd::Lost : CallEnd::Rejected, Cause::Resend,
+                    now);
+  }
+  if (success(answer)) {
+    const auto latency = now - attempt.At;
+    from.score().onAnswer(now, latency, expected().get());
+    expected().record(latency);
+    Answer = std::move(reply.Answer);
+    return finish(CallEnd::Answered);
+  }
+  from.score().onFailure(now);
+  Why = "leaf answered " + std::to_string(answer.result_int());
+  Answer = std::move(reply.Answer);
+  tryAgain(CallEnd::Answered, repeatCause(), now);
+}
+
+bool ServiceCall::genuine(const LeafAnswer &answer) const {
+  const auto id = answer.find(Context->Names.RequestId);
+  if (id != answer.end() && view(id->value()) != Context->RequestId)
+    return false;
+  return !success(answer) ||
+         (answer.find(Context->Names.LeafSignature) != answer.end() &&
+          answer.find(boost::beast::http::field::content_encoding) ==
+              answer.end());
+}
+
+void ServiceCall::noteLoad(Leaf &from, const LeafAnswer &answer,
+                           TimePoint now) {
+  const auto header = answer.find(Context->Names.LeafLoad);
+  if (header == answer.end())
+    return;
+  const std::vector<std::string> fields =
+      absl::StrSplit(std::string(view(header->value())), ',');
+  core::ReportedLoad load;
+  if (fields.size() == 3 && absl::SimpleAtoi(fields[0], &load.Running) &&
+      absl::SimpleAtoi(fields[1], &load.Waiting) &&
+      absl::SimpleAtoi(fields[2], &load.Slots))
+    from.score().onLoad(now, load);
+}
+
+void ServiceCall::tryAgain(CallEnd otherwise, std::optional<Cause> cause,
+                           TimePoint now) {
+  if (cause && Run < Context->Route.MaxLeaves && !anyOut() &&
+      launch(*cause, now))
+    return;
+  if (!anyOut())
+    finish(otherwise);
+}
+
+void ServiceCall::onTime(TimePoint now) {
+  if (End)
+    return;
+  // An index, since a resend may add attempts.
+  for (std::size_t i = 0; i < Attempts.size(); ++i) {
+    Attempt &attempt = Attempts[i];
+    if (!attempt.Over && attempt.Connection->connecting() &&
+        now - attempt.At >= Plan.ConnectWithin) {
+      drop(attempt);
+      --Run;
+      MayHaveRun = Run > 0;
+      attempt.To->score().onUnreachable(now);
+      Why = "connection not established in time";
+      tryAgain(Run > 0 ? CallEnd::Lost : CallEnd::Unreachable, Cause::Replace,
+               now);
+      if (End)
+        return;
+    }
+  }
+  if (Context->Route.Idempotent && !Hedged && anyOut() &&
+      Run < Context->Route.MaxLeaves &&
+      now - Attempts.front().At >= Plan.HedgeAfter) {
+    Hedged = true;
+    launch(Cause::Hedge, now);
+  }
+}
+
+TimePoint ServiceCall::nextWake() const {
+  TimePoint next = TimePoint::max();
+  if (End || Attempts.empty())
+    return next;
+  for (const Attempt &attempt : Attempts)
+    if (!attempt.Over && attempt.Connection->connecting())
+      next = std::min(next, attempt.At + Plan.ConnectWithin);
+  if (Context->Route.Idempotent && !Hedged && Run < Context->Route.MaxLeaves)
+    next = std::min(next, Attempts.front().At + Plan.HedgeAfter);
+  return next;
+}
+
+bool ServiceCall::anyOut() const {
+  return std::any_of(Attempts.begin(), Attempts.end(),
+                     [](const Attempt &attempt) { return !attempt.Over; });
+}
+
+void ServiceCall::drop(Attempt &attempt) {
+  attempt.Over = true;
+  attempt.To->score().onEnd(attempt.Handle);
+  const auto now = SteadyClock::now();
+  attempt.To->score().onAbandoned(now, now - attempt.At, expected().get());
+  attempt.Connection->close();
+}
+
+void ServiceCall::finish(CallEnd end) {
+  End = end;
+  for (Attempt &attempt : Attempts)
+    if (!attempt.Over)
+      drop(attempt);
+  if (const auto onEnd = std::move(OnEnd); onEnd)
+    onEnd(*this);
+}
+
+void ServiceCall::cancel() {
+  OnEnd = nullptr;
+  if (End)
+    return;
+  End = CallEnd::Lost;
+  for (Attempt &attempt : Attempts)
+    if (!attempt.Over)
+      drop(attempt);
+}
+
+} // namespace savorytrestle::leaf
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <csignal>
 #include <cstdint>
 #include <cstdio>
@@ -13,6 +14,7 @@
 #include "bench/Bench.h"
 #include "operators/SettingsCommand.h"
 #include "serve/Host.h"
+#include "serve/Node.h"
 #include "support/Log.h"
 #include "support/StopSignals.h"
 #include "support/Version.h"
@@ -49,6 +51,8 @@
     "usage: savorytrestle COMMAND [flags]\n\n"
     "  serve --config=FILE   runs an entry host until SIGTERM or SIGINT\n"
     "  check --config=FILE   checks a host's YAML file and exits\n"
+    "  node --config=FILE    runs a host on the users' platform\n"
+    "  check-node --config=FILE  checks such a host's YAML file and exits\n"
     "  settings WORDS        reads and changes the settings; \"settings "
     "help\"\n"
     "  bench                 compares the search policy with the baseline on "
@@ -68,6 +72,31 @@
   return ExitOk;
 }
 
+int checkNode(const std::string &path) {
+  const auto config = serve::loadNodeConfig(path);
+  if (!config) {
+    std::fprintf(stderr, "%s\n", config.error().Message.c_str());
+    return ExitFailed;
+  }
+  std::printf("%s: ok\n", path.c_str());
+  return ExitOk;
+}
+
+int runNode(const std::string &path) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto config = serve::loadNodeConfig(path);
+  if (!config) {
+    std::fprintf(stderr, "%s\n", config.error().Message.c_str());
+    return ExitFailed;
+  }
+  serve::Node node(*config);
+  if (const auto done = node.run(); !done) {
+    std::fprintf(stderr, "%s\n", done.error().Message.c_str());
+    return ExitFailed;
+  }
+  return ExitOk;
+}
+
 int runHost(const std::string &path) {
   const support::StopSignals signals;
   std::signal(SIGPIPE, SIG_IGN);
@@ -125,11 +154,18 @@
     return runSettings({words.begin() + 1, words.end()});
   if (command == "bench")
     return runBench();
-  if (command != "serve" && command != "check")
+  const std::vector<std::string> withConfig{"serve", "check", "node",
+                                            "check-node"};
+  if (std::find(withConfig.begin(), withConfig.end(), command) ==
+      withConfig.end())
     return usage("unknown command '" + command + "'");
   const std::string path = absl::GetFlag(FLAGS_config);
   if (path.empty())
     return usage(command + " needs --config=FILE");
+  if (command == "node")
+    return runNode(path);
+  if (command == "check-node")
+    return checkNode(path);
   return command == "check" ? check(path) : runHost(path);
 }
 
@@ -145,5 +181,7 @@
   absl::SetFlagsUsageConfig(help);
   const auto rest = absl::ParseCommandLine(argc, argv);
   support::startLogging(argv[0]);
-  return dispatch({rest.begin() + 1, rest.end()});
+  const int status = dispatch({rest.begin() + 1, rest.end()});
+  support::stopLogging();
+  return status;
 }
--- a/src/operators/AdminApi.h
+++ b/src/operators/AdminApi.h
@@ -29,7 +29,7 @@
 /// @brief Puts a lock around a settings store, which is for one thread.
 /// @param store must outlive the backend
 /// @return the backend
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 SettingsBackend makeBackend(SettingsStore<Kv> &store) {
   const auto lock = std::make_shared<std::mutex>();
   SettingsBackend backend;
--- a/src/operators/SettingsReader.h
+++ b/src/operators/SettingsReader.h
@@ -9,7 +9,7 @@
 
 #include "operators/SettingsManifest.h"
 #include "operators/SettingsReplica.h"
-#include "platform/KvStore.h"
+#include "store/KvStore.h"
 
 namespace savorytrestle::operators {
 
@@ -24,13 +24,13 @@
 /// @brief The settings as one manifest names them.
 struct LoadedSettings {
   SettingsManifest Manifest;
-  platform::Revision Modified = platform::NoEntry;
+  store::Revision Modified = store::NoEntry;
   core::SettingsTree Tree;
 };
 
 /// @brief Reads settings from the store, keeping the parts that did not change;
 /// one thread at a time.
-template <platform::KvStore Kv> class SettingsReader {
+template <store::KvStore Kv> class SettingsReader {
 public:
   /// @brief Uses a store client, which must outlive this object.
   /// @param store the client
@@ -77,7 +77,7 @@
   std::uint64_t NewestSeen = 0;
 };
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 core::Result<LoadedSettings> SettingsReader<Kv>::loadManifest() {
   auto entry = Store.get(ManifestKey, Options.CallTimeout);
   if (!entry)
@@ -99,7 +99,7 @@
   return loaded;
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 core::Result<bool> SettingsReader<Kv>::loadNodes(LoadedSettings &loaded) {
   std::map<std::string, std::string> parts;
   nlohmann::json nodes = nlohmann::json::object();
@@ -128,7 +128,7 @@
   return true;
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 core::Result<LoadedSettings> SettingsReader<Kv>::load() {
   constexpr int MaxReads = 3;
   for (int n = 0; n < MaxReads; ++n) {
@@ -145,7 +145,7 @@
                          "parts of the settings are missing in the store");
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 core::Result<std::optional<AuditPage>>
 SettingsReader<Kv>::readPage(const std::string &key) {
   auto entry = Store.get(key, Options.CallTimeout);
@@ -159,7 +159,7 @@
   return std::optional(std::move(*page));
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 template <typename Visitor>
 core::Result<bool> SettingsReader<Kv>::walk(const SettingsManifest &manifest,
                                             Visitor visit) {
--- a/src/operators/SettingsStore.h
+++ b/src/operators/SettingsStore.h
@@ -36,7 +36,7 @@
 };
 
 /// @brief The settings tree in the store; one thread at a time.
-template <platform::KvStore Kv> class SettingsStore {
+template <store::KvStore Kv> class SettingsStore {
 public:
   /// @brief Uses a store client, which must outlive this object.
   /// @param store the client
@@ -88,7 +88,7 @@
   SettingsReader<Kv> Reader;
 };
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 core::Result<core::VersionedBlob> SettingsStore<Kv>::read() {
   auto loaded = Reader.load();
   if (!loaded)
@@ -96,7 +96,7 @@
   return toBlob(loaded->Tree, loaded->Manifest.Revision);
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 core::Result<std::vector<core::AuditEntry>>
 SettingsStore<Kv>::history(std::uint64_t before, std::size_t limit) {
   const auto loaded = Reader.loadManifest();
@@ -114,7 +114,7 @@
   return found;
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 std::optional<CommitResult>
 SettingsStore<Kv>::collision(const LoadedSettings &loaded,
                              const core::ChangeRequest &request) {
@@ -151,7 +151,7 @@
   return lost.Message.empty() ? std::nullopt : std::optional(std::move(lost));
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 typename SettingsStore<Kv>::template Outcome<PreparedManifest>
 SettingsStore<Kv>::prepare(const LoadedSettings &loaded,
                            const core::ChangeRequest &request) {
@@ -183,7 +183,7 @@
   return std::move(*next);
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 std::optional<CommitResult>
 SettingsStore<Kv>::resent(const SettingsManifest &manifest,
                           const core::ChangeRequest &request) const {
@@ -203,7 +203,7 @@
   return CommitResult{CommitOutcome::Accepted, known->Revision, "", {}};
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 core::Result<void>
 SettingsStore<Kv>::writeEntries(const std::vector<ImmutableEntry> &entries) {
   // False means that the same content is there already; a lost reply is
@@ -212,8 +212,8 @@
   for (const auto &[key, value] : entries) {
     core::Result<bool> written = false;
     for (int n = 0; n < MaxWrites; ++n) {
-      written = Store.compareAndSet(key, value, platform::NoEntry,
-                                    Options.CallTimeout);
+      written =
+          Store.compareAndSet(key, value, store::NoEntry, Options.CallTimeout);
       if (written || written.error().Code != core::ErrorCode::OutcomeUnknown)
         break;
     }
@@ -223,7 +223,7 @@
   return {};
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 void SettingsStore<Kv>::drop(const std::string &key) {
   // The change is made; an entry that stays costs only room.
   const auto entry = Store.get(key, Options.CallTimeout);
@@ -232,7 +232,7 @@
                                  Options.CallTimeout);
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 void SettingsStore<Kv>::dropOldPage(const AuditPageLink &last) {
   if (last.Number <= MaxAuditPages)
     return;
@@ -244,7 +244,7 @@
                                    Options.CallTimeout);
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 CommitResult SettingsStore<Kv>::unavailable(bool uncertain,
                                             const std::string &reason) const {
   if (uncertain)
@@ -259,7 +259,7 @@
           {}};
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 std::optional<CommitResult>
 SettingsStore<Kv>::settle(const LoadedSettings &loaded,
                           const core::ChangeRequest &request,
@@ -274,9 +274,9 @@
   return *swapped ? std::optional(std::move(refusal)) : std::nullopt;
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 CommitResult SettingsStore<Kv>::commit(const core::ChangeRequest &request) {
-  std::optional<platform::Revision> lostAt;
+  std::optional<store::Revision> lostAt;
   Reader.noteRevision(request.KnownRevision);
   // An earlier attempt of a resent change may be on its way from another host.
   bool uncertain = request.Resent;
@@ -317,7 +317,7 @@
   return unavailable(uncertain, "too many changes at once");
 }
 
-template <platform::KvStore Kv>
+template <store::KvStore Kv>
 CommitResult SettingsStore<Kv>::accept(const LoadedSettings &before,
                                        const PreparedManifest &next) {
   const auto &now = next.Manifest;
--- /dev/null
+++ b/src/registry/StoreConnection.cpp
@@ -0,0 +1,120 @@
+#include "registry/StoreConnection.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "support/SocketOptions.h"
+
+namespace savorytrestle::registry {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Finds a connection that has gone silent while a watch waits on it: within
+/// three seconds, which is what a change may take to be in force.
+constexpr milliseconds ProbeInterval{1000};
+constexpr int Probes = 2;
+constexpr milliseconds UnackedTimeout{1500};
+/// A range of the longest page, with room for its encoding.
+constexpr std::size_t MaxReplyBytes = 8 << 20;
+
+} // namespace
+
+StoreConnection::StoreConnection(boost::asio::io_context &io,
+                                 tcp::endpoint address)
+    : Io(io), Address(std::move(address)), Timer(io) {}
+
+void StoreConnection::call(const StoreCall &call, milliseconds timeout,
+                           ReplyHandler onReply) {
+  OnReply = std::move(onReply);
+  Out = Request(http::string_to_verb(call.Method), call.Target, 11);
+  Out.set(http::field::host,
+          Address.address().to_string() + ":" + std::to_string(Address.port()));
+  if (!call.Body.empty())
+    Out.set(http::field::content_type, "application/json");
+  Out.body() = call.Body;
+  Out.prepare_payload();
+  const std::uint64_t turn = ++Turn;
+  Timer.expires_after(timeout);
+  Timer.async_wait([self = shared_from_this(), turn](error_code ec) {
+    if (!ec && self->Turn == turn)
+      self->fail("no reply in time");
+  });
+  if (Current)
+    return write(Current);
+  Current = std::make_shared<Link>(Io);
+  Current->Socket.async_connect(
+      Address, [self = shared_from_this(), link = Current](error_code ec) {
+        if (self->Current != link)
+          return;
+        if (ec)
+          return self->fail("connect: " + ec.message());
+        support::setLowDelay(link->Socket);
+        support::setKeepAliveProbes(link->Socket, ProbeInterval, Probes);
+        support::setUnackedTimeout(link->Socket, UnackedTimeout);
+        self->write(link);
+      });
+}
+
+void StoreConnection::close() {
+  OnReply = nullptr;
+  fail("closed");
+}
+
+void StoreConnection::write(const std::shared_ptr<Link> &link) {
+  http::async_write(
+      link->Socket, Out,
+      [self = shared_from_this(), link](error_code ec, std::size_t) {
+        if (self->Current != link)
+          return;
+        if (ec)
+          return self->fail("write: " + ec.message());
+        self->read(link);
+      });
+}
+
+void StoreConnection::read(const std::shared_ptr<Link> &link) {
+  auto parser = std::make_shared<Parser>();
+  parser->body_limit(MaxReplyBytes);
+  http::async_read(
+      link->Socket, link->Buffer, *parser,
+      [self = shared_from_this(), link, parser](error_code ec, std::size_t) {
+        if (self->Current != link)
+          return;
+        if (ec)
+          return self->fail("read: " + ec.message());
+        self->onAnswer(link, *parser);
+      });
+}
+
+void StoreConnection::onAnswer(const std::shared_ptr<Link> &link,
+                               Parser &parser) {
+  auto answer = parser.release();
+  if (!answer.keep_alive() || link->Buffer.size() > 0)
+    Current.reset();
+  reply({answer.result_int(), std::move(answer.body()), ""});
+}
+
+void StoreConnection::fail(const std::string &why) {
+  if (Current) {
+    error_code ignored; // the link is given up either way
+    Current->Socket.close(ignored);
+    Current.reset();
+  }
+  reply({0, "", why});
+}
+
+void StoreConnection::reply(StoreReply reply) {
+  ++Turn;
+  Timer.cancel();
+  const auto onReply = std::move(OnReply);
+  OnReply = nullptr;
+  if (onReply)
+    onReply(std::move(reply));
+}
+
+} // namespace savorytrestle::registry
--- a/src/serve/ControlPlane.cpp
+++ b/src/serve/ControlPlane.cpp
@@ -50,7 +50,7 @@
 }
 
 hosts::StoreFeed makeFeed(const std::string &address) {
-  using Store = platform::HttpKvStore;
+  using Store = store::HttpKvStore;
   auto store = std::make_shared<Store>(address);
   // The reader keeps the parts it has read, so a change costs only what it
   // touched.
@@ -88,7 +88,7 @@
 }
 
 void ControlPlane::followHostList(const std::stop_token &stop) {
-  platform::HostList list(Config.HostList);
+  store::HostList list(Config.HostList);
   while (!stop.stop_requested()) {
     // A list that can't be read changes nothing: it is a hint.
     if (auto listed = list.read(HostListTimeout)) {
--- a/src/serve/ControlPlane.h
+++ b/src/serve/ControlPlane.h
@@ -15,9 +15,9 @@
 #include "operators/AdminApi.h"
 #include "operators/SettingsReplica.h"
 #include "operators/SettingsStore.h"
-#include "platform/HostList.h"
-#include "platform/HttpKvStore.h"
 #include "serve/HostConfig.h"
+#include "store/HostList.h"
+#include "store/HttpKvStore.h"
 
 namespace savorytrestle::serve {
 
@@ -79,7 +79,7 @@
   }
 
 private:
-  using Store = platform::HttpKvStore;
+  using Store = store::HttpKvStore;
 
   void followHostList(const std::stop_token &stop);
   hosts::PeerCallbacks callbacks();
--- a/src/serve/HostConfig.cpp
+++ b/src/serve/HostConfig.cpp
@@ -1,16 +1,9 @@
 #include "serve/HostConfig.h"
 
-#include <fstream>
-#include <sstream>
-
-#include <absl/strings/str_join.h>
-
-#include "support/YamlReader.h"
+#include "support/YamlFile.h"
 
 namespace savorytrestle::serve {
 
-using core::ErrorCode;
-using core::makeError;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 
@@ -61,27 +54,14 @@
 
 core::Result<HostConfig> parseHostConfig(const std::string &text,
                                          const std::string &file) {
-  support::YamlFaults faults{file, {}};
-  HostConfig config;
-  try {
-    config = readHost({YAML::Load(text), "", faults});
-  } catch (const YAML::Exception &ex) {
-    faults.Messages.push_back(file + ":" + std::to_string(ex.mark.line + 1) +
-                              ": " + ex.msg);
-  }
-  if (!faults.Messages.empty())
-    return makeError(ErrorCode::InvalidSettings,
-                     absl::StrJoin(faults.Messages, "\n"));
-  return config;
+  return support::parseYaml(text, file, readHost);
 }
 
 core::Result<HostConfig> loadHostConfig(const std::string &path) {
-  std::ifstream file(path);
-  if (!file)
-    return makeError(ErrorCode::NotFound, path + ": cannot be read");
-  std::stringstream buf;
-  buf << file.rdbuf();
-  return parseHostConfig(buf.str(), path);
+  const auto text = support::readFile(path);
+  if (!text)
+    return tl::unexpected(text.error());
+  return parseHostConfig(*text, path);
 }
 
 } // namespace savorytrestle::serve
--- /dev/null
+++ b/src/serve/Node.cpp
@@ -0,0 +1,197 @@
+#include "serve/Node.h"
+
+#include "entry/Answers.h"
+#include "platform/Headers.h"
+#include "support/Log.h"
+#include "support/SocketOptions.h"
+#include "support/Version.h"
+
+namespace savorytrestle::serve {
+
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+/// Time from the stop signal in which the balancer notices that the host isn't
+/// ready: two questions, one a second, and the way there.
+constexpr milliseconds BalancerNotices{2600};
+/// Kept of the grace for the process's own end.
+constexpr milliseconds EndReserve{300};
+constexpr milliseconds IdlePoll{50};
+
+core::RetryBudgetRule budgetRule(const NodeConfig &config) {
+  return {config.RetryRatio, config.RetryExtra, config.RetryWindow};
+}
+
+} // namespace
+
+Node::Node(NodeConfig config)
+    : Config(std::move(config)), Signals(Io, SIGTERM, SIGINT, SIGHUP),
+      StopTimer(Io),
+      Leaves(Io, {Config.FailureDomain, Config.Regions}, budgetRule(Config)),
+      Router(Io, Leaves, Counts, platform::headerNames()),
+      CallerContext(std::make_shared<entry::SessionContext>()),
+      OwnContext(std::make_shared<entry::SessionContext>()) {
+  CallerContext->Handle = [this](auto request, auto respond) {
+    return Router.handle(std::move(request), std::move(respond));
+  };
+  OwnContext->Handle = [this](const entry::CallerRequest &request,
+                              const entry::Respond &respond) {
+    const bool asksReadiness = request.target() == platform::ReadinessPath;
+    respond(asksReadiness ? readiness() : metrics());
+    return entry::CancelRequest();
+  };
+}
+
+core::Result<void> Node::run() {
+  boost::asio::ip::tcp::endpoint store;
+  if (!support::parseEndpoint(Config.Store, store))
+    return core::makeError(core::ErrorCode::InvalidSettings,
+                           Config.Store + ": not an address");
+  if (const auto open = openListeners(); !open)
+    return open;
+  support::LogLine("start")
+      .with("host", Config.Id)
+      .with("failure_domain", Config.FailureDomain)
+      .with("program", support::Version)
+      .with("callers", Config.Callers);
+  startFeeds(store);
+  waitForSignal();
+  Io.run();
+  support::LogLine("stopped")
+      .with("host", Config.Id)
+      .with("log_lines_dropped", support::droppedLines());
+  return {};
+}
+
+core::Result<void> Node::openListeners() {
+  Callers = std::make_shared<entry::Listener>(Io, CallerContext);
+  Readiness = std::make_shared<entry::Listener>(Io, OwnContext);
+  if (const auto open = Callers->open(Config.Callers); !open)
+    return open;
+  if (const auto open = Readiness->open(Config.Readiness); !open)
+    return open;
+  if (Config.Metrics.empty())
+    return {};
+  MetricsDoor = std::make_shared<entry::Listener>(Io, OwnContext);
+  return MetricsDoor->open(Config.Metrics);
+}
+
+void Node::startFeeds(const boost::asio::ip::tcp::endpoint &store) {
+  Configs = std::make_shared<registry::ConfigFeed>(
+      Io, store, [this](const auto &config) {
+        Leaves.apply(*config);
+        Router.setConfig(config);
+        CallerContext->Limits = config->Limits;
+      });
+  Configs->start();
+  Entries = std::make_shared<registry::LeafFeed>(Io, store, Leaves);
+  Entries->start();
+  Presence = std::make_shared<registry::HostPresence>(Io, store, Config.Id);
+  Presence->start();
+  registry::FeedHandlers handlers;
+  handlers.OnList = [this](const std::vector<registry::StoredItem> &items) {
+    for (const auto &item : items)
+      Hosts.insert(item.Key);
+    onHosts();
+  };
+  handlers.OnItem = [this](const registry::StoredItem &item) {
+    // A host that is gone still counts: one that is only cut off goes on
+    // spending its part.
+    if (!item.Removed && Hosts.insert(item.Key).second)
+      onHosts();
+  };
+  handlers.OnRegained = [] {};
+  HostList = std::make_shared<registry::PrefixFeed>(
+      Io, store, registry::HostPrefix, std::move(handlers));
+  HostList->start();
+}
+
+void Node::onHosts() {
+  support::LogLine("hosts_known").with("hosts", Hosts.size());
+  Leaves.setHosts(Hosts.size());
+}
+
+bool Node::ready() const {
+  return !Stopping && Configs->current() && Entries->known();
+}
+
+entry::CallerAnswer Node::readiness() const {
+  return ready() ? entry::textAnswer(http::status::ok, "ready\n")
+                 : entry::textAnswer(http::status::service_unavailable,
+                                     Stopping ? "stopping\n" : "starting\n");
+}
+
+entry::CallerAnswer Node::metrics() {
+  const auto &config = Configs->current();
+  Counts.setGauge("savorytrestle_config_version",
+                  "Version of the configuration in force.",
+                  config ? static_cast<double>(config->Version) : 0);
+  Counts.setGauge("savorytrestle_caller_connections",
+                  "Open connections of callers.",
+                  static_cast<double>(Callers->connections()));
+  Counts.setGauge("savorytrestle_log_lines_dropped",
+                  "Log lines dropped for want of a reader.",
+                  static_cast<double>(support::droppedLines()));
+  return entry::textAnswer(http::status::ok, Counts.text());
+}
+
+void Node::waitForSignal() {
+  Signals.async_wait([this](const boost::system::error_code &ec, int signal) {
+    if (ec)
+      return;
+    if (signal == SIGHUP)
+      reload();
+    else if (!Stopping)
+      stop();
+    waitForSignal();
+  });
+}
+
+void Node::reload() {
+  // Addresses and place are fixed for a process's life; the platform starts a
+  // process anew where they change.
+  support::LogLine("reload").with("host", Config.Id).with("changed", 0);
+}
+
+void Node::stop() {
+  Stopping = true;
+  StopAt = SteadyClock::now() + Config.StopGrace - EndReserve;
+  CallerContext->Draining = true;
+  Presence->stop();
+  support::LogLine("stop")
+      .with("host", Config.Id)
+      .with("busy", Callers->busy())
+      .with("grace", Config.StopGrace);
+  const auto notices =
+      std::min<milliseconds>(BalancerNotices, Config.StopGrace / 2);
+  StopTimer.expires_after(notices);
+  StopTimer.async_wait([this](const boost::system::error_code &ec) {
+    if (!ec)
+      closeDoors();
+  });
+}
+
+void Node::closeDoors() {
+  Callers->closeDoor();
+  Callers->closeIdle();
+  finishWhenIdle();
+}
+
+void Node::finishWhenIdle() {
+  const auto busy = Callers->busy();
+  if (busy == 0 || SteadyClock::now() >= StopAt) {
+    support::LogLine("stopping_now").with("busy", busy);
+    Io.stop();
+    return;
+  }
+  StopTimer.expires_after(IdlePoll);
+  StopTimer.async_wait([this](const boost::system::error_code &ec) {
+    if (!ec)
+      finishWhenIdle();
+  });
+}
+
+} // namespace savorytrestle::serve
--- /dev/null
+++ b/src/serve/Node.h
@@ -0,0 +1,75 @@
+#ifndef SAVORYTRESTLE_SERVE_NODE_H
+#define SAVORYTRESTLE_SERVE_NODE_H
+
+/// @file
+/// @brief One host on the platform: listeners, store feeds and the data path
+/// on one thread.
+
+#include <utility>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "entry/Listener.h"
+#include "entry/RequestRouter.h"
+#include "registry/ConfigFeed.h"
+#include "registry/HostPresence.h"
+#include "registry/LeafFeed.h"
+#include "serve/NodeConfig.h"
+#include "support/Metrics.h"
+
+namespace savorytrestle::serve {
+
+/// @brief One host process on the platform.
+class Node {
+public:
+  /// @brief Makes a host that doesn't run yet.
+  explicit Node(NodeConfig config);
+
+  /// @brief Runs until a stop signal has been obeyed.
+  /// @return an error when it could not start
+  core::Result<void> run();
+
+private:
+  core::Result<void> openListeners();
+  void startFeeds(const boost::asio::ip::tcp::endpoint &store);
+  void onHosts();
+  void waitForSignal();
+  void reload();
+  void stop();
+  void closeDoors();
+  void finishWhenIdle();
+  bool ready() const;
+  entry::CallerAnswer readiness() const;
+  entry::CallerAnswer metrics();
+
+  NodeConfig Config;
+  boost::asio::io_context Io;
+  boost::asio::signal_set Signals;
+  boost::asio::steady_timer StopTimer;
+  support::Metrics Counts;
+  leaf::LeafDirectory Leaves;
+  std::shared_ptr<registry::ConfigFeed> Configs;
+  std::shared_ptr<registry::LeafFeed> Entries;
+  std::shared_ptr<registry::HostPresence> Presence;
+  std::shared_ptr<registry::PrefixFeed> HostList;
+  std::set<std::string> Hosts;
+  entry::RequestRouter Router;
+  std::shared_ptr<entry::SessionContext> CallerContext;
+  std::shared_ptr<entry::SessionContext> OwnContext;
+  std::shared_ptr<entry::Listener> Callers;
+  std::shared_ptr<entry::Listener> Readiness;
+  std::shared_ptr<entry::Listener> MetricsDoor;
+  std::chrono::steady_clock::time_point StopAt{};
+  bool Stopping = false;
+};
+
+} // namespace savorytrestle::serve
+
+#endif
--- /dev/null
+++ b/src/serve/NodeConfig.h
@@ -0,0 +1,53 @@
+#ifndef SAVORYTRESTLE_SERVE_NODE_CONFIG_H
+#define SAVORYTRESTLE_SERVE_NODE_CONFIG_H
+
+/// @file
+/// @brief Settings of a host on the platform, read from its YAML file at start
+/// and again on SIGHUP.
+
+#include <chrono>
+#include <map>
+#include <string>
+
+#include "savorytrestle/core/Error.h"
+
+namespace savorytrestle::serve {
+
+/// @brief Settings of a host on the platform.
+struct NodeConfig {
+  std::string Id;
+  std::string FailureDomain;
+  /// Region of each failure domain.
+  std::map<std::string, std::string> Regions;
+  /// Listener for callers.
+  std::string Callers;
+  /// Listener at which the balancer asks for readiness.
+  std::string Readiness;
+  /// Listener of the metrics.
+  std::string Metrics;
+  /// The platform's metadata store.
+  std::string Store;
+  /// Time from the stop signal until the process is killed.
+  std::chrono::milliseconds StopGrace{6000};
+  /// Extra requests to a service for each request, over all hosts.
+  double RetryRatio = 0.2;
+  /// Extra requests beyond the ratio in each window, over all hosts.
+  double RetryExtra = 50;
+  std::chrono::milliseconds RetryWindow{10000};
+};
+
+/// @brief Reads and checks a file.
+/// @param path the YAML file
+/// @return the settings; InvalidSettings with one line per fault
+core::Result<NodeConfig> loadNodeConfig(const std::string &path);
+
+/// @brief Reads and checks a text.
+/// @param text YAML
+/// @param file name shown in messages
+/// @return the settings; InvalidSettings with one line per fault
+core::Result<NodeConfig> parseNodeConfig(const std::string &text,
+                                         const std::string &file);
+
+} // namespace savorytrestle::serve
+
+#endif
--- a/src/serve/WritePath.cpp
+++ b/src/serve/WritePath.cpp
@@ -19,8 +19,8 @@
 /// of what the store takes is for leases and settings.
 constexpr double ClaimWritesPerSecond = 200;
 
-platform::ClaimStoreOptions claimOptions(unsigned hosts) {
-  platform::ClaimStoreOptions options;
+store::ClaimStoreOptions claimOptions(unsigned hosts) {
+  store::ClaimStoreOptions options;
   options.WritesPerSecond = ClaimWritesPerSecond / std::max(1U, hosts);
   return options;
 }
@@ -45,7 +45,7 @@
 WritePath::WritePath(backend::LeafEngine &engine, const std::string &store,
                      const std::string &hostId, unsigned hosts)
     : Engine(engine),
-      Claims(platform::HttpKvStore(store), hostId, claimOptions(hosts)) {}
+      Claims(store::HttpKvStore(store), hostId, claimOptions(hosts)) {}
 
 core::Result<caller::WriteAnswer>
 WritePath::run(const caller::CallerRequest &request) {
--- a/src/serve/WritePath.h
+++ b/src/serve/WritePath.h
@@ -7,8 +7,8 @@
 
 #include "backend/LeafEngine.h"
 #include "caller/CallerApi.h"
-#include "platform/ClaimStore.h"
-#include "platform/HttpKvStore.h"
+#include "store/ClaimStore.h"
+#include "store/HttpKvStore.h"
 
 namespace savorytrestle::serve {
 
@@ -33,7 +33,7 @@
   void stop(std::chrono::milliseconds drain) { Claims.stop(drain); }
 
 private:
-  using Store = platform::ClaimStore<platform::HttpKvStore>;
+  using Store = store::ClaimStore<store::HttpKvStore>;
 
   core::Result<caller::WriteAnswer>
   runKeyed(const caller::CallerRequest &request);
--- a/src/platform/ClaimBatches.cpp
+++ b/src/store/ClaimBatches.cpp
@@ -1,10 +1,10 @@
-#include "platform/ClaimBatches.h"
+#include "store/ClaimBatches.h"
 
 #include <iterator>
 
 #include "support/Log.h"
 
-namespace savorytrestle::platform {
+namespace savorytrestle::store {
 
 using core::ClaimDecision;
 using core::ErrorCode;
@@ -212,4 +212,4 @@
   std::erase_if(Batches, [](const auto &it) { return it.second.empty(); });
 }
 
-} // namespace savorytrestle::platform
+} // namespace savorytrestle::store
--- a/src/platform/ClaimBatches.h
+++ b/src/store/ClaimBatches.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_PLATFORM_CLAIM_BATCHES_H
-#define SAVORYTRESTLE_PLATFORM_CLAIM_BATCHES_H
+#ifndef SAVORYTRESTLE_STORE_CLAIM_BATCHES_H
+#define SAVORYTRESTLE_STORE_CLAIM_BATCHES_H
 
 /// @file
 /// @brief Claims and changes that wait for their document, and who is told what
@@ -11,9 +11,9 @@
 #include <utility>
 #include <vector>
 
-#include "platform/ClaimTypes.h"
+#include "store/ClaimTypes.h"
 
-namespace savorytrestle::platform {
+namespace savorytrestle::store {
 
 /// @brief A claim that waits for its decision.
 struct PendingClaim {
@@ -162,6 +162,6 @@
   std::map<core::DocumentName, ClaimBatch> Batches;
 };
 
-} // namespace savorytrestle::platform
+} // namespace savorytrestle::store
 
 #endif
--- a/src/platform/ClaimStore.h
+++ b/src/store/ClaimStore.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_PLATFORM_CLAIM_STORE_H
-#define SAVORYTRESTLE_PLATFORM_CLAIM_STORE_H
+#ifndef SAVORYTRESTLE_STORE_CLAIM_STORE_H
+#define SAVORYTRESTLE_STORE_CLAIM_STORE_H
 
 /// @file
 /// @brief Claims and outcomes of keyed writes in the key-value service.
@@ -17,10 +17,10 @@
 
 #include <concurrentqueue/blockingconcurrentqueue.h>
 
-#include "platform/ClaimBatches.h"
-#include "platform/KvStore.h"
+#include "store/ClaimBatches.h"
+#include "store/KvStore.h"
 
-namespace savorytrestle::platform {
+namespace savorytrestle::store {
 
 /// @brief Claims keys for this host; thread-safe.
 template <KvStore Store> class ClaimStore {
@@ -249,6 +249,6 @@
   std::thread Worker;
 };
 
-} // namespace savorytrestle::platform
+} // namespace savorytrestle::store
 
 #endif
--- a/src/platform/ClaimTypes.h
+++ b/src/store/ClaimTypes.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_PLATFORM_CLAIM_TYPES_H
-#define SAVORYTRESTLE_PLATFORM_CLAIM_TYPES_H
+#ifndef SAVORYTRESTLE_STORE_CLAIM_TYPES_H
+#define SAVORYTRESTLE_STORE_CLAIM_TYPES_H
 
 /// @file
 /// @brief Options, counters and the write pace of platform/ClaimStore.h.
@@ -12,7 +12,7 @@
 
 #include "savorytrestle/core/ClaimBucket.h"
 
-namespace savorytrestle::platform {
+namespace savorytrestle::store {
 
 /// @brief Takes the decision on a claim, once, on the claim thread.
 using ClaimDone = std::function<void(core::Result<core::ClaimVerdict>)>;
@@ -90,6 +90,6 @@
   core::TimePoint Next;
 };
 
-} // namespace savorytrestle::platform
+} // namespace savorytrestle::store
 
 #endif
--- a/src/platform/HostList.cpp
+++ b/src/store/HostList.cpp
@@ -1,10 +1,10 @@
-#include "platform/HostList.h"
+#include "store/HostList.h"
 
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
-namespace savorytrestle::platform {
+namespace savorytrestle::store {
 
 namespace {
 
@@ -47,4 +47,4 @@
   return readHostList(reply->Body);
 }
 
-} // namespace savorytrestle::platform
+} // namespace savorytrestle::store
--- a/src/platform/HostList.h
+++ b/src/store/HostList.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_PLATFORM_HOST_LIST_H
-#define SAVORYTRESTLE_PLATFORM_HOST_LIST_H
+#ifndef SAVORYTRESTLE_STORE_HOST_LIST_H
+#define SAVORYTRESTLE_STORE_HOST_LIST_H
 
 /// @file
 /// @brief The platform's list of live and leaving hosts, which lags.
@@ -15,7 +15,7 @@
 #include "savorytrestle/core/Membership.h"
 #include "support/HttpClient.h"
 
-namespace savorytrestle::platform {
+namespace savorytrestle::store {
 
 /// @brief What the platform lists.
 struct ListedHosts {
@@ -49,6 +49,6 @@
   support::HttpClient Http;
 };
 
-} // namespace savorytrestle::platform
+} // namespace savorytrestle::store
 
 #endif
--- a/src/platform/HttpKvStore.cpp
+++ b/src/store/HttpKvStore.cpp
@@ -1,9 +1,9 @@
-#include "platform/HttpKvStore.h"
+#include "store/HttpKvStore.h"
 
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
-namespace savorytrestle::platform {
+namespace savorytrestle::store {
 
 using core::ErrorCode;
 using core::makeError;
@@ -176,4 +176,4 @@
                      timeout);
 }
 
-} // namespace savorytrestle::platform
+} // namespace savorytrestle::store
--- a/src/platform/HttpKvStore.h
+++ b/src/store/HttpKvStore.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_PLATFORM_HTTP_KV_STORE_H
-#define SAVORYTRESTLE_PLATFORM_HTTP_KV_STORE_H
+#ifndef SAVORYTRESTLE_STORE_HTTP_KV_STORE_H
+#define SAVORYTRESTLE_STORE_HTTP_KV_STORE_H
 
 /// @file
 /// @brief The platform's key-value service over its HTTP interface.
@@ -10,10 +10,10 @@
 
 #include <string>
 
-#include "platform/KvStore.h"
+#include "store/KvStore.h"
 #include "support/HttpClient.h"
 
-namespace savorytrestle::platform {
+namespace savorytrestle::store {
 
 /// @brief Client of the key-value service; one thread at a time.
 class HttpKvStore {
@@ -109,6 +109,6 @@
 
 static_assert(KvStore<HttpKvStore>);
 
-} // namespace savorytrestle::platform
+} // namespace savorytrestle::store
 
 #endif
--- a/src/platform/KvStore.h
+++ b/src/store/KvStore.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_PLATFORM_KV_STORE_H
-#define SAVORYTRESTLE_PLATFORM_KV_STORE_H
+#ifndef SAVORYTRESTLE_STORE_KV_STORE_H
+#define SAVORYTRESTLE_STORE_KV_STORE_H
 
 /// @file
 /// @brief What the system needs of the platform's key-value service.
@@ -16,7 +16,7 @@
 
 #include "savorytrestle/core/Error.h"
 
-namespace savorytrestle::platform {
+namespace savorytrestle::store {
 
 /// @brief Revision of an entry: the store's index of its last modification.
 using Revision = std::uint64_t;
@@ -87,6 +87,6 @@
     } -> std::same_as<core::Result<bool>>;
 };
 
-} // namespace savorytrestle::platform
+} // namespace savorytrestle::store
 
 #endif
--- /dev/null
+++ b/src/support/BoundedJson.h
@@ -0,0 +1,27 @@
+#ifndef SAVORYTRESTLE_SUPPORT_BOUNDED_JSON_H
+#define SAVORYTRESTLE_SUPPORT_BOUNDED_JSON_H
+
+/// @file
+/// @brief Reads JSON from outside with a bound on its nesting.
+
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "savorytrestle/core/Error.h"
+
+namespace savorytrestle::support {
+
+/// Deepest nesting of arrays and objects taken from outside. Far above what any
+/// message of ours holds, and far below what recursion over it can bear.
+inline constexpr int MaxJsonDepth = 64;
+
+/// @brief Reads a JSON text.
+/// @param text the text
+/// @return its value, or an error when it isn't JSON or is nested deeper than
+/// @ref MaxJsonDepth
+core::Result<nlohmann::json> parseBoundedJson(std::string_view text);
+
+} // namespace savorytrestle::support
+
+#endif
--- a/src/support/Log.cpp
+++ b/src/support/Log.cpp
@@ -1,12 +1,33 @@
 #include "support/Log.h"
 
-#include <glog/logging.h>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
 
 namespace savorytrestle::support {
 
+namespace {
+
+/// Lines that wait for a slow reader; older ones are dropped beyond that.
+constexpr std::size_t QueuedLines = 4096;
+constexpr std::size_t WriterThreads = 1;
+
+} // namespace
+
 void startLogging(const char *program) {
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(program);
+  spdlog::init_thread_pool(QueuedLines, WriterThreads);
+  // A writer thread takes the lines, so that a reader who doesn't read holds
+  // nothing up.
+  auto logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_st>(program);
+  logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z %v");
+  spdlog::set_default_logger(std::move(logger));
+}
+
+void stopLogging() { spdlog::shutdown(); }
+
+std::size_t droppedLines() {
+  const auto pool = spdlog::thread_pool();
+  return pool ? pool->overrun_counter() : 0;
 }
 
 LogLine::LogLine(std::string_view event) {
@@ -14,7 +35,7 @@
   Text += event;
 }
 
-LogLine::~LogLine() { LOG(INFO) << Text; }
+LogLine::~LogLine() { spdlog::default_logger_raw()->info(Text); }
 
 void LogLine::append(std::string_view key, std::string_view value) {
   Text += ' ';
--- a/src/support/Log.h
+++ b/src/support/Log.h
@@ -2,7 +2,8 @@
 #define SAVORYTRESTLE_SUPPORT_LOG_H
 
 /// @file
-/// @brief One key=value line per event, written through glog.
+/// @brief One key=value line per event, written to standard output by a thread
+/// of its own.
 
 #include <chrono>
 #include <concepts>
@@ -13,10 +14,16 @@
 
 namespace savorytrestle::support {
 
-/// @brief Starts glog, writing to standard error.
+/// @brief Starts the writer thread.
 /// @param program name of the process, usually argv[0]
 void startLogging(const char *program);
 
+/// @brief Writes what waits and ends the writer thread.
+void stopLogging();
+
+/// @brief Lines dropped because the reader of the output was too slow.
+std::size_t droppedLines();
+
 /// @brief Builds one log line and writes it when it goes out of scope.
 ///
 /// @code
--- /dev/null
+++ b/src/support/YamlFile.h
@@ -0,0 +1,45 @@
+#ifndef SAVORYTRESTLE_SUPPORT_YAML_FILE_H
+#define SAVORYTRESTLE_SUPPORT_YAML_FILE_H
+
+/// @file
+/// @brief Reads a whole YAML document into checked settings.
+
+#include <string>
+
+#include <absl/strings/str_join.h>
+
+#include "savorytrestle/core/Error.h"
+#include "support/YamlReader.h"
+
+namespace savorytrestle::support {
+
+/// @brief Reads a file.
+/// @param path its path
+/// @return its text, or NotFound
+core::Result<std::string> readFile(const std::string &path);
+
+/// @brief Reads a document.
+/// @param text YAML
+/// @param file name shown in messages
+/// @param read makes the settings from the document's root
+/// @return the settings; InvalidSettings with one line per fault
+template <typename Read>
+auto parseYaml(const std::string &text, const std::string &file, Read read)
+    -> core::Result<decltype(read(std::declval<YamlMap>()))> {
+  YamlFaults faults{file, {}};
+  decltype(read(std::declval<YamlMap>())) settings{};
+  try {
+    settings = read(YamlMap(YAML::Load(text), "", faults));
+  } catch (const YAML::Exception &ex) {
+    faults.Messages.push_back(file + ":" + std::to_string(ex.mark.line + 1) +
+                              ": " + ex.msg);
+  }
+  if (!faults.Messages.empty())
+    return core::makeError(core::ErrorCode::InvalidSettings,
+                           absl::StrJoin(faults.Messages, "\n"));
+  return settings;
+}
+
+} // namespace savorytrestle::support
+
+#endif
--- a/src/support/YamlReader.cpp
+++ b/src/support/YamlReader.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <arpa/inet.h>
 
@@ -22,18 +23,19 @@
 } // namespace
 
 std::optional<milliseconds> parseDuration(const std::string &text) {
-  const auto end = text.find_first_not_of("0123456789");
-  std::int64_t count = 0;
+  using Count = std::chrono::duration<double, std::milli>;
+  const auto end = text.find_first_not_of("0123456789.");
+  double count = 0;
   if (end == std::string::npos || end == 0 ||
-      !absl::SimpleAtoi(text.substr(0, end), &count))
+      !absl::SimpleAtod(text.substr(0, end), &count))
     return std::nullopt;
   const auto unit = absl::StripAsciiWhitespace(text.substr(end));
   if (unit == "ms")
-    return milliseconds(count);
+    return std::chrono::round<milliseconds>(Count(count));
   if (unit == "s")
-    return std::chrono::seconds(count);
+    return std::chrono::round<milliseconds>(Count(count * 1000));
   if (unit == "min")
-    return std::chrono::minutes(count);
+    return std::chrono::round<milliseconds>(Count(count * 60000));
   return std::nullopt;
 }
 
@@ -155,6 +157,39 @@
   return value;
 }
 
+double YamlMap::fraction(const std::string &key, double fallback, double least,
+                         double most) {
+  const auto node = find(key);
+  if (!node.IsDefined())
+    return fallback;
+  double value = 0;
+  if (!node.IsScalar() || !absl::SimpleAtod(node.Scalar(), &value) ||
+      !(value >= least && value <= most)) {
+    fault(node, key,
+          "a number from " + absl::StrCat(least) + " to " + absl::StrCat(most));
+    return fallback;
+  }
+  return value;
+}
+
+std::map<std::string, std::string> YamlMap::texts(const std::string &key) {
+  const auto node = find(key);
+  std::map<std::string, std::string> texts;
+  if (!node.IsDefined())
+    return texts;
+  if (!node.IsMap()) {
+    fault(node, key, "a mapping of names to names");
+    return texts;
+  }
+  for (const auto &item : node) {
+    if (item.second.IsScalar())
+      texts.emplace(item.first.Scalar(), item.second.Scalar());
+    else
+      fault(item.second, key, "names");
+  }
+  return texts;
+}
+
 milliseconds YamlMap::duration(const std::string &key, milliseconds fallback,
                                milliseconds least, milliseconds most) {
   const auto node = find(key);
--- a/src/support/YamlReader.h
+++ b/src/support/YamlReader.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -72,6 +73,20 @@
   std::int64_t number(const std::string &key, std::int64_t fallback,
                       std::int64_t least, std::int64_t most);
 
+  /// @brief Reads a number that may have a fraction.
+  /// @param key its key
+  /// @param fallback value when absent
+  /// @param least smallest value allowed
+  /// @param most largest value allowed
+  /// @return the number
+  double fraction(const std::string &key, double fallback, double least,
+                  double most);
+
+  /// @brief Reads a mapping of names to names.
+  /// @param key its key
+  /// @return the mapping; empty when absent
+  std::map<std::string, std::string> texts(const std::string &key);
+
   /// @brief Reads a span of time such as "250 ms" or "2 s".
   /// @param key its key
   /// @param fallback value when absent
@@ -109,7 +124,7 @@
   std::vector<std::string> Known;
 };
 
-/// @brief Reads "250 ms", "2 s" or "5 min".
+/// @brief Reads "250 ms", "2.5 s" or "5 min", to the nearest millisecond.
 /// @param text the span with its unit
 /// @return the span, or nothing when it is not one
 std::optional<std::chrono::milliseconds> parseDuration(const std::string &text);
--- a/tests/FakeKvStore.h
+++ b/tests/FakeKvStore.h
@@ -30,47 +30,46 @@
   using Millis = std::chrono::milliseconds;
   template <typename T> using Result = core::Result<T>;
 
-  Result<std::optional<platform::KvEntry>> get(const std::string &key, Millis) {
+  Result<std::optional<store::KvEntry>> get(const std::string &key, Millis) {
     if (!readable())
       return down();
     return State->get(key);
   }
-  Result<std::vector<platform::KvEntry>> list(const std::string &prefix,
-                                              Millis) {
+  Result<std::vector<store::KvEntry>> list(const std::string &prefix, Millis) {
     if (!readable())
       return down();
     return State->list(prefix);
   }
   Result<bool> compareAndSet(const std::string &key, const std::string &value,
-                             platform::Revision revision, Millis) {
+                             store::Revision revision, Millis) {
     return write([&] { return State->compareAndSet(key, value, revision); });
   }
   Result<bool> compareAndDelete(const std::string &key,
-                                platform::Revision revision, Millis) {
+                                store::Revision revision, Millis) {
     return write([&] { return State->compareAndDelete(key, revision); });
   }
-  Result<platform::WatchResult> watch(const std::string &prefix,
-                                      platform::Revision after, Millis wait) {
+  Result<store::WatchResult> watch(const std::string &prefix,
+                                   store::Revision after, Millis wait) {
     if (!readable())
       return down();
     return State->watch(prefix, after, wait);
   }
-  Result<platform::LeaseId> openLease(Millis timeToLive, Millis) {
+  Result<store::LeaseId> openLease(Millis timeToLive, Millis) {
     if (!readable())
       return down();
     return State->openLease(timeToLive);
   }
-  Result<bool> renewLease(const platform::LeaseId &lease, Millis) {
+  Result<bool> renewLease(const store::LeaseId &lease, Millis) {
     return write([&] { return State->renewLease(lease); });
   }
-  Result<bool> endLease(const platform::LeaseId &lease, Millis) {
+  Result<bool> endLease(const store::LeaseId &lease, Millis) {
     return write([&] {
       State->endLease(lease);
       return true;
     });
   }
   Result<bool> acquire(const std::string &key, const std::string &value,
-                       const platform::LeaseId &lease, Millis) {
+                       const store::LeaseId &lease, Millis) {
     return write([&] { return State->acquire(key, value, lease); });
   }
 
@@ -107,7 +106,7 @@
   }
 };
 
-static_assert(platform::KvStore<FakeKvStore>);
+static_assert(store::KvStore<FakeKvStore>);
 
 } // namespace savorytrestle::standins
 
--- a/tests/SettingsFixture.h
+++ b/tests/SettingsFixture.h
@@ -19,7 +19,7 @@
   explicit InterruptedKvStore(const FakeKvStore &other) : FakeKvStore(other) {}
 
   Result<bool> compareAndSet(const std::string &key, const std::string &value,
-                             platform::Revision revision, Millis timeout) {
+                             store::Revision revision, Millis timeout) {
     if (key == operators::ManifestKey && BeforeSwap)
       std::exchange(BeforeSwap, nullptr)();
     const bool isSwap = key == operators::ManifestKey;
@@ -43,7 +43,7 @@
   bool OutageAfterSwap = false;
 };
 
-static_assert(platform::KvStore<InterruptedKvStore>);
+static_assert(store::KvStore<InterruptedKvStore>);
 
 /// @brief Parses a path that is known to be right.
 inline core::SettingsPath path(const std::string &text) {
--- a/tests/WriteHost.h
+++ b/tests/WriteHost.h
@@ -11,7 +11,7 @@
 
 #include "FakeKvStore.h"
 #include "backend/WriteSession.h"
-#include "platform/ClaimStore.h"
+#include "store/ClaimStore.h"
 
 namespace savorytrestle::testing {
 
@@ -88,7 +88,7 @@
 
   core::Result<bool> compareAndSet(const std::string &key,
                                    const std::string &value,
-                                   platform::Revision revision,
+                                   store::Revision revision,
                                    std::chrono::milliseconds timeout) {
     Hooks->run(&SwapHooks::Before);
     auto result = FakeKvStore::compareAndSet(key, value, revision, timeout);
@@ -102,20 +102,20 @@
 /// @brief One host's write path.
 class WriteHost {
 public:
-  using Claimer = platform::ClaimStore<HookedStore>;
+  using Claimer = store::ClaimStore<HookedStore>;
   using Answer = core::Result<backend::KeyedAnswer>;
 
   WriteHost(const standins::FakeKvStore &store, std::string id,
             WriteLedger &ledger,
-            platform::ClaimStoreOptions options = fastOptions())
+            store::ClaimStoreOptions options = fastOptions())
       : Id(std::move(id)), Ledger(ledger) {
     options.Wall = [this] { return Noon + Ahead.load(); };
     Claims = std::make_unique<Claimer>(HookedStore(store, Hooks), Id,
                                        std::move(options));
   }
 
-  static platform::ClaimStoreOptions fastOptions() {
-    platform::ClaimStoreOptions options;
+  static store::ClaimStoreOptions fastOptions() {
+    store::ClaimStoreOptions options;
     options.WritesPerSecond = 5000;
     options.RetryPause = std::chrono::milliseconds(5);
     return options;
--- a/tests/standins/KvState.h
+++ b/tests/standins/KvState.h
@@ -8,8 +8,8 @@
 #include <map>
 #include <mutex>
 
-#include "platform/KvStore.h"
 #include "savorytrestle/core/Time.h"
+#include "store/KvStore.h"
 
 namespace savorytrestle::standins {
 
@@ -17,7 +17,7 @@
 /// and the in-process fake.
 class KvState {
 public:
-  using Entry = platform::KvEntry;
+  using Entry = store::KvEntry;
 
   std::optional<Entry> get(const std::string &key) {
     const std::lock_guard guard(Lock);
@@ -33,19 +33,19 @@
   }
 
   bool compareAndSet(const std::string &key, const std::string &value,
-                     platform::Revision revision) {
+                     store::Revision revision) {
     const std::lock_guard guard(Lock);
     expireLeases();
     const auto it = Entries.find(key);
     const auto found =
-        it == Entries.end() ? platform::NoEntry : it->second.ModifyRevision;
+        it == Entries.end() ? store::NoEntry : it->second.ModifyRevision;
     if (found != revision)
       return false;
     put({key, value, 0, it == Entries.end() ? std::nullopt : it->second.Lease});
     return true;
   }
 
-  bool compareAndDelete(const std::string &key, platform::Revision revision) {
+  bool compareAndDelete(const std::string &key, store::Revision revision) {
     const std::lock_guard guard(Lock);
     const auto it = Entries.find(key);
     if (it == Entries.end() || it->second.ModifyRevision != revision)
@@ -55,9 +55,8 @@
     return true;
   }
 
-  platform::WatchResult watch(const std::string &prefix,
-                              platform::Revision after,
-                              std::chrono::milliseconds wait) {
+  store::WatchResult watch(const std::string &prefix, store::Revision after,
+                           std::chrono::milliseconds wait) {
     std::unique_lock guard(Lock);
     const auto until = std::chrono::steady_clock::now() + wait;
     expireLeases();
@@ -70,17 +69,17 @@
       if (std::chrono::steady_clock::now() >= until)
         break;
     }
-    return {std::max(Index, platform::Revision(1)), under(prefix)};
+    return {std::max(Index, store::Revision(1)), under(prefix)};
   }
 
-  platform::LeaseId openLease(std::chrono::milliseconds timeToLive) {
+  store::LeaseId openLease(std::chrono::milliseconds timeToLive) {
     const std::lock_guard guard(Lock);
     auto id = "lease-" + std::to_string(++LastLease);
     Leases[id] = {timeToLive, std::chrono::steady_clock::now() + timeToLive};
     return id;
   }
 
-  bool renewLease(const platform::LeaseId &id) {
+  bool renewLease(const store::LeaseId &id) {
     const std::lock_guard guard(Lock);
     expireLeases();
     const auto it = Leases.find(id);
@@ -90,13 +89,13 @@
     return true;
   }
 
-  void endLease(const platform::LeaseId &id) {
+  void endLease(const store::LeaseId &id) {
     const std::lock_guard guard(Lock);
     dropLease(id);
   }
 
   bool acquire(const std::string &key, const std::string &value,
-               const platform::LeaseId &id) {
+               const store::LeaseId &id) {
     const std::lock_guard guard(Lock);
     expireLeases();
     if (Leases.count(id) == 0)
@@ -125,7 +124,7 @@
     bump();
   }
 
-  void dropLease(const platform::LeaseId &id) {
+  void dropLease(const store::LeaseId &id) {
     Leases.erase(id);
     const auto gone = std::erase_if(
         Entries, [&](const auto &item) { return item.second.Lease == id; });
@@ -135,7 +134,7 @@
 
   void expireLeases() {
     const auto now = std::chrono::steady_clock::now();
-    std::vector<platform::LeaseId> ended;
+    std::vector<store::LeaseId> ended;
     for (const auto &[id, lease] : Leases)
       if (lease.Ends <= now)
         ended.push_back(id);
@@ -152,15 +151,15 @@
   }
 
   // A deletion counts for every prefix: the index moves, and watchers look.
-  platform::Revision lastChange(const std::string & /*prefix*/) const {
+  store::Revision lastChange(const std::string & /*prefix*/) const {
     return Index;
   }
 
   std::mutex Lock;
   std::condition_variable Changed;
   std::map<std::string, Entry> Entries;
-  std::map<platform::LeaseId, Lease> Leases;
-  platform::Revision Index = 1;
+  std::map<store::LeaseId, Lease> Leases;
+  store::Revision Index = 1;
   std::uint64_t LastLease = 0;
 };
 
--- a/tests/standins/kv-standin.cpp
+++ b/tests/standins/kv-standin.cpp
@@ -99,8 +99,8 @@
     return {200, value ? "true" : "false", "application/json", {}, false};
   }
 
-  static HttpResponse entries(const std::vector<platform::KvEntry> &found,
-                              platform::Revision index) {
+  static HttpResponse entries(const std::vector<store::KvEntry> &found,
+                              store::Revision index) {
     json list = json::array();
     for (const auto &entry : found) {
       json item = {{"Key", entry.Key},
--- a/tests/unit-claim-store.cpp
+++ b/tests/unit-claim-store.cpp
@@ -1,4 +1,4 @@
-#include "platform/ClaimStore.h"
+#include "store/ClaimStore.h"
 
 #include <future>
 
@@ -166,7 +166,7 @@
   EXPECT_EQ(late.error().Code, ErrorCode::DeadlineExceeded);
   EXPECT_EQ(late.error().Run, RunState::NotRun);
   EXPECT_EQ(Store.Faults->Writes, 0);
-  platform::ClaimStoreOptions none;
+  store::ClaimStoreOptions none;
   none.MaxPending = 0;
   WriteHost full(Store, "host-3", Ledger, none);
   EXPECT_EQ(full.send(full.key(2), 1).get().error().Code,
@@ -176,7 +176,7 @@
 
 TEST_F(ClaimStoreTest, GroupsWhatArrivesTogether) {
   constexpr std::uint64_t Keys = 800;
-  platform::ClaimStoreOptions paced;
+  store::ClaimStoreOptions paced;
   paced.WritesPerSecond = 60;
   WriteHost host(Store, "host-3", Ledger, paced);
   std::vector<std::future<WriteHost::Answer>> answers;
@@ -204,7 +204,7 @@
 
 TEST_F(ClaimStoreTest, DeletesExpiredDocuments) {
   ASSERT_TRUE(A.send(A.key(1)).get());
-  platform::ClaimStoreOptions sweeping;
+  store::ClaimStoreOptions sweeping;
   sweeping.SweepEvery = 1ms;
   sweeping.SweepBack = sweeping.Limits.Window;
   WriteHost sweeper(Store, "host-3", Ledger, sweeping);
--- a/tests/unit-kv-store.cpp
+++ b/tests/unit-kv-store.cpp
@@ -9,8 +9,8 @@
 
 TEST(FakeKvStore, CompareAndSetTakesOnlyTheCurrentRevision) {
   standins::FakeKvStore store;
-  EXPECT_TRUE(store.compareAndSet("a", "1", platform::NoEntry, 1s).value());
-  EXPECT_FALSE(store.compareAndSet("a", "2", platform::NoEntry, 1s).value());
+  EXPECT_TRUE(store.compareAndSet("a", "1", store::NoEntry, 1s).value());
+  EXPECT_FALSE(store.compareAndSet("a", "2", store::NoEntry, 1s).value());
   const auto entry = store.get("a", 1s).value();
   EXPECT_TRUE(store.compareAndSet("a", "2", entry->ModifyRevision, 1s).value());
 }
@@ -18,7 +18,7 @@
 TEST(FakeKvStore, ALostReplyLeavesTheEffect) {
   standins::FakeKvStore store;
   store.Faults->LoseWriteReplies = 1;
-  const auto result = store.compareAndSet("a", "1", platform::NoEntry, 1s);
+  const auto result = store.compareAndSet("a", "1", store::NoEntry, 1s);
   EXPECT_EQ(result.error().Code, core::ErrorCode::OutcomeUnknown);
   EXPECT_EQ(store.get("a", 1s).value()->Value, "1");
 }
--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "platform/HostList.h"
+#include "store/HostList.h"
 
 using namespace savorytrestle::core;
 using namespace std::chrono_literals;
@@ -205,7 +205,7 @@
 }
 
 TEST(HostList, TellsLeavingHostsFromLiveOnes) {
-  const auto list = savorytrestle::platform::readHostList(
+  const auto list = savorytrestle::store::readHostList(
       R"([{"id":"a","peer_address":"127.0.0.1:1","state":"live"},)"
       R"({"id":"b","peer_address":"127.0.0.1:2","state":"leaving"},)"
       R"({"id":7}, 3])");
@@ -213,7 +213,7 @@
   ASSERT_EQ(list->Live.size(), 1U);
   EXPECT_EQ(list->Live[0].Id, "a");
   EXPECT_EQ(list->Leaving, std::vector<std::string>{"b"});
-  EXPECT_FALSE(savorytrestle::platform::readHostList("{}"));
+  EXPECT_FALSE(savorytrestle::store::readHostList("{}"));
 }
 
 } // namespace
