Connecting to the store has a time-out of its own

Ruled out: the dropped history (the other hosts listed afresh within 0.1 s). The test fails without the change: no reply within 20 s.

--- a/src/registry/PrefixFeed.cpp
+++ b/src/registry/PrefixFeed.cpp
@@ -111,13 +111,16 @@
 }
 
 void PrefixFeed::onFailure(const StoreReply &reply) {
-  if (!Lost)
+  const std::string why = std::to_string(reply.Status) + " " + reply.Why;
+  // One line for each new reason; a reason that lasts isn't repeated.
+  if (!Lost || why != LostFor)
     support::LogLine("store_lost")
         .with("prefix", Prefix)
         .with("status", reply.Status)
         .with("why", reply.Why)
         .with("known_at", From);
   Lost = true;
+  LostFor = why;
 }
 
 void PrefixFeed::onReached() {
--- a/src/registry/PrefixFeed.h
+++ b/src/registry/PrefixFeed.h
@@ -63,6 +63,7 @@
   Revision ListedAt = 0;
   bool Known = false;
   bool Lost = false;
+  std::string LostFor;
   bool Stopped = false;
   std::chrono::milliseconds Backoff;
 };
--- a/src/registry/StoreConnection.cpp
+++ b/src/registry/StoreConnection.cpp
@@ -1,5 +1,7 @@
 #include "registry/StoreConnection.h"
 
+#include <algorithm>
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -19,6 +21,9 @@
 constexpr milliseconds ProbeInterval{1000};
 constexpr int Probes = 2;
 constexpr milliseconds UnackedTimeout{1500};
+/// Many round trips between any two regions; a lost opening packet costs one
+/// more try.
+constexpr milliseconds ConnectTimeout{700};
 /// A range of the longest page, with room for its encoding.
 constexpr std::size_t MaxReplyBytes = 8 << 20;
 
@@ -38,21 +43,23 @@
     Out.set(http::field::content_type, "application/json");
   Out.body() = call.Body;
   Out.prepare_payload();
-  const std::uint64_t turn = ++Turn;
-  Timer.expires_after(timeout);
-  Timer.async_wait([self = shared_from_this(), turn](error_code ec) {
-    if (!ec && self->Turn == turn)
-      self->fail("no reply in time");
-  });
-  if (Current)
+  ++Turn;
+  if (Current) {
+    expire(timeout, "no reply in time");
     return write(Current);
+  }
+  // A watch may wait long for its reply, but not for a connection: behind a cut
+  // the opening packet is repeated only after seconds.
+  expire(std::min(timeout, ConnectTimeout), "not connected in time");
   Current = std::make_shared<Link>(Io);
   Current->Socket.async_connect(
-      Address, [self = shared_from_this(), link = Current](error_code ec) {
+      Address,
+      [self = shared_from_this(), link = Current, timeout](error_code ec) {
         if (self->Current != link)
           return;
         if (ec)
           return self->fail("connect: " + ec.message());
+        self->expire(timeout, "no reply in time");
         support::setLowDelay(link->Socket);
         support::setKeepAliveProbes(link->Socket, ProbeInterval, Probes);
         support::setUnackedTimeout(link->Socket, UnackedTimeout);
@@ -60,6 +67,15 @@
       });
 }
 
+void StoreConnection::expire(milliseconds after, const char *why) {
+  Timer.expires_after(after);
+  Timer.async_wait(
+      [self = shared_from_this(), turn = Turn, why](error_code ec) {
+        if (!ec && self->Turn == turn)
+          self->fail(why);
+      });
+}
+
 void StoreConnection::close() {
   OnReply = nullptr;
   fail("closed");
--- a/src/registry/StoreConnection.h
+++ b/src/registry/StoreConnection.h
@@ -65,6 +65,7 @@
       boost::beast::http::response_parser<boost::beast::http::string_body>;
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
+  void expire(std::chrono::milliseconds after, const char *why);
   void write(const std::shared_ptr<Link> &link);
   void read(const std::shared_ptr<Link> &link);
   void onAnswer(const std::shared_ptr<Link> &link, Parser &parser);
--- /dev/null
+++ b/tests/unit-store-connection.cpp
@@ -0,0 +1,55 @@
+#include "registry/StoreConnection.h"
+
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+using namespace savorytrestle;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// A listener that never takes a connection: once its queue is full, further
+/// opening packets are dropped, as behind a network cut.
+class SilentListener {
+public:
+  explicit SilentListener(boost::asio::io_context &io) : Acceptor(io) {
+    const tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
+    Acceptor.open(any.protocol());
+    Acceptor.bind(any);
+    Acceptor.listen(0);
+    for (int i = 0; i < 4; ++i) {
+      Fillers.emplace_back(io);
+      Fillers.back().async_connect(Acceptor.local_endpoint(),
+                                   [](const boost::system::error_code &) {});
+    }
+  }
+
+  tcp::endpoint address() const { return Acceptor.local_endpoint(); }
+
+private:
+  tcp::acceptor Acceptor;
+  std::vector<tcp::socket> Fillers;
+};
+
+TEST(StoreConnection, AWatchDoesNotWaitLongForAConnection) {
+  boost::asio::io_context io;
+  SilentListener store(io);
+  io.run_for(std::chrono::milliseconds(50));
+  const auto connection =
+      std::make_shared<registry::StoreConnection>(io, store.address());
+  std::vector<registry::StoreReply> replies;
+  connection->call({"GET", "/", ""}, std::chrono::hours(1),
+                   [&](registry::StoreReply reply) {
+                     replies.push_back(std::move(reply));
+                     io.stop();
+                   });
+  io.restart();
+  io.run_for(std::chrono::seconds(20));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].Status, 0U);
+  EXPECT_EQ(replies[0].Why, "not connected in time");
+}
+
+} // namespace
