Changes are gathered before the next watch; hosts counted by stale reads; JSON nesting bounded

Now a feed pauses 0.7 s (configuration 0.3 s) after changes, within the 3 s in which they must be in force, and hosts count each other by a stale read beside the lease renewal.

Every decoder of bytes from outside now reads JSON with at most 64 levels: a body of 2,000 nested objects killed a host.

--- a/src/backend/CrashGuard.cpp
+++ b/src/backend/CrashGuard.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "support/BoundedJson.h"
 #include "support/Log.h"
 
 namespace savorytrestle::backend {
@@ -113,7 +114,7 @@
 }
 
 void CrashGuard::merge(const std::string &text) {
-  const json list = json::parse(text, nullptr, false);
+  const json list = support::parseJson(text);
   if (!list.is_array())
     return;
   std::vector<QuarantineRecord> records;
--- a/src/backend/LeafEngine.cpp
+++ b/src/backend/LeafEngine.cpp
@@ -6,6 +6,7 @@
 
 #include "backend/SearchSession.h"
 #include "savorytrestle/core/BaselineSearch.h"
+#include "support/BoundedJson.h"
 
 namespace savorytrestle::backend {
 
@@ -58,7 +59,7 @@
                                        "no reply from the backend server",
                                        RunState::Unknown, RetrySoon});
   if (result.Status == StatusOk) {
-    const auto parsed = nlohmann::json::parse(result.Body, nullptr, false);
+    const auto parsed = support::parseJson(result.Body);
     if (parsed.is_object() && parsed.contains("result"))
       return parsed["result"].dump();
     return std::string("null");
--- a/src/caller/CallerApi.cpp
+++ b/src/caller/CallerApi.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
+#include "support/BoundedJson.h"
 #include "support/Log.h"
 
 namespace savorytrestle::caller {
@@ -96,7 +97,7 @@
     return makeError(ErrorCode::BadRequest,
                      "the body is over the route's " +
                          std::to_string(route.MaxBodyBytes) + " bytes");
-  const json parsed = json::parse(request.Body, nullptr, false);
+  const json parsed = support::parseJson(request.Body);
   if (!parsed.is_object())
     return makeError(ErrorCode::BadRequest, "the body must be a JSON object");
   return parsed.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -284,12 +285,11 @@
       .with("latency", latency);
   if (!answer)
     return errorResponse(answer.error(), request.RequestId);
-  return jsonResponse(
-      200, {{"request_id", request.RequestId},
-            {"run", core::name(answer->Run)},
-            {"replayed", answer->Replayed},
-            {"result_kept", answer->ResultKept},
-            {"result", json::parse(answer->Result, nullptr, false)}});
+  return jsonResponse(200, {{"request_id", request.RequestId},
+                            {"run", core::name(answer->Run)},
+                            {"replayed", answer->Replayed},
+                            {"result_kept", answer->ResultKept},
+                            {"result", support::parseJson(answer->Result)}});
 }
 
 } // namespace savorytrestle::caller
--- a/src/hosts/PeerMessages.cpp
+++ b/src/hosts/PeerMessages.cpp
@@ -1,5 +1,7 @@
 #include "hosts/PeerMessages.h"
 
+#include "support/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace savorytrestle::hosts {
@@ -68,7 +70,7 @@
 }
 
 std::optional<PeerState> readState(const std::string &text) {
-  const json parsed = json::parse(text, nullptr, false);
+  const json parsed = support::parseJson(text);
   if (!parsed.is_object() || !parsed.contains("age_ms"))
     return std::nullopt;
   PeerState state;
@@ -100,7 +102,7 @@
 }
 
 std::optional<TopicBlob> readBlob(const std::string &text) {
-  json parsed = json::parse(text, nullptr, false);
+  json parsed = support::parseJson(text);
   if (!parsed.is_object())
     return std::nullopt;
   const auto kind = topicOf(valueOf(parsed, "topic", std::string()));
@@ -125,7 +127,7 @@
 }
 
 std::optional<std::string> readRecords(const std::string &text) {
-  const json parsed = json::parse(text, nullptr, false);
+  const json parsed = support::parseJson(text);
   if (!parsed.is_object() || !parsed.contains("records") ||
       !parsed.at("records").is_string())
     return std::nullopt;
--- a/src/hosts/PeerView.cpp
+++ b/src/hosts/PeerView.cpp
@@ -1,5 +1,7 @@
 #include "hosts/PeerView.h"
 
+#include "support/BoundedJson.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -19,7 +21,7 @@
 } // namespace
 
 bool PeerView::offerHosts(core::VersionedBlob blob) {
-  const auto parsed = nlohmann::json::parse(blob.Payload, nullptr, false);
+  const auto parsed = support::parseJson(blob.Payload);
   if (!parsed.is_object() || !core::isIntact(blob))
     return false;
   std::vector<core::HostInfo> holders;
--- a/src/hosts/SlotKeys.cpp
+++ b/src/hosts/SlotKeys.cpp
@@ -1,5 +1,7 @@
 #include "hosts/SlotKeys.h"
 
+#include "support/BoundedJson.h"
+
 #include <charconv>
 #include <optional>
 
@@ -26,7 +28,7 @@
 }
 
 SlotRecord readRecord(const std::string &text) {
-  const json parsed = json::parse(text, nullptr, false);
+  const json parsed = support::parseJson(text);
   SlotRecord record;
   if (!parsed.is_object())
     return record;
--- a/src/operators/AdminApi.cpp
+++ b/src/operators/AdminApi.cpp
@@ -5,6 +5,7 @@
 
 #include "operators/AdminReplies.h"
 #include "savorytrestle/core/SettingsYaml.h"
+#include "support/BoundedJson.h"
 #include "support/Log.h"
 
 namespace savorytrestle::operators {
@@ -184,7 +185,7 @@
     request->Edits = {{core::EditKind::AddNode, call.Path, {}, {}}};
     return change(call, std::move(*request));
   }
-  const json body = json::parse(call.Http.Body, nullptr, false);
+  const json body = support::parseJson(call.Http.Body);
   const auto it = body.is_object() ? body.find("value") : body.end();
   if (!body.is_object() || it == body.end())
     return refuse(ErrorCode::BadRequest, R"(the body is {"value": ...})");
--- a/src/operators/SettingsCommand.cpp
+++ b/src/operators/SettingsCommand.cpp
@@ -12,6 +12,7 @@
 
 #include "operators/SettingsPrint.h"
 #include "savorytrestle/core/SettingsYaml.h"
+#include "support/BoundedJson.h"
 #include "support/HttpClient.h"
 
 namespace savorytrestle::operators {
@@ -223,7 +224,7 @@
   }
 
   SettingsExit show(const support::HttpReply &reply) {
-    const json body = json::parse(reply.Body, nullptr, false);
+    const json body = support::parseJson(reply.Body);
     if (Options.Json)
       Out << reply.Body << "\n";
     else if (reply.Status < 300 && body.is_object())
--- a/src/operators/SettingsManifest.cpp
+++ b/src/operators/SettingsManifest.cpp
@@ -1,5 +1,7 @@
 #include "operators/SettingsManifest.h"
 
+#include "support/BoundedJson.h"
+
 #include <algorithm>
 #include <set>
 
@@ -157,7 +159,7 @@
 }
 
 core::Result<SettingsManifest> parseManifest(const std::string &text) {
-  const json parsed = json::parse(text, nullptr, false);
+  const json parsed = support::parseJson(text);
   if (!hasShape(parsed))
     return core::makeError(core::ErrorCode::InvalidSettings,
                            "the settings manifest can't be read");
@@ -182,12 +184,12 @@
 }
 
 json parsePart(const std::string &text) {
-  const json parsed = json::parse(text, nullptr, false);
+  const json parsed = support::parseJson(text);
   return parsed.is_object() ? at(parsed, "nodes") : json();
 }
 
 core::Result<AuditPage> parseAuditPage(const std::string &text) {
-  const json parsed = json::parse(text, nullptr, false);
+  const json parsed = support::parseJson(text);
   if (!parsed.is_object() || !at(parsed, "entries").is_array())
     return core::makeError(core::ErrorCode::InvalidSettings,
                            "an audit page can't be read");
--- a/src/operators/SettingsReplica.cpp
+++ b/src/operators/SettingsReplica.cpp
@@ -1,5 +1,6 @@
 #include "operators/SettingsReplica.h"
 
+#include "support/BoundedJson.h"
 #include "support/Log.h"
 
 namespace savorytrestle::operators {
@@ -41,7 +42,7 @@
 }
 
 core::Result<core::SettingsTree> fromBlob(const core::VersionedBlob &blob) {
-  const json payload = json::parse(blob.Payload, nullptr, false);
+  const json payload = support::parseJson(blob.Payload);
   if (!payload.is_object() || !payload.contains("nodes") ||
       !payload.contains("revision"))
     return core::makeError(core::ErrorCode::InvalidSettings,
--- a/src/registry/ConfigFeed.cpp
+++ b/src/registry/ConfigFeed.cpp
@@ -6,6 +6,13 @@
 
 namespace savorytrestle::registry {
 
+namespace {
+
+/// Well below the time in which a version must be in force (3 s at the least).
+constexpr std::chrono::milliseconds GatherChanges{300};
+
+} // namespace
+
 ConfigFeed::ConfigFeed(boost::asio::io_context &io,
                        boost::asio::ip::tcp::endpoint store, Applied onApplied)
     : Io(io), Store(std::move(store)), OnApplied(std::move(onApplied)) {}
@@ -20,7 +27,7 @@
   handlers.OnItem = [self](const StoredItem &item) { self->onItem(item); };
   handlers.OnRegained = [] {};
   Feed = std::make_shared<PrefixFeed>(Io, Store, platform::ConfigKey,
-                                      std::move(handlers));
+                                      GatherChanges, std::move(handlers));
   Feed->start();
 }
 
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -15,6 +15,10 @@
 /// Three renewals fit into a lease, so that two may be lost.
 constexpr milliseconds RenewInterval{4500};
 constexpr milliseconds RetryInterval{1000};
+/// Hosts that start together have announced themselves by then; the second
+/// count finds those that a stale read has missed.
+constexpr milliseconds FirstCount{1000};
+constexpr milliseconds SecondCount{3000};
 constexpr milliseconds ReplyTimeout{1500};
 constexpr unsigned Ok = 200;
 constexpr unsigned NoSuchLease = 404;
@@ -23,9 +27,9 @@
 
 HostPresence::HostPresence(boost::asio::io_context &io,
                            const boost::asio::ip::tcp::endpoint &store,
-                           std::string name)
+                           std::string name, CountHandler onCount)
     : Timer(io), Connection(std::make_shared<StoreConnection>(io, store)),
-      Name(std::move(name)) {}
+      Name(std::move(name)), OnCount(std::move(onCount)) {}
 
 void HostPresence::start() { grant(); }
 
@@ -70,7 +74,7 @@
       platform::renewLease(Lease), ReplyTimeout,
       [self = shared_from_this()](const StoreReply &reply) {
         if (reply.Status == Ok)
-          return self->wait(RenewInterval, &HostPresence::renew);
+          return self->count();
         if (reply.Status != NoSuchLease)
           return self->wait(RetryInterval, &HostPresence::renew);
         support::LogLine("host_lease_lost").with("lease", self->Lease);
@@ -78,6 +82,36 @@
       });
 }
 
+void HostPresence::count() {
+  Connection->call(platform::readRangeStale(HostPrefix), ReplyTimeout,
+                   [self = shared_from_this()](const StoreReply &reply) {
+                     self->onCounted(reply);
+                   });
+}
+
+void HostPresence::onCounted(const StoreReply &reply) {
+  const auto page =
+      reply.Status == Ok
+          ? platform::decodeRange(reply.Body)
+          : core::makeError(core::ErrorCode::StoreUnavailable, reply.Why);
+  if (!page) {
+    support::LogLine("hosts_not_counted")
+        .with("status", reply.Status)
+        .with("why", page.error().Message);
+  } else {
+    // A host that is gone still counts: one that is only cut off goes on
+    // spending its part of what the hosts share.
+    const std::size_t before = Seen.size();
+    for (const StoredItem &item : page->Items)
+      Seen.insert(item.Key);
+    if (Seen.size() > before) {
+      support::LogLine("hosts_known").with("hosts", Seen.size());
+      OnCount(Seen.size());
+    }
+  }
+  wait(++Counts == 1 ? SecondCount : RenewInterval, &HostPresence::renew);
+}
+
 void HostPresence::wait(milliseconds span, void (HostPresence::*next)()) {
   if (Stopped)
     return;
--- a/src/registry/LeafFeed.cpp
+++ b/src/registry/LeafFeed.cpp
@@ -15,6 +15,9 @@
 /// Living leaves have written their entry again by then (the users' letter:
 /// about two seconds after the store's return).
 constexpr std::chrono::milliseconds ReturnTime{2200};
+/// Well below the time in which a leaving leaf must get no more requests (3 s
+/// at the least); a leaf that fails is noticed by its replies before that.
+constexpr std::chrono::milliseconds GatherChanges{700};
 
 } // namespace
 
@@ -33,7 +36,7 @@
     self->Lapsed.onStoreRegained(SteadyClock::now());
   };
   Feed = std::make_shared<PrefixFeed>(Io, Store, platform::LeafPrefix,
-                                      std::move(handlers));
+                                      GatherChanges, std::move(handlers));
   Feed->start();
 }
 
--- a/src/registry/PrefixFeed.cpp
+++ b/src/registry/PrefixFeed.cpp
@@ -24,9 +24,10 @@
 
 PrefixFeed::PrefixFeed(boost::asio::io_context &io,
                        const boost::asio::ip::tcp::endpoint &store,
-                       std::string prefix, FeedHandlers handlers)
+                       std::string prefix, milliseconds gather,
+                       FeedHandlers handlers)
     : Pause(io), Connection(std::make_shared<StoreConnection>(io, store)),
-      Prefix(std::move(prefix)), Handlers(std::move(handlers)),
+      Prefix(std::move(prefix)), Gather(gather), Handlers(std::move(handlers)),
       Backoff(FirstBackoff) {}
 
 void PrefixFeed::start() { listAfresh(); }
@@ -60,7 +61,7 @@
     if (reply.Status == Ok)
       reply.Why = page.error().Message;
     onFailure(reply);
-    return later(&PrefixFeed::listAfresh);
+    return later(backOff(), &PrefixFeed::listAfresh);
   }
   onReached();
   // Changes made while the pages are read are heard again from the first
@@ -71,7 +72,6 @@
   if (page->HasMore && !page->Items.empty())
     return list(Listed.back().Key);
   From = ListedAt;
-  Known = true;
   Handlers.OnList(Listed);
   Listed.clear();
   watch();
@@ -101,13 +101,15 @@
     if (reply.Status == Ok)
       reply.Why = page.error().Message;
     onFailure(reply);
-    return later(&PrefixFeed::watch);
+    return later(backOff(), &PrefixFeed::watch);
   }
   onReached();
   From = std::max(From, page->At);
   for (const StoredItem &item : page->Items)
     Handlers.OnItem(item);
-  watch();
+  if (page->Items.empty() || Gather.count() == 0)
+    return watch();
+  later(Gather, &PrefixFeed::watch);
 }
 
 void PrefixFeed::onFailure(const StoreReply &reply) {
@@ -134,9 +136,14 @@
   Handlers.OnRegained();
 }
 
-void PrefixFeed::later(void (PrefixFeed::*next)()) {
-  Pause.expires_after(Backoff);
+milliseconds PrefixFeed::backOff() {
+  const auto pause = Backoff;
   Backoff = std::min(Backoff * 2, LongestBackoff);
+  return pause;
+}
+
+void PrefixFeed::later(milliseconds pause, void (PrefixFeed::*next)()) {
+  Pause.expires_after(pause);
   Pause.async_wait(
       [self = shared_from_this(), next](const boost::system::error_code &ec) {
         if (!ec && !self->Stopped)
--- a/src/registry/PrefixFeed.h
+++ b/src/registry/PrefixFeed.h
@@ -33,10 +33,12 @@
   /// @param io runs its handlers
   /// @param store the store's address
   /// @param prefix what the items' keys begin with
+  /// @param gather pause after changes before it asks for more, so that many
+  /// changes in a row come with few calls
   /// @param handlers take what it hears
   PrefixFeed(boost::asio::io_context &io,
              const boost::asio::ip::tcp::endpoint &store, std::string prefix,
-             FeedHandlers handlers);
+             std::chrono::milliseconds gather, FeedHandlers handlers);
 
   /// @brief Begins.
   void start();
@@ -51,17 +53,18 @@
   void onEvents(StoreReply reply);
   void onFailure(const StoreReply &reply);
   void onReached();
-  void later(void (PrefixFeed::*next)());
+  void later(std::chrono::milliseconds pause, void (PrefixFeed::*next)());
+  std::chrono::milliseconds backOff();
   void listAfresh();
 
   boost::asio::steady_timer Pause;
   std::shared_ptr<StoreConnection> Connection;
   std::string Prefix;
+  std::chrono::milliseconds Gather;
   FeedHandlers Handlers;
   std::vector<StoredItem> Listed;
   Revision From = 0;
   Revision ListedAt = 0;
-  bool Known = false;
   bool Lost = false;
   std::string LostFor;
   bool Stopped = false;
--- a/src/serve/Node.cpp
+++ b/src/serve/Node.cpp
@@ -89,29 +89,10 @@
   Configs->start();
   Entries = std::make_shared<registry::LeafFeed>(Io, store, Leaves);
   Entries->start();
-  Presence = std::make_shared<registry::HostPresence>(Io, store, Config.Id);
+  Presence = std::make_shared<registry::HostPresence>(
+      Io, store, Config.Id,
+      [this](std::size_t hosts) { Leaves.setHosts(hosts); });
   Presence->start();
-  registry::FeedHandlers handlers;
-  handlers.OnList = [this](const std::vector<registry::StoredItem> &items) {
-    for (const auto &item : items)
-      Hosts.insert(item.Key);
-    onHosts();
-  };
-  handlers.OnItem = [this](const registry::StoredItem &item) {
-    // A host that is gone still counts: one that is only cut off goes on
-    // spending its part.
-    if (!item.Removed && Hosts.insert(item.Key).second)
-      onHosts();
-  };
-  handlers.OnRegained = [] {};
-  HostList = std::make_shared<registry::PrefixFeed>(
-      Io, store, registry::HostPrefix, std::move(handlers));
-  HostList->start();
-}
-
-void Node::onHosts() {
-  support::LogLine("hosts_known").with("hosts", Hosts.size());
-  Leaves.setHosts(Hosts.size());
 }
 
 bool Node::ready() const {
--- a/src/serve/Node.h
+++ b/src/serve/Node.h
@@ -9,7 +9,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -39,7 +38,6 @@
 private:
   core::Result<void> openListeners();
   void startFeeds(const boost::asio::ip::tcp::endpoint &store);
-  void onHosts();
   void waitForSignal();
   void reload();
   void stop();
@@ -58,8 +56,6 @@
   std::shared_ptr<registry::ConfigFeed> Configs;
   std::shared_ptr<registry::LeafFeed> Entries;
   std::shared_ptr<registry::HostPresence> Presence;
-  std::shared_ptr<registry::PrefixFeed> HostList;
-  std::set<std::string> Hosts;
   entry::RequestRouter Router;
   std::shared_ptr<entry::SessionContext> CallerContext;
   std::shared_ptr<entry::SessionContext> OwnContext;
--- a/src/store/HostList.cpp
+++ b/src/store/HostList.cpp
@@ -1,5 +1,7 @@
 #include "store/HostList.h"
 
+#include "support/BoundedJson.h"
+
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -15,7 +17,7 @@
 } // namespace
 
 core::Result<ListedHosts> readHostList(const std::string &text) {
-  const json parsed = json::parse(text, nullptr, false);
+  const json parsed = support::parseJson(text);
   if (!parsed.is_array())
     return core::makeError(core::ErrorCode::BadRequest,
                            "the host list is no JSON array");
--- a/src/store/HttpKvStore.cpp
+++ b/src/store/HttpKvStore.cpp
@@ -1,5 +1,7 @@
 #include "store/HttpKvStore.h"
 
+#include "support/BoundedJson.h"
+
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
@@ -19,7 +21,7 @@
 constexpr int StatusServerError = 500;
 
 Result<std::vector<KvEntry>> parseEntries(const std::string &body) {
-  const json parsed = json::parse(body, nullptr, false);
+  const json parsed = support::parseJson(body);
   if (!parsed.is_array())
     return makeError(ErrorCode::OutcomeUnknown, "the store's reply is no list");
   std::vector<KvEntry> entries;
@@ -150,7 +152,7 @@
   auto reply = call("PUT", "/v1/session/create", body.dump(), timeout);
   if (!reply)
     return tl::unexpected(reply.error());
-  const json parsed = json::parse(reply->Body, nullptr, false);
+  const json parsed = support::parseJson(reply->Body);
   if (!parsed.is_object() || !parsed.contains("ID") ||
       !parsed.at("ID").is_string())
     return makeError(ErrorCode::OutcomeUnknown, "the store gave no lease");
--- a/src/support/BoundedJson.cpp
+++ b/src/support/BoundedJson.cpp
@@ -4,7 +4,7 @@
 
 using nlohmann::json;
 
-core::Result<json> parseBoundedJson(std::string_view text) {
+json parseJson(std::string_view text) {
   bool tooDeep = false;
   // Values below the bound are dropped while they are read, so that no deep
   // value is ever built.
@@ -14,12 +14,15 @@
     return depth <= MaxJsonDepth;
   };
   json value = json::parse(text.begin(), text.end(), keep, false);
-  if (tooDeep)
+  return tooDeep ? json(json::value_t::discarded) : value;
+}
+
+core::Result<json> parseBoundedJson(std::string_view text) {
+  json value = parseJson(text);
+  if (value.is_discarded())
     return core::makeError(core::ErrorCode::BadRequest,
-                           "JSON nested deeper than " +
+                           "not valid JSON, or nested deeper than " +
                                std::to_string(MaxJsonDepth) + " levels");
-  if (value.is_discarded())
-    return core::makeError(core::ErrorCode::BadRequest, "not valid JSON");
   return value;
 }
 
--- a/src/support/BoundedJson.h
+++ b/src/support/BoundedJson.h
@@ -16,6 +16,12 @@
 /// message of ours holds, and far below what recursion over it can bear.
 inline constexpr int MaxJsonDepth = 64;
 
+/// @brief Reads a JSON text.
+/// @param text the text
+/// @return its value; a discarded one when it isn't JSON or is nested deeper
+/// than @ref MaxJsonDepth
+nlohmann::json parseJson(std::string_view text);
+
 /// @brief Reads a JSON text.
 /// @param text the text
 /// @return its value, or an error when it isn't JSON or is nested deeper than
