--- a/tests/unit-caller-api.cpp
+++ b/tests/unit-caller-api.cpp
@@ -106,4 +106,14 @@
   EXPECT_EQ(runOf({{"idempotency-key", "k"}, {"send-number", "2"}}), "unknown");
 }
 
+TEST_F(CallerApiTest, ABodyNestedTooDeeplyIsRefused) {
+  Table->Routes[{"w", "r"}].MaxBodyBytes = 1 << 20;
+  std::string body;
+  for (int i = 0; i < 2000; ++i)
+    body += "{\"a\":";
+  body += "1" + std::string(2000, '}');
+  EXPECT_EQ(codeOf("/v1/w/r", body, {{"deadline-ms", "500"}}), "bad_request");
+  EXPECT_EQ(Ran, 0);
+}
+
 } // namespace
--- /dev/null
+++ b/tests/unit-placing.cpp
@@ -0,0 +1,188 @@
+#include "savorytrestle/core/HedgePolicy.h"
+#include "savorytrestle/core/LapsedEntries.h"
+#include "savorytrestle/core/LeafScore.h"
+#include "savorytrestle/core/SharedRetryBudget.h"
+#include "savorytrestle/core/TopRecords.h"
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+#include <gtest/gtest.h>
+
+using namespace savorytrestle::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Begin = TimePoint{} + 1h;
+constexpr Duration Usual = 28ms;
+
+LeafScore near() { return {LeafDistance::SameDomain, 5}; }
+LeafScore far() { return {LeafDistance::Remote, 5}; }
+
+TEST(LeafScore, TheNearLeafIsCheaperWhileAllIsWell) {
+  EXPECT_LT(near().cost(Begin, Usual), far().cost(Begin, Usual));
+}
+
+TEST(LeafScore, APausedLeafIsLeftBeforeItAnswers) {
+  LeafScore paused = near();
+  paused.onSend(Begin, Usual);
+  EXPECT_LT(paused.cost(Begin + 40ms, Usual), far().cost(Begin, Usual));
+  // Its oldest request has been out for over five times the usual.
+  EXPECT_GT(paused.cost(Begin + 150ms, Usual),
+            far().cost(Begin + 150ms, Usual));
+}
+
+TEST(LeafScore, ASlowLeafIsLeftAndTriedAgainLater) {
+  LeafScore slow = near();
+  for (int i = 0; i < 3; ++i)
+    slow.onAnswer(Begin, 12 * Usual, Usual);
+  EXPECT_GT(slow.cost(Begin, Usual), far().cost(Begin, Usual));
+  EXPECT_LT(slow.cost(Begin + 10s, Usual), far().cost(Begin + 10s, Usual));
+}
+
+TEST(LeafScore, ARequestBrokenOffLateCountsAsSlow) {
+  LeafScore slow = near();
+  for (int i = 0; i < 3; ++i)
+    slow.onAbandoned(Begin, 10 * Usual, Usual);
+  EXPECT_GT(slow.cost(Begin, Usual), far().cost(Begin, Usual));
+  LeafScore quick = near();
+  for (int i = 0; i < 3; ++i)
+    quick.onAbandoned(Begin, Usual / 2, Usual);
+  EXPECT_LT(quick.cost(Begin, Usual), far().cost(Begin, Usual));
+}
+
+TEST(LeafScore, AFailingLeafIsLeft) {
+  LeafScore grey = near();
+  for (int i = 0; i < 4; ++i)
+    grey.onFailure(Begin);
+  EXPECT_GT(grey.cost(Begin, Usual), far().cost(Begin, Usual));
+}
+
+TEST(LeafScore, AFullLeafIsLeft) {
+  LeafScore full = near();
+  full.onLoad(Begin, {5, 12, 5});
+  EXPECT_GT(full.cost(Begin, Usual), far().cost(Begin, Usual));
+  // An old report says nothing.
+  EXPECT_LT(full.cost(Begin + 2s, Usual), far().cost(Begin, Usual));
+}
+
+TEST(LeafScore, AnUnreachableLeafIsProbedAtGrowingIntervals) {
+  LeafScore gone = near();
+  gone.onUnreachable(Begin);
+  EXPECT_TRUE(gone.avoided(Begin + 299ms));
+  EXPECT_FALSE(gone.avoided(Begin + 300ms));
+  gone.onUnreachable(Begin + 300ms);
+  EXPECT_TRUE(gone.avoided(Begin + 800ms));
+  for (int i = 0; i < 20; ++i)
+    gone.onUnreachable(Begin + 1s);
+  EXPECT_FALSE(gone.avoided(Begin + 2200ms));
+}
+
+/// Most extra requests that one window may hold, over hosts that share a rule.
+TEST(SharedRetryBudget, AllHostsStayWithinTheRuleInAnyWindow) {
+  const RetryBudgetRule rule{0.2, 54, 10s};
+  constexpr int Hosts = 7;
+  std::vector<SharedRetryBudget> hosts(Hosts, SharedRetryBudget(rule));
+  for (auto &host : hosts)
+    host.setHosts(Hosts);
+  std::minstd_rand random(7);
+  std::deque<TimePoint> extras;
+  std::deque<TimePoint> requests;
+  for (TimePoint now = Begin; now < Begin + 60s; now += 1ms) {
+    // Calm and busy phases, with an unlimited wish for extra requests.
+    const bool busy = (now - Begin) / 7s % 2 == 1;
+    SharedRetryBudget &host = hosts[random() % Hosts];
+    if (random() % 1000 < (busy ? 200U : 5U)) {
+      host.onRequest();
+      requests.push_back(now);
+    }
+    if (host.take(now))
+      extras.push_back(now);
+    while (!extras.empty() && extras.front() <= now - rule.Window)
+      extras.pop_front();
+    while (!requests.empty() && requests.front() <= now - 2 * rule.Window)
+      requests.pop_front();
+    const auto inWindow = static_cast<double>(
+        std::count_if(requests.begin(), requests.end(),
+                      [&](TimePoint at) { return at > now - rule.Window; }));
+    const double most =
+        rule.Extra +
+        rule.Ratio *
+            std::max(inWindow, static_cast<double>(requests.size()) - inWindow);
+    ASSERT_LE(static_cast<double>(extras.size()), most);
+  }
+}
+
+TEST(SharedRetryBudget, AQuietServiceCanStillRetry) {
+  SharedRetryBudget budget({0.2, 54, 10s});
+  budget.setHosts(7);
+  EXPECT_TRUE(budget.take(Begin));
+  EXPECT_FALSE(budget.take(Begin));
+  EXPECT_TRUE(budget.take(Begin + 5s));
+}
+
+RouteRule sharded(std::size_t shards, double least) {
+  RouteRule route;
+  route.Shards.resize(shards, "s");
+  route.MinShardShare = least;
+  route.Objective = 300ms;
+  route.Timeout = 1500ms;
+  return route;
+}
+
+TEST(HedgePolicy, HedgesWithinTheObjective) {
+  const RouteRule route = sharded(10, 0.89);
+  EXPECT_EQ(planHedge(route, 28ms).HedgeAfter, Duration(70ms));
+  EXPECT_EQ(planHedge(route, 1ms).HedgeAfter, Duration(45ms));
+  EXPECT_EQ(planHedge(route, 1s).HedgeAfter, Duration(120ms));
+}
+
+TEST(HedgePolicy, TheLeastShareIsExact) {
+  EXPECT_EQ(leastShards(sharded(10, 0.89)), 9U);
+  EXPECT_EQ(leastShards(sharded(10, 0.9)), 9U);
+  EXPECT_EQ(leastShards(sharded(10, 0.75)), 8U);
+  EXPECT_EQ(leastShards(sharded(15, 0.89)), 14U);
+  EXPECT_EQ(leastShards(sharded(10, 1)), 10U);
+  EXPECT_EQ(leastShards(sharded(10, 0)), 1U);
+}
+
+TEST(HedgePolicy, WaitsForAllShardsUntilJustBeforeTheObjective) {
+  const RouteRule route = sharded(10, 0.89);
+  EXPECT_EQ(settle(route, {10, 9, 0}, 100ms), SettleDecision::Wait);
+  EXPECT_EQ(settle(route, {10, 9, 0}, 270ms), SettleDecision::Answer);
+  EXPECT_EQ(settle(route, {10, 8, 0}, 270ms), SettleDecision::Wait);
+  EXPECT_EQ(settle(route, {10, 10, 0}, 1ms), SettleDecision::Answer);
+  EXPECT_EQ(settle(route, {10, 9, 1}, 1ms), SettleDecision::Answer);
+}
+
+TEST(HedgePolicy, GivesUpAtOnceWhenTheLeastShareIsOutOfReach) {
+  EXPECT_EQ(settle(sharded(10, 0.89), {10, 3, 2}, 1ms), SettleDecision::GiveUp);
+}
+
+TEST(TopRecords, TheGreatestComeFirstByteByByte) {
+  const std::string low(16, 'a');
+  const std::string high(16, '\xf0');
+  const std::string mid(16, 'b');
+  const std::string first = low + high + "rest";
+  const std::string second = mid + mid;
+  EXPECT_EQ(greatestRecords({first, second}, 3), high + mid + mid);
+  EXPECT_EQ(greatestRecords({first, second}, 9), high + mid + mid + low);
+  EXPECT_EQ(greatestRecords({}, 3), "");
+}
+
+TEST(LapsedEntries, AnEntryThatIsMissingAfterAnOutageIsHeld) {
+  LapsedEntries lapsed(2200ms);
+  EXPECT_TRUE(lapsed.onRemoved("a", Begin));
+  lapsed.onStoreRegained(Begin);
+  EXPECT_FALSE(lapsed.onRemoved("a", Begin + 100ms));
+  EXPECT_FALSE(lapsed.onRemoved("b", Begin + 200ms));
+  lapsed.onPut("b");
+  EXPECT_TRUE(lapsed.takeDue(Begin + 2s).empty());
+  EXPECT_EQ(lapsed.takeDue(Begin + 2200ms), std::vector<std::string>{"a"});
+  EXPECT_FALSE(lapsed.holds());
+  EXPECT_TRUE(lapsed.onRemoved("b", Begin + 3s));
+}
+
+} // namespace
