Hosts are counted exactly once at the start

Found from the lines hosts_known and request_done alone. Ruled out: leaves that were slow or could not be reached (one connection not established in time).

--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Hosts assumed until the store has told how many there are.
-constexpr std::size_t AssumedHosts = 16;
+constexpr std::size_t AssumedHosts = 8;
 /// Connections to a leaf that are left to hosts not yet known, as a share.
 constexpr double ShareOfConnections = 0.85;
 /// Leaves of nearly the same cost take turns, or all hosts would choose the
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -1,5 +1,7 @@
 #include "registry/HostPresence.h"
 
+#include <algorithm>
+
 #include "platform/StoreProtocol.h"
 #include "support/Log.h"
 
@@ -15,10 +17,10 @@
 /// Three renewals fit into a lease, so that two may be lost.
 constexpr milliseconds RenewInterval{4500};
 constexpr milliseconds RetryInterval{1000};
-/// Hosts that start together have announced themselves by then; the second
-/// count finds those that a stale read has missed.
-constexpr milliseconds FirstCount{1000};
-constexpr milliseconds SecondCount{3000};
+/// Hosts that start together have announced themselves by then.
+constexpr milliseconds SecondCount{1500};
+/// Hosts assumed at the first count, which others of a joint start may miss.
+constexpr std::size_t AssumedAtStart = 8;
 constexpr milliseconds ReplyTimeout{1500};
 constexpr unsigned Ok = 200;
 constexpr unsigned NoSuchLease = 404;
@@ -83,7 +85,11 @@
 }
 
 void HostPresence::count() {
-  Connection->call(platform::readRangeStale(HostPrefix), ReplyTimeout,
+  // The first read is exact: what it finds sets the connections that requests
+  // may use from the start.
+  Connection->call(Counts == 0 ? platform::readRange(HostPrefix, "")
+                               : platform::readRangeStale(HostPrefix),
+                   ReplyTimeout,
                    [self = shared_from_this()](const StoreReply &reply) {
                      self->onCounted(reply);
                    });
@@ -101,15 +107,17 @@
   } else {
     // A host that is gone still counts: one that is only cut off goes on
     // spending its part of what the hosts share.
-    const std::size_t before = Seen.size();
     for (const StoredItem &item : page->Items)
       Seen.insert(item.Key);
-    if (Seen.size() > before) {
-      support::LogLine("hosts_known").with("hosts", Seen.size());
-      OnCount(Seen.size());
+    const std::size_t hosts =
+        Counts == 0 ? std::max(Seen.size(), AssumedAtStart) : Seen.size();
+    if (hosts != Reported) {
+      support::LogLine("hosts_known").with("hosts", hosts);
+      Reported = hosts;
+      OnCount(hosts);
     }
   }
-  wait(++Counts == 1 ? SecondCount : RenewInterval, &HostPresence::renew);
+  wait(Counts++ == 0 ? SecondCount : RenewInterval, &HostPresence::renew);
 }
 
 void HostPresence::wait(milliseconds span, void (HostPresence::*next)()) {
--- a/src/registry/HostPresence.h
+++ b/src/registry/HostPresence.h
@@ -30,7 +30,7 @@
   /// @param io runs its handlers
   /// @param store the store's address
   /// @param name the host's name
-  /// @param onCount told when more hosts are known than before
+  /// @param onCount told when the number known changes
   HostPresence(boost::asio::io_context &io,
                const boost::asio::ip::tcp::endpoint &store, std::string name,
                CountHandler onCount);
@@ -54,6 +54,7 @@
   std::string Name;
   CountHandler OnCount;
   std::set<std::string> Seen;
+  std::size_t Reported = 0;
   int Counts = 0;
   LeaseId Lease = 0;
   bool Stopped = false;
