Process tests of hosts on the platform, with stand-ins for its store and leaves

The stand-ins speak the platform's protocol; tests start the real program. The process's end no longer waits for a reader of its log: exiting flushed standard output, whose lock the writer thread holds while nobody reads (the test AReaderOfTheLogThatDoesNotReadBlocksNothing hung for ten minutes before).

--- a/src/entry/Listener.h
+++ b/src/entry/Listener.h
@@ -30,6 +30,11 @@
   /// @return an error when the address can't be listened on
   core::Result<void> open(const std::string &address);
 
+  /// @brief Address it listens on; only when open.
+  boost::asio::ip::tcp::endpoint address() const {
+    return Acceptor.local_endpoint();
+  }
+
   /// @brief Accepts no further connections.
   void closeDoor();
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <csignal>
 #include <cstdint>
 #include <cstdio>
+#include <cstdlib>
 #include <optional>
 #include <string>
 #include <vector>
@@ -97,6 +98,16 @@
   return ExitOk;
 }
 
+/// Runs a host with its log on standard output, and ends the process.
+template <typename Run> [[noreturn]] void serveWithLog(Run run) {
+  support::startLogging("savorytrestle");
+  const int status = run();
+  support::flushLog();
+  // The writer may hold standard output for a reader who doesn't read: an
+  // ordinary exit would wait for it.
+  std::_Exit(status);
+}
+
 int runHost(const std::string &path) {
   const support::StopSignals signals;
   std::signal(SIGPIPE, SIG_IGN);
@@ -163,10 +174,12 @@
   if (path.empty())
     return usage(command + " needs --config=FILE");
   if (command == "node")
-    return runNode(path);
+    serveWithLog([&] { return runNode(path); });
   if (command == "check-node")
     return checkNode(path);
-  return command == "check" ? check(path) : runHost(path);
+  if (command == "check")
+    return check(path);
+  serveWithLog([&] { return runHost(path); });
 }
 
 } // namespace
@@ -180,8 +193,5 @@
   };
   absl::SetFlagsUsageConfig(help);
   const auto rest = absl::ParseCommandLine(argc, argv);
-  support::startLogging(argv[0]);
-  const int status = dispatch({rest.begin() + 1, rest.end()});
-  support::stopLogging();
-  return status;
+  return dispatch({rest.begin() + 1, rest.end()});
 }
--- a/src/serve/Node.cpp
+++ b/src/serve/Node.cpp
@@ -50,7 +50,7 @@
   if (!support::parseEndpoint(Config.Store, store))
     return core::makeError(core::ErrorCode::InvalidSettings,
                            Config.Store + ": not an address");
-  if (const auto open = openListeners(); !open)
+  if (auto open = openListeners(); !open)
     return open;
   support::LogLine("start")
       .with("host", Config.Id)
@@ -69,9 +69,9 @@
 core::Result<void> Node::openListeners() {
   Callers = std::make_shared<entry::Listener>(Io, CallerContext);
   Readiness = std::make_shared<entry::Listener>(Io, OwnContext);
-  if (const auto open = Callers->open(Config.Callers); !open)
+  if (auto open = Callers->open(Config.Callers); !open)
     return open;
-  if (const auto open = Readiness->open(Config.Readiness); !open)
+  if (auto open = Readiness->open(Config.Readiness); !open)
     return open;
   if (Config.Metrics.empty())
     return {};
--- a/src/support/Log.cpp
+++ b/src/support/Log.cpp
@@ -1,5 +1,7 @@
 #include "support/Log.h"
 
+#include <thread>
+
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -11,6 +13,9 @@
 /// Lines that wait for a slow reader; older ones are dropped beyond that.
 constexpr std::size_t QueuedLines = 4096;
 constexpr std::size_t WriterThreads = 1;
+/// Longest wait for a reader at the process's end.
+constexpr std::chrono::milliseconds FlushTime{200};
+constexpr std::chrono::milliseconds FlushPoll{5};
 
 } // namespace
 
@@ -23,7 +28,16 @@
   spdlog::set_default_logger(std::move(logger));
 }
 
-void stopLogging() { spdlog::shutdown(); }
+void flushLog() {
+  const auto pool = spdlog::thread_pool();
+  if (!pool)
+    return;
+  const auto until = std::chrono::steady_clock::now() + FlushTime;
+  while (pool->queue_size() > 0 && std::chrono::steady_clock::now() < until)
+    std::this_thread::sleep_for(FlushPoll);
+  // The line that the writer has taken last is still on its way.
+  std::this_thread::sleep_for(FlushPoll);
+}
 
 std::size_t droppedLines() {
   const auto pool = spdlog::thread_pool();
--- a/src/support/Log.h
+++ b/src/support/Log.h
@@ -18,8 +18,9 @@
 /// @param program name of the process, usually argv[0]
 void startLogging(const char *program);
 
-/// @brief Writes what waits and ends the writer thread.
-void stopLogging();
+/// @brief Waits until the lines so far are written, but not for a reader who
+/// doesn't read: the process must end all the same, without joining the writer.
+void flushLog();
 
 /// @brief Lines dropped because the reader of the output was too slow.
 std::size_t droppedLines();
--- /dev/null
+++ b/tests/NodeDeployment.h
@@ -0,0 +1,232 @@
+#ifndef SAVORYTRESTLE_TESTS_NODE_DEPLOYMENT_H
+#define SAVORYTRESTLE_TESTS_NODE_DEPLOYMENT_H
+
+/// @file
+/// @brief Hosts on the platform as processes, with the store and the leaves as
+/// stand-ins on a thread of the test.
+
+#include <utility>
+
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include "ProcessHarness.h"
+#include "standins/MetadataStore.h"
+#include "standins/PlatformLeaf.h"
+#include "support/HttpClient.h"
+
+namespace savorytrestle::tests {
+
+/// @brief One host process.
+struct NodeProcess {
+  std::string Id;
+  std::string Callers;
+  std::string Readiness;
+  std::string Metrics;
+  std::string ConfigFile;
+  std::string LogFile;
+  testing::Process Child;
+
+  /// @brief Its log so far.
+  std::string log() const {
+    std::ifstream file(LogFile);
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+};
+
+/// @brief An answer as a caller sees it.
+struct CallerReply {
+  int Status = 0;
+  std::string Body;
+  std::map<std::string, std::string> Headers;
+};
+
+/// @brief The deployment; everything ends with it.
+class NodeDeployment {
+public:
+  NodeDeployment()
+      : Work(boost::asio::make_work_guard(Io)),
+        Folder(std::filesystem::temp_directory_path() /
+               ("savorytrestle-node-" + std::to_string(getpid()) + "-" +
+                std::to_string(++Count))) {
+    std::filesystem::create_directories(Folder);
+    StoreAddress = "127.0.0.1:" + std::to_string(testing::freePort());
+    Store = std::make_unique<MetadataStore>(Io);
+    StoreOpen = Store->open(StoreAddress).has_value();
+    Thread = std::thread([this] { Io.run(); });
+  }
+
+  ~NodeDeployment() {
+    Nodes.clear();
+    Work.reset();
+    Io.stop();
+    Thread.join();
+    if (std::getenv("KEEP_LOGS") == nullptr)
+      std::filesystem::remove_all(Folder);
+  }
+
+  /// @brief Runs a function on the stand-ins' thread and gives its result.
+  template <typename F> auto onThread(F f) {
+    std::packaged_task<decltype(f())()> task(std::move(f));
+    auto done = task.get_future();
+    boost::asio::post(Io, [&task] { task(); });
+    return done.get();
+  }
+
+  /// @brief Adds a leaf and writes its entry.
+  PlatformLeaf &addLeaf(const std::string &id, const std::string &service,
+                        const std::string &failureDomain = "a") {
+    return *onThread([&] {
+      Leaves.push_back(
+          std::make_unique<PlatformLeaf>(Io, id, service, failureDomain));
+      Store->put(Leaves.back()->key(), Leaves.back()->entry());
+      return Leaves.back().get();
+    });
+  }
+
+  /// @brief Writes a configuration as the operator does.
+  void putConfig(const nlohmann::json &config) {
+    onThread([&] {
+      Store->put("op/config", config.dump());
+      return 0;
+    });
+  }
+
+  /// @brief Starts a host; waits until it is ready unless told not to.
+  NodeProcess &addNode(bool waitReady = true) {
+    auto node = std::make_unique<NodeProcess>();
+    node->Id = "node-" + std::to_string(Nodes.size());
+    node->Callers = "127.0.0.1:" + std::to_string(testing::freePort());
+    node->Readiness = "127.0.0.1:" + std::to_string(testing::freePort());
+    node->Metrics = "127.0.0.1:" + std::to_string(testing::freePort());
+    node->ConfigFile = (Folder / (node->Id + ".yaml")).string();
+    node->LogFile = (Folder / (node->Id + ".log")).string();
+    std::ofstream(node->ConfigFile)
+        << "host: {id: " << node->Id << ", failure_domain: a}\n"
+        << "regions: {a: west, b: west, c: east}\n"
+        << "listen:\n  callers: " << node->Callers
+        << "\n  readiness: " << node->Readiness
+        << "\n  metrics: " << node->Metrics
+        << "\nplatform:\n  store: " << StoreAddress
+        << "\nbounds: {stop_grace: 4 s, retry_ratio: 0.2, "
+        << "retry_extra: 54, retry_window: 10 s}\n";
+    Nodes.push_back(std::move(node));
+    start(*Nodes.back());
+    if (waitReady)
+      testing::eventually([&] { return ready(*Nodes.back()); });
+    return *Nodes.back();
+  }
+
+  /// @brief Starts a host's process (again).
+  void start(NodeProcess &node) const {
+    node.Child = testing::Process(
+        {"savorytrestle", "node", "--config=" + node.ConfigFile}, node.LogFile);
+  }
+
+  static bool ready(const NodeProcess &node) {
+    return get(node.Readiness, "/readiness", {}).Status == 200;
+  }
+
+  /// @brief Sends a request and waits for its answer.
+  static CallerReply
+  get(const std::string &address, const std::string &path,
+      const std::map<std::string, std::string> &headers,
+      std::chrono::milliseconds timeout = std::chrono::seconds(10)) {
+    return send("GET", address, path, headers, "", timeout);
+  }
+
+  static CallerReply
+  send(const std::string &method, const std::string &address,
+       const std::string &path,
+       const std::map<std::string, std::string> &headers,
+       const std::string &body,
+       std::chrono::milliseconds timeout = std::chrono::seconds(10)) {
+    support::HttpClient client;
+    const auto reply = client.send(
+        {method, "http://" + address + path, body, headers, timeout});
+    if (!reply)
+      return {};
+    return {reply->Status, reply->Body, reply->Headers};
+  }
+
+  /// @brief Sends a caller's request to a route of host "a.example".
+  static CallerReply
+  ask(const NodeProcess &node, const std::string &path, const std::string &id,
+      std::chrono::milliseconds deadline = std::chrono::seconds(5),
+      const std::string &method = "GET", const std::string &body = "") {
+    return send(
+        method, node.Callers, path,
+        {{"Host", "a.example"},
+         {"Savorytrestle-Request-Id", id},
+         {"Savorytrestle-Deadline-Ms", std::to_string(deadline.count())}},
+        body);
+  }
+
+  boost::asio::io_context Io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
+  std::filesystem::path Folder;
+  std::string StoreAddress;
+  bool StoreOpen = false;
+  std::unique_ptr<MetadataStore> Store;
+  std::vector<std::unique_ptr<PlatformLeaf>> Leaves;
+  std::vector<std::unique_ptr<NodeProcess>> Nodes;
+  std::thread Thread;
+
+private:
+  static inline int Count = 0;
+};
+
+/// @brief A configuration of one sharded and two plain routes of "a.example".
+inline nlohmann::json usualConfig(int version,
+                                  const std::vector<std::string> &shards) {
+  using nlohmann::json;
+  json services = json::array();
+  std::vector<std::string> names = shards;
+  names.insert(names.end(), {"plain"});
+  for (const std::string &name : names)
+    services.push_back({{"name", name},
+                        {"healthCheckPath", "/health"},
+                        {"maxConnections", 41},
+                        {"protocol", "h1"},
+                        {"tls", false}});
+  const auto route = [](const char *name, const char *prefix, bool idempotent) {
+    return json{{"name", name},
+                {"host", "a.example"},
+                {"pathPrefix", prefix},
+                {"type", idempotent ? "idempotent" : "non_idempotent"},
+                {"timeoutMs", 2000},
+                {"targetLatencyMs", 400},
+                {"priority", 1},
+                {"maxAttempts", 2}};
+  };
+  json search = route("search", "/search/", true);
+  search["fanoutServices"] = shards;
+  search["topK"] = 4;
+  search["minShardShare"] = 0.5;
+  json read = route("read", "/read/", true);
+  read["service"] = "plain";
+  json file = route("file", "/file/", false);
+  file["service"] = "plain";
+  return {{"version", version},
+          {"routes", {search, read, file}},
+          {"services", services},
+          {"limits",
+           {{"maxHeaderBytes", 16384},
+            {"maxBodyBytes", 262144},
+            {"headerTimeoutMs", 3000},
+            {"idleTimeoutMs", 15000}}}};
+}
+
+} // namespace savorytrestle::tests
+
+#endif
--- a/tests/ProcessHarness.h
+++ b/tests/ProcessHarness.h
@@ -28,7 +28,8 @@
   Process() = default;
   /// @brief Starts a program of the build directory.
   /// @param arguments program name and its arguments
-  /// @param logFile takes standard error; empty discards it
+  /// @param logFile takes standard output and error; empty discards the latter
+  /// and keeps the former for @ref readPort
   explicit Process(const std::vector<std::string> &arguments,
                    const std::string &logFile = "");
   Process(Process &&other) noexcept;
@@ -50,6 +51,9 @@
   /// @brief Kills with SIGKILL and waits.
   void kill();
 
+  /// @brief Its process id; 0 when it doesn't run.
+  pid_t id() const { return Pid; }
+
   /// @brief Whether the process has ended by itself.
   bool ended();
 
--- a/tests/process-harness.cpp
+++ b/tests/process-harness.cpp
@@ -43,6 +43,8 @@
   const std::string log = logFile.empty() ? "/dev/null" : logFile;
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  if (!logFile.empty())
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
   const std::string program = std::string(BINARY_DIR) + "/" + arguments.front();
   std::vector<char *> argv;
   argv.reserve(arguments.size() + 1);
--- /dev/null
+++ b/tests/process-node.cpp
@@ -0,0 +1,306 @@
+#include "NodeDeployment.h"
+
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+using namespace savorytrestle;
+using namespace savorytrestle::tests;
+using namespace std::chrono_literals;
+using savorytrestle::testing::eventually;
+
+namespace {
+
+const std::vector<std::string> Shards = {"s0", "s1", "s2", "s3"};
+
+class NodeTest : public ::testing::Test {
+protected:
+  void SetUp() override {
+    ASSERT_TRUE(Cluster.StoreOpen);
+    for (const std::string &shard : Shards)
+      for (const char *domain : {"a", "b"})
+        Cluster.addLeaf("i-" + shard + domain, shard, domain);
+    for (const char *domain : {"a", "b"})
+      Cluster.addLeaf(std::string("i-plain") + domain, "plain", domain);
+    Cluster.putConfig(usualConfig(3, Shards));
+  }
+
+  /// Times that leaves of the plain service ran a request.
+  int runs(const std::string &id) {
+    return Cluster.onThread([&] {
+      int n = 0;
+      for (const auto &leaf : Cluster.Leaves)
+        if (const auto it = leaf->Run.find(id); it != leaf->Run.end())
+          n += it->second;
+      return n;
+    });
+  }
+
+  void conduct(const std::string &service, const LeafConduct &conduct) {
+    Cluster.onThread([&] {
+      for (const auto &leaf : Cluster.Leaves)
+        if (leaf->Service == service)
+          leaf->Conduct = conduct;
+      return 0;
+    });
+  }
+
+  NodeDeployment Cluster;
+};
+
+TEST_F(NodeTest, ASearchReturnsTheGreatestRecordsOfAllShards) {
+  const auto &node = Cluster.addNode();
+  const auto reply = NodeDeployment::ask(node, "/search/x", "r1");
+  ASSERT_EQ(reply.Status, 200) << node.log();
+  EXPECT_EQ(reply.Headers.at("savorytrestle-missing-parts"), "0");
+  std::string expected;
+  for (const char *record : {"3s3", "3s2", "3s1", "3s0"}) {
+    std::string padded = record;
+    padded.resize(16, '.');
+    expected += padded;
+  }
+  EXPECT_EQ(reply.Body, expected);
+  const std::string stamps = reply.Headers.at("savorytrestle-part-stamps");
+  EXPECT_EQ(std::count(stamps.begin(), stamps.end(), ','), 3);
+}
+
+TEST_F(NodeTest, ALostShardIsNamedMissing) {
+  const auto &node = Cluster.addNode();
+  LeafConduct failing;
+  failing.Fail = true;
+  conduct("s1", failing);
+  const auto reply = NodeDeployment::ask(node, "/search/x", "r1");
+  ASSERT_EQ(reply.Status, 200) << node.log();
+  EXPECT_EQ(reply.Headers.at("savorytrestle-missing-parts"), "1");
+  EXPECT_EQ(reply.Body.find("s1"), std::string::npos);
+}
+
+TEST_F(NodeTest, BelowTheLeastShareThereIsNoSuccess) {
+  const auto &node = Cluster.addNode();
+  LeafConduct failing;
+  failing.Fail = true;
+  for (const char *shard : {"s1", "s2", "s3"})
+    conduct(shard, failing);
+  EXPECT_EQ(NodeDeployment::ask(node, "/search/x", "r1").Status, 502);
+}
+
+TEST_F(NodeTest, AMuteLeafIsHedged) {
+  const auto &node = Cluster.addNode();
+  LeafConduct mute;
+  mute.Mute = true;
+  Cluster.onThread([&] {
+    Cluster.Leaves.front()->Conduct = mute; // s0, the near one
+    return 0;
+  });
+  const auto reply = NodeDeployment::ask(node, "/search/x", "r1");
+  ASSERT_EQ(reply.Status, 200) << node.log();
+  EXPECT_EQ(reply.Headers.at("savorytrestle-missing-parts"), "0");
+  // The leaf that lost is told to stop.
+  EXPECT_TRUE(eventually([&] {
+    return Cluster.onThread(
+        [&] { return Cluster.Leaves.front()->BrokenOff == 1; });
+  }));
+}
+
+TEST_F(NodeTest, ARequestThatMayRunOnceIsNeverRepeated) {
+  const auto &node = Cluster.addNode();
+  LeafConduct failing;
+  failing.Fail = true;
+  conduct("plain", failing);
+  const auto failed =
+      NodeDeployment::ask(node, "/file/x", "w1", 5s, "POST", "price=4200");
+  EXPECT_EQ(failed.Status, 500);
+  EXPECT_EQ(runs("w1"), 1);
+  LeafConduct mute;
+  mute.Mute = true;
+  conduct("plain", mute);
+  EXPECT_EQ(
+      NodeDeployment::ask(node, "/file/x", "w2", 300ms, "POST", "a").Status,
+      504);
+  EXPECT_EQ(runs("w2"), 1);
+}
+
+TEST_F(NodeTest, ARefusalSaysTrulyThatNothingRan) {
+  const auto &node = Cluster.addNode();
+  LeafConduct full;
+  full.Shed = true;
+  conduct("plain", full);
+  const auto reply =
+      NodeDeployment::ask(node, "/file/x", "w1", 5s, "POST", "a");
+  EXPECT_EQ(reply.Status, 503);
+  EXPECT_EQ(reply.Headers.count("retry-after"), 1U);
+  EXPECT_EQ(runs("w1"), 0);
+}
+
+TEST_F(NodeTest, BodiesPassUnchanged) {
+  const auto &node = Cluster.addNode();
+  std::string body(200000, '\0');
+  for (std::size_t i = 0; i < body.size(); ++i)
+    body[i] = static_cast<char>(i * 7);
+  const auto reply =
+      NodeDeployment::ask(node, "/file/x", "w1", 5s, "POST", body);
+  ASSERT_EQ(reply.Status, 200) << node.log();
+  EXPECT_EQ(reply.Body, body);
+}
+
+TEST_F(NodeTest, ADrainingLeafGetsNoFurtherRequests) {
+  const auto &node = Cluster.addNode();
+  Cluster.onThread([&] {
+    for (const auto &leaf : Cluster.Leaves)
+      if (leaf->Id == "i-plaina")
+        Cluster.Store->put(leaf->key(), leaf->entry(true));
+    return 0;
+  });
+  ASSERT_TRUE(eventually(
+      [&] { return node.log().find("draining=1") != std::string::npos; }));
+  for (int i = 0; i < 20; ++i)
+    EXPECT_EQ(
+        NodeDeployment::ask(node, "/read/x", "r" + std::to_string(i)).Status,
+        200);
+  const auto atDraining = Cluster.onThread([&] {
+    for (const auto &leaf : Cluster.Leaves)
+      if (leaf->Id == "i-plaina")
+        return leaf->Run.size();
+    return std::size_t{99};
+  });
+  EXPECT_EQ(atDraining, 0U);
+}
+
+TEST_F(NodeTest, ANewVersionIsInForceAndNeverGoesBack) {
+  const auto &node = Cluster.addNode();
+  Cluster.putConfig(usualConfig(9, {"s0", "s1"}));
+  const auto shardsOf = [&](const std::string &id) {
+    const auto reply = NodeDeployment::ask(node, "/search/x", id);
+    const auto it = reply.Headers.find("savorytrestle-part-stamps");
+    return it == reply.Headers.end()
+               ? 0
+               : std::count(it->second.begin(), it->second.end(), ',') + 1;
+  };
+  int n = 0;
+  EXPECT_TRUE(
+      eventually([&] { return shardsOf("a" + std::to_string(n++)) == 2; }));
+  // An older version, from whatever source, changes nothing.
+  Cluster.putConfig(usualConfig(5, Shards));
+  Cluster.onThread([&] {
+    Cluster.Store->compact();
+    return 0;
+  });
+  std::this_thread::sleep_for(1s);
+  EXPECT_EQ(shardsOf("b"), 2);
+}
+
+TEST_F(NodeTest, ChangesInAHistoryThatIsGoneAreFound) {
+  const auto &node = Cluster.addNode();
+  Cluster.onThread([&] {
+    Cluster.Store->setFault(StoreFault::Busy);
+    Cluster.Store->put("op/config", usualConfig(9, {"s0"}).dump());
+    Cluster.Store->compact();
+    Cluster.Store->setFault(StoreFault::None);
+    return 0;
+  });
+  EXPECT_TRUE(eventually(
+      [&] { return node.log().find("version=9") != std::string::npos; }));
+}
+
+TEST_F(NodeTest, ServesOnWhileTheStoreIsAway) {
+  const auto &node = Cluster.addNode();
+  Cluster.onThread([&] {
+    Cluster.Store->setFault(StoreFault::Busy);
+    Cluster.Store->compact();
+    return 0;
+  });
+  ASSERT_TRUE(eventually([&] {
+    return node.log().find("event=store_lost") != std::string::npos;
+  }));
+  EXPECT_EQ(NodeDeployment::ask(node, "/search/x", "r1").Status, 200);
+  EXPECT_TRUE(NodeDeployment::ready(node));
+  Cluster.onThread([&] {
+    Cluster.Store->setFault(StoreFault::None);
+    return 0;
+  });
+  EXPECT_TRUE(eventually([&] {
+    return node.log().find("event=store_regained") != std::string::npos;
+  }));
+}
+
+TEST_F(NodeTest, AHostThatKnowsNothingIsNotReadyAndSaysSo) {
+  Cluster.onThread([&] {
+    Cluster.Store->setFault(StoreFault::Busy);
+    return 0;
+  });
+  auto &node = Cluster.addNode(false);
+  ASSERT_TRUE(eventually([&] {
+    return NodeDeployment::get(node.Readiness, "/readiness", {}).Status == 503;
+  }));
+  const auto reply = NodeDeployment::ask(node, "/search/x", "r1");
+  EXPECT_EQ(reply.Status, 503);
+  EXPECT_EQ(reply.Headers.count("retry-after"), 1U);
+  Cluster.onThread([&] {
+    Cluster.Store->setFault(StoreFault::None);
+    return 0;
+  });
+  EXPECT_TRUE(eventually([&] { return NodeDeployment::ready(node); }));
+}
+
+TEST_F(NodeTest, AStopFinishesWhatIsInHand) {
+  auto &node = Cluster.addNode();
+  LeafConduct slow;
+  slow.Work = 1500ms;
+  conduct("plain", slow);
+  auto inHand = std::async(std::launch::async, [&] {
+    return NodeDeployment::ask(node, "/read/x", "r1");
+  });
+  ASSERT_TRUE(eventually([&] { return runs("r1") == 1; }));
+  node.Child.signal(SIGTERM);
+  EXPECT_TRUE(eventually([&] { return !NodeDeployment::ready(node); }));
+  EXPECT_EQ(inHand.get().Status, 200) << node.log();
+  EXPECT_EQ(node.Child.wait(), 0);
+  EXPECT_NE(node.log().find("event=stopped"), std::string::npos);
+  // Its lease has gone with it.
+  EXPECT_TRUE(eventually([&] {
+    return Cluster.onThread(
+        [&] { return Cluster.Store->count("hosts/") == 0; });
+  }));
+}
+
+TEST_F(NodeTest, EachFailureLeavesALineWithItsRequestAndReason) {
+  const auto &node = Cluster.addNode();
+  LeafConduct full;
+  full.Shed = true;
+  conduct("plain", full);
+  (void)NodeDeployment::ask(node, "/read/x", "refused-1");
+  LeafConduct failing;
+  failing.Fail = true;
+  for (const char *shard : {"s1", "s2", "s3"})
+    conduct(shard, failing);
+  (void)NodeDeployment::ask(node, "/search/x", "failed-1");
+  (void)NodeDeployment::ask(node, "/nowhere/x", "nowhere-1");
+  for (const char *id : {"refused-1", "failed-1", "nowhere-1"})
+    EXPECT_TRUE(eventually([&] {
+      return node.log().find(std::string("request=") + id) != std::string::npos;
+    })) << id;
+  const auto metrics = NodeDeployment::get(node.Metrics, "/metrics", {});
+  EXPECT_NE(metrics.Body.find("savorytrestle_request_seconds_bucket"),
+            std::string::npos);
+  EXPECT_NE(metrics.Body.find("savorytrestle_config_version 3"),
+            std::string::npos);
+}
+
+TEST_F(NodeTest, AReaderOfTheLogThatDoesNotReadBlocksNothing) {
+  auto &node = Cluster.addNode();
+  node.Child.kill();
+  // Standard output is a pipe that nobody reads.
+  node.Child = savorytrestle::testing::Process(
+      {"savorytrestle", "node", "--config=" + node.ConfigFile});
+  ASSERT_TRUE(eventually([&] { return NodeDeployment::ready(node); }));
+  int served = 0;
+  for (int i = 0; i < 1500; ++i)
+    served +=
+        NodeDeployment::ask(node, "/read/x", "r" + std::to_string(i)).Status ==
+        200;
+  EXPECT_EQ(served, 1500);
+  node.Child.signal(SIGTERM);
+  EXPECT_EQ(node.Child.wait(), 0);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/standins/MetadataStore.h
@@ -0,0 +1,354 @@
+#ifndef SAVORYTRESTLE_TESTS_METADATA_STORE_H
+#define SAVORYTRESTLE_TESTS_METADATA_STORE_H
+
+/// @file
+/// @brief Stand-in for the platform's metadata store: keys, ranges, watches,
+/// transactions and leases over HTTP, with faults.
+
+#include <utility>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "entry/Answers.h"
+#include "entry/Listener.h"
+
+namespace savorytrestle::tests {
+
+/// @brief How the store treats calls.
+enum class StoreFault {
+  None,
+  Busy,   ///< 503: nothing was done
+  Silent, ///< calls get no answer
+  Lost,   ///< writes are done, their answers are lost
+};
+
+/// @brief The stand-in; lives on one thread.
+class MetadataStore {
+public:
+  using Json = nlohmann::json;
+
+  explicit MetadataStore(boost::asio::io_context &io)
+      : Io(io), Context(std::make_shared<entry::SessionContext>()) {
+    Context->Handle = [this](const entry::CallerRequest &request,
+                             entry::Respond respond) {
+      ++Calls;
+      handle(request, std::move(respond));
+      return entry::CancelRequest();
+    };
+    Context->Limits.IdleTimeout = std::chrono::hours(1);
+  }
+
+  /// @brief Listens; the address must be free.
+  core::Result<void> open(const std::string &address) {
+    Door = std::make_shared<entry::Listener>(Io, Context);
+    return Door->open(address);
+  }
+
+  /// @brief Writes an item as the operator or a leaf would.
+  void put(const std::string &key, const std::string &value,
+           std::uint64_t lease = 0) {
+    ++Now;
+    Item &item = Items[key];
+    item = {value, Now, item.Created == 0 ? Now : item.Created, lease};
+    note(key, false);
+  }
+
+  /// @brief Removes an item.
+  void remove(const std::string &key) {
+    if (Items.erase(key) == 0)
+      return;
+    ++Now;
+    note(key, true);
+  }
+
+  /// @brief Drops the history: watches from before now get 410.
+  void compact() {
+    History.clear();
+    OldestKnown = Now;
+    auto waiting = std::move(Watches);
+    Watches.clear();
+    for (auto &watch : waiting)
+      answerWatch(watch);
+  }
+
+  void setFault(StoreFault fault) { Fault = fault; }
+  std::size_t calls() const { return Calls; }
+  std::size_t count(const std::string &prefix) const {
+    return static_cast<std::size_t>(
+        std::count_if(Items.begin(), Items.end(), [&](const auto &it) {
+          return it.first.starts_with(prefix);
+        }));
+  }
+
+private:
+  struct Item {
+    std::string Value;
+    std::uint64_t Revision = 0;
+    std::uint64_t Created = 0;
+    std::uint64_t Lease = 0;
+  };
+  struct Event {
+    std::string Key;
+    std::uint64_t Revision;
+    Json Body;
+  };
+  struct Watch {
+    std::string Prefix;
+    std::uint64_t After;
+    entry::Respond Respond;
+    std::shared_ptr<boost::asio::steady_timer> Timer;
+  };
+  struct Lease {
+    std::chrono::milliseconds TimeToLive;
+    std::shared_ptr<boost::asio::steady_timer> Timer;
+  };
+  using Query = std::map<std::string, std::string>;
+
+  static entry::CallerAnswer reply(unsigned status, const Json &body) {
+    auto answer = entry::textAnswer(
+        static_cast<boost::beast::http::status>(status), body.dump());
+    answer.set(boost::beast::http::field::content_type, "application/json");
+    return answer;
+  }
+
+  static Json shown(const std::string &key, const Item &item) {
+    return {{"key", key},
+            {"value", absl::Base64Escape(item.Value)},
+            {"revision", item.Revision},
+            {"createdAt", item.Created},
+            {"lease", item.Lease}};
+  }
+
+  static Query queryOf(const std::string &target) {
+    Query query;
+    const auto at = target.find('?');
+    if (at == std::string::npos)
+      return query;
+    for (const auto part : absl::StrSplit(target.substr(at + 1), '&')) {
+      const std::vector<std::string> pair =
+          absl::StrSplit(part, absl::MaxSplits('=', 1));
+      query[pair[0]] = pair.size() > 1 ? pair[1] : "";
+    }
+    return query;
+  }
+
+  void handle(const entry::CallerRequest &request, entry::Respond respond) {
+    const std::string target(request.target().data(), request.target().size());
+    const std::string path = target.substr(0, target.find('?'));
+    if (Fault == StoreFault::Silent) {
+      Unanswered.push_back(std::move(respond));
+      return;
+    }
+    if (Fault == StoreFault::Busy)
+      return respond(reply(503, Json::object()));
+    const bool write = request.method() != boost::beast::http::verb::get;
+    const Json body = write && !request.body().empty()
+                          ? Json::parse(request.body(), nullptr, false)
+                          : Json::object();
+    if (Fault == StoreFault::Lost && write) {
+      Unanswered.push_back(std::move(respond));
+      call(path, queryOf(target), body, [](const entry::CallerAnswer &) {});
+      return;
+    }
+    call(path, queryOf(target), body, std::move(respond));
+  }
+
+  void call(const std::string &path, const Query &query, const Json &body,
+            entry::Respond respond) {
+    if (path == "/kv-key")
+      return respond(readKey(query.at("key")));
+    if (path == "/kv-range")
+      return respond(readRange(query));
+    if (path == "/kv-watch")
+      return startWatch(query, std::move(respond));
+    if (path == "/kv-txn")
+      return respond(transact(body));
+    if (path == "/kv-lease")
+      return respond(grant(std::chrono::milliseconds(body.at("ttlMs"))));
+    if (path.starts_with("/kv-keep/"))
+      return respond(renew(numberAfter(path, "/kv-keep/")));
+    if (path.starts_with("/kv-lease-end/")) {
+      endLease(numberAfter(path, "/kv-lease-end/"));
+      return respond(reply(200, Json::object()));
+    }
+    respond(reply(404, Json::object()));
+  }
+
+  static std::uint64_t numberAfter(const std::string &path,
+                                   const std::string &prefix) {
+    std::uint64_t number = 0;
+    (void)absl::SimpleAtoi(path.substr(prefix.size()), &number);
+    return number;
+  }
+
+  entry::CallerAnswer readKey(const std::string &key) const {
+    const auto it = Items.find(key);
+    if (it == Items.end())
+      return reply(404, Json::object());
+    Json body = shown(key, it->second);
+    body["at"] = Now;
+    return reply(200, body);
+  }
+
+  entry::CallerAnswer readRange(const Query &query) const {
+    constexpr std::size_t PageItems = 50;
+    const std::string prefix = query.at("pathPrefix");
+    const std::string after = query.count("after") ? query.at("after") : "";
+    Json items = Json::array();
+    bool more = false;
+    for (auto it = Items.lower_bound(prefix);
+         it != Items.end() && it->first.starts_with(prefix); ++it) {
+      if (it->first <= after)
+        continue;
+      if (items.size() == PageItems) {
+        more = true;
+        break;
+      }
+      items.push_back(shown(it->first, it->second));
+    }
+    return reply(200, {{"items", items}, {"hasMore", more}, {"at", Now}});
+  }
+
+  void startWatch(const Query &query, entry::Respond respond) {
+    Watch watch{query.at("pathPrefix"), 0, std::move(respond),
+                std::make_shared<boost::asio::steady_timer>(Io)};
+    (void)absl::SimpleAtoi(query.at("after"), &watch.After);
+    if (answerWatch(watch))
+      return;
+    int wait = 0;
+    (void)absl::SimpleAtoi(query.at("waitMs"), &wait);
+    watch.Timer->expires_after(std::chrono::milliseconds(wait));
+    watch.Timer->async_wait(
+        [this, timer = watch.Timer](const boost::system::error_code &ec) {
+          if (!ec)
+            endWatch(timer);
+        });
+    Watches.push_back(std::move(watch));
+  }
+
+  /// Answers a watch that has something to hear.
+  bool answerWatch(Watch &watch) {
+    if (watch.After < OldestKnown) {
+      watch.Timer->cancel();
+      watch.Respond(reply(410, Json::object()));
+      return true;
+    }
+    Json events = Json::array();
+    for (const Event &event : History)
+      if (event.Revision > watch.After && event.Key.starts_with(watch.Prefix))
+        events.push_back(event.Body);
+    if (events.empty())
+      return false;
+    watch.Timer->cancel();
+    watch.Respond(reply(200, {{"events", events}, {"at", Now}}));
+    return true;
+  }
+
+  void endWatch(const std::shared_ptr<boost::asio::steady_timer> &timer) {
+    for (auto it = Watches.begin(); it != Watches.end(); ++it)
+      if (it->Timer == timer) {
+        const auto respond = std::move(it->Respond);
+        Watches.erase(it);
+        return respond(reply(200, {{"events", Json::array()}, {"at", Now}}));
+      }
+  }
+
+  void note(const std::string &key, bool removed) {
+    Json body = removed
+                    ? Json{{"key", key}, {"revision", Now}, {"deleted", true}}
+                    : shown(key, Items[key]);
+    History.push_back({key, Now, std::move(body)});
+    // Faults are for calls; a change reaches watches that already wait unless
+    // the store is silent.
+    if (Fault != StoreFault::None)
+      return;
+    auto waiting = std::move(Watches);
+    Watches.clear();
+    for (auto &watch : waiting)
+      if (!answerWatch(watch))
+        Watches.push_back(std::move(watch));
+  }
+
+  entry::CallerAnswer transact(const Json &body) {
+    for (const Json &row : body.at("expected")) {
+      const auto it = Items.find(row.at("key"));
+      const std::uint64_t held = it == Items.end() ? 0 : it->second.Revision;
+      if (held != row.at("revision").get<std::uint64_t>())
+        return reply(412, {{"items", Json::array()}});
+    }
+    for (const Json &row : body.at("puts"))
+      if (const std::uint64_t lease = row.value("lease", 0ULL);
+          lease != 0 && Leases.count(lease) == 0)
+        return reply(404, Json::object());
+    for (const Json &row : body.at("puts")) {
+      std::string value;
+      absl::Base64Unescape(row.at("value").get<std::string>(), &value);
+      put(row.at("key"), value, row.value("lease", 0ULL));
+    }
+    for (const Json &key : body.at("removals"))
+      remove(key);
+    return reply(200, {{"revision", Now}});
+  }
+
+  entry::CallerAnswer grant(std::chrono::milliseconds timeToLive) {
+    const std::uint64_t id = NextLease++;
+    Leases[id] = {timeToLive, std::make_shared<boost::asio::steady_timer>(Io)};
+    arm(id);
+    return reply(200, {{"lease", id}, {"ttlMs", timeToLive.count()}});
+  }
+
+  entry::CallerAnswer renew(std::uint64_t id) {
+    if (Leases.count(id) == 0)
+      return reply(404, Json::object());
+    arm(id);
+    return reply(200, {{"ttlMs", Leases[id].TimeToLive.count()}});
+  }
+
+  void arm(std::uint64_t id) {
+    Lease &lease = Leases[id];
+    lease.Timer->expires_after(lease.TimeToLive);
+    lease.Timer->async_wait([this, id](const boost::system::error_code &ec) {
+      if (!ec)
+        endLease(id);
+    });
+  }
+
+  void endLease(std::uint64_t id) {
+    Leases.erase(id);
+    std::vector<std::string> keys;
+    for (const auto &[key, item] : Items)
+      if (item.Lease == id)
+        keys.push_back(key);
+    for (const std::string &key : keys)
+      remove(key);
+  }
+
+  boost::asio::io_context &Io;
+  std::shared_ptr<entry::SessionContext> Context;
+  std::shared_ptr<entry::Listener> Door;
+  std::map<std::string, Item> Items;
+  std::vector<Event> History;
+  std::vector<Watch> Watches;
+  std::vector<entry::Respond> Unanswered;
+  std::map<std::uint64_t, Lease> Leases;
+  std::uint64_t Now = 1;
+  std::uint64_t OldestKnown = 0;
+  std::uint64_t NextLease = 1;
+  std::size_t Calls = 0;
+  StoreFault Fault = StoreFault::None;
+};
+
+} // namespace savorytrestle::tests
+
+#endif
--- /dev/null
+++ b/tests/standins/PlatformLeaf.h
@@ -0,0 +1,146 @@
+#ifndef SAVORYTRESTLE_TESTS_PLATFORM_LEAF_H
+#define SAVORYTRESTLE_TESTS_PLATFORM_LEAF_H
+
+/// @file
+/// @brief Stand-in for a leaf on the platform: signs its answers, checks whom
+/// requests are meant for, and counts what it has run.
+
+#include <utility>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "entry/Answers.h"
+#include "entry/Listener.h"
+
+namespace savorytrestle::tests {
+
+/// @brief What a leaf does with requests.
+struct LeafConduct {
+  std::chrono::milliseconds Work{2};
+  /// Refuses without running, as when it is full.
+  bool Shed = false;
+  /// Runs and never answers.
+  bool Mute = false;
+  /// Fails after running.
+  bool Fail = false;
+};
+
+/// @brief The leaf; lives on one thread.
+class PlatformLeaf {
+public:
+  PlatformLeaf(boost::asio::io_context &io, std::string id,
+               std::string service, std::string failureDomain)
+      : Id(std::move(id)), Service(std::move(service)),
+        FailureDomain(std::move(failureDomain)), Io(io),
+        Context(std::make_shared<entry::SessionContext>()) {
+    Context->Limits.IdleTimeout = std::chrono::seconds(30);
+    Context->Handle = [this](const entry::CallerRequest &request,
+                             const entry::Respond &respond) {
+      return handle(request, respond);
+    };
+    Door = std::make_shared<entry::Listener>(Io, Context);
+    Opened = Door->open("127.0.0.1:0").has_value();
+  }
+
+  /// @brief Its entry as it would write it to the store.
+  std::string entry(bool draining = false) const {
+    return nlohmann::json{{"service", Service},
+                          {"address", address()},
+                          {"zone", FailureDomain},
+                          {"version", "v1"},
+                          {"maxConcurrency", 5},
+                          {"state", draining ? "draining" : "ready"},
+                          {"warmupLeftMs", 0},
+                          {"sequence", 1}}
+        .dump();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Door->address().port());
+  }
+  std::string key() const { return "servers/" + Id; }
+
+  LeafConduct Conduct;
+  const std::string Id;
+  const std::string Service;
+  const std::string FailureDomain;
+  /// Times that each request was run, by its id.
+  std::map<std::string, int> Run;
+  /// Requests that were broken off while they ran.
+  int BrokenOff = 0;
+  bool Opened = false;
+
+private:
+  static std::string text(boost::beast::string_view view) {
+    return {view.data(), view.size()};
+  }
+
+  entry::CancelRequest handle(const entry::CallerRequest &request,
+                              const entry::Respond &respond) {
+    const std::string id = text(request["Savorytrestle-Request-Id"]);
+    const std::string expected =
+        text(request["Savorytrestle-Expected-Instance"]);
+    if (!expected.empty() && expected != Id)
+      return refuse(421, respond);
+    if (Conduct.Shed)
+      return refuse(503, respond);
+    ++Run[id];
+    if (Conduct.Mute)
+      return [this] { ++BrokenOff; };
+    const auto timer = std::make_shared<boost::asio::steady_timer>(Io);
+    timer->expires_after(Conduct.Work);
+    timer->async_wait([this, timer, id, respond,
+                       echo = request.body()](boost::system::error_code ec) {
+      if (!ec)
+        respond(answer(id, echo));
+    });
+    return [this, timer] {
+      ++BrokenOff;
+      timer->cancel();
+    };
+  }
+
+  entry::CancelRequest refuse(unsigned status, const entry::Respond &respond) {
+    auto refusal = entry::textAnswer(
+        static_cast<boost::beast::http::status>(status), "");
+    refusal.set("Savorytrestle-Not-Executed", "1");
+    respond(std::move(refusal));
+    return nullptr;
+  }
+
+  entry::CallerAnswer answer(const std::string &id,
+                             const std::string &echo) const {
+    auto answer = entry::textAnswer(
+        static_cast<boost::beast::http::status>(Conduct.Fail ? 500 : 200),
+        echo.empty() ? records() : echo);
+    answer.set("Savorytrestle-Request-Id", id);
+    answer.set("Savorytrestle-Server-Stamp", "stamp-" + Id + "-" + id);
+    answer.set("Savorytrestle-Instance-Load", "1,0,5");
+    return answer;
+  }
+
+  /// Three records that tell their service and their rank.
+  std::string records() const {
+    std::string body;
+    for (const char rank : {'1', '3', '2'}) {
+      std::string record = std::string(1, rank) + Service;
+      record.resize(16, '.');
+      body += record;
+    }
+    return body;
+  }
+
+  boost::asio::io_context &Io;
+  std::shared_ptr<entry::SessionContext> Context;
+  std::shared_ptr<entry::Listener> Door;
+};
+
+} // namespace savorytrestle::tests
+
+#endif
--- /dev/null
+++ b/tests/standins/RawLeaf.h
@@ -0,0 +1,139 @@
+#ifndef SAVORYTRESTLE_TESTS_RAW_LEAF_H
+#define SAVORYTRESTLE_TESTS_RAW_LEAF_H
+
+/// @file
+/// @brief Stand-in for a leaf that answers with given bytes, whole or broken.
+
+#include <utility>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+namespace savorytrestle::tests {
+
+/// @brief What a leaf does with one request.
+struct RawAnswer {
+  std::string Bytes;
+  std::chrono::milliseconds Delay{0};
+  /// Ends the connection after the bytes.
+  bool Close = false;
+  /// Ends it with a reset.
+  bool Reset = false;
+};
+
+/// @brief A whole answer of a leaf.
+inline std::string leafAnswer(const std::string &body,
+                              const std::string &headers = "",
+                              const std::string &status = "200 OK") {
+  return absl::StrCat("HTTP/1.1 ", status, "\r\nContent-Length: ", body.size(),
+                      "\r\n", headers, "\r\n", body);
+}
+
+/// @brief The leaf; lives on one thread.
+class RawLeaf {
+public:
+  /// Decides on a request's head.
+  using Script = std::function<RawAnswer(const std::string &)>;
+
+  RawLeaf(boost::asio::io_context &io, Script script)
+      : Io(io), Acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}),
+        Answers(std::move(script)) {
+    accept();
+  }
+
+  boost::asio::ip::tcp::endpoint address() const {
+    return Acceptor.local_endpoint();
+  }
+  std::string addressText() const {
+    return "127.0.0.1:" + std::to_string(address().port());
+  }
+  int requests() const { return Requests; }
+  int connections() const { return Connections; }
+  /// Connections that the other side has ended.
+  int ended() const { return Ended; }
+
+private:
+  struct Session {
+    explicit Session(boost::asio::ip::tcp::socket socket)
+        : Socket(std::move(socket)), Timer(Socket.get_executor()) {}
+    boost::asio::ip::tcp::socket Socket;
+    boost::asio::steady_timer Timer;
+    boost::asio::streambuf Buffer;
+    std::string Out;
+  };
+  using SessionPtr = std::shared_ptr<Session>;
+
+  void accept() {
+    Acceptor.async_accept([this](const boost::system::error_code &ec,
+                                 boost::asio::ip::tcp::socket socket) {
+      if (ec)
+        return;
+      ++Connections;
+      read(std::make_shared<Session>(std::move(socket)));
+      accept();
+    });
+  }
+
+  void read(const SessionPtr &session) {
+    boost::asio::async_read_until(
+        session->Socket, session->Buffer, "\r\n\r\n",
+        [this, session](const boost::system::error_code &ec, std::size_t n) {
+          if (ec) {
+            ++Ended;
+            return;
+          }
+          const auto data = session->Buffer.data();
+          const std::string head(boost::asio::buffers_begin(data),
+                                 boost::asio::buffers_begin(data) +
+                                     static_cast<long>(n));
+          session->Buffer.consume(n);
+          ++Requests;
+          answer(session, Answers(head));
+        });
+  }
+
+  void answer(const SessionPtr &session, const RawAnswer &raw) {
+    session->Timer.expires_after(raw.Delay);
+    session->Timer.async_wait(
+        [this, session, raw](const boost::system::error_code &) {
+          write(session, raw);
+        });
+  }
+
+  void write(const SessionPtr &session, const RawAnswer &raw) {
+    session->Out = raw.Bytes;
+    boost::asio::async_write(
+        session->Socket, boost::asio::buffer(session->Out),
+        [this, session, raw](const boost::system::error_code &ec, std::size_t) {
+          if (ec)
+            return;
+          if (raw.Reset)
+            session->Socket.set_option(
+                boost::asio::socket_base::linger(true, 0));
+          if (raw.Close || raw.Reset)
+            session->Socket.close();
+          else
+            read(session);
+        });
+  }
+
+  boost::asio::io_context &Io;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  Script Answers;
+  int Requests = 0;
+  int Connections = 0;
+  int Ended = 0;
+};
+
+} // namespace savorytrestle::tests
+
+#endif
