--- /dev/null
+++ b/include/savorytrestle/core/WeightedTurns.h
@@ -0,0 +1,28 @@
+#ifndef SAVORYTRESTLE_CORE_WEIGHTED_TURNS_H
+#define SAVORYTRESTLE_CORE_WEIGHTED_TURNS_H
+
+/// @file
+/// @brief Which part of a traffic split takes a request. Answers splits by
+/// weight, which must hold over few requests too.
+
+#include <cstddef>
+#include <vector>
+
+namespace savorytrestle::core {
+
+/// @brief Smooth weighted round robin: over any run of requests, each part's
+/// share is off its weight by less than one request a part.
+class WeightedTurns {
+public:
+  /// @brief Chooses the part for the next request. O(parts).
+  /// @param weights of the parts; a change of their number starts afresh
+  /// @return index of the part; 0 when no weight is positive
+  std::size_t next(const std::vector<double> &weights);
+
+private:
+  std::vector<double> Credit;
+};
+
+} // namespace savorytrestle::core
+
+#endif
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -55,8 +55,7 @@
                              leaf::LeafDirectory &leaves,
                              support::Metrics &metrics,
                              support::HeaderNames names)
-    : Io(io), Leaves(leaves), Records(metrics), Names(std::move(names)),
-      Random(std::random_device{}()) {}
+    : Io(io), Leaves(leaves), Records(metrics), Names(std::move(names)) {}
 
 CancelRequest RequestRouter::handle(CallerRequest request, Respond respond) {
   const core::RouteRule *route =
@@ -131,8 +130,8 @@
   std::vector<double> weights;
   for (const core::WeightedService &target : route.Targets)
     weights.push_back(target.Weight);
-  std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
-  services.push_back(&Leaves.service(route.Targets[pick(Random)].Service));
+  const std::size_t part = Turns[route.Name].next(weights);
+  services.push_back(&Leaves.service(route.Targets[part].Service));
   return services;
 }
 
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -6,14 +6,16 @@
 
 #include <utility>
 
+#include <map>
 #include <memory>
-#include <random>
+#include <string>
 
 #include <boost/asio/io_context.hpp>
 
 #include "entry/CallerSession.h"
 #include "entry/RequestRecord.h"
 #include "leaf/LeafDirectory.h"
+#include "savorytrestle/core/WeightedTurns.h"
 #include "support/HeaderNames.h"
 
 namespace savorytrestle::entry {
@@ -62,7 +64,8 @@
   RequestRecords Records;
   support::HeaderNames Names;
   std::shared_ptr<const core::ServingConfig> Config;
-  std::minstd_rand Random;
+  /// Turns of each split route, by its name.
+  std::map<std::string, core::WeightedTurns> Turns;
 };
 
 } // namespace savorytrestle::entry
--- a/tests/unit-placing.cpp
+++ b/tests/unit-placing.cpp
@@ -3,6 +3,7 @@
 #include "savorytrestle/core/LeafScore.h"
 #include "savorytrestle/core/SharedRetryBudget.h"
 #include "savorytrestle/core/TopRecords.h"
+#include "savorytrestle/core/WeightedTurns.h"
 
 #include <algorithm>
 #include <deque>
@@ -185,4 +186,16 @@
   EXPECT_TRUE(lapsed.onRemoved("b", Begin + 3s));
 }
 
+TEST(WeightedTurns, SharesHoldOverFewRequests) {
+  WeightedTurns turns;
+  const std::vector<double> weights{70, 20, 10, 0};
+  std::vector<double> taken(weights.size());
+  for (int n = 1; n <= 50; ++n) {
+    ++taken[turns.next(weights)];
+    for (std::size_t i = 0; i < weights.size(); ++i)
+      EXPECT_LT(std::abs(taken[i] - n * weights[i] / 100), 1.01);
+  }
+  EXPECT_EQ(taken[3], 0);
+}
+
 } // namespace
