--- a/src/entry/RequestRecord.cpp
+++ b/src/entry/RequestRecord.cpp
@@ -46,6 +46,21 @@
     line.with("trouble", trouble);
 }
 
+void RequestRecords::onRelayRefused(const leaf::CallContext &context,
+                                    const leaf::ServiceCall &call,
+                                    unsigned status) {
+  if (!Failed.take(SteadyClock::now()))
+    return;
+  support::LogLine("relay_refused")
+      .with("request", context.RequestId)
+      .with("route", context.Route.Name)
+      .with("version", context.Config->Version)
+      .with("hosts", call.serviceName())
+      .with("last", call.leafId())
+      .with("status", status)
+      .with("why", call.why());
+}
+
 void RequestRecords::onTurnedAway(const std::string &requestId,
                                   const std::string &route,
                                   std::uint64_t version, unsigned status,
--- a/src/entry/RequestRecord.h
+++ b/src/entry/RequestRecord.h
@@ -30,6 +30,13 @@
                   const std::vector<std::shared_ptr<leaf::ServiceCall>> &calls,
                   unsigned status, const char *outcome);
 
+  /// @brief Another host did not take a relayed request.
+  /// @param context the request
+  /// @param call the call to the host
+  /// @param status status of its answer; 0 when there was none
+  void onRelayRefused(const leaf::CallContext &context,
+                      const leaf::ServiceCall &call, unsigned status);
+
   /// @brief A request was turned away before any leaf was asked.
   /// @param requestId its identity
   /// @param route its route's name; empty when it has none
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -19,6 +19,12 @@
 /// Wait named by a host that knows no configuration yet.
 constexpr milliseconds StartingRetryAfter{300};
 
+/// Marks a request that another host has passed on, with the version that it
+/// goes by: both must go by the same, or a caller could see it go back.
+constexpr const char *RelayVersionHeader = "Relay-Config-Version";
+/// Way to a host of the region and back.
+constexpr milliseconds RelayHop{10};
+
 std::string_view view(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -72,9 +78,15 @@
              respond);
     return nullptr;
   }
-  const auto run = std::make_shared<RequestRun>(
-      Io, contextOf(std::move(request), *route), Records, std::move(respond));
-  run->start(services);
+  const auto relay = relayOf(request, *route);
+  const auto context = contextOf(std::move(request), *route);
+  const auto run =
+      std::make_shared<RequestRun>(Io, context, Records, std::move(respond));
+  if (relay)
+    run->startRelayed(relayContextOf(*context), Leaves.peersOf(*relay),
+                      services);
+  else
+    run->start(services);
   return [run] { run->cancel(); };
 }
 
@@ -86,6 +98,12 @@
                    "no configuration known yet", StartingRetryAfter};
   if (route == nullptr)
     return Refusal{http::status::not_found, "no such route", std::nullopt};
+  if (const auto it = request.find(RelayVersionHeader);
+      it != request.end() &&
+      view(it->value()) != std::to_string(Config->Version))
+    return Refusal{http::status::service_unavailable,
+                   "another version of the configuration is in force here",
+                   StartingRetryAfter};
   if (request.find(Names.RequestId) == request.end())
     return Refusal{http::status::bad_request, "no request id", std::nullopt};
   return std::nullopt;
@@ -112,12 +130,45 @@
       waits > 0)
     allowed = std::min(allowed, milliseconds(waits));
   std::string id(view(request[Names.RequestId]));
+  // What a relayed request has spent on its way counts towards the objective.
+  const bool relayed = request.find(RelayVersionHeader) != request.end();
+  const auto arrived = relayed ? start - RelayHop : start;
   removeHopByHop(request);
+  request.erase(RelayVersionHeader);
   request.version(11);
   request.prepare_payload();
-  return std::make_shared<const leaf::CallContext>(
-      leaf::CallContext{Leaves, Names, Config, route, std::move(request),
-                        std::move(id), start, start + allowed});
+  return std::make_shared<const leaf::CallContext>(leaf::CallContext{
+      Leaves, Names, Config, route, nullptr, std::move(request), std::move(id),
+      Names.LeafSignature, arrived, start + allowed});
+}
+
+std::shared_ptr<const leaf::CallContext>
+RequestRouter::relayContextOf(const leaf::CallContext &direct) const {
+  auto route = std::make_shared<core::RouteRule>(direct.Route);
+  // The other host hedges and repeats; two hosts at it would double the load.
+  route->Idempotent = false;
+  route->MaxLeaves = 1;
+  leaf::LeafRequest request = direct.Request;
+  request.set(RelayVersionHeader, std::to_string(Config->Version));
+  const core::RouteRule &rule = *route;
+  return std::make_shared<const leaf::CallContext>(leaf::CallContext{
+      Leaves, Names, Config, rule, std::move(route), std::move(request),
+      direct.RequestId, Names.PartSignatures, direct.Start, direct.Deadline});
+}
+
+std::optional<std::string>
+RequestRouter::relayOf(const CallerRequest &request,
+                       const core::RouteRule &route) {
+  if (!route.sharded() || request.find(RelayVersionHeader) != request.end())
+    return std::nullopt;
+  KnownRelay &known = Relays[route.Name];
+  if (known.Generation != Leaves.generation() ||
+      known.Version != Config->Version)
+    known = {Leaves.generation(), Config->Version,
+             core::relayDomain(Leaves.failureDomain(),
+                               Leaves.nearShards(route.Shards),
+                               route.Shards.size())};
+  return known.Domain;
 }
 
 std::vector<leaf::Service *>
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -43,6 +43,11 @@
   CancelRequest handle(CallerRequest request, Respond respond);
 
 private:
+  struct KnownRelay {
+    std::uint64_t Generation = 0;
+    std::uint64_t Version = 0;
+    std::optional<std::string> Domain;
+  };
   struct Refusal {
     boost::beast::http::status Status;
     std::string Why;
@@ -52,7 +57,12 @@
   std::optional<Refusal> check(const CallerRequest &request,
                                const core::RouteRule *route) const;
   std::shared_ptr<const leaf::CallContext>
+  relayContextOf(const leaf::CallContext &direct) const;
+  std::shared_ptr<const leaf::CallContext>
   contextOf(CallerRequest request, const core::RouteRule &route) const;
+  /// Failure domain whose hosts ask the shards; nothing for this host.
+  std::optional<std::string> relayOf(const CallerRequest &request,
+                                     const core::RouteRule &route);
   std::vector<leaf::Service *> servicesOf(const core::RouteRule &route);
   bool enoughReachable(const core::RouteRule &route,
                        const std::vector<leaf::Service *> &services) const;
@@ -66,6 +76,8 @@
   std::shared_ptr<const core::ServingConfig> Config;
   /// Turns of each split route, by its name.
   std::map<std::string, core::WeightedTurns> Turns;
+  /// Relay of each sharded route, by its name.
+  std::map<std::string, KnownRelay> Relays;
 };
 
 } // namespace savorytrestle::entry
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -50,11 +50,48 @@
   step();
 }
 
+void RequestRun::startRelayed(std::shared_ptr<const leaf::CallContext> relay,
+                              leaf::Service &hosts,
+                              std::vector<leaf::Service *> services) {
+  Fallback = std::move(services);
+  Relayed = true;
+  Calls.push_back(std::make_shared<ServiceCall>(
+      std::move(relay), hosts, [self = shared_from_this()](ServiceCall &) {
+        if (self->Started)
+          self->step();
+      }));
+  Calls.back()->start();
+  Started = true;
+  step();
+}
+
+void RequestRun::stepRelayed(TimePoint now) {
+  const ServiceCall &call = *Calls.front();
+  if (!call.ended())
+    return;
+  const unsigned status =
+      call.end() == CallEnd::Answered ? call.answer().result_int() : 0;
+  // Only what the other host refused is asked again: anything else may be at
+  // work at the leaves.
+  if (call.mayHaveRun() &&
+      (status != static_cast<unsigned>(http::status::service_unavailable) &&
+       status != static_cast<unsigned>(http::status::not_found)))
+    return status == 0 ? giveUp(now) : answerPlain();
+  Records.onRelayRefused(*Context, call, status);
+  Calls.front()->cancel();
+  Calls.clear();
+  Relayed = false;
+  Started = false;
+  start(Fallback);
+}
+
 void RequestRun::step() {
   if (Done)
     return;
   const auto now = SteadyClock::now();
-  if (Context->Route.sharded())
+  if (Relayed)
+    stepRelayed(now);
+  else if (Context->Route.sharded())
     stepSharded(now);
   else
     stepPlain(now);
@@ -137,7 +174,7 @@
 
 void RequestRun::giveUp(TimePoint now) {
   // With the time spent, an answer of the least share is still worth giving.
-  if (Context->Route.sharded() &&
+  if (Context->Route.sharded() && !Relayed &&
       progress().Answered >= core::leastShards(Context->Route))
     return answerSharded();
   if (!anyMayHaveRun())
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -36,6 +36,15 @@
   /// @param services one for a plain route, the shards of a sharded one
   void start(const std::vector<leaf::Service *> &services);
 
+  /// @brief Sends it through a host of another failure domain, and to the
+  /// leaves of the services itself when no such host takes it.
+  /// @param relay the request as it goes to a host
+  /// @param hosts the hosts
+  /// @param services as for @ref start
+  void startRelayed(std::shared_ptr<const leaf::CallContext> relay,
+                    leaf::Service &hosts,
+                    std::vector<leaf::Service *> services);
+
   /// @brief Its caller has left: leaves are told to stop.
   void cancel();
 
@@ -43,6 +52,7 @@
   using ServiceCallPtr = std::shared_ptr<leaf::ServiceCall>;
 
   void step();
+  void stepRelayed(core::TimePoint now);
   void stepPlain(core::TimePoint now);
   void stepSharded(core::TimePoint now);
   void answerPlain();
@@ -58,6 +68,9 @@
   Respond OnAnswer;
   boost::asio::steady_timer Timer;
   std::vector<ServiceCallPtr> Calls;
+  /// Services asked when no host takes a relayed request.
+  std::vector<leaf::Service *> Fallback;
+  bool Relayed = false;
   core::TimePoint Armed = core::TimePoint::max();
   bool Started = false;
   bool Done = false;
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -1,6 +1,7 @@
 #include "leaf/LeafDirectory.h"
 
 #include <algorithm>
+#include <set>
 
 #include "support/Log.h"
 #include "support/SocketOptions.h"
@@ -19,6 +20,11 @@
 /// same one.
 constexpr double CostSpread = 0.2;
 
+/// Marks the services of other hosts, which no operator can name so.
+const std::string PeerServicePrefix = "/hosts/";
+/// Connections to one other host; it has none of a leaf's limits.
+constexpr int PeerConnections = 32;
+
 void drop(std::vector<std::shared_ptr<Leaf>> &leaves, const Leaf *leaf) {
   leaves.erase(
       std::remove_if(leaves.begin(), leaves.end(),
@@ -58,6 +64,7 @@
 }
 
 void LeafDirectory::put(const core::LeafEntry &entry) {
+  ++Generation;
   if (const auto it = ById.find(entry.Id); it != ById.end()) {
     const core::LeafEntry &known = it->second->entry();
     if (known.Address == entry.Address && known.Service == entry.Service &&
@@ -86,6 +93,7 @@
   const auto it = ById.find(id);
   if (it == ById.end())
     return;
+  ++Generation;
   it->second->retire();
   drop(service(it->second->entry().Service).Leaves, it->second.get());
   ById.erase(it);
@@ -93,12 +101,56 @@
 
 std::vector<std::string> LeafDirectory::ids() const {
   std::vector<std::string> ids;
-  ids.reserve(ById.size());
   for (const auto &[id, leaf] : ById)
-    ids.push_back(id);
+    if (!id.starts_with(PeerServicePrefix))
+      ids.push_back(id);
   return ids;
 }
 
+std::vector<std::string>
+LeafDirectory::idsWith(const std::string &prefix) const {
+  std::vector<std::string> ids;
+  for (const auto &[id, leaf] : ById)
+    if (id.starts_with(prefix))
+      ids.push_back(id);
+  return ids;
+}
+
+Service &LeafDirectory::peersOf(const std::string &failureDomain) {
+  Service &peers = service(PeerServicePrefix + failureDomain);
+  peers.MaxConnections = PeerConnections * static_cast<int>(Hosts);
+  return peers;
+}
+
+void LeafDirectory::setPeers(const std::vector<core::LeafEntry> &hosts) {
+  std::set<std::string> there;
+  for (core::LeafEntry host : hosts) {
+    host.Service = peersOf(host.FailureDomain).Name;
+    host.Slots = PeerConnections;
+    host.Id = PeerServicePrefix + host.Id;
+    there.insert(host.Id);
+    put(host);
+  }
+  for (const std::string &id : idsWith(PeerServicePrefix))
+    if (there.count(id) == 0)
+      remove(id);
+}
+
+core::ShardsByDomain
+LeafDirectory::nearShards(const std::vector<std::string> &shards) {
+  core::ShardsByDomain near;
+  for (const std::string &shard : shards) {
+    std::set<std::string> domains;
+    for (const auto &leaf : service(shard).Leaves)
+      if (leaf->usable() &&
+          distanceTo(leaf->entry().FailureDomain) != core::LeafDistance::Remote)
+        domains.insert(leaf->entry().FailureDomain);
+    for (const std::string &domain : domains)
+      ++near[domain];
+  }
+  return near;
+}
+
 void LeafDirectory::setHosts(std::size_t hosts) {
   Hosts = std::max<std::size_t>(1, hosts);
   for (const auto &[name, service] : Services) {
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "leaf/Leaf.h"
+#include "savorytrestle/core/RelayPolicy.h"
 #include "savorytrestle/core/ServingConfig.h"
 #include "savorytrestle/core/SharedRetryBudget.h"
 
@@ -61,6 +62,23 @@
   /// @brief Identities of all leaves with an entry.
   std::vector<std::string> ids() const;
 
+  /// @brief Takes the other hosts that are there now; they are kept like leaves
+  /// of a service for each failure domain.
+  void setPeers(const std::vector<core::LeafEntry> &hosts);
+
+  /// @brief The hosts of a failure domain.
+  Service &peersOf(const std::string &failureDomain);
+
+  /// @brief Shards with a usable leaf in each failure domain of this host's
+  /// region. O(leaves of the shards).
+  core::ShardsByDomain nearShards(const std::vector<std::string> &shards);
+
+  /// @brief Grows with each change of the leaves.
+  std::uint64_t generation() const { return Generation; }
+
+  /// @brief This host's failure domain.
+  const std::string &failureDomain() const { return Place.FailureDomain; }
+
   /// @brief Takes the number of hosts that share the leaves.
   void setHosts(std::size_t hosts);
 
@@ -77,6 +95,7 @@
   bool reachable(const Service &service) const;
 
 private:
+  std::vector<std::string> idsWith(const std::string &prefix) const;
   core::LeafDistance distanceTo(const std::string &failureDomain) const;
   void setShare(const Service &service, Leaf &leaf) const;
 
@@ -86,6 +105,7 @@
   std::map<std::string, std::unique_ptr<Service>> Services;
   std::map<std::string, std::shared_ptr<Leaf>> ById;
   std::size_t Hosts;
+  std::uint64_t Generation = 0;
   std::minstd_rand Random;
 };
 
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -161,7 +161,7 @@
   if (id != answer.end() && view(id->value()) != Context->RequestId)
     return false;
   return !success(answer) ||
-         (answer.find(Context->Names.LeafSignature) != answer.end() &&
+         (answer.find(Context->SignatureHeader) != answer.end() &&
           answer.find(boost::beast::http::field::content_encoding) ==
               answer.end());
 }
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -26,9 +26,13 @@
   /// Keeps the route alive.
   std::shared_ptr<const core::ServingConfig> Config;
   const core::RouteRule &Route;
+  /// Keeps a route alive that isn't the configuration's own.
+  std::shared_ptr<const core::RouteRule> OwnRoute;
   /// The request as it goes to a leaf, without the fields of one attempt.
   LeafRequest Request;
   std::string RequestId;
+  /// Header that a genuine success bears.
+  std::string SignatureHeader;
   core::TimePoint Start;
   /// When the caller or the route's timeout gives the request up.
   core::TimePoint Deadline;
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -29,9 +29,9 @@
 
 HostPresence::HostPresence(boost::asio::io_context &io,
                            const boost::asio::ip::tcp::endpoint &store,
-                           std::string name, CountHandler onCount)
+                           HostEntry own, HostsHandler onHosts)
     : Timer(io), Connection(std::make_shared<StoreConnection>(io, store)),
-      Name(std::move(name)), OnCount(std::move(onCount)) {}
+      Own(std::move(own)), OnHosts(std::move(onHosts)) {}
 
 void HostPresence::start() { grant(); }
 
@@ -60,15 +60,15 @@
 }
 
 void HostPresence::announce() {
-  Connection->call(platform::putLeased(HostPrefix + Name, "", Lease),
-                   ReplyTimeout,
-                   [self = shared_from_this()](const StoreReply &reply) {
-                     if (reply.Status == Ok)
-                       return self->wait(RenewInterval, &HostPresence::renew);
-                     self->wait(RetryInterval, reply.Status == NoSuchLease
-                                                   ? &HostPresence::grant
-                                                   : &HostPresence::announce);
-                   });
+  Connection->call(
+      platform::putLeased(HostPrefix + Own.Id, encodeHostEntry(Own), Lease),
+      ReplyTimeout, [self = shared_from_this()](const StoreReply &reply) {
+        if (reply.Status == Ok)
+          return self->wait(RenewInterval, &HostPresence::renew);
+        self->wait(RetryInterval, reply.Status == NoSuchLease
+                                      ? &HostPresence::grant
+                                      : &HostPresence::announce);
+      });
 }
 
 void HostPresence::renew() {
@@ -107,15 +107,23 @@
   } else {
     // A host that is gone still counts: one that is only cut off goes on
     // spending its part of what the hosts share.
-    for (const StoredItem &item : page->Items)
+    std::vector<HostEntry> there;
+    for (const StoredItem &item : page->Items) {
       Seen.insert(item.Key);
+      const std::string id = item.Key.substr(std::string(HostPrefix).size());
+      if (auto entry = decodeHostEntry(id, item.Value); entry)
+        there.push_back(std::move(*entry));
+      else
+        support::LogLine("host_entry_skipped")
+            .with("host", id)
+            .with("why", entry.error().Message);
+    }
     const std::size_t hosts =
         Counts == 0 ? std::max(Seen.size(), AssumedAtStart) : Seen.size();
-    if (hosts != Reported) {
+    if (hosts != Reported)
       support::LogLine("hosts_known").with("hosts", hosts);
-      Reported = hosts;
-      OnCount(hosts);
-    }
+    Reported = hosts;
+    OnHosts(hosts, there);
   }
   wait(Counts++ == 0 ? SecondCount : RenewInterval, &HostPresence::renew);
 }
--- a/src/registry/HostPresence.h
+++ b/src/registry/HostPresence.h
@@ -11,7 +11,9 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "registry/HostEntry.h"
 #include "registry/StoreConnection.h"
 
 namespace savorytrestle::registry {
@@ -23,17 +25,19 @@
 /// the others now and then.
 class HostPresence : public std::enable_shared_from_this<HostPresence> {
 public:
-  /// @brief Takes the number of hosts seen so far.
-  using CountHandler = std::function<void(std::size_t)>;
+  /// @brief Takes the number of hosts that share the leaves, and those that
+  /// are there now.
+  using HostsHandler =
+      std::function<void(std::size_t, const std::vector<HostEntry> &)>;
 
   /// @brief Makes a presence that isn't announced yet.
   /// @param io runs its handlers
   /// @param store the store's address
-  /// @param name the host's name
-  /// @param onCount told when the number known changes
+  /// @param own what it tells of this host
+  /// @param onHosts told after each count
   HostPresence(boost::asio::io_context &io,
-               const boost::asio::ip::tcp::endpoint &store, std::string name,
-               CountHandler onCount);
+               const boost::asio::ip::tcp::endpoint &store, HostEntry own,
+               HostsHandler onHosts);
 
   /// @brief Announces the host and keeps its lease.
   void start();
@@ -51,8 +55,8 @@
 
   boost::asio::steady_timer Timer;
   std::shared_ptr<StoreConnection> Connection;
-  std::string Name;
-  CountHandler OnCount;
+  HostEntry Own;
+  HostsHandler OnHosts;
   std::set<std::string> Seen;
   std::size_t Reported = 0;
   int Counts = 0;
--- a/src/serve/Node.cpp
+++ b/src/serve/Node.cpp
@@ -90,11 +90,27 @@
   Entries = std::make_shared<registry::LeafFeed>(Io, store, Leaves);
   Entries->start();
   Presence = std::make_shared<registry::HostPresence>(
-      Io, store, Config.Id,
-      [this](std::size_t hosts) { Leaves.setHosts(hosts); });
+      Io, store,
+      registry::HostEntry{Config.Id, Config.FailureDomain, Config.Callers},
+      [this](std::size_t hosts, const auto &there) { onHosts(hosts, there); });
   Presence->start();
 }
 
+void Node::onHosts(std::size_t hosts,
+                   const std::vector<registry::HostEntry> &there) {
+  Leaves.setHosts(hosts);
+  std::vector<core::LeafEntry> peers;
+  for (const registry::HostEntry &host : there)
+    if (host.Id != Config.Id) {
+      core::LeafEntry peer;
+      peer.Id = host.Id;
+      peer.Address = host.Callers;
+      peer.FailureDomain = host.FailureDomain;
+      peers.push_back(std::move(peer));
+    }
+  Leaves.setPeers(peers);
+}
+
 bool Node::ready() const {
   return !Stopping && Configs->current() && Entries->known();
 }
