Shards of another failure domain are asked through a host there

One request to a host there, which merges, costs a tenth. Both must go by the same version; what the other host refuses is asked directly. A first trial that relayed whole requests never applied, since the other half of the shards is at hand.

--- a/include/savorytrestle/core/RelayPolicy.h
+++ b/include/savorytrestle/core/RelayPolicy.h
@@ -2,28 +2,30 @@
 #define SAVORYTRESTLE_CORE_RELAY_POLICY_H
 
 /// @file
-/// @brief Whether a sharded request goes through a host of another failure
-/// domain. Answers domains without leaves of their own: one merged answer
-/// crosses in place of a part from every shard.
+/// @brief Which shards of a request are asked through a host of another failure
+/// domain. Answers shards without a leaf in this host's domain: one merged
+/// answer crosses in place of a part from each.
 
 #include <cstddef>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace savorytrestle::core {
 
-/// @brief Shards of a route with a leaf in a failure domain.
-using ShardsByDomain = std::map<std::string, std::size_t>;
+/// @brief For each shard, the failure domains of this host's region that have
+/// a leaf of it.
+using DomainsOfShards = std::vector<std::set<std::string>>;
 
-/// @brief Chooses the failure domain whose hosts should ask the shards.
+/// @brief Indices of the shards asked through hosts of each domain.
+using RelayPlan = std::map<std::string, std::vector<std::size_t>>;
+
+/// @brief Plans the relays of a route.
 /// @param own this host's failure domain
-/// @param near shards with a leaf in each domain of this host's region
-/// @param total shards of the route
-/// @return the domain; nothing when this host should ask them itself
-std::optional<std::string> relayDomain(const std::string &own,
-                                       const ShardsByDomain &near,
-                                       std::size_t total);
+/// @param shards where leaves of each shard are near
+/// @return the relays; shards in none of them are asked by this host itself
+RelayPlan planRelays(const std::string &own, const DomainsOfShards &shards);
 
 } // namespace savorytrestle::core
 
--- a/include/savorytrestle/core/SharedRetryBudget.h
+++ b/include/savorytrestle/core/SharedRetryBudget.h
@@ -37,11 +37,18 @@
   /// @brief Earns the ratio for a request of a caller. O(1).
   void onRequest();
 
-  /// @brief Spends a token if there is one; O(1).
+  /// @brief Spends a token on repeating a request that failed, if there is one;
+  /// O(1).
   /// @param now the time
   /// @return true when one extra request may be sent
   bool take(TimePoint now);
 
+  /// @brief Spends a token on a request that is only late. Where more than a
+  /// few can be saved up, the last one is kept for requests that fail. O(1).
+  /// @param now the time
+  /// @return true when one extra request may be sent
+  bool takeForHedge(TimePoint now);
+
   /// @brief Tokens held, for logs and metrics.
   double tokens() const { return Tokens; }
 
--- a/src/core/HedgePolicy.cpp
+++ b/src/core/HedgePolicy.cpp
@@ -11,13 +11,15 @@
 
 /// Hedge after this many expected latencies, but within these shares of the
 /// objective: a second leaf needs time to answer too.
-constexpr double HedgeLatencies = 2.5;
+constexpr double HedgeLatencies = 1.8;
 constexpr double EarliestHedge = 0.15;
-constexpr double LatestHedge = 0.4;
+constexpr double LatestHedge = 0.35;
 /// A connection takes one round trip; a lost opening packet is sent again only
 /// after a second.
 constexpr milliseconds ConnectTimeout{150};
-/// Part of the objective left for the way to the caller.
+/// Time of the objective that the caller's connection and the way back take:
+/// two round trips of up to 6 ms and waits for the processor.
+constexpr milliseconds CallerWay{22};
 constexpr double SettleShare = 0.9;
 
 } // namespace
@@ -40,7 +42,10 @@
 }
 
 Duration settleAfter(const RouteRule &route) {
-  return std::chrono::duration_cast<Duration>(route.Objective * SettleShare);
+  const auto share =
+      std::chrono::duration_cast<Duration>(route.Objective * SettleShare);
+  return std::max(Duration(route.Objective / 2),
+                  std::min(share, Duration(route.Objective - CallerWay)));
 }
 
 SettleDecision settle(const RouteRule &route, const ShardTally &progress,
--- a/src/core/RelayPolicy.cpp
+++ b/src/core/RelayPolicy.cpp
@@ -4,35 +4,21 @@
 
 namespace {
 
-/// With fewer shards than this share at hand, most parts would cross.
-constexpr double FewAtHand = 0.5;
-/// A domain that lacks more than a few shards would fetch parts itself.
-constexpr double MostThere = 0.8;
+/// With fewer shards in a relay, the merged answer with its signatures saves
+/// too little for the way through another host.
+constexpr std::size_t LeastShardsOfRelay = 6;
 
 } // namespace
 
-std::optional<std::string> relayDomain(const std::string &own,
-                                       const ShardsByDomain &near,
-                                       std::size_t total) {
-  const auto share = [total](std::size_t shards) {
-    return static_cast<double>(shards) / static_cast<double>(total);
-  };
-  // A single part costs no more to fetch than a merged answer.
-  if (total < 2)
-    return std::nullopt;
-  if (const auto it = near.find(own);
-      it != near.end() && share(it->second) >= FewAtHand)
-    return std::nullopt;
-  const std::string *best = nullptr;
-  std::size_t most = 0;
-  for (const auto &[domain, shards] : near)
-    if (domain != own && shards > most) {
-      best = &domain;
-      most = shards;
-    }
-  if (best == nullptr || share(most) < MostThere)
-    return std::nullopt;
-  return *best;
+RelayPlan planRelays(const std::string &own, const DomainsOfShards &shards) {
+  RelayPlan plan;
+  for (std::size_t i = 0; i < shards.size(); ++i)
+    if (!shards[i].empty() && shards[i].count(own) == 0)
+      plan[*shards[i].begin()].push_back(i);
+  for (auto it = plan.begin(); it != plan.end();)
+    it =
+        it->second.size() < LeastShardsOfRelay ? plan.erase(it) : std::next(it);
+  return plan;
 }
 
 } // namespace savorytrestle::core
--- a/src/core/SharedRetryBudget.cpp
+++ b/src/core/SharedRetryBudget.cpp
@@ -12,6 +12,8 @@
 /// Part that can be saved up; the rest comes back evenly over a window, so that
 /// services with few requests can retry too.
 constexpr double SavedShare = 0.6;
+/// Savings from which on hedges leave a token.
+constexpr double KeepFrom = 3;
 
 } // namespace
 
@@ -31,6 +33,12 @@
   return true;
 }
 
+bool SharedRetryBudget::takeForHedge(TimePoint now) {
+  refill(now);
+  const double kept = SavedShare * Part >= KeepFrom ? 1 : 0;
+  return Tokens >= 1 + kept && take(now);
+}
+
 void SharedRetryBudget::refill(TimePoint now) {
   if (Refilled == TimePoint{})
     Refilled = now;
--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -131,6 +131,12 @@
   Answer.emplace(std::move(done));
   Answer->version(11);
   Answer->keep_alive(Keep);
+  if (Keep)
+    Answer->set(http::field::keep_alive,
+                "timeout=" +
+                    std::to_string(std::chrono::floor<std::chrono::seconds>(
+                                       Context->Limits.IdleTimeout)
+                                       .count()));
   Answer->prepare_payload();
   http::async_write(Socket, *Answer,
                     [self = shared_from_this()](error_code ec, std::size_t) {
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -3,10 +3,13 @@
 #include <algorithm>
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
 
 #include "entry/Answers.h"
 #include "entry/RequestRun.h"
 #include "savorytrestle/core/RefusalPolicy.h"
+#include "support/Log.h"
 
 namespace savorytrestle::entry {
 
@@ -22,8 +25,10 @@
 /// Marks a request that another host has passed on, with the version that it
 /// goes by: both must go by the same, or a caller could see it go back.
 constexpr const char *RelayVersionHeader = "Relay-Config-Version";
-/// Way to a host of the region and back.
-constexpr milliseconds RelayHop{10};
+/// Indices of the route's shards that the other host asks, separated by commas.
+constexpr const char *RelayShardsHeader = "Relay-Shards";
+/// Way to a host of the region and back, with its waits for the processor.
+constexpr milliseconds RelayHop{18};
 
 std::string_view view(boost::beast::string_view text) {
   return {text.data(), text.size()};
@@ -57,6 +62,20 @@
 
 } // namespace
 
+std::shared_ptr<const core::RouteRule>
+RequestRouter::partOf(const core::RouteRule &route, std::string_view indices) {
+  auto part = std::make_shared<core::RouteRule>(route);
+  part->Shards.clear();
+  // Whoever passed it on judges the share of all shards.
+  part->MinShardShare = 0;
+  for (const auto text : absl::StrSplit(std::string(indices), ',')) {
+    std::size_t i = 0;
+    if (absl::SimpleAtoi(text, &i) && i < route.Shards.size())
+      part->Shards.push_back(route.Shards[i]);
+  }
+  return part;
+}
+
 RequestRouter::RequestRouter(boost::asio::io_context &io,
                              leaf::LeafDirectory &leaves,
                              support::Metrics &metrics,
@@ -70,23 +89,26 @@
     turnAway(request, route, *refusal, respond);
     return nullptr;
   }
-  const auto services = servicesOf(*route);
-  if (!enoughReachable(*route, services)) {
+  // Another host may ask for some of the shards only.
+  const auto part = request.find(RelayShardsHeader);
+  const auto asked =
+      part == request.end() ? nullptr : partOf(*route, view(part->value()));
+  const auto services = servicesOf(asked ? *asked : *route);
+  if (!enoughReachable(asked ? *asked : *route, services)) {
     turnAway(request, route,
              {http::status::service_unavailable, "too few leaves are reachable",
               core::retryAfter(*route)},
              respond);
     return nullptr;
   }
-  const auto relay = relayOf(request, *route);
+  const bool relayed = request.find(RelayVersionHeader) != request.end();
   const auto context = contextOf(std::move(request), *route);
   const auto run =
       std::make_shared<RequestRun>(Io, context, Records, std::move(respond));
-  if (relay)
-    run->startRelayed(relayContextOf(*context), Leaves.peersOf(*relay),
-                      services);
-  else
+  if (const auto &plan = relaysOf(*route); plan.empty() || relayed)
     run->start(services);
+  else
+    startRelayed(*run, *context, plan, services);
   return [run] { run->cancel(); };
 }
 
@@ -134,41 +156,69 @@
   const bool relayed = request.find(RelayVersionHeader) != request.end();
   const auto arrived = relayed ? start - RelayHop : start;
   removeHopByHop(request);
+  auto part = relayed ? partOf(route, view(request[RelayShardsHeader]))
+                      : std::shared_ptr<const core::RouteRule>();
   request.erase(RelayVersionHeader);
+  request.erase(RelayShardsHeader);
+  const core::RouteRule &rule = part ? *part : route;
   request.version(11);
   request.prepare_payload();
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
-      Leaves, Names, Config, route, nullptr, std::move(request), std::move(id),
-      Names.LeafSignature, arrived, start + allowed});
+      Leaves, Names, Config, rule, std::move(part), std::move(request),
+      std::move(id), Names.LeafSignature, arrived, start + allowed});
 }
 
 std::shared_ptr<const leaf::CallContext>
-RequestRouter::relayContextOf(const leaf::CallContext &direct) const {
+RequestRouter::relayContextOf(const leaf::CallContext &direct,
+                              const std::vector<std::size_t> &shards) const {
   auto route = std::make_shared<core::RouteRule>(direct.Route);
   // The other host hedges and repeats; two hosts at it would double the load.
   route->Idempotent = false;
   route->MaxLeaves = 1;
   leaf::LeafRequest request = direct.Request;
   request.set(RelayVersionHeader, std::to_string(Config->Version));
+  request.set(RelayShardsHeader, absl::StrJoin(shards, ","));
   const core::RouteRule &rule = *route;
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
       Leaves, Names, Config, rule, std::move(route), std::move(request),
       direct.RequestId, Names.PartSignatures, direct.Start, direct.Deadline});
 }
 
-std::optional<std::string>
-RequestRouter::relayOf(const CallerRequest &request,
-                       const core::RouteRule &route) {
-  if (!route.sharded() || request.find(RelayVersionHeader) != request.end())
-    return std::nullopt;
-  KnownRelay &known = Relays[route.Name];
-  if (known.Generation != Leaves.generation() ||
-      known.Version != Config->Version)
-    known = {Leaves.generation(), Config->Version,
-             core::relayDomain(Leaves.failureDomain(),
-                               Leaves.nearShards(route.Shards),
-                               route.Shards.size())};
-  return known.Domain;
+const core::RelayPlan &RequestRouter::relaysOf(const core::RouteRule &route) {
+  KnownRelays &known = Relays[route.Name];
+  if (known.Generation == Leaves.generation() &&
+      known.Version == Config->Version)
+    return known.Plan;
+  auto plan = core::planRelays(Leaves.failureDomain(),
+                               Leaves.nearDomains(route.Shards));
+  if (plan != known.Plan)
+    for (const auto &[domain, shards] : plan)
+      support::LogLine("relay_planned")
+          .with("route", route.Name)
+          .with("version", Config->Version)
+          .with("failure_domain", domain)
+          .with("shards", shards.size());
+  known = {Leaves.generation(), Config->Version, std::move(plan)};
+  return known.Plan;
+}
+
+void RequestRouter::startRelayed(RequestRun &run,
+                                 const leaf::CallContext &context,
+                                 const core::RelayPlan &plan,
+                                 const std::vector<leaf::Service *> &services) {
+  std::vector<leaf::Service *> own = services;
+  std::vector<RelayPart> parts;
+  for (const auto &[domain, shards] : plan) {
+    RelayPart part{
+        relayContextOf(context, shards), &Leaves.peersOf(domain), {}};
+    for (const std::size_t i : shards) {
+      part.Shards.push_back(services[i]);
+      own[i] = nullptr;
+    }
+    parts.push_back(std::move(part));
+  }
+  own.erase(std::remove(own.begin(), own.end(), nullptr), own.end());
+  run.start(own, std::move(parts));
 }
 
 std::vector<leaf::Service *>
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -14,6 +14,7 @@
 
 #include "entry/CallerSession.h"
 #include "entry/RequestRecord.h"
+#include "entry/RequestRun.h"
 #include "leaf/LeafDirectory.h"
 #include "savorytrestle/core/WeightedTurns.h"
 #include "support/HeaderNames.h"
@@ -43,10 +44,10 @@
   CancelRequest handle(CallerRequest request, Respond respond);
 
 private:
-  struct KnownRelay {
+  struct KnownRelays {
     std::uint64_t Generation = 0;
     std::uint64_t Version = 0;
-    std::optional<std::string> Domain;
+    core::RelayPlan Plan;
   };
   struct Refusal {
     boost::beast::http::status Status;
@@ -54,15 +55,22 @@
     std::optional<std::chrono::milliseconds> RetryAfter;
   };
 
+  /// The route over some of its shards.
+  static std::shared_ptr<const core::RouteRule>
+  partOf(const core::RouteRule &route, std::string_view indices);
   std::optional<Refusal> check(const CallerRequest &request,
                                const core::RouteRule *route) const;
   std::shared_ptr<const leaf::CallContext>
-  relayContextOf(const leaf::CallContext &direct) const;
+  relayContextOf(const leaf::CallContext &direct,
+                 const std::vector<std::size_t> &shards) const;
   std::shared_ptr<const leaf::CallContext>
   contextOf(CallerRequest request, const core::RouteRule &route) const;
-  /// Failure domain whose hosts ask the shards; nothing for this host.
-  std::optional<std::string> relayOf(const CallerRequest &request,
-                                     const core::RouteRule &route);
+  /// Shards of a request that are asked through other hosts.
+  const core::RelayPlan &relaysOf(const core::RouteRule &route);
+  /// Starts a sharded request of which other hosts ask a part.
+  void startRelayed(RequestRun &run, const leaf::CallContext &context,
+                    const core::RelayPlan &plan,
+                    const std::vector<leaf::Service *> &services);
   std::vector<leaf::Service *> servicesOf(const core::RouteRule &route);
   bool enoughReachable(const core::RouteRule &route,
                        const std::vector<leaf::Service *> &services) const;
@@ -76,8 +84,8 @@
   std::shared_ptr<const core::ServingConfig> Config;
   /// Turns of each split route, by its name.
   std::map<std::string, core::WeightedTurns> Turns;
-  /// Relay of each sharded route, by its name.
-  std::map<std::string, KnownRelay> Relays;
+  /// Relays of each sharded route, by its name.
+  std::map<std::string, KnownRelays> Relays;
 };
 
 } // namespace savorytrestle::entry
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
 
 #include "entry/Answers.h"
 #include "savorytrestle/core/RefusalPolicy.h"
@@ -22,6 +23,17 @@
   return answer.result_int() >= 200 && answer.result_int() < 300;
 }
 
+/// Signatures of the parts that another host has merged.
+std::vector<std::string> signaturesOf(const leaf::CallContext &context,
+                                      const ServiceCall &call) {
+  if (!call.ended() || call.end() != CallEnd::Answered ||
+      !success(call.answer()))
+    return {};
+  const auto header = call.answer()[context.Names.PartSignatures];
+  return absl::StrSplit(std::string(header.data(), header.size()), ", ",
+                        absl::SkipEmpty());
+}
+
 /// Headers of a leaf's answer that concern only its connection.
 constexpr http::field HopByHop[] = {
     http::field::connection,        http::field::keep_alive,
@@ -36,62 +48,61 @@
     : Context(std::move(context)), Records(records),
       OnAnswer(std::move(respond)), Timer(io) {}
 
-void RequestRun::start(const std::vector<leaf::Service *> &services) {
+void RequestRun::start(const std::vector<leaf::Service *> &services,
+                       std::vector<RelayPart> relays) {
+  Relays = std::move(relays);
   Calls.reserve(services.size());
-  for (leaf::Service *service : services) {
-    Calls.push_back(std::make_shared<ServiceCall>(
-        Context, *service, [self = shared_from_this()](ServiceCall &) {
-          if (self->Started)
-            self->step();
-        }));
-    Calls.back()->start();
+  for (RelayPart &relay : Relays) {
+    relay.Call =
+        std::make_shared<ServiceCall>(relay.Context, *relay.Hosts, onEnd());
+    relay.Call->start();
   }
+  for (leaf::Service *service : services)
+    call(*service);
   Started = true;
   step();
 }
 
-void RequestRun::startRelayed(std::shared_ptr<const leaf::CallContext> relay,
-                              leaf::Service &hosts,
-                              std::vector<leaf::Service *> services) {
-  Fallback = std::move(services);
-  Relayed = true;
-  Calls.push_back(std::make_shared<ServiceCall>(
-      std::move(relay), hosts, [self = shared_from_this()](ServiceCall &) {
-        if (self->Started)
-          self->step();
-      }));
+void RequestRun::call(leaf::Service &service) {
+  Calls.push_back(std::make_shared<ServiceCall>(Context, service, onEnd()));
   Calls.back()->start();
-  Started = true;
-  step();
 }
 
-void RequestRun::stepRelayed(TimePoint now) {
-  const ServiceCall &call = *Calls.front();
-  if (!call.ended())
-    return;
-  const unsigned status =
-      call.end() == CallEnd::Answered ? call.answer().result_int() : 0;
-  // Only what the other host refused is asked again: anything else may be at
-  // work at the leaves.
-  if (call.mayHaveRun() &&
-      (status != static_cast<unsigned>(http::status::service_unavailable) &&
-       status != static_cast<unsigned>(http::status::not_found)))
-    return status == 0 ? giveUp(now) : answerPlain();
-  Records.onRelayRefused(*Context, call, status);
-  Calls.front()->cancel();
-  Calls.clear();
-  Relayed = false;
-  Started = false;
-  start(Fallback);
+ServiceCall::EndHandler RequestRun::onEnd() {
+  return [self = shared_from_this()](ServiceCall &) {
+    if (self->Started)
+      self->step();
+  };
+}
+
+void RequestRun::takeBackRefused() {
+  for (RelayPart &relay : Relays) {
+    if (!relay.Call || !relay.Call->ended())
+      continue;
+    const unsigned status = relay.Call->end() == CallEnd::Answered
+                                ? relay.Call->answer().result_int()
+                                : 0;
+    // Only what the other host has not begun is asked here: anything else may
+    // be at work at the leaves.
+    const bool refused =
+        status == static_cast<unsigned>(http::status::service_unavailable) ||
+        status == static_cast<unsigned>(http::status::not_found);
+    if (relay.Call->mayHaveRun() && !refused)
+      continue;
+    Records.onRelayRefused(*Context, *relay.Call, status);
+    relay.Call->cancel();
+    relay.Call = nullptr;
+    for (leaf::Service *service : relay.Shards)
+      call(*service);
+  }
 }
 
 void RequestRun::step() {
   if (Done)
     return;
   const auto now = SteadyClock::now();
-  if (Relayed)
-    stepRelayed(now);
-  else if (Context->Route.sharded())
+  takeBackRefused();
+  if (Context->Route.sharded())
     stepSharded(now);
   else
     stepPlain(now);
@@ -132,6 +143,16 @@
 core::ShardTally RequestRun::progress() const {
   core::ShardTally progress;
   progress.Total = Calls.size();
+  for (const RelayPart &relay : Relays) {
+    if (!relay.Call)
+      continue;
+    progress.Total += relay.Shards.size();
+    if (!relay.Call->ended())
+      continue;
+    const std::size_t in = signaturesOf(*Context, *relay.Call).size();
+    progress.Answered += in;
+    progress.Failed += relay.Shards.size() - std::min(in, relay.Shards.size());
+  }
   for (const auto &call : Calls) {
     if (!call->ended())
       continue;
@@ -154,6 +175,17 @@
 void RequestRun::answerSharded() {
   std::vector<std::string_view> parts;
   std::vector<std::string> signatures;
+  std::size_t total = Calls.size();
+  for (const RelayPart &relay : Relays) {
+    if (!relay.Call)
+      continue;
+    total += relay.Shards.size();
+    const auto in = signaturesOf(*Context, *relay.Call);
+    if (in.empty())
+      continue;
+    parts.emplace_back(relay.Call->answer().body());
+    signatures.insert(signatures.end(), in.begin(), in.end());
+  }
   for (const auto &call : Calls) {
     if (!call->ended() || call->end() != CallEnd::Answered ||
         !success(call->answer()))
@@ -165,7 +197,7 @@
   CallerAnswer answer{http::status::ok, 11};
   answer.set(Context->Names.RequestId, Context->RequestId);
   answer.set(Context->Names.PartSignatures, absl::StrJoin(signatures, ", "));
-  const std::size_t missing = Calls.size() - parts.size();
+  const std::size_t missing = total - signatures.size();
   answer.set(Context->Names.MissingShards, std::to_string(missing));
   answer.set(http::field::content_type, "application/octet-stream");
   answer.body() = core::greatestRecords(parts, Context->Route.TopRecords);
@@ -174,7 +206,7 @@
 
 void RequestRun::giveUp(TimePoint now) {
   // With the time spent, an answer of the least share is still worth giving.
-  if (Context->Route.sharded() && !Relayed &&
+  if (Context->Route.sharded() &&
       progress().Answered >= core::leastShards(Context->Route))
     return answerSharded();
   if (!anyMayHaveRun())
@@ -192,14 +224,16 @@
 
 bool RequestRun::anyMayHaveRun() const {
   return std::any_of(Calls.begin(), Calls.end(),
-                     [](const auto &call) { return call->mayHaveRun(); });
+                     [](const auto &call) { return call->mayHaveRun(); }) ||
+         std::any_of(Relays.begin(), Relays.end(), [](const RelayPart &it) {
+           return it.Call && it.Call->mayHaveRun();
+         });
 }
 
 void RequestRun::finish(CallerAnswer answer, const char *outcome) {
   Done = true;
   Timer.cancel();
-  for (const auto &call : Calls)
-    call->cancel();
+  cancelCalls();
   Records.onFinished(*Context, Calls, answer.result_int(), outcome);
   const auto onAnswer = std::move(OnAnswer);
   onAnswer(std::move(answer));
@@ -210,16 +244,34 @@
     return;
   Done = true;
   Timer.cancel();
-  for (const auto &call : Calls)
-    call->cancel();
+  cancelCalls();
   Records.onFinished(*Context, Calls, 0, "caller_left");
   OnAnswer = nullptr;
 }
 
+void RequestRun::tick(TimePoint now) {
+  for (const auto &call : Calls)
+    call->onTime(now);
+  for (const RelayPart &relay : Relays)
+    if (relay.Call)
+      relay.Call->onTime(now);
+}
+
+void RequestRun::cancelCalls() {
+  for (const auto &call : Calls)
+    call->cancel();
+  for (const RelayPart &relay : Relays)
+    if (relay.Call)
+      relay.Call->cancel();
+}
+
 void RequestRun::arm() {
   TimePoint next = Context->Deadline;
   for (const auto &call : Calls)
     next = std::min(next, call->nextWake());
+  for (const RelayPart &relay : Relays)
+    if (relay.Call)
+      next = std::min(next, relay.Call->nextWake());
   if (Context->Route.sharded())
     if (const auto at = Context->Start + core::settleAfter(Context->Route);
         at > SteadyClock::now())
@@ -234,8 +286,7 @@
           return;
         self->Armed = TimePoint::max();
         const auto now = SteadyClock::now();
-        for (const auto &call : self->Calls)
-          call->onTime(now);
+        self->tick(now);
         self->step();
       });
 }
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -19,6 +19,17 @@
 
 namespace savorytrestle::entry {
 
+/// @brief Shards of a request that a host of another failure domain is asked
+/// for; this host asks them itself when no such host takes them.
+struct RelayPart {
+  /// The request as it goes to a host.
+  std::shared_ptr<const leaf::CallContext> Context;
+  leaf::Service *Hosts = nullptr;
+  std::vector<leaf::Service *> Shards{};
+  /// The call to a host; null once this host asks itself.
+  std::shared_ptr<leaf::ServiceCall> Call{};
+};
+
 /// @brief A request being worked on: one call for a plain route, one for each
 /// shard of a sharded one. It keeps itself alive until it has answered.
 class RequestRun : public std::enable_shared_from_this<RequestRun> {
@@ -34,16 +45,9 @@
 
   /// @brief Sends it to the leaves of these services.
   /// @param services one for a plain route, the shards of a sharded one
-  void start(const std::vector<leaf::Service *> &services);
-
-  /// @brief Sends it through a host of another failure domain, and to the
-  /// leaves of the services itself when no such host takes it.
-  /// @param relay the request as it goes to a host
-  /// @param hosts the hosts
-  /// @param services as for @ref start
-  void startRelayed(std::shared_ptr<const leaf::CallContext> relay,
-                    leaf::Service &hosts,
-                    std::vector<leaf::Service *> services);
+  /// @param relays shards that other hosts are asked for
+  void start(const std::vector<leaf::Service *> &services,
+             std::vector<RelayPart> relays = {});
 
   /// @brief Its caller has left: leaves are told to stop.
   void cancel();
@@ -52,7 +56,9 @@
   using ServiceCallPtr = std::shared_ptr<leaf::ServiceCall>;
 
   void step();
-  void stepRelayed(core::TimePoint now);
+  void call(leaf::Service &service);
+  leaf::ServiceCall::EndHandler onEnd();
+  void takeBackRefused();
   void stepPlain(core::TimePoint now);
   void stepSharded(core::TimePoint now);
   void answerPlain();
@@ -61,6 +67,8 @@
   void finish(CallerAnswer answer, const char *outcome);
   core::ShardTally progress() const;
   bool anyMayHaveRun() const;
+  void tick(core::TimePoint now);
+  void cancelCalls();
   void arm();
 
   std::shared_ptr<const leaf::CallContext> Context;
@@ -68,9 +76,7 @@
   Respond OnAnswer;
   boost::asio::steady_timer Timer;
   std::vector<ServiceCallPtr> Calls;
-  /// Services asked when no host takes a relayed request.
-  std::vector<leaf::Service *> Fallback;
-  bool Relayed = false;
+  std::vector<RelayPart> Relays;
   core::TimePoint Armed = core::TimePoint::max();
   bool Started = false;
   bool Done = false;
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -14,8 +14,13 @@
 
 /// Hosts assumed until the store has told how many there are.
 constexpr std::size_t AssumedHosts = 8;
-/// Connections to a leaf that are left to hosts not yet known, as a share.
-constexpr double ShareOfConnections = 0.85;
+/// Hosts of this failure domain among them.
+constexpr std::size_t AssumedOwnDomain = 3;
+/// Parts of a leaf's connections for the hosts of its failure domain, which
+/// send it most of its requests, and for all others; the rest is left to hosts
+/// that aren't known yet.
+constexpr double NearPart = 0.5;
+constexpr double FarPart = 0.35;
 /// Leaves of nearly the same cost take turns, or all hosts would choose the
 /// same one.
 constexpr double CostSpread = 0.2;
@@ -41,7 +46,8 @@
 LeafDirectory::LeafDirectory(boost::asio::io_context &context, HostPlace place,
                              core::RetryBudgetRule rule)
     : Context(context), Place(std::move(place)), Rule(rule),
-      Hosts(AssumedHosts), Random(std::random_device{}()) {}
+      Hosts(AssumedHosts), OwnDomainHosts(AssumedOwnDomain),
+      Random(std::random_device{}()) {}
 
 Service &LeafDirectory::service(const std::string &name) {
   auto &service = Services[name];
@@ -118,7 +124,6 @@
 
 Service &LeafDirectory::peersOf(const std::string &failureDomain) {
   Service &peers = service(PeerServicePrefix + failureDomain);
-  peers.MaxConnections = PeerConnections * static_cast<int>(Hosts);
   return peers;
 }
 
@@ -136,23 +141,20 @@
       remove(id);
 }
 
-core::ShardsByDomain
-LeafDirectory::nearShards(const std::vector<std::string> &shards) {
-  core::ShardsByDomain near;
-  for (const std::string &shard : shards) {
-    std::set<std::string> domains;
-    for (const auto &leaf : service(shard).Leaves)
+core::DomainsOfShards
+LeafDirectory::nearDomains(const std::vector<std::string> &shards) {
+  core::DomainsOfShards near(shards.size());
+  for (std::size_t i = 0; i < shards.size(); ++i)
+    for (const auto &leaf : service(shards[i]).Leaves)
       if (leaf->usable() &&
           distanceTo(leaf->entry().FailureDomain) != core::LeafDistance::Remote)
-        domains.insert(leaf->entry().FailureDomain);
-    for (const std::string &domain : domains)
-      ++near[domain];
-  }
+        near[i].insert(leaf->entry().FailureDomain);
   return near;
 }
 
-void LeafDirectory::setHosts(std::size_t hosts) {
-  Hosts = std::max<std::size_t>(1, hosts);
+void LeafDirectory::setHosts(std::size_t all, std::size_t ownDomain) {
+  Hosts = std::max<std::size_t>(1, all);
+  OwnDomainHosts = std::clamp<std::size_t>(ownDomain, 1, Hosts);
   for (const auto &[name, service] : Services) {
     service->Budget.setHosts(static_cast<double>(Hosts));
     for (const auto &leaf : service->Leaves)
@@ -201,10 +203,15 @@
 }
 
 void LeafDirectory::setShare(const Service &service, Leaf &leaf) const {
+  if (leaf.entry().Id.starts_with(PeerServicePrefix))
+    return leaf.setMaxConnections(PeerConnections);
   if (service.MaxConnections <= 0)
     return;
-  const double share =
-      ShareOfConnections * service.MaxConnections / static_cast<double>(Hosts);
+  const bool near = leaf.entry().FailureDomain == Place.FailureDomain;
+  const std::size_t sharers =
+      near ? OwnDomainHosts : std::max<std::size_t>(1, Hosts - OwnDomainHosts);
+  const double share = (near ? NearPart : FarPart) * service.MaxConnections /
+                       static_cast<double>(sharers);
   leaf.setMaxConnections(std::max<std::size_t>(1, std::size_t(share)));
 }
 
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -69,9 +69,9 @@
   /// @brief The hosts of a failure domain.
   Service &peersOf(const std::string &failureDomain);
 
-  /// @brief Shards with a usable leaf in each failure domain of this host's
-  /// region. O(leaves of the shards).
-  core::ShardsByDomain nearShards(const std::vector<std::string> &shards);
+  /// @brief Where in this host's region each shard has a usable leaf.
+  /// O(leaves of the shards).
+  core::DomainsOfShards nearDomains(const std::vector<std::string> &shards);
 
   /// @brief Grows with each change of the leaves.
   std::uint64_t generation() const { return Generation; }
@@ -80,7 +80,9 @@
   const std::string &failureDomain() const { return Place.FailureDomain; }
 
   /// @brief Takes the number of hosts that share the leaves.
-  void setHosts(std::size_t hosts);
+  /// @param all over all failure domains
+  /// @param ownDomain in this host's failure domain
+  void setHosts(std::size_t all, std::size_t ownDomain);
 
   /// @brief Chooses the leaf for a request: the cheapest one that takes
   /// requests, has room and wasn't tried.
@@ -105,6 +107,7 @@
   std::map<std::string, std::unique_ptr<Service>> Services;
   std::map<std::string, std::shared_ptr<Leaf>> ById;
   std::size_t Hosts;
+  std::size_t OwnDomainHosts;
   std::uint64_t Generation = 0;
   std::minstd_rand Random;
 };
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -107,27 +107,38 @@
   } else {
     // A host that is gone still counts: one that is only cut off goes on
     // spending its part of what the hosts share.
-    std::vector<HostEntry> there;
-    for (const StoredItem &item : page->Items) {
-      Seen.insert(item.Key);
-      const std::string id = item.Key.substr(std::string(HostPrefix).size());
-      if (auto entry = decodeHostEntry(id, item.Value); entry)
-        there.push_back(std::move(*entry));
-      else
-        support::LogLine("host_entry_skipped")
-            .with("host", id)
-            .with("why", entry.error().Message);
-    }
-    const std::size_t hosts =
-        Counts == 0 ? std::max(Seen.size(), AssumedAtStart) : Seen.size();
-    if (hosts != Reported)
-      support::LogLine("hosts_known").with("hosts", hosts);
-    Reported = hosts;
-    OnHosts(hosts, there);
+    const HostCount hosts = countOf(*page);
+    if (hosts.All != Reported)
+      support::LogLine("hosts_known")
+          .with("hosts", hosts.All)
+          .with("own_domain", hosts.OwnDomain);
+    Reported = hosts.All;
+    OnHosts(hosts);
   }
   wait(Counts++ == 0 ? SecondCount : RenewInterval, &HostPresence::renew);
 }
 
+HostCount HostPresence::countOf(const StorePage &page) {
+  HostCount hosts;
+  for (const StoredItem &item : page.Items) {
+    const std::string id = item.Key.substr(std::string(HostPrefix).size());
+    auto entry = decodeHostEntry(id, item.Value);
+    Seen[id] = entry ? entry->FailureDomain : "";
+    if (entry)
+      hosts.There.push_back(std::move(*entry));
+    else
+      support::LogLine("host_entry_skipped")
+          .with("host", id)
+          .with("why", entry.error().Message);
+  }
+  hosts.All = Counts == 0 ? std::max(Seen.size(), AssumedAtStart) : Seen.size();
+  hosts.OwnDomain = static_cast<std::size_t>(
+      std::count_if(Seen.begin(), Seen.end(), [this](const auto &it) {
+        return it.second == Own.FailureDomain;
+      }));
+  return hosts;
+}
+
 void HostPresence::wait(milliseconds span, void (HostPresence::*next)()) {
   if (Stopped)
     return;
--- a/src/registry/HostPresence.h
+++ b/src/registry/HostPresence.h
@@ -8,8 +8,8 @@
 #include <utility>
 
 #include <functional>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -21,14 +21,22 @@
 /// What the keys of the hosts begin with; the host's name follows.
 inline constexpr const char *HostPrefix = "hosts/";
 
+/// @brief What a count of the hosts has found.
+struct HostCount {
+  /// Hosts that share the leaves, over all failure domains.
+  std::size_t All = 0;
+  /// Those of them in this host's failure domain.
+  std::size_t OwnDomain = 0;
+  /// Hosts that are there now.
+  std::vector<HostEntry> There;
+};
+
 /// @brief Keeps one leased item of this host in the store, and reads those of
 /// the others now and then.
 class HostPresence : public std::enable_shared_from_this<HostPresence> {
 public:
-  /// @brief Takes the number of hosts that share the leaves, and those that
-  /// are there now.
-  using HostsHandler =
-      std::function<void(std::size_t, const std::vector<HostEntry> &)>;
+  /// @brief Takes what a count has found.
+  using HostsHandler = std::function<void(const HostCount &)>;
 
   /// @brief Makes a presence that isn't announced yet.
   /// @param io runs its handlers
@@ -50,6 +58,7 @@
   void announce();
   void renew();
   void count();
+  HostCount countOf(const StorePage &page);
   void onCounted(const StoreReply &reply);
   void wait(std::chrono::milliseconds span, void (HostPresence::*next)());
 
@@ -57,7 +66,8 @@
   std::shared_ptr<StoreConnection> Connection;
   HostEntry Own;
   HostsHandler OnHosts;
-  std::set<std::string> Seen;
+  /// Failure domain of each host seen so far.
+  std::map<std::string, std::string> Seen;
   std::size_t Reported = 0;
   int Counts = 0;
   LeaseId Lease = 0;
--- a/src/serve/Node.cpp
+++ b/src/serve/Node.cpp
@@ -92,15 +92,14 @@
   Presence = std::make_shared<registry::HostPresence>(
       Io, store,
       registry::HostEntry{Config.Id, Config.FailureDomain, Config.Callers},
-      [this](std::size_t hosts, const auto &there) { onHosts(hosts, there); });
+      [this](const registry::HostCount &hosts) { onHosts(hosts); });
   Presence->start();
 }
 
-void Node::onHosts(std::size_t hosts,
-                   const std::vector<registry::HostEntry> &there) {
-  Leaves.setHosts(hosts);
+void Node::onHosts(const registry::HostCount &hosts) {
+  Leaves.setHosts(hosts.All, hosts.OwnDomain);
   std::vector<core::LeafEntry> peers;
-  for (const registry::HostEntry &host : there)
+  for (const registry::HostEntry &host : hosts.There)
     if (host.Id != Config.Id) {
       core::LeafEntry peer;
       peer.Id = host.Id;
--- a/src/serve/Node.h
+++ b/src/serve/Node.h
@@ -38,8 +38,7 @@
 private:
   core::Result<void> openListeners();
   void startFeeds(const boost::asio::ip::tcp::endpoint &store);
-  void onHosts(std::size_t hosts,
-               const std::vector<registry::HostEntry> &there);
+  void onHosts(const registry::HostCount &hosts);
   void waitForSignal();
   void reload();
   void stop();
