--- a/include/savorytrestle/core/SharedRetryBudget.h
+++ b/include/savorytrestle/core/SharedRetryBudget.h
@@ -30,6 +30,9 @@
   /// process of this host may have spent the part within the same window.
   explicit SharedRetryBudget(RetryBudgetRule rule = {}) : Rule(rule) {}
 
+  /// @brief Takes another rule; saved tokens stay within it.
+  void setRule(const RetryBudgetRule &rule);
+
   /// @brief Takes the number of hosts that share the allowance.
   /// @param hosts how many, at least 1
   void setHosts(double hosts);
@@ -37,18 +40,11 @@
   /// @brief Earns the ratio for a request of a caller. O(1).
   void onRequest();
 
-  /// @brief Spends a token on repeating a request that failed, if there is one;
-  /// O(1).
+  /// @brief Spends a token if there is one; O(1).
   /// @param now the time
   /// @return true when one extra request may be sent
   bool take(TimePoint now);
 
-  /// @brief Spends a token on a request that is only late. Where more than a
-  /// few can be saved up, the last one is kept for requests that fail. O(1).
-  /// @param now the time
-  /// @return true when one extra request may be sent
-  bool takeForHedge(TimePoint now);
-
   /// @brief Tokens held, for logs and metrics.
   double tokens() const { return Tokens; }
 
@@ -56,6 +52,7 @@
   void refill(TimePoint now);
 
   RetryBudgetRule Rule;
+  double Hosts = 1;
   double Part = 1;
   double Tokens = 1;
   TimePoint Refilled{};
--- a/src/core/HedgePolicy.cpp
+++ b/src/core/HedgePolicy.cpp
@@ -11,9 +11,13 @@
 
 /// Hedge after this many expected latencies, but within these shares of the
 /// objective: a second leaf needs time to answer too.
-constexpr double HedgeLatencies = 1.8;
+constexpr double HedgeLatencies = 2.5;
+/// With many shards nearly every request meets a straggler, so that waiting
+/// costs more than the extra requests do.
+constexpr std::size_t ManyShards = 20;
+constexpr double HedgeLatenciesOfMany = 1.8;
 constexpr double EarliestHedge = 0.15;
-constexpr double LatestHedge = 0.35;
+constexpr double LatestHedge = 0.4;
 /// A connection takes one round trip; a lost opening packet is sent again only
 /// after a second.
 constexpr milliseconds ConnectTimeout{150};
@@ -27,8 +31,10 @@
 HedgePlan planHedge(const RouteRule &route, Duration expected) {
   const double objective =
       static_cast<double>(Duration(route.Objective).count());
+  const double latencies =
+      route.Shards.size() >= ManyShards ? HedgeLatenciesOfMany : HedgeLatencies;
   const double delay =
-      std::clamp(HedgeLatencies * static_cast<double>(expected.count()),
+      std::clamp(latencies * static_cast<double>(expected.count()),
                  EarliestHedge * objective, LatestHedge * objective);
   return {Duration(static_cast<Duration::rep>(delay)), ConnectTimeout};
 }
--- a/src/core/SharedRetryBudget.cpp
+++ b/src/core/SharedRetryBudget.cpp
@@ -12,13 +12,18 @@
 /// Part that can be saved up; the rest comes back evenly over a window, so that
 /// services with few requests can retry too.
 constexpr double SavedShare = 0.6;
-/// Savings from which on hedges leave a token.
-constexpr double KeepFrom = 3;
 
 } // namespace
 
+void SharedRetryBudget::setRule(const RetryBudgetRule &rule) {
+  Rule = rule;
+  setHosts(Hosts);
+}
+
 void SharedRetryBudget::setHosts(double hosts) {
-  Part = std::max(1.0, SharedOut * Rule.Extra / std::max(1.0, hosts));
+  Hosts = std::max(1.0, hosts);
+  Part = std::max(1.0, SharedOut * Rule.Extra / Hosts);
+  Tokens = std::min(Tokens, std::max(1.0, SavedShare * Part));
 }
 
 void SharedRetryBudget::onRequest() {
@@ -33,12 +38,6 @@
   return true;
 }
 
-bool SharedRetryBudget::takeForHedge(TimePoint now) {
-  refill(now);
-  const double kept = SavedShare * Part >= KeepFrom ? 1 : 0;
-  return Tokens >= 1 + kept && take(now);
-}
-
 void SharedRetryBudget::refill(TimePoint now) {
   if (Refilled == TimePoint{})
     Refilled = now;
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -49,6 +49,12 @@
       Hosts(AssumedHosts), OwnDomainHosts(AssumedOwnDomain),
       Random(std::random_device{}()) {}
 
+void LeafDirectory::setBudgetRule(const core::RetryBudgetRule &rule) {
+  Rule = rule;
+  for (const auto &[name, service] : Services)
+    service->Budget.setRule(rule);
+}
+
 Service &LeafDirectory::service(const std::string &name) {
   auto &service = Services[name];
   if (!service) {
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -46,6 +46,9 @@
   LeafDirectory(boost::asio::io_context &context, HostPlace place,
                 core::RetryBudgetRule rule);
 
+  /// @brief Takes another bound on extra load.
+  void setBudgetRule(const core::RetryBudgetRule &rule);
+
   /// @brief The service of a name, made when it isn't known; stays valid.
   Service &service(const std::string &name);
 
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -62,9 +62,8 @@
   auto to = Context->Leaves.choose(At, expect, Tried);
   if (!to)
     return false;
-  if (cause == Cause::Hedge && !At.Budget.takeForHedge(now))
-    return false;
-  if (cause == Cause::Resend && !At.Budget.take(now))
+  const bool extra = cause == Cause::Hedge || cause == Cause::Resend;
+  if (extra && !At.Budget.take(now))
     return false;
   auto connection = to->checkOut();
   if (!connection)
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -90,7 +90,7 @@
     std::fprintf(stderr, "%s\n", config.error().Message.c_str());
     return ExitFailed;
   }
-  serve::Node node(*config);
+  serve::Node node(*config, path);
   if (const auto done = node.run(); !done) {
     std::fprintf(stderr, "%s\n", done.error().Message.c_str());
     return ExitFailed;
--- a/src/serve/Node.cpp
+++ b/src/serve/Node.cpp
@@ -20,6 +20,8 @@
 /// Kept of the grace for the process's own end.
 constexpr milliseconds EndReserve{300};
 constexpr milliseconds IdlePoll{50};
+/// The settings file may change without a signal.
+constexpr milliseconds FileCheckInterval{5000};
 
 core::RetryBudgetRule budgetRule(const NodeConfig &config) {
   return {config.RetryRatio, config.RetryExtra, config.RetryWindow};
@@ -27,9 +29,9 @@
 
 } // namespace
 
-Node::Node(NodeConfig config)
-    : Config(std::move(config)), Signals(Io, SIGTERM, SIGINT, SIGHUP),
-      StopTimer(Io),
+Node::Node(NodeConfig config, std::string configFile)
+    : Config(std::move(config)), ConfigFile(std::move(configFile)),
+      Signals(Io, SIGTERM, SIGINT, SIGHUP), StopTimer(Io), FileTimer(Io),
       Leaves(Io, {Config.FailureDomain, Config.Regions}, budgetRule(Config)),
       Router(Io, Leaves, Counts, platform::headerNames()),
       CallerContext(std::make_shared<entry::SessionContext>()),
@@ -58,6 +60,9 @@
       .with("program", support::Version)
       .with("callers", Config.Callers);
   startFeeds(store);
+  std::error_code ec; // a file that can't be looked at is read on SIGHUP only
+  FileWritten = std::filesystem::last_write_time(ConfigFile, ec);
+  watchConfigFile();
   waitForSignal();
   Io.run();
   support::LogLine("stopped")
@@ -147,9 +152,40 @@
 }
 
 void Node::reload() {
-  // Addresses and place are fixed for a process's life; the platform starts a
-  // process anew where they change.
-  support::LogLine("reload").with("host", Config.Id).with("changed", 0);
+  auto config = loadNodeConfig(ConfigFile);
+  if (!config) {
+    support::LogLine("reload_refused").with("why", config.error().Message);
+    return;
+  }
+  // Listeners, the store and the host's place are fixed for a process's life.
+  const bool restart = config->Callers != Config.Callers ||
+                       config->Readiness != Config.Readiness ||
+                       config->Store != Config.Store ||
+                       config->FailureDomain != Config.FailureDomain;
+  Config.StopGrace = config->StopGrace;
+  Config.RetryRatio = config->RetryRatio;
+  Config.RetryExtra = config->RetryExtra;
+  Config.RetryWindow = config->RetryWindow;
+  Leaves.setBudgetRule(budgetRule(Config));
+  support::LogLine("reload")
+      .with("host", Config.Id)
+      .with("retry_extra", Config.RetryExtra)
+      .with("stop_grace", Config.StopGrace)
+      .with("restart_needed", restart ? 1 : 0);
+}
+
+void Node::watchConfigFile() {
+  std::error_code ec;
+  const auto written = std::filesystem::last_write_time(ConfigFile, ec);
+  if (!ec && written != FileWritten) {
+    FileWritten = written;
+    reload();
+  }
+  FileTimer.expires_after(FileCheckInterval);
+  FileTimer.async_wait([this](const boost::system::error_code &error) {
+    if (!error)
+      watchConfigFile();
+  });
 }
 
 void Node::stop() {
--- a/src/serve/Node.h
+++ b/src/serve/Node.h
@@ -7,7 +7,7 @@
 
 #include <utility>
 
-#include <map>
+#include <filesystem>
 #include <memory>
 #include <string>
 
@@ -29,7 +29,9 @@
 class Node {
 public:
   /// @brief Makes a host that doesn't run yet.
-  explicit Node(NodeConfig config);
+  /// @param config its settings
+  /// @param configFile file that they were read from, for reloads
+  Node(NodeConfig config, std::string configFile);
 
   /// @brief Runs until a stop signal has been obeyed.
   /// @return an error when it could not start
@@ -41,6 +43,7 @@
   void onHosts(const registry::HostCount &hosts);
   void waitForSignal();
   void reload();
+  void watchConfigFile();
   void stop();
   void closeDoors();
   void finishWhenIdle();
@@ -49,9 +52,12 @@
   entry::CallerAnswer metrics();
 
   NodeConfig Config;
+  std::string ConfigFile;
   boost::asio::io_context Io;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer StopTimer;
+  boost::asio::steady_timer FileTimer;
+  std::filesystem::file_time_type FileWritten;
   support::Metrics Counts;
   leaf::LeafDirectory Leaves;
   std::shared_ptr<registry::ConfigFeed> Configs;
--- a/tests/process-node.cpp
+++ b/tests/process-node.cpp
@@ -303,4 +303,22 @@
   EXPECT_EQ(node.Child.wait(), 0);
 }
 
+TEST_F(NodeTest, SettingsChangeWithASignalAndAFaultyFileIsRefused) {
+  auto &node = Cluster.addNode();
+  std::ifstream before(node.ConfigFile);
+  std::string text{std::istreambuf_iterator<char>(before), {}};
+  std::ofstream(node.ConfigFile) << text << "colour: red\n";
+  node.Child.signal(SIGHUP);
+  ASSERT_TRUE(eventually([&] {
+    return node.log().find("event=reload_refused") != std::string::npos;
+  }));
+  text.replace(text.find("retry_extra: 54"), 15, "retry_extra: 21");
+  std::ofstream(node.ConfigFile) << text;
+  node.Child.signal(SIGHUP);
+  EXPECT_TRUE(eventually([&] {
+    return node.log().find("retry_extra=21") != std::string::npos;
+  })) << node.log();
+  EXPECT_EQ(NodeDeployment::ask(node, "/read/x", "r1").Status, 200);
+}
+
 } // namespace
