--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -64,7 +64,7 @@
       platform::putLeased(HostPrefix + Own.Id, encodeHostEntry(Own), Lease),
       ReplyTimeout, [self = shared_from_this()](const StoreReply &reply) {
         if (reply.Status == Ok)
-          return self->wait(RenewInterval, &HostPresence::renew);
+          return self->count();
         self->wait(RetryInterval, reply.Status == NoSuchLease
                                       ? &HostPresence::grant
                                       : &HostPresence::announce);
--- a/tests/NodeDeployment.h
+++ b/tests/NodeDeployment.h
@@ -103,7 +103,10 @@
   }
 
   /// @brief Starts a host; waits until it is ready unless told not to.
-  NodeProcess &addNode(bool waitReady = true) {
+  /// @param waitReady whether to wait
+  /// @param failureDomain where it stands
+  NodeProcess &addNode(bool waitReady = true,
+                       const std::string &failureDomain = "a") {
     auto node = std::make_unique<NodeProcess>();
     node->Id = "node-" + std::to_string(Nodes.size());
     node->Callers = "127.0.0.1:" + std::to_string(testing::freePort());
@@ -112,7 +115,8 @@
     node->ConfigFile = (Folder / (node->Id + ".yaml")).string();
     node->LogFile = (Folder / (node->Id + ".log")).string();
     std::ofstream(node->ConfigFile)
-        << "host: {id: " << node->Id << ", failure_domain: a}\n"
+        << "host: {id: " << node->Id << ", failure_domain: " << failureDomain
+        << "}\n"
         << "regions: {a: west, b: west, c: east}\n"
         << "listen:\n  callers: " << node->Callers
         << "\n  readiness: " << node->Readiness
