Entries that lapse together are held as after an outage

Requests were refused for 2 s. Ruled out: leaves that were really gone (all came back). Removals of more than a quarter of the usable leaves at once are now held for the 2.2 s in which living leaves return. The process test was written with the change and not run without it.

--- a/include/savorytrestle/core/LapsedEntries.h
+++ b/include/savorytrestle/core/LapsedEntries.h
@@ -5,6 +5,7 @@
 /// @brief Which removed leaf entries may only have lapsed while the store was
 /// away. Answers store outages, during which all leaves may lose their entry.
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -25,6 +26,14 @@
   /// @brief The store is reached again. O(1).
   void onStoreRegained(TimePoint now) { HoldUntil = now + ReturnTime; }
 
+  /// @brief Entries were removed together. When they are a large part of all,
+  /// the store was away without being missed, as a watch that waits hears
+  /// nothing. O(1).
+  /// @param removed entries of usable leaves that were removed
+  /// @param known usable leaves before
+  /// @param now the time
+  void onRemovals(std::size_t removed, std::size_t known, TimePoint now);
+
   /// @brief An entry was removed or isn't listed any more. O(log held).
   /// @param id the leaf
   /// @param now the time
--- a/src/core/LapsedEntries.cpp
+++ b/src/core/LapsedEntries.cpp
@@ -2,6 +2,21 @@
 
 namespace savorytrestle::core {
 
+namespace {
+
+/// More leaves than leave together in a release or when an index is cut anew.
+constexpr double LargePart = 0.25;
+constexpr std::size_t AtLeast = 3;
+
+} // namespace
+
+void LapsedEntries::onRemovals(std::size_t removed, std::size_t known,
+                               TimePoint now) {
+  if (removed > AtLeast &&
+      static_cast<double>(removed) > LargePart * static_cast<double>(known))
+    onStoreRegained(now);
+}
+
 bool LapsedEntries::onRemoved(const std::string &id, TimePoint now) {
   if (now >= HoldUntil)
     return true;
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -111,6 +111,11 @@
   ById.erase(it);
 }
 
+bool LeafDirectory::usable(const std::string &id) const {
+  const auto it = ById.find(id);
+  return it != ById.end() && it->second->usable();
+}
+
 std::vector<std::string> LeafDirectory::ids() const {
   std::vector<std::string> ids;
   for (const auto &[id, leaf] : ById)
--- a/src/registry/ConfigFeed.cpp
+++ b/src/registry/ConfigFeed.cpp
@@ -24,7 +24,7 @@
     for (const StoredItem &item : items)
       self->onItem(item);
   };
-  handlers.OnItem = [self](const StoredItem &item) { self->onItem(item); };
+  handlers.OnChanges = handlers.OnList;
   handlers.OnRegained = [] {};
   Feed = std::make_shared<PrefixFeed>(Io, Store, platform::ConfigKey,
                                       GatherChanges, std::move(handlers));
--- a/src/registry/LeafFeed.cpp
+++ b/src/registry/LeafFeed.cpp
@@ -1,5 +1,6 @@
 #include "registry/LeafFeed.h"
 
+#include <algorithm>
 #include <set>
 
 #include "platform/ServingConfigCodec.h"
@@ -19,6 +20,10 @@
 /// at the least); a leaf that fails is noticed by its replies before that.
 constexpr std::chrono::milliseconds GatherChanges{700};
 
+std::string idOf(const StoredItem &item) {
+  return item.Key.substr(std::string(platform::LeafPrefix).size());
+}
+
 } // namespace
 
 LeafFeed::LeafFeed(boost::asio::io_context &io,
@@ -31,7 +36,7 @@
   const auto self = shared_from_this();
   FeedHandlers handlers;
   handlers.OnList = [self](const auto &items) { self->onList(items); };
-  handlers.OnItem = [self](const auto &item) { self->onItem(item); };
+  handlers.OnChanges = [self](const auto &items) { self->onChanges(items); };
   handlers.OnRegained = [self] {
     self->Lapsed.onStoreRegained(SteadyClock::now());
   };
@@ -50,7 +55,7 @@
 void LeafFeed::onList(const std::vector<StoredItem> &items) {
   std::set<std::string> listed;
   for (const StoredItem &item : items) {
-    listed.insert(item.Key.substr(std::string(platform::LeafPrefix).size()));
+    listed.insert(idOf(item));
     onItem(item);
   }
   for (const std::string &id : Leaves.ids())
@@ -61,9 +66,18 @@
   Listed = true;
 }
 
+void LeafFeed::onChanges(const std::vector<StoredItem> &items) {
+  const auto removals = static_cast<std::size_t>(
+      std::count_if(items.begin(), items.end(), [this](const StoredItem &item) {
+        return item.Removed && Leaves.usable(idOf(item));
+      }));
+  Lapsed.onRemovals(removals, Leaves.ids().size(), SteadyClock::now());
+  for (const StoredItem &item : items)
+    onItem(item);
+}
+
 void LeafFeed::onItem(const StoredItem &item) {
-  const std::string id =
-      item.Key.substr(std::string(platform::LeafPrefix).size());
+  const std::string id = idOf(item);
   if (item.Removed)
     return removed(id);
   const auto entry = platform::decodeLeafEntry(id, item.Value);
--- a/src/registry/LeafFeed.h
+++ b/src/registry/LeafFeed.h
@@ -35,6 +35,7 @@
 
 private:
   void onList(const std::vector<StoredItem> &items);
+  void onChanges(const std::vector<StoredItem> &items);
   void onItem(const StoredItem &item);
   void removed(const std::string &id);
   void dropLater();
--- a/src/registry/PrefixFeed.cpp
+++ b/src/registry/PrefixFeed.cpp
@@ -105,8 +105,7 @@
   }
   onReached();
   From = std::max(From, page->At);
-  for (const StoredItem &item : page->Items)
-    Handlers.OnItem(item);
+  Handlers.OnChanges(page->Items);
   if (page->Items.empty() || Gather.count() == 0)
     return watch();
   later(Gather, &PrefixFeed::watch);
--- a/src/registry/PrefixFeed.h
+++ b/src/registry/PrefixFeed.h
@@ -19,8 +19,8 @@
 struct FeedHandlers {
   /// All items, after they have been listed afresh.
   std::function<void(const std::vector<StoredItem> &)> OnList;
-  /// One item written or removed.
-  std::function<void(const StoredItem &)> OnItem;
+  /// Items written or removed, in order.
+  std::function<void(const std::vector<StoredItem> &)> OnChanges;
   /// The store is reached again after it wasn't; comes before the items.
   std::function<void()> OnRegained;
 };
--- a/tests/process-node.cpp
+++ b/tests/process-node.cpp
@@ -166,6 +166,28 @@
   EXPECT_EQ(atDraining, 0U);
 }
 
+TEST_F(NodeTest, LeavesWhoseEntriesLapseTogetherAreKeptUntilTheyCanReturn) {
+  const auto &node = Cluster.addNode();
+  ASSERT_EQ(NodeDeployment::ask(node, "/search/x", "r1").Status, 200);
+  // A silent outage: the watch just waits, and hears of all lapses at once.
+  Cluster.onThread([&] {
+    Cluster.Store->setFault(StoreFault::Silent);
+    for (const auto &leaf : Cluster.Leaves)
+      Cluster.Store->remove(leaf->key());
+    Cluster.Store->setFault(StoreFault::None);
+    Cluster.Store->put("servers/other", "{}");
+    return 0;
+  });
+  ASSERT_TRUE(eventually([&] {
+    return node.log().find("leaf_entry_skipped") != std::string::npos;
+  }));
+  EXPECT_EQ(NodeDeployment::ask(node, "/search/x", "r2").Status, 200);
+  // Those that don't come back are gone.
+  EXPECT_TRUE(eventually([&] {
+    return NodeDeployment::ask(node, "/search/x", "r3").Status == 503;
+  }));
+}
+
 TEST_F(NodeTest, ANewVersionIsInForceAndNeverGoesBack) {
   const auto &node = Cluster.addNode();
   Cluster.putConfig(usualConfig(9, {"s0", "s1"}));
--- a/tests/unit-placing.cpp
+++ b/tests/unit-placing.cpp
@@ -216,4 +216,15 @@
   EXPECT_TRUE(planRelays("a", shards).empty());
 }
 
+TEST(LapsedEntries, RemovalsOfManyAtOnceAreHeld) {
+  LapsedEntries lapsed(2200ms);
+  lapsed.onRemovals(20, 90, Begin);
+  EXPECT_TRUE(lapsed.onRemoved("a", Begin));
+  lapsed.onRemovals(3, 3, Begin);
+  EXPECT_TRUE(lapsed.onRemoved("a", Begin));
+  lapsed.onRemovals(40, 90, Begin);
+  EXPECT_FALSE(lapsed.onRemoved("a", Begin));
+  EXPECT_EQ(lapsed.takeDue(Begin + 2200ms).size(), 1U);
+}
+
 } // namespace
