--- /dev/null
+++ b/soak/Ledger.h
@@ -0,0 +1,80 @@
+#ifndef SAVORYTRESTLE_SOAK_LEDGER_H
+#define SAVORYTRESTLE_SOAK_LEDGER_H
+
+/// @file
+/// @brief What callers saw, for the checks of a soak.
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace savorytrestle::soak {
+
+/// @brief Collects broken promises; thread-safe.
+class Findings {
+public:
+  /// @brief Notes one.
+  void add(std::string text) {
+    const std::lock_guard lock(Guard);
+    Texts.push_back(std::move(text));
+  }
+
+  /// @brief All noted so far.
+  std::vector<std::string> all() const {
+    const std::lock_guard lock(Guard);
+    return Texts;
+  }
+
+private:
+  mutable std::mutex Guard;
+  std::vector<std::string> Texts;
+};
+
+/// @brief Answers to requests that may run once, by the request's id.
+class Ledger {
+public:
+  /// @brief Notes an answer; status 0 means that none came.
+  void note(const std::string &id, int status) {
+    const std::lock_guard lock(Guard);
+    Answers[id] = status;
+  }
+
+  /// @brief Compares the answers with what leaves ran.
+  /// @param runs times that each request ran
+  /// @param findings takes what is wrong
+  void check(const std::map<std::string, int> &runs, Findings &findings) const {
+    static const std::set<int> notRun = {408, 421, 429, 503};
+    const std::lock_guard lock(Guard);
+    for (const auto &[id, status] : Answers) {
+      const auto it = runs.find(id);
+      const int n = it == runs.end() ? 0 : it->second;
+      if (n > 1)
+        findings.add(id + " ran " + std::to_string(n) + " times");
+      if (n > 0 && notRun.count(status) > 0)
+        findings.add(id + " was refused with " + std::to_string(status) +
+                     " and ran");
+      if (n == 0 && status == 200)
+        findings.add(id + " was answered 200 and never ran");
+    }
+  }
+
+  /// @brief Number of answers of a status.
+  std::size_t count(int status) const {
+    const std::lock_guard lock(Guard);
+    std::size_t n = 0;
+    for (const auto &[id, answer] : Answers)
+      n += answer == status ? 1 : 0;
+    return n;
+  }
+
+private:
+  mutable std::mutex Guard;
+  std::map<std::string, int> Answers;
+};
+
+} // namespace savorytrestle::soak
+
+#endif
--- a/src/registry/StoreConnection.cpp
+++ b/src/registry/StoreConnection.cpp
@@ -36,13 +36,16 @@
 void StoreConnection::call(const StoreCall &call, milliseconds timeout,
                            ReplyHandler onReply) {
   OnReply = std::move(onReply);
-  Out = Request(http::string_to_verb(call.Method), call.Target, 11);
-  Out.set(http::field::host,
-          Address.address().to_string() + ":" + std::to_string(Address.port()));
+  // Owned by its write: a call that is given up may still be being sent when
+  // the next one is made.
+  Out = std::make_shared<Request>(http::string_to_verb(call.Method),
+                                  call.Target, 11);
+  Out->set(http::field::host, Address.address().to_string() + ":" +
+                                  std::to_string(Address.port()));
   if (!call.Body.empty())
-    Out.set(http::field::content_type, "application/json");
-  Out.body() = call.Body;
-  Out.prepare_payload();
+    Out->set(http::field::content_type, "application/json");
+  Out->body() = call.Body;
+  Out->prepare_payload();
   ++Turn;
   if (Current) {
     expire(timeout, "no reply in time");
@@ -82,15 +85,15 @@
 }
 
 void StoreConnection::write(const std::shared_ptr<Link> &link) {
-  http::async_write(
-      link->Socket, Out,
-      [self = shared_from_this(), link](error_code ec, std::size_t) {
-        if (self->Current != link)
-          return;
-        if (ec)
-          return self->fail("write: " + ec.message());
-        self->read(link);
-      });
+  http::async_write(link->Socket, *Out,
+                    [self = shared_from_this(), link, sent = Out](error_code ec,
+                                                                  std::size_t) {
+                      if (self->Current != link)
+                        return;
+                      if (ec)
+                        return self->fail("write: " + ec.message());
+                      self->read(link);
+                    });
 }
 
 void StoreConnection::read(const std::shared_ptr<Link> &link) {
--- a/src/registry/StoreConnection.h
+++ b/src/registry/StoreConnection.h
@@ -76,7 +76,7 @@
   boost::asio::ip::tcp::endpoint Address;
   boost::asio::steady_timer Timer;
   std::shared_ptr<Link> Current;
-  Request Out;
+  std::shared_ptr<Request> Out;
   ReplyHandler OnReply;
   std::uint64_t Turn = 0;
 };
--- a/tests/NodeDeployment.h
+++ b/tests/NodeDeployment.h
@@ -27,6 +27,24 @@
 
 namespace savorytrestle::tests {
 
+/// @brief A free port below those that outgoing connections are given, so that
+/// none takes it while its host is restarted.
+inline int stablePort() {
+  static int next = 10000 + getpid() * 37 % 20000;
+  boost::asio::io_context io;
+  for (;;) {
+    next = next >= 31000 ? 10000 : next + 1;
+    boost::asio::ip::tcp::acceptor acceptor(io);
+    boost::system::error_code ec;
+    acceptor.open(boost::asio::ip::tcp::v4(), ec);
+    acceptor.bind({boost::asio::ip::address_v4::loopback(),
+                   static_cast<unsigned short>(next)},
+                  ec);
+    if (!ec)
+      return next;
+  }
+}
+
 /// @brief One host process.
 struct NodeProcess {
   std::string Id;
@@ -60,7 +78,7 @@
                ("savorytrestle-node-" + std::to_string(getpid()) + "-" +
                 std::to_string(++Count))) {
     std::filesystem::create_directories(Folder);
-    StoreAddress = "127.0.0.1:" + std::to_string(testing::freePort());
+    StoreAddress = "127.0.0.1:" + std::to_string(stablePort());
     Store = std::make_unique<MetadataStore>(Io);
     StoreOpen = Store->open(StoreAddress).has_value();
     Thread = std::thread([this] { Io.run(); });
@@ -109,9 +127,9 @@
                        const std::string &failureDomain = "a") {
     auto node = std::make_unique<NodeProcess>();
     node->Id = "node-" + std::to_string(Nodes.size());
-    node->Callers = "127.0.0.1:" + std::to_string(testing::freePort());
-    node->Readiness = "127.0.0.1:" + std::to_string(testing::freePort());
-    node->Metrics = "127.0.0.1:" + std::to_string(testing::freePort());
+    node->Callers = "127.0.0.1:" + std::to_string(stablePort());
+    node->Readiness = "127.0.0.1:" + std::to_string(stablePort());
+    node->Metrics = "127.0.0.1:" + std::to_string(stablePort());
     node->ConfigFile = (Folder / (node->Id + ".yaml")).string();
     node->LogFile = (Folder / (node->Id + ".log")).string();
     std::ofstream(node->ConfigFile)
--- a/tests/standins/PlatformLeaf.h
+++ b/tests/standins/PlatformLeaf.h
@@ -34,8 +34,8 @@
 /// @brief The leaf; lives on one thread.
 class PlatformLeaf {
 public:
-  PlatformLeaf(boost::asio::io_context &io, std::string id,
-               std::string service, std::string failureDomain)
+  PlatformLeaf(boost::asio::io_context &io, std::string id, std::string service,
+               std::string failureDomain)
       : Id(std::move(id)), Service(std::move(service)),
         FailureDomain(std::move(failureDomain)), Io(io),
         Context(std::make_shared<entry::SessionContext>()) {
@@ -50,14 +50,11 @@
 
   /// @brief Its entry as it would write it to the store.
   std::string entry(bool draining = false) const {
-    return nlohmann::json{{"service", Service},
-                          {"address", address()},
-                          {"zone", FailureDomain},
-                          {"version", "v1"},
-                          {"maxConcurrency", 5},
-                          {"state", draining ? "draining" : "ready"},
-                          {"warmupLeftMs", 0},
-                          {"sequence", 1}}
+    return nlohmann::json{
+        {"service", Service},    {"address", address()},
+        {"zone", FailureDomain}, {"version", "v1"},
+        {"maxConcurrency", 5},   {"state", draining ? "draining" : "ready"},
+        {"warmupLeftMs", 0},     {"sequence", 1}}
         .dump();
   }
 
@@ -107,8 +104,8 @@
   }
 
   entry::CancelRequest refuse(unsigned status, const entry::Respond &respond) {
-    auto refusal = entry::textAnswer(
-        static_cast<boost::beast::http::status>(status), "");
+    auto refusal =
+        entry::textAnswer(static_cast<boost::beast::http::status>(status), "");
     refusal.set("Savorytrestle-Not-Executed", "1");
     respond(std::move(refusal));
     return nullptr;
--- a/tests/unit-store-connection.cpp
+++ b/tests/unit-store-connection.cpp
@@ -1,5 +1,6 @@
 #include "registry/StoreConnection.h"
 
+#include <functional>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -52,4 +53,39 @@
   EXPECT_EQ(replies[0].Why, "not connected in time");
 }
 
+/// A call may be given up while its request is still being sent; the next one
+/// must not change the bytes under that write.
+TEST(StoreConnection, ACallGivenUpWhileItIsSentDoesNotHarmTheNext) {
+  boost::asio::io_context io;
+  const tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
+  tcp::acceptor acceptor(io, any);
+  std::vector<tcp::socket> silent;
+  const std::function<void()> accept = [&] {
+    acceptor.async_accept(
+        [&](const boost::system::error_code &ec, tcp::socket socket) {
+          if (ec)
+            return;
+          silent.push_back(std::move(socket));
+          accept();
+        });
+  };
+  accept();
+  const auto connection = std::make_shared<registry::StoreConnection>(
+      io, acceptor.local_endpoint());
+  // Too long for the socket's buffers, so that its write stays unfinished.
+  const std::string large(16 << 20, 'x');
+  int replies = 0;
+  for (int i = 0; i < 20; ++i) {
+    connection->call({"POST", "/large", large}, std::chrono::hours(1),
+                     [&](const registry::StoreReply &) { ++replies; });
+    io.run_for(std::chrono::milliseconds(5));
+    connection->close();
+    connection->call({"GET", "/small", ""}, std::chrono::hours(1),
+                     [&](const registry::StoreReply &) { ++replies; });
+    io.run_for(std::chrono::milliseconds(5));
+    connection->close();
+  }
+  EXPECT_EQ(replies, 0);
+}
+
 } // namespace
