--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -9,6 +9,7 @@
 #include "entry/Answers.h"
 #include "entry/RequestRun.h"
 #include "savorytrestle/core/RefusalPolicy.h"
+#include "support/BeastText.h"
 #include "support/Log.h"
 
 namespace savorytrestle::entry {
@@ -30,17 +31,13 @@
 /// Way to a host of the region and back, with its waits for the processor.
 constexpr milliseconds RelayHop{18};
 
-std::string_view view(boost::beast::string_view text) {
-  return {text.data(), text.size()};
-}
-
 std::string_view hostOf(const CallerRequest &request) {
-  const std::string_view host = view(request[http::field::host]);
+  const std::string_view host = support::text(request[http::field::host]);
   return host.substr(0, host.rfind(':'));
 }
 
 std::string_view pathOf(const CallerRequest &request) {
-  const std::string_view target = view(request.target());
+  const std::string_view target = support::text(request.target());
   return target.substr(0, target.find('?'));
 }
 
@@ -91,8 +88,9 @@
   }
   // Another host may ask for some of the shards only.
   const auto part = request.find(RelayShardsHeader);
-  const auto asked =
-      part == request.end() ? nullptr : partOf(*route, view(part->value()));
+  const auto asked = part == request.end()
+                         ? nullptr
+                         : partOf(*route, support::text(part->value()));
   const auto services = servicesOf(asked ? *asked : *route);
   if (!enoughReachable(asked ? *asked : *route, services)) {
     turnAway(request, route,
@@ -122,7 +120,7 @@
     return Refusal{http::status::not_found, "no such route", std::nullopt};
   if (const auto it = request.find(RelayVersionHeader);
       it != request.end() &&
-      view(it->value()) != std::to_string(Config->Version))
+      support::text(it->value()) != std::to_string(Config->Version))
     return Refusal{http::status::service_unavailable,
                    "another version of the configuration is in force here",
                    StartingRetryAfter};
@@ -134,7 +132,7 @@
 void RequestRouter::turnAway(const CallerRequest &request,
                              const core::RouteRule *route,
                              const Refusal &refusal, const Respond &respond) {
-  Records.onTurnedAway(std::string(view(request[Names.RequestId])),
+  Records.onTurnedAway(std::string(support::text(request[Names.RequestId])),
                        route ? route->Name : "", Config ? Config->Version : 0,
                        static_cast<unsigned>(refusal.Status), refusal.Why);
   respond(errorAnswer(refusal.Status, refusal.Why, refusal.RetryAfter));
@@ -151,12 +149,12 @@
                        &waits) &&
       waits > 0)
     allowed = std::min(allowed, milliseconds(waits));
-  std::string id(view(request[Names.RequestId]));
+  std::string id(support::text(request[Names.RequestId]));
   // What a relayed request has spent on its way counts towards the objective.
   const bool relayed = request.find(RelayVersionHeader) != request.end();
   const auto arrived = relayed ? start - RelayHop : start;
   removeHopByHop(request);
-  auto part = relayed ? partOf(route, view(request[RelayShardsHeader]))
+  auto part = relayed ? partOf(route, support::text(request[RelayShardsHeader]))
                       : std::shared_ptr<const core::RouteRule>();
   request.erase(RelayVersionHeader);
   request.erase(RelayShardsHeader);
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -19,15 +19,11 @@
 
 namespace {
 
-bool success(const leaf::LeafAnswer &answer) {
-  return answer.result_int() >= 200 && answer.result_int() < 300;
-}
-
 /// Signatures of the parts that another host has merged.
 std::vector<std::string> signaturesOf(const leaf::CallContext &context,
                                       const ServiceCall &call) {
   if (!call.ended() || call.end() != CallEnd::Answered ||
-      !success(call.answer()))
+      !leaf::isSuccess(call.answer()))
     return {};
   const auto header = call.answer()[context.Names.PartSignatures];
   return absl::StrSplit(std::string(header.data(), header.size()), ", ",
@@ -156,7 +152,7 @@
   for (const auto &call : Calls) {
     if (!call->ended())
       continue;
-    if (call->end() == CallEnd::Answered && success(call->answer()))
+    if (call->end() == CallEnd::Answered && leaf::isSuccess(call->answer()))
       ++progress.Answered;
     else
       ++progress.Failed;
@@ -168,7 +164,7 @@
   CallerAnswer answer = Calls.front()->answer();
   for (const http::field field : HopByHop)
     answer.erase(field);
-  const bool ok = success(answer);
+  const bool ok = leaf::isSuccess(answer);
   finish(std::move(answer), ok ? "ok" : "leaf_failed");
 }
 
@@ -188,7 +184,7 @@
   }
   for (const auto &call : Calls) {
     if (!call->ended() || call->end() != CallEnd::Answered ||
-        !success(call->answer()))
+        !leaf::isSuccess(call->answer()))
       continue;
     parts.emplace_back(call->answer().body());
     const auto it = call->answer().find(Context->Names.LeafSignature);
--- a/src/leaf/LeafConnection.h
+++ b/src/leaf/LeafConnection.h
@@ -29,6 +29,11 @@
 using LeafAnswer =
     boost::beast::http::response<boost::beast::http::string_body>;
 
+/// @brief Whether an answer's status is 2xx.
+inline bool isSuccess(const LeafAnswer &answer) {
+  return answer.result_int() >= 200 && answer.result_int() < 300;
+}
+
 /// @brief How a request on a connection ended.
 enum class Delivery {
   Answered, ///< a whole answer came
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
+#include "support/BeastText.h"
+
 namespace savorytrestle::leaf {
 
 using core::TimePoint;
@@ -20,14 +22,6 @@
 constexpr int MaxSends = 5;
 constexpr unsigned Misdirected = 421;
 
-std::string_view view(boost::beast::string_view text) {
-  return {text.data(), text.size()};
-}
-
-bool success(const LeafAnswer &answer) {
-  return answer.result_int() >= 200 && answer.result_int() < 300;
-}
-
 } // namespace
 
 ServiceCall::ServiceCall(std::shared_ptr<const CallContext> context,
@@ -143,7 +137,7 @@
     return tryAgain(Run > 0 ? CallEnd::Lost : CallEnd::Rejected, Cause::Resend,
                     now);
   }
-  if (success(answer)) {
+  if (isSuccess(answer)) {
     const auto latency = now - attempt.At;
     from.score().onAnswer(now, latency, expected().get());
     expected().record(latency);
@@ -158,9 +152,9 @@
 
 bool ServiceCall::genuine(const LeafAnswer &answer) const {
   const auto id = answer.find(Context->Names.RequestId);
-  if (id != answer.end() && view(id->value()) != Context->RequestId)
+  if (id != answer.end() && support::text(id->value()) != Context->RequestId)
     return false;
-  return !success(answer) ||
+  return !isSuccess(answer) ||
          (answer.find(Context->SignatureHeader) != answer.end() &&
           answer.find(boost::beast::http::field::content_encoding) ==
               answer.end());
@@ -172,7 +166,7 @@
   if (header == answer.end())
     return;
   const std::vector<std::string> fields =
-      absl::StrSplit(std::string(view(header->value())), ',');
+      absl::StrSplit(std::string(support::text(header->value())), ',');
   core::ReportedLoad load;
   if (fields.size() == 3 && absl::SimpleAtoi(fields[0], &load.Running) &&
       absl::SimpleAtoi(fields[1], &load.Waiting) &&
--- /dev/null
+++ b/tests/process-relay.cpp
@@ -0,0 +1,80 @@
+#include "NodeDeployment.h"
+
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+using namespace savorytrestle;
+using namespace savorytrestle::tests;
+using savorytrestle::testing::eventually;
+
+namespace {
+
+/// Eight shards whose leaves all stand in failure domain b.
+class RelayTest : public ::testing::Test {
+protected:
+  void SetUp() override {
+    std::vector<std::string> shards;
+    for (int i = 0; i < 8; ++i) {
+      shards.push_back("t" + std::to_string(i));
+      Cluster.addLeaf("i-" + shards.back(), shards.back(), "b");
+    }
+    Cluster.putConfig(usualConfig(3, shards));
+    Near = &Cluster.addNode(true, "b");
+    Far = &Cluster.addNode(true, "a");
+    ASSERT_TRUE(logged(*Far, "event=hosts_known"));
+  }
+
+  /// Asks the host of domain a; its answer must be whole.
+  void expectWhole(const std::string &id) {
+    const auto reply = NodeDeployment::ask(*Far, "/search/x", id);
+    ASSERT_EQ(reply.Status, 200) << Far->log();
+    EXPECT_EQ(reply.Headers.at("savorytrestle-missing-parts"), "0");
+    const std::string stamps = reply.Headers.at("savorytrestle-part-stamps");
+    EXPECT_EQ(std::count(stamps.begin(), stamps.end(), ','), 7);
+    EXPECT_EQ(reply.Body.substr(0, 3), "3t7");
+  }
+
+  bool logged(const NodeProcess &node, const std::string &text) {
+    return eventually(
+        [&] { return node.log().find(text) != std::string::npos; });
+  }
+
+  NodeDeployment Cluster;
+  NodeProcess *Near = nullptr;
+  NodeProcess *Far = nullptr;
+};
+
+TEST_F(RelayTest, ShardsOfAnotherDomainAreAskedThroughAHostThere) {
+  expectWhole("r1");
+  EXPECT_TRUE(logged(*Near, "request=r1"));
+  EXPECT_TRUE(logged(*Far, "event=relay_planned"));
+  Cluster.onThread([&] {
+    for (const auto &leaf : Cluster.Leaves)
+      EXPECT_EQ(leaf->Run["r1"], 1) << leaf->Id;
+    return 0;
+  });
+}
+
+TEST_F(RelayTest, AHostThatIsGoneIsReplacedByAskingDirectly) {
+  Near->Child.kill();
+  expectWhole("r1");
+  EXPECT_TRUE(logged(*Far, "event=relay_refused request=r1"));
+}
+
+TEST_F(RelayTest, AHostWithAnotherVersionIsNotUsed) {
+  Near->Child.signal(SIGSTOP);
+  Cluster.putConfig(Cluster.onThread([] {
+    return usualConfig(9, {"t0", "t1", "t2", "t3", "t4", "t5", "t6", "t7"});
+  }));
+  ASSERT_TRUE(logged(*Far, "version=9"));
+  Cluster.onThread([&] {
+    Cluster.Store->setFault(StoreFault::Silent);
+    return 0;
+  });
+  Near->Child.signal(SIGCONT);
+  // Whatever version the other host goes by, the answer is whole.
+  expectWhole("r1");
+}
+
+} // namespace
