--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -53,6 +53,7 @@
 
   int run(std::chrono::seconds length, int callers) {
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(callers));
     for (int i = 0; i < callers; ++i)
       threads.emplace_back([this, i] { call(i); });
     const auto until = std::chrono::steady_clock::now() + length;
@@ -193,9 +194,10 @@
     std::set<std::string> services;
     const std::vector<std::string> stamps =
         absl::StrSplit(reply.Headers.at("savorytrestle-part-stamps"), ", ");
+    const std::string ending = "-" + id;
     for (const std::string &stamp : stamps) {
       // "stamp-i-SERVICEDOMAIN-REQUEST"
-      if (stamp.size() != id.size() + 12 || !stamp.ends_with("-" + id))
+      if (stamp.size() != id.size() + 12 || !stamp.ends_with(ending))
         return Broken.add(id + ": part of another request: " + stamp);
       if (!services.insert(stamp.substr(8, 2)).second)
         return Broken.add(id + ": two parts of one shard");
