--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -8,6 +8,7 @@
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
 #include "Ledger.h"
@@ -198,7 +199,8 @@
     for (const std::string &stamp : stamps) {
       // "stamp-i-SERVICEDOMAIN-REQUEST"
       if (stamp.size() != id.size() + 12 || !stamp.ends_with(ending))
-        return Broken.add(id + ": part of another request: " + stamp);
+        return Broken.add(
+            absl::StrCat(id, ": part of another request: ", stamp));
       if (!services.insert(stamp.substr(8, 2)).second)
         return Broken.add(id + ": two parts of one shard");
     }
