--- a/tests/standins/RawLeaf.h
+++ b/tests/standins/RawLeaf.h
@@ -45,7 +45,7 @@
   using Script = std::function<RawAnswer(const std::string &)>;
 
   RawLeaf(boost::asio::io_context &io, Script script)
-      : Io(io), Acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}),
+      : Acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}),
         Answers(std::move(script)) {
     accept();
   }
@@ -126,7 +126,6 @@
         });
   }
 
-  boost::asio::io_context &Io;
   boost::asio::ip::tcp::acceptor Acceptor;
   Script Answers;
   int Requests = 0;
--- a/tests/unit-leaf-connection.cpp
+++ b/tests/unit-leaf-connection.cpp
@@ -25,7 +25,7 @@
 
 class LeafConnectionTest : public ::testing::Test {
 protected:
-  void answerWith(RawAnswer answer) {
+  void answerWith(const RawAnswer &answer) {
     Leaf = std::make_unique<RawLeaf>(
         Io, [answer](const std::string &) { return answer; });
     Connection =
