A relayed part is read once; one check for a call's success

From reading the whole change again: RequestRouter decoded the shards of a relayed request when it checked them and again for its context, and the two could differ for a request with only one of the two relay headers; both are wanted now. RequestRun asked three times in its own words whether a call had succeeded.

--- a/include/savorytrestle/core/LeafScore.h
+++ b/include/savorytrestle/core/LeafScore.h
@@ -100,9 +100,6 @@
   /// @return the cost; O(1)
   Duration cost(TimePoint now, Duration expected) const;
 
-  /// @brief Requests out at the leaf.
-  std::size_t outstanding() const { return Sent.size(); }
-
 private:
   struct Outstanding {
     TimePoint At;
--- a/include/savorytrestle/core/SharedRetryBudget.h
+++ b/include/savorytrestle/core/SharedRetryBudget.h
@@ -45,9 +45,6 @@
   /// @return true when one extra request may be sent
   bool take(TimePoint now);
 
-  /// @brief Tokens held, for logs and metrics.
-  double tokens() const { return Tokens; }
-
 private:
   void refill(TimePoint now);
 
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -86,21 +86,22 @@
     turnAway(request, route, *refusal, respond);
     return nullptr;
   }
+  const bool relayed = request.find(RelayVersionHeader) != request.end();
   // Another host may ask for some of the shards only.
   const auto part = request.find(RelayShardsHeader);
-  const auto asked = part == request.end()
-                         ? nullptr
-                         : partOf(*route, support::text(part->value()));
-  const auto services = servicesOf(asked ? *asked : *route);
-  if (!enoughReachable(asked ? *asked : *route, services)) {
+  const auto asked = relayed && part != request.end()
+                         ? partOf(*route, support::text(part->value()))
+                         : nullptr;
+  const core::RouteRule &rule = asked ? *asked : *route;
+  const auto services = servicesOf(rule);
+  if (!enoughReachable(rule, services)) {
     turnAway(request, route,
              {http::status::service_unavailable, "too few leaves are reachable",
               core::retryAfter(*route)},
              respond);
     return nullptr;
   }
-  const bool relayed = request.find(RelayVersionHeader) != request.end();
-  const auto context = contextOf(std::move(request), *route);
+  const auto context = contextOf(std::move(request), rule, asked);
   const auto run =
       std::make_shared<RequestRun>(Io, context, Records, std::move(respond));
   if (const auto &plan = relaysOf(*route); plan.empty() || relayed)
@@ -139,8 +140,8 @@
 }
 
 std::shared_ptr<const leaf::CallContext>
-RequestRouter::contextOf(CallerRequest request,
-                         const core::RouteRule &route) const {
+RequestRouter::contextOf(CallerRequest request, const core::RouteRule &route,
+                         std::shared_ptr<const core::RouteRule> part) const {
   const auto start = SteadyClock::now();
   milliseconds allowed = route.Timeout;
   std::int64_t waits = 0;
@@ -154,15 +155,12 @@
   const bool relayed = request.find(RelayVersionHeader) != request.end();
   const auto arrived = relayed ? start - RelayHop : start;
   removeHopByHop(request);
-  auto part = relayed ? partOf(route, support::text(request[RelayShardsHeader]))
-                      : std::shared_ptr<const core::RouteRule>();
   request.erase(RelayVersionHeader);
   request.erase(RelayShardsHeader);
-  const core::RouteRule &rule = part ? *part : route;
   request.version(11);
   request.prepare_payload();
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
-      Leaves, Names, Config, rule, std::move(part), std::move(request),
+      Leaves, Names, Config, route, std::move(part), std::move(request),
       std::move(id), Names.LeafSignature, arrived, start + allowed});
 }
 
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -64,7 +64,8 @@
   relayContextOf(const leaf::CallContext &direct,
                  const std::vector<std::size_t> &shards) const;
   std::shared_ptr<const leaf::CallContext>
-  contextOf(CallerRequest request, const core::RouteRule &route) const;
+  contextOf(CallerRequest request, const core::RouteRule &route,
+            std::shared_ptr<const core::RouteRule> part) const;
   /// Shards of a request that are asked through other hosts.
   const core::RelayPlan &relaysOf(const core::RouteRule &route);
   /// Starts a sharded request of which other hosts ask a part.
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -22,8 +22,7 @@
 /// Signatures of the parts that another host has merged.
 std::vector<std::string> signaturesOf(const leaf::CallContext &context,
                                       const ServiceCall &call) {
-  if (!call.ended() || call.end() != CallEnd::Answered ||
-      !leaf::isSuccess(call.answer()))
+  if (!call.succeeded())
     return {};
   const auto header = call.answer()[context.Names.PartSignatures];
   return absl::StrSplit(std::string(header.data(), header.size()), ", ",
@@ -152,7 +151,7 @@
   for (const auto &call : Calls) {
     if (!call->ended())
       continue;
-    if (call->end() == CallEnd::Answered && leaf::isSuccess(call->answer()))
+    if (call->succeeded())
       ++progress.Answered;
     else
       ++progress.Failed;
@@ -183,8 +182,7 @@
     signatures.insert(signatures.end(), in.begin(), in.end());
   }
   for (const auto &call : Calls) {
-    if (!call->ended() || call->end() != CallEnd::Answered ||
-        !leaf::isSuccess(call->answer()))
+    if (!call->succeeded())
       continue;
     parts.emplace_back(call->answer().body());
     const auto it = call->answer().find(Context->Names.LeafSignature);
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -78,6 +78,11 @@
   /// @brief How it ended; only when it has.
   CallEnd end() const { return *End; }
 
+  /// @brief Whether it has ended with a leaf's success.
+  bool succeeded() const {
+    return End == CallEnd::Answered && isSuccess(Answer);
+  }
+
   /// @brief The leaf's answer; only when it has answered.
   const LeafAnswer &answer() const { return Answer; }
 
