--- a/bench/write-claims.cpp
+++ b/bench/write-claims.cpp
@@ -39,7 +39,7 @@
 struct RemoteStore : standins::FakeKvStore {
   explicit RemoteStore(const FakeKvStore &store) : FakeKvStore(store) {}
 
-  core::Result<std::optional<store::KvEntry>>
+  core::Result<std::optional<store::StoredItem>>
   get(const std::string &key, std::chrono::milliseconds timeout) {
     travel();
     return FakeKvStore::get(key, timeout);
--- a/include/savorytrestle/core/SharedRetryBudget.h
+++ b/include/savorytrestle/core/SharedRetryBudget.h
@@ -5,6 +5,8 @@
 /// @brief One host's part of the extra load that all hosts together may put on
 /// a service.
 
+#include <cstddef>
+
 #include "savorytrestle/core/Time.h"
 
 namespace savorytrestle::core {
@@ -19,6 +21,14 @@
   Duration Window{};
 };
 
+/// @brief Among how many hosts a host's part of a service's allowance is to be
+/// shared. Hosts near its leaves send it nearly all requests, directly and for
+/// hosts further off, and get most of the allowance.
+/// @param isNear whether this host's failure domain has leaves of the service
+/// @param near hosts of failure domains with leaves of the service
+/// @param all all hosts
+double budgetSharers(bool isNear, std::size_t near, std::size_t all);
+
 /// @brief Token bucket of one service on one host.
 ///
 /// A bucket that holds at most this host's part of the allowance and earns the
--- a/include/savorytrestle/core/Time.h
+++ b/include/savorytrestle/core/Time.h
@@ -19,6 +19,14 @@
 using WallTime = std::chrono::time_point<std::chrono::system_clock,
                                          std::chrono::milliseconds>;
 
+/// @brief Monotonic time in the form of wall-clock time, for tables whose
+/// records hosts pass on as ages.
+/// @param now the time
+inline WallTime steadyWallTime(TimePoint now) {
+  return WallTime(
+      std::chrono::floor<WallTime::duration>(now.time_since_epoch()));
+}
+
 } // namespace savorytrestle::core
 
 #endif
--- /dev/null
+++ b/src/core/FeedPolicy.cpp
@@ -0,0 +1,90 @@
+#include "savorytrestle/core/FeedPolicy.h"
+
+#include <algorithm>
+#include <set>
+
+namespace savorytrestle::core {
+
+namespace {
+
+/// In a smaller failure domain, one host's short calls cost as much as the few
+/// long ones of the others that it saves.
+constexpr std::size_t LeastHostsOfDomain = 5;
+/// Hosts of other failure domains kept as further sources.
+constexpr std::size_t MaxSpareSources = 3;
+
+/// Parts of the time in which a change must be in force: three of them, the
+/// pause and a way add up to less than it.
+constexpr int PartsOfApplyTime = 5;
+constexpr std::chrono::milliseconds LongestGather{700};
+
+} // namespace
+
+FeedPlan planFeed(const FeedHost &own,
+                  const std::map<std::string, std::string> &regions,
+                  const std::vector<FeedHost> &hosts) {
+  std::map<std::string, std::set<std::string>> domains;
+  domains[own.FailureDomain].insert(own.Id);
+  for (const FeedHost &host : hosts)
+    domains[host.FailureDomain].insert(host.Id);
+  const auto regionOf = [&](const std::string &domain) {
+    const auto it = regions.find(domain);
+    return it == regions.end() ? std::string() : it->second;
+  };
+
+  // Each domain's first host reads for the others of the domain. It stays the
+  // first one while hosts with later names come and go.
+  FeedPlan plan;
+  const auto &ownDomain = domains[own.FailureDomain];
+  const std::string &reader = *ownDomain.begin();
+  if (ownDomain.size() >= LeastHostsOfDomain) {
+    if (reader == own.Id)
+      plan.PassesOn = true;
+    else
+      plan.Before.push_back(reader);
+  }
+  std::vector<std::string> spares;
+  for (const bool sameRegion : {true, false})
+    for (const auto &[domain, ids] : domains)
+      if (domain != own.FailureDomain &&
+          (regionOf(domain) == regionOf(own.FailureDomain)) == sameRegion)
+        spares.push_back(*ids.begin());
+  if (spares.size() > MaxSpareSources)
+    spares.resize(MaxSpareSources);
+  plan.After = std::move(spares);
+  return plan;
+}
+
+FeedTiming::FeedTiming(Duration configApply)
+    : ShortWait(configApply / PartsOfApplyTime),
+      Gather(std::min<Duration>(LongestGather, configApply / 4)),
+      MaxAge(2 * ShortWait + Gather) {}
+
+SourceRotation::SourceRotation(std::vector<Rest> rests) {
+  for (const Rest &rest : rests)
+    Sources.push_back({rest, rest.First, TimePoint{}});
+}
+
+SourceRotation::Choice SourceRotation::next(TimePoint now) const {
+  const auto awake =
+      std::find_if(Sources.begin(), Sources.end(),
+                   [now](const State &it) { return it.Until <= now; });
+  if (awake != Sources.end())
+    return {static_cast<std::size_t>(awake - Sources.begin()), now};
+  const auto first = std::min_element(
+      Sources.begin(), Sources.end(),
+      [](const State &a, const State &b) { return a.Until < b.Until; });
+  return {static_cast<std::size_t>(first - Sources.begin()), first->Until};
+}
+
+void SourceRotation::onFailure(std::size_t source, TimePoint now) {
+  State &state = Sources[source];
+  state.Until = now + state.Next;
+  state.Next = std::min(state.Bounds.Longest, 2 * state.Next);
+}
+
+void SourceRotation::onSuccess(std::size_t source) {
+  Sources[source].Next = Sources[source].Bounds.First;
+}
+
+} // namespace savorytrestle::core
--- a/src/core/SharedRetryBudget.cpp
+++ b/src/core/SharedRetryBudget.cpp
@@ -13,8 +13,19 @@
 /// services with few requests can retry too.
 constexpr double SavedShare = 0.6;
 
+/// Part of the allowance for hosts near the leaves; the others need some for
+/// what no near host has taken from them.
+constexpr double NearPart = 0.85;
+
 } // namespace
 
+double budgetSharers(bool isNear, std::size_t near, std::size_t all) {
+  if (near == 0 || near >= all)
+    return static_cast<double>(all);
+  return isNear ? static_cast<double>(near) / NearPart
+                : static_cast<double>(all - near) / (1 - NearPart);
+}
+
 void SharedRetryBudget::setRule(const RetryBudgetRule &rule) {
   Rule = rule;
   setHosts(Hosts);
--- /dev/null
+++ b/src/entry/CrashWatch.cpp
@@ -0,0 +1,70 @@
+#include "entry/CrashWatch.h"
+
+#include "support/BeastText.h"
+#include "support/Log.h"
+
+namespace savorytrestle::entry {
+
+using core::QuarantineEvent;
+using core::QuarantineRecord;
+using core::TimePoint;
+
+namespace {
+
+/// Runs that got nothing but broken connections, without an answer in between
+/// on any host, after which a request is refused: an innocent one that meets
+/// failing leaves each time is far rarer at three than at two.
+constexpr std::size_t BrokenRuns = 3;
+
+core::QuarantineSettings settings() {
+  core::QuarantineSettings settings;
+  settings.MaxCrashes = BrokenRuns;
+  return settings;
+}
+
+} // namespace
+
+core::Fingerprint fingerprintOf(const CallerRequest &request) {
+  const auto host = support::text(request[boost::beast::http::field::host]);
+  return core::makeFingerprint(host, support::text(request.target()),
+                               request.body());
+}
+
+CrashWatch::CrashWatch() : Quarantine(settings()) {}
+
+std::optional<std::chrono::milliseconds>
+CrashWatch::refused(const core::Fingerprint &print, TimePoint now) {
+  const auto verdict = Quarantine.check(print, core::steadyWallTime(now));
+  if (verdict.Permission != core::RunPermission::Refused)
+    return std::nullopt;
+  return verdict.RetryAfter;
+}
+
+void CrashWatch::onEnd(const RunEnd &end, TimePoint now) {
+  const auto at = core::steadyWallTime(now);
+  std::vector<QuarantineRecord> records;
+  if (end.Answered) {
+    records = Quarantine.onSuccess("", end.Print, at);
+  } else if (end.LeafBroke) {
+    // One run counts once, whichever hosts and leaves had a part in it.
+    records.push_back({end.Print, QuarantineEvent::Strike,
+                       core::makeCrashId(end.RequestId, 0), at});
+    Quarantine.merge(records, at);
+    support::LogLine("leaf_broke")
+        .with("request", end.RequestId)
+        .with("fingerprint", end.Print.High)
+        .with("refused_from_now", refused(end.Print, now) ? 1 : 0);
+  }
+  if (!records.empty() && TellOthers)
+    TellOthers(records);
+}
+
+void CrashWatch::merge(const std::vector<QuarantineRecord> &records,
+                       TimePoint now) {
+  if (records.empty())
+    return;
+  support::LogLine("crashes_heard").with("records", records.size());
+  Quarantine.merge(records, core::steadyWallTime(now));
+}
+
+} // namespace savorytrestle::entry
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -82,7 +82,8 @@
 CancelRequest RequestRouter::handle(CallerRequest request, Respond respond) {
   const core::RouteRule *route =
       Config ? Config->find(hostOf(request), pathOf(request)) : nullptr;
-  if (const auto refusal = check(request, route)) {
+  const auto print = fingerprintOf(request);
+  if (const auto refusal = check(request, route, print)) {
     turnAway(request, route, *refusal, respond);
     return nullptr;
   }
@@ -101,9 +102,9 @@
              respond);
     return nullptr;
   }
-  const auto context = contextOf(std::move(request), rule, asked);
-  const auto run =
-      std::make_shared<RequestRun>(Io, context, Records, std::move(respond));
+  const auto context = contextOf(std::move(request), print, rule, asked);
+  const auto run = std::make_shared<RequestRun>(Io, context, Records, Crashes,
+                                                std::move(respond));
   if (const auto &plan = relaysOf(*route); plan.empty() || relayed)
     run->start(services);
   else
@@ -112,8 +113,8 @@
 }
 
 std::optional<RequestRouter::Refusal>
-RequestRouter::check(const CallerRequest &request,
-                     const core::RouteRule *route) const {
+RequestRouter::check(const CallerRequest &request, const core::RouteRule *route,
+                     const core::Fingerprint &print) {
   if (!Config)
     return Refusal{http::status::service_unavailable,
                    "no configuration known yet", StartingRetryAfter};
@@ -127,6 +128,9 @@
                    StartingRetryAfter};
   if (request.find(Names.RequestId) == request.end())
     return Refusal{http::status::bad_request, "no request id", std::nullopt};
+  if (const auto wait = Crashes.refused(print, SteadyClock::now()))
+    return Refusal{http::status::too_many_requests,
+                   "leaves have crashed under this request", *wait};
   return std::nullopt;
 }
 
@@ -140,7 +144,8 @@
 }
 
 std::shared_ptr<const leaf::CallContext>
-RequestRouter::contextOf(CallerRequest request, const core::RouteRule &route,
+RequestRouter::contextOf(CallerRequest request, const core::Fingerprint &print,
+                         const core::RouteRule &route,
                          std::shared_ptr<const core::RouteRule> part) const {
   const auto start = SteadyClock::now();
   milliseconds allowed = route.Timeout;
@@ -161,7 +166,7 @@
   request.prepare_payload();
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
       Leaves, Names, Config, route, std::move(part), std::move(request),
-      std::move(id), Names.LeafSignature, arrived, start + allowed});
+      std::move(id), print, Names.LeafSignature, arrived, start + allowed});
 }
 
 std::shared_ptr<const leaf::CallContext>
@@ -175,9 +180,10 @@
   request.set(RelayVersionHeader, std::to_string(Config->Version));
   request.set(RelayShardsHeader, absl::StrJoin(shards, ","));
   const core::RouteRule &rule = *route;
-  return std::make_shared<const leaf::CallContext>(leaf::CallContext{
-      Leaves, Names, Config, rule, std::move(route), std::move(request),
-      direct.RequestId, Names.PartSignatures, direct.Start, direct.Deadline});
+  return std::make_shared<const leaf::CallContext>(
+      leaf::CallContext{Leaves, Names, Config, rule, std::move(route),
+                        std::move(request), direct.RequestId, direct.Print,
+                        Names.PartSignatures, direct.Start, direct.Deadline});
 }
 
 const core::RelayPlan &RequestRouter::relaysOf(const core::RouteRule &route) {
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "entry/CallerSession.h"
+#include "entry/CrashWatch.h"
 #include "entry/RequestRecord.h"
 #include "entry/RequestRun.h"
 #include "leaf/LeafDirectory.h"
@@ -37,6 +38,9 @@
     Config = std::move(config);
   }
 
+  /// @brief Requests that crash leaves, as this host and others know them.
+  CrashWatch &crashes() { return Crashes; }
+
   /// @brief Begins a request.
   /// @param request the request
   /// @param respond takes its answer, at once or later
@@ -59,12 +63,14 @@
   static std::shared_ptr<const core::RouteRule>
   partOf(const core::RouteRule &route, std::string_view indices);
   std::optional<Refusal> check(const CallerRequest &request,
-                               const core::RouteRule *route) const;
+                               const core::RouteRule *route,
+                               const core::Fingerprint &print);
   std::shared_ptr<const leaf::CallContext>
   relayContextOf(const leaf::CallContext &direct,
                  const std::vector<std::size_t> &shards) const;
   std::shared_ptr<const leaf::CallContext>
-  contextOf(CallerRequest request, const core::RouteRule &route,
+  contextOf(CallerRequest request, const core::Fingerprint &print,
+            const core::RouteRule &route,
             std::shared_ptr<const core::RouteRule> part) const;
   /// Shards of a request that are asked through other hosts.
   const core::RelayPlan &relaysOf(const core::RouteRule &route);
@@ -81,6 +87,7 @@
   boost::asio::io_context &Io;
   leaf::LeafDirectory &Leaves;
   RequestRecords Records;
+  CrashWatch Crashes;
   support::HeaderNames Names;
   std::shared_ptr<const core::ServingConfig> Config;
   /// Turns of each split route, by its name.
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -39,8 +39,9 @@
 
 RequestRun::RequestRun(boost::asio::io_context &io,
                        std::shared_ptr<const leaf::CallContext> context,
-                       RequestRecords &records, Respond respond)
-    : Context(std::move(context)), Records(records),
+                       RequestRecords &records, CrashWatch &crashes,
+                       Respond respond)
+    : Context(std::move(context)), Records(records), Crashes(crashes),
       OnAnswer(std::move(respond)), Timer(io) {}
 
 void RequestRun::start(const std::vector<leaf::Service *> &services,
@@ -228,7 +229,7 @@
   Done = true;
   Timer.cancel();
   cancelCalls();
-  Records.onFinished(*Context, Calls, answer.result_int(), outcome);
+  report(answer.result_int(), outcome);
   const auto onAnswer = std::move(OnAnswer);
   onAnswer(std::move(answer));
 }
@@ -239,10 +240,21 @@
   Done = true;
   Timer.cancel();
   cancelCalls();
-  Records.onFinished(*Context, Calls, 0, "caller_left");
+  report(0, "caller_left");
   OnAnswer = nullptr;
 }
 
+void RequestRun::report(unsigned status, const char *outcome) {
+  Records.onFinished(*Context, Calls, status, outcome);
+  // Calls to other hosts don't count here: each host reports its own leaves.
+  RunEnd end{Context->Print, Context->RequestId};
+  for (const auto &call : Calls) {
+    end.Answered |= call->ended() && call->end() == CallEnd::Answered;
+    end.LeafBroke |= call->leafBroke();
+  }
+  Crashes.onEnd(end, SteadyClock::now());
+}
+
 void RequestRun::tick(TimePoint now) {
   for (const auto &call : Calls)
     call->onTime(now);
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "entry/CallerSession.h"
+#include "entry/CrashWatch.h"
 #include "entry/RequestRecord.h"
 #include "leaf/ServiceCall.h"
 #include "savorytrestle/core/HedgePolicy.h"
@@ -38,10 +39,11 @@
   /// @param io runs its timer
   /// @param context the request as it goes to leaves
   /// @param records takes what became of it
+  /// @param crashes told whether its content may crash leaves
   /// @param respond takes its answer
   RequestRun(boost::asio::io_context &io,
              std::shared_ptr<const leaf::CallContext> context,
-             RequestRecords &records, Respond respond);
+             RequestRecords &records, CrashWatch &crashes, Respond respond);
 
   /// @brief Sends it to the leaves of these services.
   /// @param services one for a plain route, the shards of a sharded one
@@ -65,6 +67,7 @@
   void answerSharded();
   void giveUp(core::TimePoint now);
   void finish(CallerAnswer answer, const char *outcome);
+  void report(unsigned status, const char *outcome);
   core::ShardTally progress() const;
   bool anyMayHaveRun() const;
   void tick(core::TimePoint now);
@@ -73,6 +76,7 @@
 
   std::shared_ptr<const leaf::CallContext> Context;
   RequestRecords &Records;
+  CrashWatch &Crashes;
   Respond OnAnswer;
   boost::asio::steady_timer Timer;
   std::vector<ServiceCallPtr> Calls;
--- a/src/hosts/HostSlotKeeper.h
+++ b/src/hosts/HostSlotKeeper.h
@@ -91,7 +91,7 @@
   /// @brief Renews or claims once; the thread calls it again and again.
   /// @return how long to wait before the next step
   std::chrono::milliseconds step() {
-    if (LeaseName.empty())
+    if (HeldBy == store::NoLease)
       return claim();
     return renew();
   }
@@ -102,16 +102,16 @@
       const std::lock_guard guard(Lock);
       Lease.onEnded();
     }
-    if (LeaseName.empty())
+    if (HeldBy == store::NoLease)
       return;
     // The mark goes first: without it the slot rests for the lapse grace.
     const auto record = Client.get(recordKey(Held), Options.CallTimeout);
     if (record && *record)
       Client.compareAndSet(recordKey(Held), writeRecord({selfNonce(), true}),
-                           (*record)->ModifyRevision, Options.CallTimeout);
-    Client.endLease(LeaseName, Options.CallTimeout);
+                           (*record)->Changed, Options.CallTimeout);
+    Client.endLease(HeldBy, Options.CallTimeout);
     support::LogLine("slot_released").with("slot", Held);
-    LeaseName.clear();
+    HeldBy = store::NoLease;
   }
 
 private:
@@ -142,8 +142,8 @@
       return Rewrite;
     }();
     if (rewrite)
-      Client.acquire(slotKey(Held), selfText(), LeaseName, Options.CallTimeout);
-    const auto renewed = Client.renewLease(LeaseName, Options.CallTimeout);
+      Client.acquire(slotKey(Held), selfText(), HeldBy, Options.CallTimeout);
+    const auto renewed = Client.renewLease(HeldBy, Options.CallTimeout);
     if (!renewed)
       return onUnreachable();
     const std::lock_guard guard(Lock);
@@ -153,7 +153,7 @@
     }
     support::LogLine("slot_lapsed").with("slot", Held);
     Lease.onEnded();
-    LeaseName.clear();
+    HeldBy = store::NoLease;
     return claimDelay();
   }
 
@@ -188,7 +188,7 @@
     for (const auto number : candidates(table, sentAt)) {
       if (!tryClaim(table.Records[number], number, *opened))
         continue;
-      LeaseName = *opened;
+      HeldBy = *opened;
       Held = number;
       const std::lock_guard guard(Lock);
       Lease.onConfirmed(number, sentAt);
@@ -218,11 +218,11 @@
   // The record is written before the slot is taken, so that a slot whose holder
   // dies in between counts as lapsed and not as released.
   bool tryClaim(const StoredRecord &seen, core::SlotNumber number,
-                const store::LeaseId &lease) {
+                store::LeaseId lease) {
     const std::string record = writeRecord({selfNonce(), false});
     if (!tookEffect(Client.compareAndSet(recordKey(number), record,
                                          seen.Revision, Options.CallTimeout),
-                    recordKey(number), record, std::nullopt))
+                    recordKey(number), record, store::NoLease))
       return false;
     const std::string text = selfText();
     return tookEffect(
@@ -232,8 +232,7 @@
 
   /// Resolves a write whose reply was lost by reading back.
   bool tookEffect(const core::Result<bool> &result, const std::string &key,
-                  const std::string &value,
-                  const std::optional<store::LeaseId> &lease) {
+                  const std::string &value, store::LeaseId lease) {
     if (result)
       return *result;
     if (result.error().Code != core::ErrorCode::OutcomeUnknown)
@@ -254,7 +253,8 @@
   // Used by the worker only.
   core::SlotChooser Chooser;
   core::Rng Random;
-  store::LeaseId LeaseName;
+  /// Lease of the held slot.
+  store::LeaseId HeldBy = store::NoLease;
   core::SlotNumber Held = 0;
 };
 
--- a/src/hosts/PeerDuties.cpp
+++ b/src/hosts/PeerDuties.cpp
@@ -26,7 +26,7 @@
 /// How long the push thread waits for work before it looks whether to stop.
 constexpr milliseconds PushPoll{100};
 
-std::string payloadOf(const std::vector<store::KvEntry> &entries) {
+std::string payloadOf(const std::vector<store::StoredItem> &entries) {
   nlohmann::json payload = nlohmann::json::object();
   for (const auto &entry : entries)
     payload[entry.Key] = entry.Value;
@@ -54,8 +54,8 @@
     View.onStoreSeen(at);
 }
 
-void PeerNode::Impl::takeSlots(const store::WatchResult &seen, TimePoint at) {
-  auto blob = core::makeBlob(seen.Index, payloadOf(seen.Entries));
+void PeerNode::Impl::takeSlots(const store::StorePage &seen, TimePoint at) {
+  auto blob = core::makeBlob(seen.At, payloadOf(seen.Items));
   if (blob.Payload != View.hosts().Payload)
     accept({Topic::Hosts, std::move(blob), std::nullopt});
   View.onSlotsSeen(at);
@@ -75,7 +75,7 @@
     const auto at = clockNow();
     const auto seen = watch(index);
     View.onStoreCalled(seen.has_value(), clockNow());
-    index = seen ? seen->Index : 0;
+    index = seen ? seen->At : 0;
     if (seen)
       take(*seen, at);
   } while (pause(WatchSpacing));
@@ -98,7 +98,7 @@
       [&](store::Revision after) {
         return feed.WatchSlots(after, Options.Timing.WatchWait);
       },
-      [&](const store::WatchResult &seen, TimePoint at) {
+      [&](const store::StorePage &seen, TimePoint at) {
         takeSlots(seen, at);
       });
 }
--- a/src/hosts/PeerNodeImpl.h
+++ b/src/hosts/PeerNodeImpl.h
@@ -60,7 +60,7 @@
   // Steps of the duties.
   bool watches() const;
   void takeMark(const StoreFeed &feed, const SettingsMark &mark, TimePoint at);
-  void takeSlots(const store::WatchResult &seen, TimePoint at);
+  void takeSlots(const store::StorePage &seen, TimePoint at);
   void pushBlob(PeerCaller &caller, Topic kind);
   void sendMark(PeerCaller &caller, const core::HostInfo &target, Topic kind,
                 std::uint64_t revision);
--- a/src/hosts/SlotKeys.cpp
+++ b/src/hosts/SlotKeys.cpp
@@ -56,7 +56,7 @@
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-SlotTable readSlots(const std::vector<store::KvEntry> &entries,
+SlotTable readSlots(const std::vector<store::StoredItem> &entries,
                     std::uint32_t slots) {
   SlotTable table;
   table.Records.resize(slots);
@@ -68,7 +68,7 @@
       table.Slots[*n].Held = true;
     if (const auto n = numberAfter(RecordPrefix, entry.Key); n && *n < slots) {
       const SlotRecord record = readRecord(entry.Value);
-      table.Records[*n] = {record, entry.ModifyRevision};
+      table.Records[*n] = {record, entry.Changed};
       table.Slots[*n].EverClaimed = true;
       table.Slots[*n].Released = record.Released;
     }
@@ -77,7 +77,7 @@
 }
 
 std::vector<core::HostInfo>
-readHolders(const std::vector<store::KvEntry> &entries) {
+readHolders(const std::vector<store::StoredItem> &entries) {
   std::vector<core::HostInfo> holders;
   for (const auto &entry : entries)
     if (numberAfter(SlotPrefix, entry.Key))
--- a/src/hosts/SlotKeys.h
+++ b/src/hosts/SlotKeys.h
@@ -34,7 +34,7 @@
 /// @brief A record with its revision.
 struct StoredRecord {
   SlotRecord Record;
-  store::Revision Revision = store::NoEntry;
+  store::Revision Revision = store::NoItem;
 };
 
 /// @brief All slots as read in one call.
@@ -63,14 +63,14 @@
 /// @param entries the entries; unknown or malformed ones are passed over
 /// @param slots how many slots exist
 /// @return the table; O(entries)
-SlotTable readSlots(const std::vector<store::KvEntry> &entries,
+SlotTable readSlots(const std::vector<store::StoredItem> &entries,
                     std::uint32_t slots);
 
 /// @brief Reads the holders of slots.
 /// @param entries the entries under SlotPrefix
 /// @return the hosts; malformed entries are passed over
 std::vector<core::HostInfo>
-readHolders(const std::vector<store::KvEntry> &entries);
+readHolders(const std::vector<store::StoredItem> &entries);
 
 } // namespace savorytrestle::hosts
 
--- a/src/hosts/StoreFeed.h
+++ b/src/hosts/StoreFeed.h
@@ -22,8 +22,8 @@
 struct SettingsMark {
   /// Revision of the tree; 0 when there is none yet.
   std::uint64_t Revision = 0;
-  /// Store index to wait beyond in the next watch.
-  store::Revision Index = 0;
+  /// Position to wait beyond in the next watch.
+  store::Revision At = 0;
 };
 
 /// @brief Reads of one thread; each thread of a node makes its own.
@@ -35,8 +35,8 @@
   /// Reads the whole tree.
   std::function<core::Result<core::VersionedBlob>()> ReadSettings;
   /// Waits until a slot may have changed hands; after 0 answers at once.
-  std::function<core::Result<store::WatchResult>(
-      store::Revision after, std::chrono::milliseconds wait)>
+  std::function<core::Result<store::StorePage>(store::Revision after,
+                                               std::chrono::milliseconds wait)>
       WatchSlots;
 };
 
@@ -59,8 +59,8 @@
     auto seen = store->watch(ManifestKey, after, wait);
     if (!seen)
       return tl::unexpected(seen.error());
-    SettingsMark mark{0, seen->Index};
-    for (const auto &entry : seen->Entries)
+    SettingsMark mark{0, seen->At};
+    for (const auto &entry : seen->Items)
       if (entry.Key == ManifestKey)
         mark.Revision = revisionOf(entry.Value);
     return mark;
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t AssumedHosts = 8;
 /// Hosts of this failure domain among them.
 constexpr std::size_t AssumedOwnDomain = 3;
+/// Hosts that start together have announced themselves by then.
+constexpr std::chrono::milliseconds JointStart{2500};
 /// Parts of a leaf's connections for the hosts of its failure domain, which
 /// send it most of its requests, and for all others; the rest is left to hosts
 /// that aren't known yet.
@@ -47,6 +49,7 @@
                              core::RetryBudgetRule rule)
     : Context(context), Place(std::move(place)), Rule(rule),
       Hosts(AssumedHosts), OwnDomainHosts(AssumedOwnDomain),
+      AssumeUntil(SteadyClock::now() + JointStart),
       Random(std::random_device{}()) {}
 
 void LeafDirectory::setBudgetRule(const core::RetryBudgetRule &rule) {
@@ -61,7 +64,7 @@
     service = std::make_unique<Service>();
     service->Name = name;
     service->Budget = core::SharedRetryBudget(Rule);
-    service->Budget.setHosts(static_cast<double>(Hosts));
+    setBudgetShare(*service);
   }
   return *service;
 }
@@ -98,6 +101,7 @@
   Service &owner = service(entry.Service);
   setShare(owner, *leaf);
   owner.Leaves.push_back(leaf);
+  setBudgetShare(owner);
   ById.emplace(entry.Id, std::move(leaf));
 }
 
@@ -163,16 +167,43 @@
   return near;
 }
 
-void LeafDirectory::setHosts(std::size_t all, std::size_t ownDomain) {
-  Hosts = std::max<std::size_t>(1, all);
-  OwnDomainHosts = std::clamp<std::size_t>(ownDomain, 1, Hosts);
+void LeafDirectory::setHosts(std::map<std::string, std::size_t> inDomain) {
+  InDomain = std::move(inDomain);
+  Hosts = 0;
+  for (const auto &[domain, hosts] : InDomain)
+    Hosts += hosts;
+  OwnDomainHosts = std::max<std::size_t>(1, InDomain[Place.FailureDomain]);
+  Hosts = std::max(Hosts, OwnDomainHosts);
+  // Hosts that start together see each other only after some time.
+  if (SteadyClock::now() < AssumeUntil) {
+    Hosts = std::max(Hosts, AssumedHosts);
+    OwnDomainHosts = std::max(OwnDomainHosts, AssumedOwnDomain);
+  }
   for (const auto &[name, service] : Services) {
-    service->Budget.setHosts(static_cast<double>(Hosts));
+    setBudgetShare(*service);
     for (const auto &leaf : service->Leaves)
       setShare(*service, *leaf);
   }
 }
 
+void LeafDirectory::setBudgetShare(Service &service) const {
+  const auto now = SteadyClock::now();
+  for (const auto &leaf : service.Leaves)
+    service.DomainsSeen[leaf->entry().FailureDomain] = now;
+  // A domain that has lost its leaves counts on for as long as what its hosts
+  // have spent does.
+  std::erase_if(service.DomainsSeen, [&](const auto &it) {
+    return now - it.second > 2 * Rule.Window;
+  });
+  std::size_t near = 0;
+  for (const auto &[domain, hosts] : InDomain)
+    if (service.DomainsSeen.count(domain) > 0)
+      near += hosts;
+  service.Budget.setHosts(
+      core::budgetSharers(service.DomainsSeen.count(Place.FailureDomain) > 0,
+                          near, std::max(Hosts, near)));
+}
+
 std::shared_ptr<Leaf>
 LeafDirectory::choose(const Service &service, core::Duration expected,
                       const std::vector<std::shared_ptr<Leaf>> &tried) {
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -31,6 +31,8 @@
   std::string Name;
   std::vector<std::shared_ptr<Leaf>> Leaves;
   core::SharedRetryBudget Budget;
+  /// When each failure domain was last seen with a leaf.
+  std::map<std::string, core::TimePoint> DomainsSeen;
   /// What each route's requests take here, by the route's name.
   std::map<std::string, core::ExpectedLatency, std::less<>> Latencies;
   int MaxConnections = 0;
@@ -86,9 +88,8 @@
   const std::string &failureDomain() const { return Place.FailureDomain; }
 
   /// @brief Takes the number of hosts that share the leaves.
-  /// @param all over all failure domains
-  /// @param ownDomain in this host's failure domain
-  void setHosts(std::size_t all, std::size_t ownDomain);
+  /// @param inDomain hosts of each failure domain
+  void setHosts(std::map<std::string, std::size_t> inDomain);
 
   /// @brief Chooses the leaf for a request: the cheapest one that takes
   /// requests, has room and wasn't tried.
@@ -106,14 +107,17 @@
   std::vector<std::string> idsWith(const std::string &prefix) const;
   core::LeafDistance distanceTo(const std::string &failureDomain) const;
   void setShare(const Service &service, Leaf &leaf) const;
+  void setBudgetShare(Service &service) const;
 
   boost::asio::io_context &Context;
   HostPlace Place;
   core::RetryBudgetRule Rule;
   std::map<std::string, std::unique_ptr<Service>> Services;
   std::map<std::string, std::shared_ptr<Leaf>> ById;
+  std::map<std::string, std::size_t> InDomain;
   std::size_t Hosts;
   std::size_t OwnDomainHosts;
+  core::TimePoint AssumeUntil;
   std::uint64_t Generation = 0;
   std::minstd_rand Random;
 };
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "leaf/LeafDirectory.h"
+#include "savorytrestle/core/Fingerprint.h"
 #include "savorytrestle/core/HedgePolicy.h"
 #include "support/HeaderNames.h"
 
@@ -31,6 +32,8 @@
   /// The request as it goes to a leaf, without the fields of one attempt.
   LeafRequest Request;
   std::string RequestId;
+  /// Identity of its content.
+  core::Fingerprint Print;
   /// Header that a genuine success bears.
   std::string SignatureHeader;
   core::TimePoint Start;
@@ -89,6 +92,9 @@
   /// @brief Whether a leaf may be executing it, or has executed it.
   bool mayHaveRun() const { return MayHaveRun; }
 
+  /// @brief Whether a leaf's connection broke while it had the request.
+  bool leafBroke() const { return LeafBroke; }
+
   /// @brief Leaf that answered last, and attempts sent, for logs.
   const std::string &leafId() const { return LeafId; }
   int attempts() const { return Sent; }
@@ -143,6 +149,7 @@
   int Run = 0;
   bool Hedged = false;
   bool MayHaveRun = false;
+  bool LeafBroke = false;
 };
 
 } // namespace savorytrestle::leaf
--- a/src/operators/SettingsCommand.cpp
+++ b/src/operators/SettingsCommand.cpp
@@ -14,6 +14,7 @@
 #include "savorytrestle/core/SettingsYaml.h"
 #include "support/BoundedJson.h"
 #include "support/HttpClient.h"
+#include "support/UrlEncode.h"
 
 namespace savorytrestle::operators {
 
@@ -26,13 +27,6 @@
 constexpr int OutcomeUnknownStatus = 504;
 constexpr int StoreUnavailableStatus = 503;
 
-std::string escaped(const std::string &text) {
-  const std::unique_ptr<char, decltype(&curl_free)> value(
-      curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size())),
-      &curl_free);
-  return value ? value.get() : "";
-}
-
 std::optional<std::string> readFile(const std::string &name) {
   std::ifstream file(name);
   if (!file)
@@ -99,7 +93,7 @@
   }
 
   static std::string item(const char *key, const std::string &value) {
-    return std::string("&") + key + "=" + escaped(value);
+    return std::string("&") + key + "=" + support::urlEncoded(value);
   }
 
   std::optional<ApiCall> parse(const Words &words) {
--- a/src/operators/SettingsReader.h
+++ b/src/operators/SettingsReader.h
@@ -24,7 +24,7 @@
 /// @brief The settings as one manifest names them.
 struct LoadedSettings {
   SettingsManifest Manifest;
-  store::Revision Modified = store::NoEntry;
+  store::Revision Modified = store::NoItem;
   core::SettingsTree Tree;
 };
 
@@ -88,7 +88,7 @@
     if (!manifest)
       return tl::unexpected(manifest.error());
     loaded.Manifest = std::move(*manifest);
-    loaded.Modified = (*entry)->ModifyRevision;
+    loaded.Modified = (*entry)->Changed;
   }
   if (loaded.Manifest.Revision < NewestSeen)
     return core::makeError(core::ErrorCode::StoreUnavailable,
--- a/src/operators/SettingsStore.h
+++ b/src/operators/SettingsStore.h
@@ -213,7 +213,7 @@
     core::Result<bool> written = false;
     for (int n = 0; n < MaxWrites; ++n) {
       written =
-          Store.compareAndSet(key, value, store::NoEntry, Options.CallTimeout);
+          Store.compareAndSet(key, value, store::NoItem, Options.CallTimeout);
       if (written || written.error().Code != core::ErrorCode::OutcomeUnknown)
         break;
     }
@@ -228,7 +228,7 @@
   // The change is made; an entry that stays costs only room.
   const auto entry = Store.get(key, Options.CallTimeout);
   if (entry && *entry)
-    (void)Store.compareAndDelete(key, (*entry)->ModifyRevision,
+    (void)Store.compareAndDelete(key, (*entry)->Changed,
                                  Options.CallTimeout);
 }
 
@@ -240,7 +240,7 @@
       "settings/audit/" + std::to_string(last.Number - MaxAuditPages) + "-";
   if (const auto pages = Store.list(prefix, Options.CallTimeout))
     for (const auto &page : *pages)
-      (void)Store.compareAndDelete(page.Key, page.ModifyRevision,
+      (void)Store.compareAndDelete(page.Key, page.Changed,
                                    Options.CallTimeout);
 }
 
--- a/src/registry/ConfigFeed.cpp
+++ b/src/registry/ConfigFeed.cpp
@@ -6,38 +6,21 @@
 
 namespace savorytrestle::registry {
 
-namespace {
+ConfigFeed::ConfigFeed(Applied onApplied) : OnApplied(std::move(onApplied)) {}
 
-/// Well below the time in which a version must be in force (3 s at the least).
-constexpr std::chrono::milliseconds GatherChanges{300};
-
-} // namespace
-
-ConfigFeed::ConfigFeed(boost::asio::io_context &io,
-                       boost::asio::ip::tcp::endpoint store, Applied onApplied)
-    : Io(io), Store(std::move(store)), OnApplied(std::move(onApplied)) {}
-
-void ConfigFeed::start() {
+void ConfigFeed::start(StoreMirror &mirror) {
   const auto self = shared_from_this();
   FeedHandlers handlers;
-  handlers.OnList = [self](const std::vector<StoredItem> &items) {
-    for (const StoredItem &item : items)
+  handlers.OnList = [self](const std::vector<store::StoredItem> &items) {
+    for (const store::StoredItem &item : items)
       self->onItem(item);
   };
   handlers.OnChanges = handlers.OnList;
   handlers.OnRegained = [] {};
-  Feed = std::make_shared<PrefixFeed>(Io, Store, platform::ConfigKey,
-                                      GatherChanges, std::move(handlers));
-  Feed->start();
-}
-
-void ConfigFeed::stop() {
-  if (Feed)
-    Feed->stop();
-  Feed.reset();
+  mirror.follow(platform::ConfigKey, std::move(handlers));
 }
 
-void ConfigFeed::onItem(const StoredItem &item) {
+void ConfigFeed::onItem(const store::StoredItem &item) {
   if (item.Key != platform::ConfigKey || item.Removed)
     return;
   auto config = platform::decodeServingConfig(item.Value);
--- a/src/registry/ConfigFeed.h
+++ b/src/registry/ConfigFeed.h
@@ -9,7 +9,7 @@
 #include <functional>
 #include <memory>
 
-#include "registry/PrefixFeed.h"
+#include "registry/StoreMirror.h"
 #include "savorytrestle/core/ServingConfig.h"
 
 namespace savorytrestle::registry {
@@ -22,28 +22,19 @@
   using Applied = std::function<void(const ConfigPtr &)>;
 
   /// @brief Makes a feed.
-  /// @param io runs its handlers
-  /// @param store the store's address
   /// @param onApplied told of each newer version
-  ConfigFeed(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint store,
-             Applied onApplied);
+  explicit ConfigFeed(Applied onApplied);
 
-  /// @brief Begins.
-  void start();
-
-  /// @brief Ends.
-  void stop();
+  /// @brief Follows the mirror; to be called before the mirror starts.
+  void start(StoreMirror &mirror);
 
   /// @brief The version in force here; null before the first.
   const ConfigPtr &current() const { return Current; }
 
 private:
-  void onItem(const StoredItem &item);
+  void onItem(const store::StoredItem &item);
 
-  boost::asio::io_context &Io;
-  boost::asio::ip::tcp::endpoint Store;
   Applied OnApplied;
-  std::shared_ptr<PrefixFeed> Feed;
   ConfigPtr Current;
 };
 
--- /dev/null
+++ b/src/registry/FeedDoor.h
@@ -0,0 +1,58 @@
+#ifndef SAVORYTRESTLE_REGISTRY_FEED_DOOR_H
+#define SAVORYTRESTLE_REGISTRY_FEED_DOOR_H
+
+/// @file
+/// @brief Passes this host's copy of the store on to other hosts.
+
+#include <utility>
+
+#include <list>
+#include <memory>
+#include <string_view>
+
+#include "entry/CallerSession.h"
+#include "registry/StoreMirror.h"
+
+namespace savorytrestle::registry {
+
+/// @brief Answers calls of other hosts for items and changes; holds those for
+/// which there is nothing new until there is, or their wait is over.
+class FeedDoor : public std::enable_shared_from_this<FeedDoor> {
+public:
+  /// @brief Makes a door.
+  /// @param io runs its timers
+  /// @param mirror what it passes on
+  FeedDoor(boost::asio::io_context &io, std::shared_ptr<StoreMirror> mirror);
+
+  /// @brief Follows the mirror; to be called before the mirror starts.
+  void start();
+
+  /// @brief Answers a call, at once or later.
+  /// @param target its path and query
+  /// @param respond takes the answer
+  /// @return ends a call whose caller has left
+  entry::CancelRequest handle(std::string_view target, entry::Respond respond);
+
+private:
+  struct Waiter {
+    Waiter(boost::asio::io_context &io, store::Revision after,
+           entry::Respond respond)
+        : Timer(io), After(after), Respond(std::move(respond)) {}
+    boost::asio::steady_timer Timer;
+    store::Revision After;
+    entry::Respond Respond;
+  };
+  using WaiterPtr = std::shared_ptr<Waiter>;
+
+  void answerWaiters();
+  void end(const WaiterPtr &waiter);
+  void answer(const entry::Respond &respond, store::Revision after) const;
+
+  boost::asio::io_context &Io;
+  std::shared_ptr<StoreMirror> Mirror;
+  std::list<WaiterPtr> Waiters;
+};
+
+} // namespace savorytrestle::registry
+
+#endif
--- /dev/null
+++ b/src/registry/FeedPage.cpp
@@ -0,0 +1,92 @@
+#include "registry/FeedPage.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <nlohmann/json.hpp>
+
+#include "support/BoundedJson.h"
+
+namespace savorytrestle::registry {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::string_view FeedPath = "/feed?";
+
+json encodeItem(const store::StoredItem &item) {
+  if (item.Removed)
+    return {{"key", item.Key}, {"changed", item.Changed}, {"removed", true}};
+  return {{"key", item.Key},
+          {"changed", item.Changed},
+          {"value", absl::Base64Escape(item.Value)}};
+}
+
+store::StoredItem decodeItem(const json &object) {
+  store::StoredItem item;
+  item.Key = object.at("key").get<std::string>();
+  item.Changed = object.at("changed").get<store::Revision>();
+  item.Removed = object.value("removed", false);
+  if (!item.Removed)
+    absl::Base64Unescape(object.at("value").get<std::string>(), &item.Value);
+  return item;
+}
+
+} // namespace
+
+std::string feedTarget(const FeedQuery &query) {
+  return absl::StrCat(std::string(FeedPath), "after=", query.After,
+                      "&wait_ms=", query.Wait.count());
+}
+
+std::optional<FeedQuery> parseFeedTarget(std::string_view target) {
+  if (!target.starts_with(FeedPath))
+    return std::nullopt;
+  target.remove_prefix(FeedPath.size());
+  FeedQuery query;
+  for (const auto part : absl::StrSplit(std::string(target), '&')) {
+    const std::pair<std::string, std::string> field =
+        absl::StrSplit(part, absl::MaxSplits('=', 1));
+    std::int64_t number = 0;
+    if (!absl::SimpleAtoi(field.second, &number) || number < 0)
+      return std::nullopt;
+    if (field.first == "after")
+      query.After = static_cast<store::Revision>(number);
+    else if (field.first == "wait_ms")
+      query.Wait = milliseconds(number);
+  }
+  return query;
+}
+
+std::string encodeFeedPage(const FeedPage &page) {
+  json items = json::array();
+  for (const store::StoredItem &item : page.Items)
+    items.push_back(encodeItem(item));
+  return json{{"at", page.At},
+              {"whole", page.Whole},
+              {"age_ms", page.Age.count()},
+              {"items", std::move(items)}}
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+core::Result<FeedPage> decodeFeedPage(std::string_view body) {
+  const auto object = support::parseBoundedJson(body);
+  if (!object)
+    return tl::unexpected(object.error());
+  try {
+    FeedPage page;
+    page.At = object->at("at").get<store::Revision>();
+    page.Whole = object->at("whole").get<bool>();
+    page.Age = milliseconds(object->at("age_ms").get<std::int64_t>());
+    for (const json &item : object->at("items"))
+      page.Items.push_back(decodeItem(item));
+    return page;
+  } catch (const json::exception &ex) {
+    return core::makeError(core::ErrorCode::BadRequest, ex.what());
+  }
+}
+
+} // namespace savorytrestle::registry
--- /dev/null
+++ b/src/registry/HeldRemovals.h
@@ -0,0 +1,58 @@
+#ifndef SAVORYTRESTLE_REGISTRY_HELD_REMOVALS_H
+#define SAVORYTRESTLE_REGISTRY_HELD_REMOVALS_H
+
+/// @file
+/// @brief Drops what has left the store, at once or after the time in which
+/// lapsed entries may come back.
+
+#include <utility>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "savorytrestle/core/LapsedEntries.h"
+
+namespace savorytrestle::registry {
+
+/// @brief Removals of entries, some of them held back.
+class HeldRemovals : public std::enable_shared_from_this<HeldRemovals> {
+public:
+  /// Drops an entry; told whether its removal was held back.
+  using Drop = std::function<void(const std::string &id, bool held)>;
+
+  /// @brief Makes a keeper.
+  /// @param io runs its timer
+  /// @param returnTime how long lapsed entries may take to come back
+  /// @param drop drops an entry
+  HeldRemovals(boost::asio::io_context &io, core::Duration returnTime,
+               Drop drop);
+
+  /// @brief The store is heard of again.
+  void onRegained();
+
+  /// @brief Entries were removed together.
+  /// @param removed how many
+  /// @param known how many there were before
+  void onRemovals(std::size_t removed, std::size_t known);
+
+  /// @brief An entry was written.
+  void onPut(const std::string &id) { Lapsed.onPut(id); }
+
+  /// @brief An entry was removed or isn't listed any more.
+  void onRemoved(const std::string &id);
+
+private:
+  void dropLater();
+
+  boost::asio::steady_timer Timer;
+  core::LapsedEntries Lapsed;
+  Drop DropEntry;
+  bool Waiting = false;
+};
+
+} // namespace savorytrestle::registry
+
+#endif
--- a/src/registry/HostEntry.cpp
+++ b/src/registry/HostEntry.cpp
@@ -1,27 +1,68 @@
 #include "registry/HostEntry.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "support/BoundedJson.h"
 
 namespace savorytrestle::registry {
 
+using core::QuarantineEvent;
+using core::QuarantineRecord;
+using core::WallTime;
 using nlohmann::json;
 
-std::string encodeHostEntry(const HostEntry &entry) {
-  return json{{"failure_domain", entry.FailureDomain},
-              {"callers", entry.Callers}}
-      .dump();
+namespace {
+
+constexpr const char *StrikeWord = "broke";
+constexpr const char *SuccessWord = "ok";
+
+json encodeRecord(const QuarantineRecord &record, WallTime now) {
+  return {{"high", record.Print.High},
+          {"low", record.Print.Low},
+          {"event",
+           record.Event == QuarantineEvent::Strike ? StrikeWord : SuccessWord},
+          {"run", record.Crash},
+          {"age_ms",
+           std::max(now - record.At, WallTime::duration::zero()).count()}};
+}
+
+QuarantineRecord decodeRecord(const json &object, WallTime now) {
+  QuarantineRecord record;
+  record.Print = {object.at("high").get<std::uint64_t>(),
+                  object.at("low").get<std::uint64_t>()};
+  record.Event = object.at("event").get<std::string>() == StrikeWord
+                     ? QuarantineEvent::Strike
+                     : QuarantineEvent::Success;
+  record.Crash = object.at("run").get<core::CrashId>();
+  record.At = now - WallTime::duration(object.at("age_ms").get<std::int64_t>());
+  return record;
+}
+
+} // namespace
+
+std::string encodeHostEntry(const HostEntry &entry, WallTime now) {
+  json object{{"failure_domain", entry.FailureDomain},
+              {"callers", entry.Callers},
+              {"peers", entry.Peers}};
+  for (const QuarantineRecord &record : entry.Crashes)
+    object["crashes"].push_back(encodeRecord(record, now));
+  return object.dump();
 }
 
 core::Result<HostEntry> decodeHostEntry(const std::string &id,
-                                        std::string_view text) {
+                                        std::string_view text, WallTime now) {
   const auto object = support::parseBoundedJson(text);
   if (!object)
     return tl::unexpected(object.error());
   try {
-    return HostEntry{id, object->at("failure_domain").get<std::string>(),
-                     object->at("callers").get<std::string>()};
+    HostEntry entry{id, object->at("failure_domain").get<std::string>(),
+                    object->at("callers").get<std::string>(),
+                    object->value("peers", "")};
+    for (const json &record : object->value("crashes", json::array()))
+      entry.Crashes.push_back(decodeRecord(record, now));
+    return entry;
   } catch (const json::exception &ex) {
     return core::makeError(core::ErrorCode::BadRequest, ex.what());
   }
--- a/src/registry/HostEntry.h
+++ b/src/registry/HostEntry.h
@@ -6,7 +6,9 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "savorytrestle/core/CrashQuarantine.h"
 #include "savorytrestle/core/Error.h"
 
 namespace savorytrestle::registry {
@@ -17,17 +19,25 @@
   std::string FailureDomain;
   /// Listener for callers, at which other hosts pass requests on too.
   std::string Callers;
+  /// Listener for other hosts; empty when it has none.
+  std::string Peers;
+  /// What it has seen of requests that crash leaves, the newest last.
+  std::vector<core::QuarantineRecord> Crashes{};
 };
 
-/// @brief The stored form.
-std::string encodeHostEntry(const HostEntry &entry);
+/// @brief The stored form, in which records bear their age.
+/// @param entry the host
+/// @param now the time, in the terms of the records
+std::string encodeHostEntry(const HostEntry &entry, core::WallTime now);
 
 /// @brief Reads the stored form.
 /// @param id identity, from the item's key
 /// @param text the stored value
+/// @param now the time, in the terms of the records
 /// @return the entry; or why it can't be read
 core::Result<HostEntry> decodeHostEntry(const std::string &id,
-                                        std::string_view text);
+                                        std::string_view text,
+                                        core::WallTime now);
 
 } // namespace savorytrestle::registry
 
--- /dev/null
+++ b/src/registry/HostFeed.cpp
@@ -0,0 +1,108 @@
+#include "registry/HostFeed.h"
+
+#include <set>
+
+#include "support/Log.h"
+
+namespace savorytrestle::registry {
+
+using std::chrono::milliseconds;
+using store::StoredItem;
+
+namespace {
+
+/// A living host whose entry lapsed writes it again with its next renewal.
+constexpr milliseconds ReturnTime{5000};
+
+std::string idOf(const StoredItem &item) {
+  return item.Key.substr(std::string(HostPrefix).size());
+}
+
+} // namespace
+
+HostFeed::HostFeed(boost::asio::io_context &io, std::string ownId,
+                   HostsHandler onHosts, CrashHandler onCrashes)
+    : OwnId(std::move(ownId)), OnHosts(std::move(onHosts)),
+      OnCrashes(std::move(onCrashes)),
+      Removals(std::make_shared<HeldRemovals>(
+          io, ReturnTime, [this](const std::string &id, bool) { drop(id); })) {}
+
+void HostFeed::start(StoreMirror &mirror) {
+  const auto self = shared_from_this();
+  FeedHandlers handlers;
+  handlers.OnList = [self](const auto &items) { self->onList(items); };
+  handlers.OnChanges = [self](const auto &items) { self->onChanges(items); };
+  handlers.OnRegained = [self] { self->Removals->onRegained(); };
+  mirror.follow(HostPrefix, std::move(handlers));
+}
+
+void HostFeed::onList(const std::vector<StoredItem> &items) {
+  std::set<std::string> listed;
+  for (const StoredItem &item : items) {
+    listed.insert(idOf(item));
+    onItem(item);
+  }
+  std::vector<std::string> missing;
+  for (const auto &[id, host] : There)
+    if (listed.count(id) == 0)
+      missing.push_back(id);
+  for (const std::string &id : missing)
+    Removals->onRemoved(id);
+  tell();
+}
+
+void HostFeed::onChanges(const std::vector<StoredItem> &items) {
+  std::size_t removals = 0;
+  for (const StoredItem &item : items)
+    removals += item.Removed ? 1 : 0;
+  Removals->onRemovals(removals, There.size());
+  for (const StoredItem &item : items)
+    onItem(item);
+  tell();
+}
+
+void HostFeed::onItem(const StoredItem &item) {
+  const std::string id = idOf(item);
+  if (item.Removed)
+    return Removals->onRemoved(id);
+  // An item read before tells nothing new, and its ages would count from now.
+  if (std::exchange(ReadAt[id], item.Changed) == item.Changed)
+    return Removals->onPut(id);
+  auto entry = decodeHostEntry(
+      id, item.Value, core::steadyWallTime(std::chrono::steady_clock::now()));
+  if (!entry) {
+    support::LogLine("host_entry_skipped")
+        .with("host", id)
+        .with("why", entry.error().Message);
+    return Removals->onRemoved(id);
+  }
+  Removals->onPut(id);
+  Seen[id] = entry->FailureDomain;
+  if (id != OwnId)
+    OnCrashes(entry->Crashes);
+  There[id] = std::move(*entry);
+}
+
+void HostFeed::drop(const std::string &id) {
+  if (There.erase(id) > 0)
+    tell();
+}
+
+void HostFeed::tell() {
+  HostsKnown hosts;
+  // A host that is gone still counts: one that is only cut off goes on spending
+  // its part of what the hosts share.
+  for (const auto &[id, domain] : Seen)
+    ++hosts.InDomain[domain];
+  for (const auto &[id, host] : There)
+    hosts.There.push_back(host);
+  if (Seen.size() != Reported)
+    support::LogLine("hosts_known")
+        .with("hosts", Seen.size())
+        .with("there", There.size())
+        .with("domains", hosts.InDomain.size());
+  Reported = Seen.size();
+  OnHosts(hosts);
+}
+
+} // namespace savorytrestle::registry
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -1,8 +1,7 @@
 #include "registry/HostPresence.h"
 
-#include <algorithm>
-
 #include "platform/StoreProtocol.h"
+#include "registry/HostFeed.h"
 #include "support/Log.h"
 
 namespace savorytrestle::registry {
@@ -17,21 +16,24 @@
 /// Three renewals fit into a lease, so that two may be lost.
 constexpr milliseconds RenewInterval{4500};
 constexpr milliseconds RetryInterval{1000};
-/// Hosts that start together have announced themselves by then.
-constexpr milliseconds SecondCount{1500};
-/// Hosts assumed at the first count, which others of a joint start may miss.
-constexpr std::size_t AssumedAtStart = 8;
 constexpr milliseconds ReplyTimeout{1500};
-constexpr unsigned Ok = 200;
-constexpr unsigned NoSuchLease = 404;
+/// Gathers what several requests tell at once.
+constexpr milliseconds TellDelay{1000};
+/// Keeps the item small; requests that crash leaves are few.
+constexpr std::size_t MaxCrashRecords = 32;
+
+core::WallTime recordTime() {
+  return core::steadyWallTime(std::chrono::steady_clock::now());
+}
 
 } // namespace
 
 HostPresence::HostPresence(boost::asio::io_context &io,
                            const boost::asio::ip::tcp::endpoint &store,
-                           HostEntry own, HostsHandler onHosts)
-    : Timer(io), Connection(std::make_shared<StoreConnection>(io, store)),
-      Own(std::move(own)), OnHosts(std::move(onHosts)) {}
+                           HostEntry own)
+    : Timer(io),
+      Connection(std::make_shared<store::StoreConnection>(io, store)),
+      Own(std::move(own)) {}
 
 void HostPresence::start() { grant(); }
 
@@ -40,32 +42,51 @@
   Timer.cancel();
   Connection->close();
   if (Lease != 0)
-    Connection->call(platform::endLease(Lease), ReplyTimeout,
-                     [](const StoreReply &) {}); // the lease ends by itself too
+    Connection->call(
+        platform::endLease(Lease), ReplyTimeout,
+        [](const store::StoreReply &) {}); // the lease ends by itself too
+}
+
+void HostPresence::tell(const std::vector<core::QuarantineRecord> &records) {
+  Own.Crashes.insert(Own.Crashes.end(), records.begin(), records.end());
+  if (Own.Crashes.size() > MaxCrashRecords)
+    Own.Crashes.erase(Own.Crashes.begin(), Own.Crashes.end() - MaxCrashRecords);
+  Untold = true;
+  // What comes again and again mustn't keep the lease from its renewal, which
+  // tells what is left.
+  if (Waiting && Lease != store::NoLease &&
+      std::chrono::steady_clock::now() < RenewBy)
+    wait(TellDelay, &HostPresence::announce);
 }
 
 void HostPresence::grant() {
-  Connection->call(platform::grantLease(LeaseTime), ReplyTimeout,
-                   [self = shared_from_this()](const StoreReply &reply) {
-                     const auto lease =
-                         reply.Status == Ok
-                             ? platform::decodeLease(reply.Body)
-                             : core::makeError(
-                                   core::ErrorCode::StoreUnavailable, "");
-                     if (!lease)
-                       return self->wait(RetryInterval, &HostPresence::grant);
-                     self->Lease = lease->Id;
-                     self->announce();
-                   });
+  Connection->call(
+      platform::grantLease(LeaseTime), ReplyTimeout,
+      [self = shared_from_this()](const store::StoreReply &reply) {
+        const auto lease =
+            reply.Status == platform::Done
+                ? platform::decodeLease(reply.Body)
+                : core::makeError(core::ErrorCode::StoreUnavailable, "");
+        if (!lease)
+          return self->wait(RetryInterval, &HostPresence::grant);
+        self->Lease = lease->Id;
+        self->RenewBy = std::chrono::steady_clock::now() + RenewInterval;
+        self->announce();
+      });
 }
 
 void HostPresence::announce() {
+  Untold = false;
   Connection->call(
-      platform::putLeased(HostPrefix + Own.Id, encodeHostEntry(Own), Lease),
-      ReplyTimeout, [self = shared_from_this()](const StoreReply &reply) {
-        if (reply.Status == Ok)
-          return self->count();
-        self->wait(RetryInterval, reply.Status == NoSuchLease
+      platform::transact(
+          {{},
+           {{HostPrefix + Own.Id, encodeHostEntry(Own, recordTime()), Lease}},
+           {}}),
+      ReplyTimeout,
+      [self = shared_from_this()](const store::StoreReply &reply) {
+        if (reply.Status == platform::Done)
+          return self->wait(RenewInterval, &HostPresence::renew);
+        self->wait(RetryInterval, reply.Status == platform::NotThere
                                       ? &HostPresence::grant
                                       : &HostPresence::announce);
       });
@@ -74,79 +95,30 @@
 void HostPresence::renew() {
   Connection->call(
       platform::renewLease(Lease), ReplyTimeout,
-      [self = shared_from_this()](const StoreReply &reply) {
-        if (reply.Status == Ok)
-          return self->count();
-        if (reply.Status != NoSuchLease)
+      [self = shared_from_this()](const store::StoreReply &reply) {
+        if (reply.Status == platform::Done) {
+          self->RenewBy = std::chrono::steady_clock::now() + RenewInterval;
+          return self->Untold ? self->announce()
+                              : self->wait(RenewInterval, &HostPresence::renew);
+        }
+        if (reply.Status != platform::NotThere)
           return self->wait(RetryInterval, &HostPresence::renew);
         support::LogLine("host_lease_lost").with("lease", self->Lease);
         self->grant();
       });
 }
 
-void HostPresence::count() {
-  // The first read is exact: what it finds sets the connections that requests
-  // may use from the start.
-  Connection->call(Counts == 0 ? platform::readRange(HostPrefix, "")
-                               : platform::readRangeStale(HostPrefix),
-                   ReplyTimeout,
-                   [self = shared_from_this()](const StoreReply &reply) {
-                     self->onCounted(reply);
-                   });
-}
-
-void HostPresence::onCounted(const StoreReply &reply) {
-  const auto page =
-      reply.Status == Ok
-          ? platform::decodeRange(reply.Body)
-          : core::makeError(core::ErrorCode::StoreUnavailable, reply.Why);
-  if (!page) {
-    support::LogLine("hosts_not_counted")
-        .with("status", reply.Status)
-        .with("why", page.error().Message);
-  } else {
-    // A host that is gone still counts: one that is only cut off goes on
-    // spending its part of what the hosts share.
-    const HostCount hosts = countOf(*page);
-    if (hosts.All != Reported)
-      support::LogLine("hosts_known")
-          .with("hosts", hosts.All)
-          .with("own_domain", hosts.OwnDomain);
-    Reported = hosts.All;
-    OnHosts(hosts);
-  }
-  wait(Counts++ == 0 ? SecondCount : RenewInterval, &HostPresence::renew);
-}
-
-HostCount HostPresence::countOf(const StorePage &page) {
-  HostCount hosts;
-  for (const StoredItem &item : page.Items) {
-    const std::string id = item.Key.substr(std::string(HostPrefix).size());
-    auto entry = decodeHostEntry(id, item.Value);
-    Seen[id] = entry ? entry->FailureDomain : "";
-    if (entry)
-      hosts.There.push_back(std::move(*entry));
-    else
-      support::LogLine("host_entry_skipped")
-          .with("host", id)
-          .with("why", entry.error().Message);
-  }
-  hosts.All = Counts == 0 ? std::max(Seen.size(), AssumedAtStart) : Seen.size();
-  hosts.OwnDomain = static_cast<std::size_t>(
-      std::count_if(Seen.begin(), Seen.end(), [this](const auto &it) {
-        return it.second == Own.FailureDomain;
-      }));
-  return hosts;
-}
-
 void HostPresence::wait(milliseconds span, void (HostPresence::*next)()) {
   if (Stopped)
     return;
+  Waiting = true;
   Timer.expires_after(span);
   Timer.async_wait(
       [self = shared_from_this(), next](const boost::system::error_code &ec) {
-        if (!ec && !self->Stopped)
-          ((*self).*next)();
+        if (ec || self->Stopped)
+          return;
+        self->Waiting = false;
+        ((*self).*next)();
       });
 }
 
--- a/src/registry/LeafFeed.h
+++ b/src/registry/LeafFeed.h
@@ -9,8 +9,8 @@
 #include <memory>
 
 #include "leaf/LeafDirectory.h"
-#include "registry/PrefixFeed.h"
-#include "savorytrestle/core/LapsedEntries.h"
+#include "registry/HeldRemovals.h"
+#include "registry/StoreMirror.h"
 
 namespace savorytrestle::registry {
 
@@ -19,35 +19,23 @@
 public:
   /// @brief Makes a feed.
   /// @param io runs its handlers
-  /// @param store the store's address
   /// @param leaves takes the entries
-  LeafFeed(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint store,
-           leaf::LeafDirectory &leaves);
+  LeafFeed(boost::asio::io_context &io, leaf::LeafDirectory &leaves);
 
-  /// @brief Begins.
-  void start();
-
-  /// @brief Ends.
-  void stop();
+  /// @brief Follows the mirror; to be called before the mirror starts.
+  void start(StoreMirror &mirror);
 
   /// @brief Whether the entries have been listed once.
   bool known() const { return Listed; }
 
 private:
-  void onList(const std::vector<StoredItem> &items);
-  void onChanges(const std::vector<StoredItem> &items);
-  void onItem(const StoredItem &item);
-  void removed(const std::string &id);
-  void dropLater();
-
-  boost::asio::io_context &Io;
-  boost::asio::ip::tcp::endpoint Store;
+  void onList(const std::vector<store::StoredItem> &items);
+  void onChanges(const std::vector<store::StoredItem> &items);
+  void onItem(const store::StoredItem &item);
+
   leaf::LeafDirectory &Leaves;
-  core::LapsedEntries Lapsed;
-  boost::asio::steady_timer Timer;
-  std::shared_ptr<PrefixFeed> Feed;
+  std::shared_ptr<HeldRemovals> Removals;
   bool Listed = false;
-  bool Waiting = false;
 };
 
 } // namespace savorytrestle::registry
--- /dev/null
+++ b/src/registry/StoreMirror.cpp
@@ -0,0 +1,353 @@
+#include "registry/StoreMirror.h"
+
+#include <algorithm>
+
+#include "platform/StoreProtocol.h"
+#include "support/Log.h"
+
+namespace savorytrestle::registry {
+
+using std::chrono::milliseconds;
+using store::StoredItem;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+/// How long the store holds a watch without changes when no other host depends
+/// on it; long, since each call is paid for.
+constexpr milliseconds LongWait{12000};
+/// Shortest wait that the store takes.
+constexpr milliseconds NoWait{1};
+/// Time for a reply beyond what the other side holds back.
+constexpr milliseconds StoreReplyTimeout{1500};
+constexpr milliseconds HostReplyTimeout{700};
+/// The store is asked again soon: its return must not be missed.
+constexpr core::SourceRotation::Rest StoreRest{milliseconds(50),
+                                               milliseconds(400)};
+/// A host that doesn't answer costs its time-out at each try.
+constexpr core::SourceRotation::Rest HostRest{milliseconds(2000),
+                                              milliseconds(10000)};
+/// Kept for hosts that ask again after some seconds without an answer.
+constexpr std::size_t MaxRemovals = 4096;
+
+std::string nameOf(const StoreMirror::Endpoint &address) {
+  return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
+} // namespace
+
+StoreMirror::StoreMirror(boost::asio::io_context &io, const Endpoint &store,
+                         const core::FeedTiming &timing)
+    : Io(io), Pause(io), Timing(timing), Store(store) {
+  setSources();
+}
+
+void StoreMirror::follow(std::string prefix, FeedHandlers handlers) {
+  Followers.emplace_back(std::move(prefix), std::move(handlers));
+}
+
+void StoreMirror::start() { step(); }
+
+void StoreMirror::stop() {
+  Stopped = true;
+  Pause.cancel();
+  for (const auto &[address, source] : Known)
+    source->Connection->close();
+}
+
+StoreMirror::SourcePtr StoreMirror::sourceAt(const Endpoint &address,
+                                             bool isStore) {
+  SourcePtr &source = Known[address];
+  if (!source)
+    source = std::make_shared<Source>(
+        Source{nameOf(address),
+               std::make_shared<store::StoreConnection>(Io, address), isStore});
+  return source;
+}
+
+void StoreMirror::setSeeds(std::vector<Endpoint> seeds) {
+  Hosts.After = std::move(seeds);
+  setSources();
+}
+
+void StoreMirror::setHosts(const MirrorHosts &hosts) {
+  if (HostsKnown && hosts == Hosts)
+    return;
+  Hosts = hosts;
+  HostsKnown = true;
+  setSources();
+  support::LogLine("feed_planned")
+      .with("first", Sources.front()->Name)
+      .with("sources", Sources.size())
+      .with("passes_on", hosts.PassesOn ? 1 : 0);
+  // A long wait at the store would leave those that ask this host in doubt.
+  if (Asked && AskedLong && storeWait() != LongWait) {
+    Asked->Connection->close();
+    step();
+  }
+}
+
+void StoreMirror::setSources() {
+  Sources.clear();
+  std::vector<core::SourceRotation::Rest> rests;
+  for (const Endpoint &address : Hosts.Before) {
+    Sources.push_back(sourceAt(address, false));
+    rests.push_back(HostRest);
+  }
+  Sources.push_back(sourceAt(Store, true));
+  rests.push_back(StoreRest);
+  for (const Endpoint &address : Hosts.After) {
+    Sources.push_back(sourceAt(address, false));
+    rests.push_back(HostRest);
+  }
+  Rotation = core::SourceRotation(std::move(rests));
+}
+
+bool StoreMirror::fresh() const {
+  return From != 0 && SteadyClock::now() - FreshAt <= Timing.MaxAge;
+}
+
+milliseconds StoreMirror::age() const {
+  return std::chrono::ceil<milliseconds>(SteadyClock::now() - FreshAt);
+}
+
+std::optional<FeedPage> StoreMirror::pageAfter(store::Revision after) const {
+  if (From == 0 || after > From)
+    return std::nullopt;
+  FeedPage page{{}, From, false, age()};
+  if (after == 0 || after < Horizon) {
+    page.Whole = true;
+    for (const auto &[key, item] : Items)
+      page.Items.push_back(item);
+    return page;
+  }
+  if (after >= LastChange)
+    return page;
+  for (const StoredItem &item : Removals)
+    if (item.Changed > after)
+      page.Items.push_back(item);
+  for (const auto &[key, item] : Items)
+    if (item.Changed > after)
+      page.Items.push_back(item);
+  return page;
+}
+
+milliseconds StoreMirror::storeWait() const {
+  const bool longWait = HostsKnown && Hosts.Before.empty() && !Hosts.PassesOn;
+  return longWait ? LongWait
+                  : std::chrono::floor<milliseconds>(Timing.ShortWait);
+}
+
+void StoreMirror::step() {
+  if (Stopped)
+    return;
+  const auto now = SteadyClock::now();
+  const auto choice = Rotation.next(now);
+  if (choice.At > now)
+    return later(choice.At - now);
+  Asked = Sources[choice.Source];
+  AskedLong = false;
+  if (Asked->IsStore)
+    askStore(Asked);
+  else
+    askHost(Asked);
+}
+
+void StoreMirror::askStore(const SourcePtr &source) {
+  if (!ListWanted)
+    return watchStore(source);
+  Listed.clear();
+  ListedAt = 0;
+  listStore(source, "");
+}
+
+void StoreMirror::listStore(const SourcePtr &source, const std::string &after) {
+  source->Connection->call(platform::readRange("", after), StoreReplyTimeout,
+                           [self = shared_from_this(), source](Reply reply) {
+                             if (!self->Stopped)
+                               self->onPage(source, std::move(reply));
+                           });
+}
+
+void StoreMirror::onPage(const SourcePtr &source, Reply reply) {
+  if (reply.Status != platform::Done)
+    return failed(source, reply.Status, reply.Why);
+  auto page = platform::decodeRange(reply.Body);
+  if (!page)
+    return failed(source, reply.Status, page.error().Message);
+  // Changes made while the pages are read are heard again from the first
+  // page's position on.
+  if (ListedAt == 0)
+    ListedAt = page->At;
+  std::move(page->Items.begin(), page->Items.end(), std::back_inserter(Listed));
+  if (page->HasMore && !page->Items.empty())
+    return listStore(source, Listed.back().Key);
+  succeeded(source, milliseconds(0));
+  replaceAll(std::exchange(Listed, {}), ListedAt);
+  step();
+}
+
+void StoreMirror::watchStore(const SourcePtr &source) {
+  // After a loss the reply is wanted at once: it tells that the store is back.
+  const auto wait = source->Lost ? NoWait : storeWait();
+  AskedLong = wait == LongWait;
+  source->Connection->call(platform::watch("", From, wait),
+                           wait + StoreReplyTimeout,
+                           [self = shared_from_this(), source](Reply reply) {
+                             if (!self->Stopped)
+                               self->onEvents(source, std::move(reply));
+                           });
+}
+
+void StoreMirror::onEvents(const SourcePtr &source, Reply reply) {
+  if (reply.Status == platform::HistoryGone) {
+    support::LogLine("store_history_gone").with("after", From);
+    ListWanted = true;
+    return step();
+  }
+  if (reply.Status != platform::Done)
+    return failed(source, reply.Status, reply.Why);
+  const auto page = platform::decodeWatch(reply.Body);
+  if (!page)
+    return failed(source, reply.Status, page.error().Message);
+  succeeded(source, milliseconds(0));
+  change(page->Items, page->At);
+  if (page->Items.empty())
+    return step();
+  later(Timing.Gather);
+}
+
+void StoreMirror::askHost(const SourcePtr &source) {
+  const FeedQuery query{ListWanted ? 0 : From,
+                        std::chrono::floor<milliseconds>(Timing.ShortWait)};
+  source->Connection->call({"GET", feedTarget(query), ""},
+                           query.Wait + HostReplyTimeout,
+                           [self = shared_from_this(), source](Reply reply) {
+                             if (!self->Stopped)
+                               self->onHostReply(source, std::move(reply));
+                           });
+}
+
+void StoreMirror::onHostReply(const SourcePtr &source, Reply reply) {
+  if (reply.Status != platform::Done)
+    return failed(source, reply.Status, reply.Why);
+  auto page = decodeFeedPage(reply.Body);
+  if (!page)
+    return failed(source, reply.Status, page.error().Message);
+  // A host that knows nothing yet takes what there is.
+  if (From != 0 && page->Age > Timing.MaxAge)
+    return failed(source, reply.Status, "too old");
+  if (page->At < From)
+    return failed(source, reply.Status, "behind");
+  succeeded(source, page->Age);
+  if (page->Whole)
+    replaceAll(std::move(page->Items), page->At);
+  else
+    change(page->Items, page->At);
+  step();
+}
+
+void StoreMirror::succeeded(const SourcePtr &source, milliseconds age) {
+  const auto it = std::find(Sources.begin(), Sources.end(), source);
+  if (it != Sources.end())
+    Rotation.onSuccess(static_cast<std::size_t>(it - Sources.begin()));
+  Asked.reset();
+  FreshAt = std::max(FreshAt, SteadyClock::now() - age);
+  const bool regained = AllLost || (source->Lost && source->IsStore);
+  if (source->Lost)
+    support::LogLine(source->IsStore ? "store_regained" : "feed_host_regained")
+        .with("source", source->Name)
+        .with("known_at", From);
+  source->Lost = false;
+  source->LostFor.clear();
+  AllLost = false;
+  if (!regained)
+    return;
+  for (const auto &[prefix, handlers] : Followers)
+    handlers.OnRegained();
+}
+
+void StoreMirror::failed(const SourcePtr &source, unsigned status,
+                         const std::string &why) {
+  const std::string reason = std::to_string(status) + " " + why;
+  // One line for each new reason; a reason that lasts isn't repeated.
+  if (!source->Lost || reason != source->LostFor)
+    support::LogLine(source->IsStore ? "store_lost" : "feed_host_lost")
+        .with("source", source->Name)
+        .with("status", status)
+        .with("why", why)
+        .with("known_at", From)
+        .with("age", age());
+  source->Lost = true;
+  source->LostFor = reason;
+  Asked.reset();
+  AllLost = std::all_of(Sources.begin(), Sources.end(),
+                        [](const SourcePtr &it) { return it->Lost; });
+  if (const auto it = std::find(Sources.begin(), Sources.end(), source);
+      it != Sources.end())
+    Rotation.onFailure(static_cast<std::size_t>(it - Sources.begin()),
+                       SteadyClock::now());
+  step();
+}
+
+void StoreMirror::replaceAll(std::vector<StoredItem> items,
+                             store::Revision at) {
+  Items.clear();
+  for (const StoredItem &item : items)
+    Items[item.Key] = item;
+  Removals.clear();
+  // Others may know items that were removed before this list.
+  Horizon = at;
+  From = at;
+  LastChange = at;
+  ListWanted = false;
+  for (const auto &[prefix, handlers] : Followers) {
+    std::vector<StoredItem> part;
+    std::copy_if(items.begin(), items.end(), std::back_inserter(part),
+                 [&prefix = prefix](const StoredItem &item) {
+                   return item.Key.starts_with(prefix);
+                 });
+    handlers.OnList(part);
+  }
+}
+
+void StoreMirror::change(const std::vector<StoredItem> &items,
+                         store::Revision at) {
+  From = std::max(From, at);
+  for (const StoredItem &item : items)
+    remember(item);
+  for (const auto &[prefix, handlers] : Followers) {
+    std::vector<StoredItem> part;
+    std::copy_if(items.begin(), items.end(), std::back_inserter(part),
+                 [&prefix = prefix](const StoredItem &item) {
+                   return item.Key.starts_with(prefix);
+                 });
+    if (!part.empty())
+      handlers.OnChanges(part);
+  }
+}
+
+void StoreMirror::remember(const StoredItem &item) {
+  LastChange = std::max(LastChange, item.Changed);
+  if (!item.Removed) {
+    Items[item.Key] = item;
+    return;
+  }
+  Items.erase(item.Key);
+  Removals.push_back(item);
+  if (Removals.size() <= MaxRemovals)
+    return;
+  Horizon = std::max(Horizon, Removals.front().Changed);
+  Removals.pop_front();
+}
+
+void StoreMirror::later(core::Duration pause) {
+  Pause.expires_after(pause);
+  Pause.async_wait(
+      [self = shared_from_this()](const boost::system::error_code &ec) {
+        if (!ec)
+          self->step();
+      });
+}
+
+} // namespace savorytrestle::registry
--- a/src/serve/ControlPlane.cpp
+++ b/src/serve/ControlPlane.cpp
@@ -50,7 +50,7 @@
 }
 
 hosts::StoreFeed makeFeed(const std::string &address) {
-  using Store = store::HttpKvStore;
+  using Store = store::PlatformStore;
   auto store = std::make_shared<Store>(address);
   // The reader keeps the parts it has read, so a change costs only what it
   // touched.
--- a/src/serve/ControlPlane.h
+++ b/src/serve/ControlPlane.h
@@ -17,7 +17,7 @@
 #include "operators/SettingsStore.h"
 #include "serve/HostConfig.h"
 #include "store/HostList.h"
-#include "store/HttpKvStore.h"
+#include "store/PlatformStore.h"
 
 namespace savorytrestle::serve {
 
@@ -79,7 +79,7 @@
   }
 
 private:
-  using Store = store::HttpKvStore;
+  using Store = store::PlatformStore;
 
   void followHostList(const std::stop_token &stop);
   hosts::PeerCallbacks callbacks();
--- a/src/serve/Node.cpp
+++ b/src/serve/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/Answers.h"
 #include "platform/Headers.h"
+#include "support/BeastText.h"
 #include "support/Log.h"
 #include "support/SocketOptions.h"
 #include "support/Version.h"
@@ -11,6 +12,7 @@
 namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 using SteadyClock = std::chrono::steady_clock;
+using Endpoint = boost::asio::ip::tcp::endpoint;
 
 namespace {
 
@@ -35,7 +37,8 @@
       Leaves(Io, {Config.FailureDomain, Config.Regions}, budgetRule(Config)),
       Router(Io, Leaves, Counts, platform::headerNames()),
       CallerContext(std::make_shared<entry::SessionContext>()),
-      OwnContext(std::make_shared<entry::SessionContext>()) {
+      OwnContext(std::make_shared<entry::SessionContext>()),
+      PeerContext(std::make_shared<entry::SessionContext>()) {
   CallerContext->Handle = [this](auto request, auto respond) {
     return Router.handle(std::move(request), std::move(respond));
   };
@@ -45,10 +48,14 @@
     respond(asksReadiness ? readiness() : metrics());
     return entry::CancelRequest();
   };
+  PeerContext->Handle = [this](const entry::CallerRequest &request,
+                               entry::Respond respond) {
+    return Passing->handle(support::text(request.target()), std::move(respond));
+  };
 }
 
 core::Result<void> Node::run() {
-  boost::asio::ip::tcp::endpoint store;
+  Endpoint store;
   if (!support::parseEndpoint(Config.Store, store))
     return core::makeError(core::ErrorCode::InvalidSettings,
                            Config.Store + ": not an address");
@@ -78,31 +85,50 @@
     return open;
   if (auto open = Readiness->open(Config.Readiness); !open)
     return open;
+  if (!Config.Peers.empty()) {
+    PeerDoor = std::make_shared<entry::Listener>(Io, PeerContext);
+    if (auto open = PeerDoor->open(Config.Peers); !open)
+      return open;
+  }
   if (Config.Metrics.empty())
     return {};
   MetricsDoor = std::make_shared<entry::Listener>(Io, OwnContext);
   return MetricsDoor->open(Config.Metrics);
 }
 
-void Node::startFeeds(const boost::asio::ip::tcp::endpoint &store) {
-  Configs = std::make_shared<registry::ConfigFeed>(
-      Io, store, [this](const auto &config) {
-        Leaves.apply(*config);
-        Router.setConfig(config);
-        CallerContext->Limits = config->Limits;
+void Node::startFeeds(const Endpoint &store) {
+  Mirror = std::make_shared<registry::StoreMirror>(
+      Io, store, core::FeedTiming(Config.ConfigApply));
+  Configs = std::make_shared<registry::ConfigFeed>([this](const auto &config) {
+    Leaves.apply(*config);
+    Router.setConfig(config);
+    CallerContext->Limits = config->Limits;
+  });
+  Entries = std::make_shared<registry::LeafFeed>(Io, Leaves);
+  Hosts = std::make_shared<registry::HostFeed>(
+      Io, Config.Id, [this](const auto &hosts) { onHosts(hosts); },
+      [this](const auto &records) {
+        Router.crashes().merge(records, SteadyClock::now());
       });
-  Configs->start();
-  Entries = std::make_shared<registry::LeafFeed>(Io, store, Leaves);
-  Entries->start();
+  Passing = std::make_shared<registry::FeedDoor>(Io, Mirror);
+  // Leaves first: a configuration that is in force finds its services' leaves.
+  Entries->start(*Mirror);
+  Configs->start(*Mirror);
+  Hosts->start(*Mirror);
+  Passing->start();
+  Mirror->setSeeds(seeds());
+  Mirror->start();
   Presence = std::make_shared<registry::HostPresence>(
       Io, store,
-      registry::HostEntry{Config.Id, Config.FailureDomain, Config.Callers},
-      [this](const registry::HostCount &hosts) { onHosts(hosts); });
+      registry::HostEntry{Config.Id, Config.FailureDomain, Config.Callers,
+                          Config.Peers});
   Presence->start();
+  Router.crashes().onRecords(
+      [this](const auto &records) { Presence->tell(records); });
 }
 
-void Node::onHosts(const registry::HostCount &hosts) {
-  Leaves.setHosts(hosts.All, hosts.OwnDomain);
+void Node::onHosts(const registry::HostsKnown &hosts) {
+  Leaves.setHosts(hosts.InDomain);
   std::vector<core::LeafEntry> peers;
   for (const registry::HostEntry &host : hosts.There)
     if (host.Id != Config.Id) {
@@ -113,6 +139,38 @@
       peers.push_back(std::move(peer));
     }
   Leaves.setPeers(peers);
+  Mirror->setHosts(feedHosts(hosts.There));
+}
+
+registry::MirrorHosts
+Node::feedHosts(const std::vector<registry::HostEntry> &there) const {
+  std::vector<core::FeedHost> hosts;
+  std::map<std::string, Endpoint> addresses;
+  for (const registry::HostEntry &host : there)
+    if (Endpoint address; support::parseEndpoint(host.Peers, address)) {
+      hosts.push_back({host.Id, host.FailureDomain});
+      addresses[host.Id] = address;
+    }
+  const auto plan =
+      core::planFeed({Config.Id, Config.FailureDomain}, Config.Regions, hosts);
+  registry::MirrorHosts feed;
+  for (const std::string &id : plan.Before)
+    feed.Before.push_back(addresses[id]);
+  for (const std::string &id : plan.After)
+    feed.After.push_back(addresses[id]);
+  feed.PassesOn = plan.PassesOn;
+  if (addresses.empty())
+    feed.After = seeds();
+  return feed;
+}
+
+std::vector<Endpoint> Node::seeds() const {
+  std::vector<Endpoint> seeds;
+  for (const std::string &text : Config.Seeds)
+    if (Endpoint address;
+        text != Config.Peers && support::parseEndpoint(text, address))
+      seeds.push_back(address);
+  return seeds;
 }
 
 bool Node::ready() const {
--- a/src/serve/Node.h
+++ b/src/serve/Node.h
@@ -18,6 +18,8 @@
 #include "entry/Listener.h"
 #include "entry/RequestRouter.h"
 #include "registry/ConfigFeed.h"
+#include "registry/FeedDoor.h"
+#include "registry/HostFeed.h"
 #include "registry/HostPresence.h"
 #include "registry/LeafFeed.h"
 #include "serve/NodeConfig.h"
@@ -40,7 +42,10 @@
 private:
   core::Result<void> openListeners();
   void startFeeds(const boost::asio::ip::tcp::endpoint &store);
-  void onHosts(const registry::HostCount &hosts);
+  void onHosts(const registry::HostsKnown &hosts);
+  registry::MirrorHosts
+  feedHosts(const std::vector<registry::HostEntry> &there) const;
+  std::vector<boost::asio::ip::tcp::endpoint> seeds() const;
   void waitForSignal();
   void reload();
   void watchConfigFile();
@@ -60,14 +65,19 @@
   std::filesystem::file_time_type FileWritten;
   support::Metrics Counts;
   leaf::LeafDirectory Leaves;
+  std::shared_ptr<registry::StoreMirror> Mirror;
+  std::shared_ptr<registry::FeedDoor> Passing;
   std::shared_ptr<registry::ConfigFeed> Configs;
   std::shared_ptr<registry::LeafFeed> Entries;
+  std::shared_ptr<registry::HostFeed> Hosts;
   std::shared_ptr<registry::HostPresence> Presence;
   entry::RequestRouter Router;
   std::shared_ptr<entry::SessionContext> CallerContext;
   std::shared_ptr<entry::SessionContext> OwnContext;
+  std::shared_ptr<entry::SessionContext> PeerContext;
   std::shared_ptr<entry::Listener> Callers;
   std::shared_ptr<entry::Listener> Readiness;
+  std::shared_ptr<entry::Listener> PeerDoor;
   std::shared_ptr<entry::Listener> MetricsDoor;
   std::chrono::steady_clock::time_point StopAt{};
   bool Stopping = false;
--- a/src/serve/NodeConfig.cpp
+++ b/src/serve/NodeConfig.cpp
@@ -19,14 +19,18 @@
   auto listen = root.map("listen");
   config.Callers = listen.address("callers", "");
   config.Readiness = listen.address("readiness", "");
+  config.Peers = listen.optionalAddress("peers");
   config.Metrics = listen.optionalAddress("metrics");
   listen.refuseOthers();
   auto platform = root.map("platform");
   config.Store = platform.address("store", "");
   platform.refuseOthers();
+  config.Seeds = root.addresses("seeds");
   auto bounds = root.map("bounds");
   config.StopGrace = bounds.duration("stop_grace", config.StopGrace,
                                      milliseconds(100), minutes(10));
+  config.ConfigApply = bounds.duration("config_apply", config.ConfigApply,
+                                       milliseconds(500), minutes(10));
   config.RetryRatio = bounds.fraction("retry_ratio", config.RetryRatio, 0, 10);
   config.RetryExtra = bounds.fraction("retry_extra", config.RetryExtra, 0, 1e6);
   config.RetryWindow = bounds.duration("retry_window", config.RetryWindow,
--- a/src/serve/NodeConfig.h
+++ b/src/serve/NodeConfig.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "savorytrestle/core/Error.h"
 
@@ -23,12 +24,19 @@
   std::string Callers;
   /// Listener at which the balancer asks for readiness.
   std::string Readiness;
+  /// Listener for other hosts; empty for none.
+  std::string Peers;
+  /// Listeners of some other hosts, asked at the start when the store can't be
+  /// reached; they may be gone.
+  std::vector<std::string> Seeds;
   /// Listener of the metrics.
   std::string Metrics;
   /// The platform's metadata store.
   std::string Store;
   /// Time from the stop signal until the process is killed.
   std::chrono::milliseconds StopGrace{6000};
+  /// Time in which an accepted configuration must be in force.
+  std::chrono::milliseconds ConfigApply{3000};
   /// Extra requests to a service for each request, over all hosts.
   double RetryRatio = 0.2;
   /// Extra requests beyond the ratio in each window, over all hosts.
--- a/src/serve/WritePath.cpp
+++ b/src/serve/WritePath.cpp
@@ -45,7 +45,7 @@
 WritePath::WritePath(backend::LeafEngine &engine, const std::string &store,
                      const std::string &hostId, unsigned hosts)
     : Engine(engine),
-      Claims(store::HttpKvStore(store), hostId, claimOptions(hosts)) {}
+      Claims(store::PlatformStore(store), hostId, claimOptions(hosts)) {}
 
 core::Result<caller::WriteAnswer>
 WritePath::run(const caller::CallerRequest &request) {
--- a/src/serve/WritePath.h
+++ b/src/serve/WritePath.h
@@ -8,7 +8,7 @@
 #include "backend/LeafEngine.h"
 #include "caller/CallerApi.h"
 #include "store/ClaimStore.h"
-#include "store/HttpKvStore.h"
+#include "store/PlatformStore.h"
 
 namespace savorytrestle::serve {
 
@@ -33,7 +33,7 @@
   void stop(std::chrono::milliseconds drain) { Claims.stop(drain); }
 
 private:
-  using Store = store::ClaimStore<store::HttpKvStore>;
+  using Store = store::ClaimStore<store::PlatformStore>;
 
   core::Result<caller::WriteAnswer>
   runKeyed(const caller::CallerRequest &request);
--- a/src/store/ClaimStore.h
+++ b/src/store/ClaimStore.h
@@ -183,7 +183,7 @@
     const auto verdicts = Batches.propose(document, *bucket);
     if (!bucket->isModified())
       return Batches.settle(document, verdicts);
-    const auto revision = *entry ? (*entry)->ModifyRevision : NoEntry;
+    const auto revision = *entry ? (*entry)->Changed : NoItem;
     store(document, bucket->dump(), revision, verdicts);
   }
 
@@ -207,12 +207,11 @@
   /// windows at random, so that none is in charge and none is missed for long.
   void sweep(core::TimePoint now) {
     if (!Expired.empty()) {
-      const KvEntry entry = std::move(Expired.back());
+      const StoredItem entry = std::move(Expired.back());
       Expired.pop_back();
       ++Counts.Writes;
       Pacer.spend(now, true);
-      if (Kv.compareAndDelete(entry.Key, entry.ModifyRevision,
-                              Options.StoreTimeout)
+      if (Kv.compareAndDelete(entry.Key, entry.Changed, Options.StoreTimeout)
               .value_or(false))
         ++Counts.DocumentsDeleted;
       return;
@@ -243,7 +242,7 @@
   std::atomic<core::TimePoint> StopBy{core::TimePoint()};
   // The claim thread's own.
   ClaimBatches Batches{Options, Counts};
-  std::vector<KvEntry> Expired;
+  std::vector<StoredItem> Expired;
   WritePacer Pacer;
   core::TimePoint NextSweep;
   std::thread Worker;
--- a/src/store/KvStore.h
+++ b/src/store/KvStore.h
@@ -2,48 +2,22 @@
 #define SAVORYTRESTLE_STORE_KV_STORE_H
 
 /// @file
-/// @brief What the system needs of the platform's key-value service.
+/// @brief What blocking callers need of the platform's store.
 ///
 /// Code that uses the store is a template over this concept; production uses
-/// platform/HttpKvStore.h and unit tests use tests/FakeKvStore.h.
+/// store/PlatformStore.h and unit tests use tests/FakeKvStore.h.
 
 #include <chrono>
 #include <concepts>
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "savorytrestle/core/Error.h"
+#include "store/StoreTypes.h"
 
 namespace savorytrestle::store {
 
-/// @brief Revision of an entry: the store's index of its last modification.
-using Revision = std::uint64_t;
-
-/// @brief Revision that a compare-and-swap names for "must not exist".
-inline constexpr Revision NoEntry = 0;
-
-/// @brief Identity of a lease (the store's session).
-using LeaseId = std::string;
-
-/// @brief One stored entry.
-struct KvEntry {
-  std::string Key;
-  std::string Value;
-  Revision ModifyRevision = NoEntry;
-  /// Lease that holds the entry; it is deleted when the lease ends.
-  std::optional<LeaseId> Lease;
-};
-
-/// @brief What a watch saw.
-struct WatchResult {
-  /// Store index to wait beyond in the next watch.
-  Revision Index = 0;
-  /// Entries under the watched prefix, or the one key.
-  std::vector<KvEntry> Entries;
-};
-
 /// @brief The store, as the system sees it.
 ///
 /// Every call is bounded by its timeout. Errors: StoreUnavailable when the call
@@ -52,16 +26,15 @@
 template <typename S>
 concept KvStore = requires(S store, const std::string &key,
                            const std::string &value, Revision revision,
-                           std::chrono::milliseconds timeout,
-                           const LeaseId &lease) {
+                           std::chrono::milliseconds timeout, LeaseId lease) {
   // Reads one key.
   {
     store.get(key, timeout)
-    } -> std::same_as<core::Result<std::optional<KvEntry>>>;
+    } -> std::same_as<core::Result<std::optional<StoredItem>>>;
   // Reads all entries whose keys start with the given prefix.
   {
     store.list(key, timeout)
-    } -> std::same_as<core::Result<std::vector<KvEntry>>>;
+    } -> std::same_as<core::Result<std::vector<StoredItem>>>;
   // Writes if the entry is still at the named revision.
   {
     store.compareAndSet(key, value, revision, timeout)
@@ -74,7 +47,7 @@
   // time is up; then gives what is there.
   {
     store.watch(key, revision, timeout)
-    } -> std::same_as<core::Result<WatchResult>>;
+    } -> std::same_as<core::Result<StorePage>>;
   // Opens a lease that ends unless it is renewed within its time to live.
   { store.openLease(timeout, timeout) } -> std::same_as<core::Result<LeaseId>>;
   // Renews a lease; false when it has ended.
--- /dev/null
+++ b/src/store/PlatformStore.cpp
@@ -0,0 +1,188 @@
+#include "store/PlatformStore.h"
+
+#include <algorithm>
+
+#include "platform/StoreProtocol.h"
+#include "support/SocketOptions.h"
+
+namespace savorytrestle::store {
+
+using core::ErrorCode;
+using core::makeError;
+using core::Result;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Longest wait that the store grants a watch.
+constexpr milliseconds LongestWatch{30000};
+/// Time for the ways of a call beside the wait that it asks for.
+constexpr milliseconds CallAllowance{1000};
+
+constexpr unsigned ServerErrors = 500;
+
+} // namespace
+
+PlatformStore::PlatformStore(const std::string &address)
+    : Io(std::make_unique<boost::asio::io_context>()) {
+  boost::asio::ip::tcp::endpoint endpoint;
+  if (support::parseEndpoint(address, endpoint))
+    Connection = std::make_shared<StoreConnection>(*Io, endpoint);
+}
+
+PlatformStore::~PlatformStore() {
+  if (Connection)
+    Connection->close();
+}
+
+Result<StoreReply> PlatformStore::call(const StoreCall &call,
+                                       milliseconds timeout) {
+  if (!Connection)
+    return makeError(ErrorCode::StoreUnavailable,
+                     "the store's address is not \"ip:port\"");
+  std::optional<StoreReply> reply;
+  Connection->call(call, timeout,
+                   [&reply](StoreReply got) { reply = std::move(got); });
+  Io->restart();
+  while (!reply)
+    Io->run_one();
+  if (reply->Status == 0)
+    return makeError(reply->MayHaveRun ? ErrorCode::OutcomeUnknown
+                                       : ErrorCode::StoreUnavailable,
+                     "the store: " + reply->Why);
+  if (reply->Status == platform::OverRate ||
+      reply->Status == platform::NotAvailable)
+    return makeError(ErrorCode::StoreUnavailable,
+                     "the store answered " + std::to_string(reply->Status));
+  if (reply->Status >= ServerErrors)
+    return makeError(ErrorCode::OutcomeUnknown,
+                     "the store failed: " + reply->Body);
+  return std::move(*reply);
+}
+
+Result<bool> PlatformStore::write(const StoreTransaction &transaction,
+                                  milliseconds timeout) {
+  const auto reply = call(platform::transact(transaction), timeout);
+  if (!reply)
+    return tl::unexpected(reply.error());
+  if (reply->Status == platform::Done)
+    return true;
+  if (reply->Status == platform::Changed || reply->Status == platform::NotThere)
+    return false;
+  return makeError(ErrorCode::StoreUnavailable,
+                   "the store refused the write: " + reply->Body);
+}
+
+Result<std::optional<StoredItem>> PlatformStore::get(const std::string &key,
+                                                     milliseconds timeout) {
+  const auto reply = call(platform::readKey(key), timeout);
+  if (!reply)
+    return tl::unexpected(reply.error());
+  if (reply->Status == platform::NotThere)
+    return std::optional<StoredItem>();
+  auto page = platform::decodeItem(reply->Body);
+  if (!page)
+    return tl::unexpected(page.error());
+  return std::optional<StoredItem>(std::move(page->Items.front()));
+}
+
+Result<StorePage> PlatformStore::pages(const std::string &prefix,
+                                       milliseconds timeout) {
+  StorePage all;
+  std::string after;
+  do {
+    const auto reply = call(platform::readRange(prefix, after), timeout);
+    if (!reply)
+      return tl::unexpected(reply.error());
+    auto page = platform::decodeRange(reply->Body);
+    if (!page)
+      return tl::unexpected(page.error());
+    // Pages are no snapshot: a watch from the first one's position misses
+    // nothing.
+    if (after.empty())
+      all.At = page->At;
+    std::move(page->Items.begin(), page->Items.end(),
+              std::back_inserter(all.Items));
+    all.HasMore = page->HasMore && !page->Items.empty();
+    if (all.HasMore)
+      after = all.Items.back().Key;
+  } while (all.HasMore);
+  return all;
+}
+
+Result<std::vector<StoredItem>> PlatformStore::list(const std::string &prefix,
+                                                    milliseconds timeout) {
+  auto all = pages(prefix, timeout);
+  if (!all)
+    return tl::unexpected(all.error());
+  return std::move(all->Items);
+}
+
+Result<bool> PlatformStore::compareAndSet(const std::string &key,
+                                          const std::string &value,
+                                          Revision revision,
+                                          milliseconds timeout) {
+  return write({{{key, revision}}, {{key, value, NoLease}}, {}}, timeout);
+}
+
+Result<bool> PlatformStore::compareAndDelete(const std::string &key,
+                                             Revision revision,
+                                             milliseconds timeout) {
+  return write({{{key, revision}}, {}, {key}}, timeout);
+}
+
+Result<StorePage> PlatformStore::watch(const std::string &prefix,
+                                       Revision after, milliseconds wait) {
+  if (after != 0) {
+    const auto held = std::min(wait, LongestWatch);
+    const auto reply =
+        call(platform::watch(prefix, after, held), held + CallAllowance);
+    if (!reply)
+      return tl::unexpected(reply.error());
+  }
+  // Read afresh whatever the watch told: it may have missed changes whose
+  // history the store has dropped.
+  return pages(prefix, CallAllowance);
+}
+
+Result<LeaseId> PlatformStore::openLease(milliseconds timeToLive,
+                                         milliseconds timeout) {
+  const auto reply = call(platform::grantLease(timeToLive), timeout);
+  if (!reply)
+    return tl::unexpected(reply.error());
+  const auto lease = platform::decodeLease(reply->Body);
+  if (!lease)
+    return tl::unexpected(lease.error());
+  return lease->Id;
+}
+
+Result<bool> PlatformStore::renewLease(LeaseId lease, milliseconds timeout) {
+  const auto reply = call(platform::renewLease(lease), timeout);
+  if (!reply)
+    return tl::unexpected(reply.error());
+  return reply->Status == platform::Done;
+}
+
+Result<bool> PlatformStore::endLease(LeaseId lease, milliseconds timeout) {
+  const auto reply = call(platform::endLease(lease), timeout);
+  if (!reply)
+    return tl::unexpected(reply.error());
+  return reply->Status == platform::Done;
+}
+
+Result<bool> PlatformStore::acquire(const std::string &key,
+                                    const std::string &value, LeaseId lease,
+                                    milliseconds timeout) {
+  const auto held = get(key, timeout);
+  if (!held)
+    return tl::unexpected(held.error());
+  const StoredItem *item = *held ? &**held : nullptr;
+  if (item != nullptr && item->Lease != NoLease && item->Lease != lease)
+    return false;
+  return write({{{key, item != nullptr ? item->Changed : NoItem}},
+                {{key, value, lease}},
+                {}},
+               timeout);
+}
+
+} // namespace savorytrestle::store
--- a/src/registry/StoreConnection.cpp
+++ b/src/store/StoreConnection.cpp
@@ -1,4 +1,4 @@
-#include "registry/StoreConnection.h"
+#include "store/StoreConnection.h"
 
 #include <algorithm>
 
@@ -7,7 +7,7 @@
 
 #include "support/SocketOptions.h"
 
-namespace savorytrestle::registry {
+namespace savorytrestle::store {
 
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
@@ -47,6 +47,8 @@
   Out->body() = call.Body;
   Out->prepare_payload();
   ++Turn;
+  Sent = false;
+  dropIfEnded();
   if (Current) {
     expire(timeout, "no reply in time");
     return write(Current);
@@ -79,12 +81,27 @@
       });
 }
 
+void StoreConnection::dropIfEnded() {
+  if (!Current)
+    return;
+  // The store may have ended the connection since the last call. Bytes that
+  // nobody asked for would be taken for the next reply.
+  error_code ec;
+  char next = 0;
+  Current->Socket.non_blocking(true, ec);
+  Current->Socket.receive(boost::asio::buffer(&next, 1),
+                          tcp::socket::message_peek, ec);
+  if (ec != boost::asio::error::would_block)
+    Current.reset();
+}
+
 void StoreConnection::close() {
   OnReply = nullptr;
   fail("closed");
 }
 
 void StoreConnection::write(const std::shared_ptr<Link> &link) {
+  Sent = true;
   http::async_write(link->Socket, *Out,
                     [self = shared_from_this(), link, sent = Out](error_code ec,
                                                                   std::size_t) {
@@ -115,7 +132,7 @@
   auto answer = parser.release();
   if (!answer.keep_alive() || link->Buffer.size() > 0)
     Current.reset();
-  reply({answer.result_int(), std::move(answer.body()), ""});
+  reply({answer.result_int(), std::move(answer.body()), "", true});
 }
 
 void StoreConnection::fail(const std::string &why) {
@@ -124,7 +141,7 @@
     Current->Socket.close(ignored);
     Current.reset();
   }
-  reply({0, "", why});
+  reply({0, "", why, Sent});
 }
 
 void StoreConnection::reply(StoreReply reply) {
@@ -136,4 +153,4 @@
     onReply(std::move(reply));
 }
 
-} // namespace savorytrestle::registry
+} // namespace savorytrestle::store
--- a/src/registry/StoreConnection.h
+++ b/src/store/StoreConnection.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_REGISTRY_STORE_CONNECTION_H
-#define SAVORYTRESTLE_REGISTRY_STORE_CONNECTION_H
+#ifndef SAVORYTRESTLE_STORE_STORE_CONNECTION_H
+#define SAVORYTRESTLE_STORE_STORE_CONNECTION_H
 
 /// @file
 /// @brief One connection to the platform's store, which carries one call at a
@@ -19,16 +19,19 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include "registry/StoreTypes.h"
+#include "store/StoreTypes.h"
 
-namespace savorytrestle::registry {
+namespace savorytrestle::store {
 
-/// @brief Reply of the store; status 0 means that none came, and that the call
-/// may have been executed all the same.
+/// @brief Reply of the store.
 struct StoreReply {
+  /// 0 when no reply came.
   unsigned Status = 0;
   std::string Body;
+  /// Why no reply came.
   std::string Why;
+  /// Whether the store may have executed the call.
+  bool MayHaveRun = true;
 };
 
 /// @brief A connection that opens when it is needed. It is dropped after any
@@ -66,6 +69,7 @@
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
   void expire(std::chrono::milliseconds after, const char *why);
+  void dropIfEnded();
   void write(const std::shared_ptr<Link> &link);
   void read(const std::shared_ptr<Link> &link);
   void onAnswer(const std::shared_ptr<Link> &link, Parser &parser);
@@ -79,8 +83,10 @@
   std::shared_ptr<Request> Out;
   ReplyHandler OnReply;
   std::uint64_t Turn = 0;
+  /// Whether any of the present call may have left this host.
+  bool Sent = false;
 };
 
-} // namespace savorytrestle::registry
+} // namespace savorytrestle::store
 
 #endif
--- /dev/null
+++ b/src/support/UrlEncode.cpp
@@ -0,0 +1,16 @@
+#include "support/UrlEncode.h"
+
+#include <memory>
+
+#include <curl/curl.h>
+
+namespace savorytrestle::support {
+
+std::string urlEncoded(const std::string &text) {
+  const std::unique_ptr<char, decltype(&curl_free)> value(
+      curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size())),
+      &curl_free);
+  return value ? value.get() : "";
+}
+
+} // namespace savorytrestle::support
--- a/tests/FakeKvStore.h
+++ b/tests/FakeKvStore.h
@@ -7,7 +7,7 @@
 #include <atomic>
 #include <memory>
 
-#include "standins/KvState.h"
+#include "KvState.h"
 
 namespace savorytrestle::standins {
 
@@ -30,12 +30,12 @@
   using Millis = std::chrono::milliseconds;
   template <typename T> using Result = core::Result<T>;
 
-  Result<std::optional<store::KvEntry>> get(const std::string &key, Millis) {
+  Result<std::optional<store::StoredItem>> get(const std::string &key, Millis) {
     if (!readable())
       return down();
     return State->get(key);
   }
-  Result<std::vector<store::KvEntry>> list(const std::string &prefix, Millis) {
+  Result<std::vector<store::StoredItem>> list(const std::string &prefix, Millis) {
     if (!readable())
       return down();
     return State->list(prefix);
@@ -48,7 +48,7 @@
                                 store::Revision revision, Millis) {
     return write([&] { return State->compareAndDelete(key, revision); });
   }
-  Result<store::WatchResult> watch(const std::string &prefix,
+  Result<store::StorePage> watch(const std::string &prefix,
                                    store::Revision after, Millis wait) {
     if (!readable())
       return down();
@@ -59,17 +59,17 @@
       return down();
     return State->openLease(timeToLive);
   }
-  Result<bool> renewLease(const store::LeaseId &lease, Millis) {
+  Result<bool> renewLease(store::LeaseId lease, Millis) {
     return write([&] { return State->renewLease(lease); });
   }
-  Result<bool> endLease(const store::LeaseId &lease, Millis) {
+  Result<bool> endLease(store::LeaseId lease, Millis) {
     return write([&] {
       State->endLease(lease);
       return true;
     });
   }
   Result<bool> acquire(const std::string &key, const std::string &value,
-                       const store::LeaseId &lease, Millis) {
+                       store::LeaseId lease, Millis) {
     return write([&] { return State->acquire(key, value, lease); });
   }
 
--- a/tests/standins/KvState.h
+++ b/tests/KvState.h
@@ -1,8 +1,8 @@
-#ifndef SAVORYTRESTLE_TESTS_STANDINS_KV_STATE_H
-#define SAVORYTRESTLE_TESTS_STANDINS_KV_STATE_H
+#ifndef SAVORYTRESTLE_TESTS_KV_STATE_H
+#define SAVORYTRESTLE_TESTS_KV_STATE_H
 
 /// @file
-/// @brief Contents of the key-value stand-in: entries, leases and faults.
+/// @brief Items and leases of the in-process store.
 
 #include <condition_variable>
 #include <map>
@@ -13,11 +13,10 @@
 
 namespace savorytrestle::standins {
 
-/// @brief Entries and leases behind one lock; shared by the stand-in program
-/// and the in-process fake.
+/// @brief Items and leases behind one lock.
 class KvState {
 public:
-  using Entry = store::KvEntry;
+  using Entry = store::StoredItem;
 
   std::optional<Entry> get(const std::string &key) {
     const std::lock_guard guard(Lock);
@@ -38,24 +37,24 @@
     expireLeases();
     const auto it = Entries.find(key);
     const auto found =
-        it == Entries.end() ? store::NoEntry : it->second.ModifyRevision;
+        it == Entries.end() ? store::NoItem : it->second.Changed;
     if (found != revision)
       return false;
-    put({key, value, 0, it == Entries.end() ? std::nullopt : it->second.Lease});
+    put({key, value, 0, store::NoLease, false});
     return true;
   }
 
   bool compareAndDelete(const std::string &key, store::Revision revision) {
     const std::lock_guard guard(Lock);
     const auto it = Entries.find(key);
-    if (it == Entries.end() || it->second.ModifyRevision != revision)
+    if (it == Entries.end() || it->second.Changed != revision)
       return false;
     Entries.erase(it);
     bump();
     return true;
   }
 
-  store::WatchResult watch(const std::string &prefix, store::Revision after,
+  store::StorePage watch(const std::string &prefix, store::Revision after,
                            std::chrono::milliseconds wait) {
     std::unique_lock guard(Lock);
     const auto until = std::chrono::steady_clock::now() + wait;
@@ -69,17 +68,17 @@
       if (std::chrono::steady_clock::now() >= until)
         break;
     }
-    return {std::max(Index, store::Revision(1)), under(prefix)};
+    return {under(prefix), std::max(Index, store::Revision(1)), false};
   }
 
   store::LeaseId openLease(std::chrono::milliseconds timeToLive) {
     const std::lock_guard guard(Lock);
-    auto id = "lease-" + std::to_string(++LastLease);
+    const store::LeaseId id = ++LastLease;
     Leases[id] = {timeToLive, std::chrono::steady_clock::now() + timeToLive};
     return id;
   }
 
-  bool renewLease(const store::LeaseId &id) {
+  bool renewLease(store::LeaseId id) {
     const std::lock_guard guard(Lock);
     expireLeases();
     const auto it = Leases.find(id);
@@ -89,21 +88,22 @@
     return true;
   }
 
-  void endLease(const store::LeaseId &id) {
+  void endLease(store::LeaseId id) {
     const std::lock_guard guard(Lock);
     dropLease(id);
   }
 
   bool acquire(const std::string &key, const std::string &value,
-               const store::LeaseId &id) {
+               store::LeaseId id) {
     const std::lock_guard guard(Lock);
     expireLeases();
     if (Leases.count(id) == 0)
       return false;
     const auto it = Entries.find(key);
-    if (it != Entries.end() && it->second.Lease && it->second.Lease != id)
+    if (it != Entries.end() && it->second.Lease != store::NoLease &&
+        it->second.Lease != id)
       return false;
-    put({key, value, 0, id});
+    put({key, value, 0, id, false});
     return true;
   }
 
@@ -119,12 +119,12 @@
   }
 
   void put(Entry entry) {
-    entry.ModifyRevision = Index + 1;
+    entry.Changed = Index + 1;
     Entries[entry.Key] = std::move(entry);
     bump();
   }
 
-  void dropLease(const store::LeaseId &id) {
+  void dropLease(store::LeaseId id) {
     Leases.erase(id);
     const auto gone = std::erase_if(
         Entries, [&](const auto &item) { return item.second.Lease == id; });
@@ -160,7 +160,7 @@
   std::map<std::string, Entry> Entries;
   std::map<store::LeaseId, Lease> Leases;
   store::Revision Index = 1;
-  std::uint64_t LastLease = 0;
+  store::LeaseId LastLease = store::NoLease;
 };
 
 } // namespace savorytrestle::standins
--- /dev/null
+++ b/tests/process-quarantine.cpp
@@ -0,0 +1,94 @@
+#include "NodeDeployment.h"
+
+#include <gtest/gtest.h>
+
+#include "standins/RawLeaf.h"
+
+using namespace savorytrestle;
+using namespace savorytrestle::tests;
+using savorytrestle::testing::eventually;
+
+namespace {
+
+constexpr int TooManyRequests = 429;
+
+/// Leaves that crash under one request, and hosts that learn of it.
+class QuarantineTest : public ::testing::Test {
+protected:
+  void SetUp() override {
+    for (const char *id : {"i-1", "i-2"})
+      addLeaf(id);
+    Cluster.putConfig(usualConfig(3, {"plain"}));
+    First = &Cluster.addNode();
+    Second = &Cluster.addNode();
+  }
+
+  void addLeaf(const std::string &id) {
+    Cluster.onThread([&] {
+      Leaves.push_back(std::make_unique<RawLeaf>(
+          Cluster.Io,
+          [this](const std::string &head) { return answer(head); }));
+      Cluster.Store->put(
+          "servers/" + id,
+          nlohmann::json{{"service", "plain"},
+                         {"address", Leaves.back()->addressText()},
+                         {"zone", "a"},
+                         {"version", "v1"},
+                         {"maxConcurrency", 5},
+                         {"state", "ready"},
+                         {"warmupLeftMs", 0},
+                         {"sequence", 1}}
+              .dump());
+      return 0;
+    });
+  }
+
+  RawAnswer answer(const std::string &head) {
+    RawAnswer answer;
+    if (head.find("/read/deadly") != std::string::npos) {
+      ++Crashes;
+      answer.Reset = true;
+    } else {
+      answer.Bytes = leafAnswer("fine", "Savorytrestle-Server-Stamp: s\r\n");
+    }
+    return answer;
+  }
+
+  int crashes() {
+    return Cluster.onThread([&] { return Crashes; });
+  }
+
+  int ask(const NodeProcess &node, const std::string &path) {
+    return NodeDeployment::ask(node, path, "r" + std::to_string(++Asked))
+        .Status;
+  }
+
+  NodeDeployment Cluster;
+  std::vector<std::unique_ptr<RawLeaf>> Leaves;
+  NodeProcess *First = nullptr;
+  NodeProcess *Second = nullptr;
+  int Crashes = 0;
+  int Asked = 0;
+};
+
+TEST_F(QuarantineTest, ARequestThatCrashesLeavesIsStoppedOnAllHosts) {
+  for (int i = 0; i < 3; ++i)
+    EXPECT_EQ(ask(*First, "/read/deadly"), 502) << First->log();
+  EXPECT_EQ(ask(*First, "/read/deadly"), TooManyRequests) << First->log();
+  // The other host has never seen it; it hears of it through the store.
+  EXPECT_TRUE(eventually([&] {
+    return Second->log().find("event=crashes_heard") != std::string::npos;
+  }));
+  const int before = crashes();
+  EXPECT_EQ(ask(*Second, "/read/deadly"), TooManyRequests) << Second->log();
+  EXPECT_EQ(crashes(), before);
+}
+
+TEST_F(QuarantineTest, OtherRequestsAreServedAllTheWhile) {
+  for (int i = 0; i < 5; ++i) {
+    ask(*First, "/read/deadly");
+    EXPECT_EQ(ask(*First, "/read/usual"), 200) << First->log();
+  }
+}
+
+} // namespace
--- /dev/null
+++ b/tests/standins/HttpDoor.h
@@ -0,0 +1,135 @@
+#ifndef SAVORYTRESTLE_TESTS_HTTP_DOOR_H
+#define SAVORYTRESTLE_TESTS_HTTP_DOOR_H
+
+/// @file
+/// @brief A small HTTP server for stand-ins, which may also break connections.
+
+#include <utility>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "savorytrestle/core/Error.h"
+#include "support/SocketOptions.h"
+
+namespace savorytrestle::tests {
+
+using DoorRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using DoorAnswer =
+    boost::beast::http::response<boost::beast::http::string_body>;
+/// Takes the answer, or nothing to break the connection.
+using DoorRespond = std::function<void(std::optional<DoorAnswer>)>;
+using DoorHandler = std::function<void(const DoorRequest &, DoorRespond)>;
+
+/// @brief One connection; takes one request at a time.
+class DoorSession : public std::enable_shared_from_this<DoorSession> {
+public:
+  DoorSession(boost::asio::ip::tcp::socket socket, const DoorHandler &handler)
+      : Socket(std::move(socket)), Handler(handler) {}
+
+  void close() { Socket.close(); }
+
+  void read() {
+    Parser = std::make_unique<RequestParser>();
+    Parser->body_limit(MaxBodyBytes);
+    boost::beast::http::async_read(
+        Socket, Buffer, *Parser,
+        [self = shared_from_this()](const boost::system::error_code &ec,
+                                    std::size_t) {
+          if (!ec)
+            self->Handler(self->Parser->get(), self->respond());
+        });
+  }
+
+private:
+  using RequestParser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  static constexpr std::size_t MaxBodyBytes = 8 << 20;
+
+  DoorRespond respond() {
+    return [self = shared_from_this()](std::optional<DoorAnswer> answer) {
+      if (!answer)
+        return self->Socket.close();
+      self->Answer = std::move(*answer);
+      self->Answer.prepare_payload();
+      boost::beast::http::async_write(
+          self->Socket, self->Answer,
+          [self](const boost::system::error_code &ec, std::size_t) {
+            if (!ec)
+              self->read();
+          });
+    };
+  }
+
+  boost::asio::ip::tcp::socket Socket;
+  const DoorHandler &Handler;
+  boost::beast::flat_buffer Buffer;
+  std::unique_ptr<RequestParser> Parser;
+  DoorAnswer Answer;
+};
+
+/// @brief Accepts connections; outlives them.
+class HttpDoor {
+public:
+  HttpDoor(boost::asio::io_context &io, DoorHandler handler)
+      : Acceptor(io), Handler(std::move(handler)) {}
+
+  core::Result<void> open(const std::string &address) {
+    boost::asio::ip::tcp::endpoint endpoint;
+    boost::system::error_code ec;
+    if (!support::parseEndpoint(address, endpoint))
+      return core::makeError(core::ErrorCode::InvalidSettings, address);
+    Acceptor.open(endpoint.protocol());
+    Acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    Acceptor.bind(endpoint, ec);
+    if (ec)
+      return core::makeError(core::ErrorCode::InvalidSettings, ec.message());
+    Acceptor.listen();
+    accept();
+    return {};
+  }
+
+  int port() const { return Acceptor.local_endpoint().port(); }
+
+  void dropConnections() {
+    for (const auto &weak : Sessions)
+      if (const auto session = weak.lock())
+        session->close();
+    Sessions.clear();
+  }
+
+private:
+  void accept() {
+    Acceptor.async_accept([this](const boost::system::error_code &ec,
+                                 boost::asio::ip::tcp::socket socket) {
+      if (ec)
+        return;
+      support::setLowDelay(socket);
+      const auto session =
+          std::make_shared<DoorSession>(std::move(socket), Handler);
+      Sessions.push_back(session);
+      session->read();
+      accept();
+    });
+  }
+
+  boost::asio::ip::tcp::acceptor Acceptor;
+  DoorHandler Handler;
+  std::vector<std::weak_ptr<DoorSession>> Sessions;
+};
+
+} // namespace savorytrestle::tests
+
+#endif
--- a/tests/standins/MetadataStore.h
+++ b/tests/standins/MetadataStore.h
@@ -7,9 +7,12 @@
 
 #include <utility>
 
+#include <algorithm>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -18,10 +21,10 @@
 #include <absl/strings/str_split.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <civetweb.h>
 #include <nlohmann/json.hpp>
 
-#include "entry/Answers.h"
-#include "entry/Listener.h"
+#include "standins/HttpDoor.h"
 
 namespace savorytrestle::tests {
 
@@ -29,6 +32,7 @@
 enum class StoreFault {
   None,
   Busy,   ///< 503: nothing was done
+  Reset,  ///< connections break: nothing was done
   Silent, ///< calls get no answer
   Lost,   ///< writes are done, their answers are lost
 };
@@ -39,22 +43,18 @@
   using Json = nlohmann::json;
 
   explicit MetadataStore(boost::asio::io_context &io)
-      : Io(io), Context(std::make_shared<entry::SessionContext>()) {
-    Context->Handle = [this](const entry::CallerRequest &request,
-                             entry::Respond respond) {
-      ++Calls;
-      handle(request, std::move(respond));
-      return entry::CancelRequest();
-    };
-    Context->Limits.IdleTimeout = std::chrono::hours(1);
-  }
+      : Io(io),
+        Door(io, [this](const DoorRequest &request, DoorRespond respond) {
+          handle(request, std::move(respond));
+        }) {}
 
   /// @brief Listens; the address must be free.
   core::Result<void> open(const std::string &address) {
-    Door = std::make_shared<entry::Listener>(Io, Context);
-    return Door->open(address);
+    return Door.open(address);
   }
 
+  int port() const { return Door.port(); }
+
   /// @brief Writes an item as the operator or a leaf would.
   void put(const std::string &key, const std::string &value,
            std::uint64_t lease = 0) {
@@ -83,6 +83,15 @@
   }
 
   void setFault(StoreFault fault) { Fault = fault; }
+
+  /// @brief Ends all connections, as after a long idle time.
+  void dropConnections() { Door.dropConnections(); }
+
+  /// @brief Calls taken a second; those beyond get 429.
+  void setRates(int reads, int writes) {
+    ReadCap.PerSecond = reads;
+    WriteCap.PerSecond = writes;
+  }
   std::size_t calls() const { return Calls; }
   std::size_t count(const std::string &prefix) const {
     return static_cast<std::size_t>(
@@ -106,22 +115,46 @@
   struct Watch {
     std::string Prefix;
     std::uint64_t After;
-    entry::Respond Respond;
+    DoorRespond Respond;
     std::shared_ptr<boost::asio::steady_timer> Timer;
   };
   struct Lease {
     std::chrono::milliseconds TimeToLive;
     std::shared_ptr<boost::asio::steady_timer> Timer;
   };
+  /// Calls taken in the current second.
+  struct RateCap {
+    int PerSecond = std::numeric_limits<int>::max();
+    int Taken = 0;
+    std::chrono::steady_clock::time_point Began{};
+
+    bool take() {
+      const auto now = std::chrono::steady_clock::now();
+      if (now - Began >= std::chrono::seconds(1)) {
+        Began = now;
+        Taken = 0;
+      }
+      return ++Taken <= PerSecond;
+    }
+  };
   using Query = std::map<std::string, std::string>;
 
-  static entry::CallerAnswer reply(unsigned status, const Json &body) {
-    auto answer = entry::textAnswer(
-        static_cast<boost::beast::http::status>(status), body.dump());
+  static DoorAnswer reply(unsigned status, const Json &body) {
+    DoorAnswer answer{static_cast<boost::beast::http::status>(status), 11};
     answer.set(boost::beast::http::field::content_type, "application/json");
+    answer.body() = body.dump();
     return answer;
   }
 
+  static std::string decoded(const std::string &text) {
+    std::string plain(text.size() + 1, '\0');
+    const int n =
+        mg_url_decode(text.data(), static_cast<int>(text.size()), plain.data(),
+                      static_cast<int>(plain.size()), 0);
+    plain.resize(static_cast<std::size_t>(std::max(n, 0)));
+    return plain;
+  }
+
   static Json shown(const std::string &key, const Item &item) {
     return {{"key", key},
             {"value", absl::Base64Escape(item.Value)},
@@ -138,34 +171,74 @@
     for (const auto part : absl::StrSplit(target.substr(at + 1), '&')) {
       const std::vector<std::string> pair =
           absl::StrSplit(part, absl::MaxSplits('=', 1));
-      query[pair[0]] = pair.size() > 1 ? pair[1] : "";
+      query[pair[0]] = pair.size() > 1 ? decoded(pair[1]) : "";
     }
     return query;
   }
 
-  void handle(const entry::CallerRequest &request, entry::Respond respond) {
+  void handle(const DoorRequest &request, DoorRespond respond) {
     const std::string target(request.target().data(), request.target().size());
     const std::string path = target.substr(0, target.find('?'));
+    const bool write = request.method() != boost::beast::http::verb::get;
+    const Json body = write && !request.body().empty()
+                          ? Json::parse(request.body(), nullptr, false)
+                          : Json::object();
+    if (path == "/control")
+      return respond(control(body));
+    ++Calls;
+    if (Fault == StoreFault::Reset)
+      return respond(std::nullopt);
     if (Fault == StoreFault::Silent) {
       Unanswered.push_back(std::move(respond));
       return;
     }
     if (Fault == StoreFault::Busy)
       return respond(reply(503, Json::object()));
-    const bool write = request.method() != boost::beast::http::verb::get;
-    const Json body = write && !request.body().empty()
-                          ? Json::parse(request.body(), nullptr, false)
-                          : Json::object();
-    if (Fault == StoreFault::Lost && write) {
+    ++(write ? Writes : Reads);
+    if (!(write ? WriteCap : ReadCap).take()) {
+      ++Refused;
+      return respond(reply(429, Json::object()));
+    }
+    if (Delay.count() == 0)
+      return execute(target, body, write, std::move(respond));
+    const auto timer = std::make_shared<boost::asio::steady_timer>(Io, Delay);
+    timer->async_wait([this, timer, target, body, write,
+                       respond](const boost::system::error_code &) {
+      execute(target, body, write, respond);
+    });
+  }
+
+  void execute(const std::string &target, const Json &body, bool write,
+               DoorRespond respond) {
+    const std::string path = target.substr(0, target.find('?'));
+    const auto nobody = [](const std::optional<DoorAnswer> &) {};
+    if (write && Fault == StoreFault::Lost) {
       Unanswered.push_back(std::move(respond));
-      call(path, queryOf(target), body, [](const entry::CallerAnswer &) {});
-      return;
+      return call(path, queryOf(target), body, nobody);
+    }
+    if (write && static_cast<int>(Random() % 100) < LosePercent) {
+      call(path, queryOf(target), body, nobody);
+      return respond(std::nullopt);
     }
     call(path, queryOf(target), body, std::move(respond));
   }
 
+  /// Sets faults from another process, and tells what calls came.
+  DoorAnswer control(const Json &body) {
+    if (body.is_object()) {
+      if (body.contains("outage"))
+        Fault = body["outage"] ? StoreFault::Reset : StoreFault::None;
+      Delay = std::chrono::milliseconds(body.value("delay_ms", Delay.count()));
+      LosePercent = body.value("lose_percent", LosePercent);
+    }
+    return reply(200, {{"outage", Fault != StoreFault::None},
+                       {"reads", Reads},
+                       {"writes", Writes},
+                       {"refused", Refused}});
+  }
+
   void call(const std::string &path, const Query &query, const Json &body,
-            entry::Respond respond) {
+            DoorRespond respond) {
     if (path == "/kv-key")
       return respond(readKey(query.at("key")));
     if (path == "/kv-range")
@@ -192,7 +265,7 @@
     return number;
   }
 
-  entry::CallerAnswer readKey(const std::string &key) const {
+  DoorAnswer readKey(const std::string &key) const {
     const auto it = Items.find(key);
     if (it == Items.end())
       return reply(404, Json::object());
@@ -201,7 +274,7 @@
     return reply(200, body);
   }
 
-  entry::CallerAnswer readRange(const Query &query) const {
+  DoorAnswer readRange(const Query &query) const {
     constexpr std::size_t PageItems = 50;
     const std::string prefix = query.at("pathPrefix");
     const std::string after = query.count("after") ? query.at("after") : "";
@@ -220,7 +293,7 @@
     return reply(200, {{"items", items}, {"hasMore", more}, {"at", Now}});
   }
 
-  void startWatch(const Query &query, entry::Respond respond) {
+  void startWatch(const Query &query, DoorRespond respond) {
     Watch watch{query.at("pathPrefix"), 0, std::move(respond),
                 std::make_shared<boost::asio::steady_timer>(Io)};
     (void)absl::SimpleAtoi(query.at("after"), &watch.After);
@@ -280,7 +353,7 @@
         Watches.push_back(std::move(watch));
   }
 
-  entry::CallerAnswer transact(const Json &body) {
+  DoorAnswer transact(const Json &body) {
     for (const Json &row : body.at("expected")) {
       const auto it = Items.find(row.at("key"));
       const std::uint64_t held = it == Items.end() ? 0 : it->second.Revision;
@@ -301,14 +374,14 @@
     return reply(200, {{"revision", Now}});
   }
 
-  entry::CallerAnswer grant(std::chrono::milliseconds timeToLive) {
+  DoorAnswer grant(std::chrono::milliseconds timeToLive) {
     const std::uint64_t id = NextLease++;
     Leases[id] = {timeToLive, std::make_shared<boost::asio::steady_timer>(Io)};
     arm(id);
     return reply(200, {{"lease", id}, {"ttlMs", timeToLive.count()}});
   }
 
-  entry::CallerAnswer renew(std::uint64_t id) {
+  DoorAnswer renew(std::uint64_t id) {
     if (Leases.count(id) == 0)
       return reply(404, Json::object());
     arm(id);
@@ -335,18 +408,25 @@
   }
 
   boost::asio::io_context &Io;
-  std::shared_ptr<entry::SessionContext> Context;
-  std::shared_ptr<entry::Listener> Door;
+  HttpDoor Door;
   std::map<std::string, Item> Items;
   std::vector<Event> History;
   std::vector<Watch> Watches;
-  std::vector<entry::Respond> Unanswered;
+  std::vector<DoorRespond> Unanswered;
   std::map<std::uint64_t, Lease> Leases;
   std::uint64_t Now = 1;
   std::uint64_t OldestKnown = 0;
   std::uint64_t NextLease = 1;
   std::size_t Calls = 0;
+  std::size_t Reads = 0;
+  std::size_t Writes = 0;
+  std::size_t Refused = 0;
+  RateCap ReadCap;
+  RateCap WriteCap;
   StoreFault Fault = StoreFault::None;
+  std::chrono::milliseconds Delay{0};
+  int LosePercent = 0;
+  std::mt19937_64 Random{1};
 };
 
 } // namespace savorytrestle::tests
--- /dev/null
+++ b/tests/unit-crash-watch.cpp
@@ -0,0 +1,98 @@
+#include "entry/CrashWatch.h"
+
+#include <gtest/gtest.h>
+
+using namespace savorytrestle;
+using namespace savorytrestle::entry;
+using namespace std::chrono_literals;
+
+namespace {
+
+CallerRequest request(const std::string &target, const std::string &id,
+                      const std::string &body = "") {
+  CallerRequest request;
+  request.set(boost::beast::http::field::host, "a.example");
+  request.set("Request-Id", id);
+  request.target(target);
+  request.body() = body;
+  return request;
+}
+
+/// A day on which time goes by as the test says.
+class CrashWatchTest : public ::testing::Test {
+protected:
+  CrashWatchTest() {
+    Watch.onRecords([this](const auto &records) {
+      Told.insert(Told.end(), records.begin(), records.end());
+    });
+  }
+
+  void broke(const std::string &runId) {
+    Watch.onEnd({Print, runId, false, true}, Now);
+  }
+  void answered() { Watch.onEnd({Print, "ok", true, false}, Now); }
+  bool refused() { return Watch.refused(Print, Now).has_value(); }
+
+  core::TimePoint Now{1h};
+  const core::Fingerprint Print = fingerprintOf(request("/x", "r"));
+  CrashWatch Watch;
+  std::vector<core::QuarantineRecord> Told;
+};
+
+TEST_F(CrashWatchTest, TheThirdBrokenRunIsTheLast) {
+  for (const char *run : {"r1", "r2", "r3"}) {
+    EXPECT_FALSE(refused());
+    broke(run);
+  }
+  EXPECT_TRUE(refused());
+  EXPECT_EQ(Told.size(), 3U);
+}
+
+TEST_F(CrashWatchTest, OneRunCountsOnce) {
+  for (int i = 0; i < 5; ++i)
+    broke("same run, told by several hosts");
+  EXPECT_FALSE(refused());
+}
+
+TEST_F(CrashWatchTest, AnAnswerClearsIt) {
+  broke("r1");
+  broke("r2");
+  Now += 1s;
+  answered();
+  Now += 1s;
+  broke("r3");
+  EXPECT_FALSE(refused());
+}
+
+TEST_F(CrashWatchTest, ARunThatWasAnsweredInPartIsNotBlamed) {
+  for (const char *run : {"r1", "r2", "r3", "r4"})
+    Watch.onEnd({Print, run, true, true}, Now);
+  EXPECT_FALSE(refused());
+}
+
+TEST_F(CrashWatchTest, OtherHostsCountItToo) {
+  CrashWatch other;
+  for (const char *run : {"r1", "r2", "r3"})
+    broke(run);
+  other.merge(Told, Now);
+  other.merge(Told, Now);
+  EXPECT_TRUE(other.refused(Print, Now).has_value());
+}
+
+TEST_F(CrashWatchTest, ItIsForgottenInTime) {
+  for (const char *run : {"r1", "r2", "r3"})
+    broke(run);
+  const auto wait = Watch.refused(Print, Now);
+  ASSERT_TRUE(wait);
+  Now += *wait;
+  EXPECT_FALSE(refused());
+}
+
+TEST(Fingerprint, IsThatOfTheContentAlone) {
+  const auto print = fingerprintOf(request("/x", "r1", "body"));
+  EXPECT_EQ(print, fingerprintOf(request("/x", "r2", "body")));
+  EXPECT_FALSE(print == fingerprintOf(request("/y", "r1", "body")));
+  EXPECT_FALSE(print == fingerprintOf(request("/x", "r1", "other")));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit-feed-policy.cpp
@@ -0,0 +1,124 @@
+#include "savorytrestle/core/FeedPolicy.h"
+
+#include <algorithm>
+#include <random>
+
+#include <gtest/gtest.h>
+
+using namespace savorytrestle::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::map<std::string, std::string> Regions = {
+    {"w-a", "w"}, {"w-b", "w"}, {"g-a", "g"}, {"g-b", "g"}};
+
+std::vector<FeedHost> hostsOf(const std::string &domain, std::size_t n) {
+  std::vector<FeedHost> hosts;
+  for (std::size_t i = 0; i < n; ++i)
+    hosts.push_back({domain + "-" + std::to_string(i), domain});
+  return hosts;
+}
+
+TEST(FeedPlan, InASmallDomainEachHostAsksTheStore) {
+  const auto hosts = hostsOf("w-a", 4);
+  for (const FeedHost &host : hosts) {
+    const auto plan = planFeed(host, Regions, hosts);
+    EXPECT_TRUE(plan.Before.empty());
+    EXPECT_FALSE(plan.PassesOn);
+  }
+}
+
+TEST(FeedPlan, InALargeDomainOneHostAsksForAll) {
+  const auto hosts = hostsOf("w-a", 12);
+  EXPECT_TRUE(planFeed(hosts[0], Regions, hosts).PassesOn);
+  EXPECT_TRUE(planFeed(hosts[0], Regions, hosts).Before.empty());
+  for (std::size_t i = 1; i < hosts.size(); ++i) {
+    const auto plan = planFeed(hosts[i], Regions, hosts);
+    EXPECT_EQ(plan.Before, std::vector<std::string>{hosts[0].Id});
+    EXPECT_FALSE(plan.PassesOn);
+  }
+}
+
+TEST(FeedPlan, SparesOfTheOwnRegionComeFirst) {
+  auto hosts = hostsOf("w-a", 6);
+  for (const char *domain : {"g-a", "g-b", "w-b"})
+    for (const FeedHost &host : hostsOf(domain, 6))
+      hosts.push_back(host);
+  const auto plan = planFeed(hosts[3], Regions, hosts);
+  ASSERT_EQ(plan.After.size(), 3U);
+  EXPECT_EQ(plan.After[0], "w-b-0");
+}
+
+/// Whatever hosts there are, a host that is asked in place of the store asks
+/// the store itself and passes it on.
+TEST(FeedPlan, PlansOfAllHostsFitTogether) {
+  std::mt19937 random(7);
+  for (int round = 0; round < 200; ++round) {
+    std::vector<FeedHost> hosts;
+    for (const auto &[domain, region] : Regions)
+      for (const FeedHost &host : hostsOf(domain, random() % 9))
+        hosts.push_back(host);
+    std::map<std::string, FeedPlan> plans;
+    for (const FeedHost &host : hosts)
+      plans[host.Id] = planFeed(host, Regions, hosts);
+    for (const auto &[id, plan] : plans)
+      for (const std::string &asked : plan.Before) {
+        EXPECT_TRUE(plans[asked].PassesOn) << id << " asks " << asked;
+        EXPECT_TRUE(plans[asked].Before.empty());
+      }
+  }
+}
+
+/// A change reaches a host whose source has gone silent before it must be in
+/// force: the source's word is believed for MaxAge, and a call that was made
+/// just before that ends a wait and a time-out later.
+TEST(FeedTiming, AStaleSourceIsLeftInTime) {
+  constexpr auto Switch = 300ms; // a way and a list of the store
+  for (const Duration apply : {Duration(3s), Duration(5s), Duration(8s)}) {
+    const FeedTiming timing(apply);
+    EXPECT_LT(timing.MaxAge + timing.ShortWait + Switch, apply);
+    // A source that is well is believed all the while.
+    EXPECT_LT(timing.ShortWait + timing.Gather, timing.MaxAge);
+  }
+}
+
+class RotationTest : public ::testing::Test {
+protected:
+  std::size_t next() { return Rotation.next(Now).Source; }
+
+  TimePoint Now{1h};
+  SourceRotation Rotation{{{2s, 10s}, {50ms, 400ms}, {2s, 10s}}};
+};
+
+TEST_F(RotationTest, TheFirstSourceIsAskedWhileItAnswers) {
+  EXPECT_EQ(next(), 0U);
+  Rotation.onSuccess(0);
+  EXPECT_EQ(next(), 0U);
+}
+
+TEST_F(RotationTest, AFailedSourceRestsLongerEachTime) {
+  Rotation.onFailure(0, Now);
+  EXPECT_EQ(next(), 1U);
+  Now += 2s;
+  EXPECT_EQ(next(), 0U);
+  Rotation.onFailure(0, Now);
+  Now += 3s;
+  EXPECT_EQ(next(), 1U);
+  Now += 1s;
+  EXPECT_EQ(next(), 0U);
+  Rotation.onSuccess(0);
+  Rotation.onFailure(0, Now);
+  Now += 2s;
+  EXPECT_EQ(next(), 0U);
+}
+
+TEST_F(RotationTest, WhenAllRestTheNextToWakeIsAwaited) {
+  for (const std::size_t source : {0U, 1U, 2U})
+    Rotation.onFailure(source, Now);
+  const auto choice = Rotation.next(Now);
+  EXPECT_EQ(choice.Source, 1U);
+  EXPECT_EQ(choice.At, Now + 50ms);
+}
+
+} // namespace
--- a/tests/unit-host-slots.cpp
+++ b/tests/unit-host-slots.cpp
@@ -30,7 +30,7 @@
   /// The lease of a slot ends, as it does when its holder is paused.
   void lapse(core::SlotNumber slot) {
     const auto entry = Store.get(hosts::slotKey(slot), 1s).value();
-    Store.endLease(*entry->Lease, 1s);
+    Store.endLease(entry->Lease, 1s);
   }
 };
 
--- a/tests/unit-settings-store.cpp
+++ b/tests/unit-settings-store.cpp
@@ -159,7 +159,7 @@
   auto late = change("1", setEdit("/a", "max_deadline", "3 s"));
   late.BaseRevision = 1;
   late.Resent = true;
-  const auto before = Kv.get(ManifestKey, {}).value()->ModifyRevision;
+  const auto before = Kv.get(ManifestKey, {}).value()->Changed;
   EXPECT_EQ(Second.commit(late).Outcome, CommitOutcome::Conflict);
   // A swap of an earlier attempt named the manifest as it was before.
   EXPECT_FALSE(Kv.compareAndSet(ManifestKey, "late", before, {}).value());
--- a/tests/unit-store-connection.cpp
+++ b/tests/unit-store-connection.cpp
@@ -1,4 +1,4 @@
-#include "registry/StoreConnection.h"
+#include "store/StoreConnection.h"
 
 #include <functional>
 #include <vector>
@@ -39,10 +39,10 @@
   SilentListener store(io);
   io.run_for(std::chrono::milliseconds(50));
   const auto connection =
-      std::make_shared<registry::StoreConnection>(io, store.address());
-  std::vector<registry::StoreReply> replies;
+      std::make_shared<store::StoreConnection>(io, store.address());
+  std::vector<store::StoreReply> replies;
   connection->call({"GET", "/", ""}, std::chrono::hours(1),
-                   [&](registry::StoreReply reply) {
+                   [&](store::StoreReply reply) {
                      replies.push_back(std::move(reply));
                      io.stop();
                    });
@@ -70,18 +70,18 @@
         });
   };
   accept();
-  const auto connection = std::make_shared<registry::StoreConnection>(
+  const auto connection = std::make_shared<store::StoreConnection>(
       io, acceptor.local_endpoint());
   // Too long for the socket's buffers, so that its write stays unfinished.
   const std::string large(16 << 20, 'x');
   int replies = 0;
   for (int i = 0; i < 20; ++i) {
     connection->call({"POST", "/large", large}, std::chrono::hours(1),
-                     [&](const registry::StoreReply &) { ++replies; });
+                     [&](const store::StoreReply &) { ++replies; });
     io.run_for(std::chrono::milliseconds(5));
     connection->close();
     connection->call({"GET", "/small", ""}, std::chrono::hours(1),
-                     [&](const registry::StoreReply &) { ++replies; });
+                     [&](const store::StoreReply &) { ++replies; });
     io.run_for(std::chrono::milliseconds(5));
     connection->close();
   }
