Request lines tell shards asked and answered; metrics bear the route's host

Also: callers that expect it are told to send their body; a new service's retry budget is full once no earlier process can have spent it; a peer that names too many signatures can't make the missing count wrap.

--- a/include/savorytrestle/core/SharedRetryBudget.h
+++ b/include/savorytrestle/core/SharedRetryBudget.h
@@ -47,6 +47,10 @@
   /// @param hosts how many, at least 1
   void setHosts(double hosts);
 
+  /// @brief Fills the bucket, for a service of which no process of this host
+  /// can have spent anything within a window.
+  void fill();
+
   /// @brief Earns the ratio for a request of a caller. O(1).
   void onRequest();
 
--- a/src/core/SharedRetryBudget.cpp
+++ b/src/core/SharedRetryBudget.cpp
@@ -37,6 +37,8 @@
   Tokens = std::min(Tokens, std::max(1.0, SavedShare * Part));
 }
 
+void SharedRetryBudget::fill() { Tokens = std::max(1.0, SavedShare * Part); }
+
 void SharedRetryBudget::onRequest() {
   Tokens = std::min(SavedShare * Part, Tokens + Rule.Ratio);
 }
--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -31,6 +31,7 @@
 
 void CallerSession::newParser() {
   Request.emplace();
+  Invited = false;
   Request->eager(true);
   Request->header_limit(
       static_cast<std::uint32_t>(Context->Limits.MaxHeaderBytes));
@@ -104,9 +105,25 @@
   }
   if (Request->is_done())
     dispatch();
+  else
+    inviteBody();
   read();
 }
 
+void CallerSession::inviteBody() {
+  if (Invited || !Request->is_header_done() ||
+      !boost::beast::iequals(Request->get()[http::field::expect],
+                             "100-continue"))
+    return;
+  Invited = true;
+  // Nothing else is being written, and the line fits into any buffer. Should it
+  // not, the caller sends its body after a wait of its own.
+  constexpr std::string_view Line = "HTTP/1.1 100 Continue\r\n\r\n";
+  error_code ignored;
+  Socket.non_blocking(true, ignored);
+  Socket.write_some(boost::asio::buffer(Line), ignored);
+}
+
 void CallerSession::dispatch() {
   State = Phase::Working;
   Keep = Request->keep_alive();
--- a/src/entry/CallerSession.h
+++ b/src/entry/CallerSession.h
@@ -88,6 +88,7 @@
   void onRead(boost::system::error_code ec, std::size_t n);
   void parse();
   void newParser();
+  void inviteBody();
   void dispatch();
   void refuse(boost::beast::http::status status, const std::string &why);
   void answer(CallerAnswer answer, bool keep);
@@ -105,6 +106,8 @@
   std::uint64_t Turn = 0;
   bool Reading = false;
   bool Keep = true;
+  /// Whether the caller has been told to send the request's body.
+  bool Invited = false;
 };
 
 } // namespace savorytrestle::entry
--- a/src/entry/CrashWatch.cpp
+++ b/src/entry/CrashWatch.cpp
@@ -50,10 +50,11 @@
     records.push_back({end.Print, QuarantineEvent::Strike,
                        core::makeCrashId(end.RequestId, 0), at});
     Quarantine.merge(records, at);
-    support::LogLine("leaf_broke")
-        .with("request", end.RequestId)
-        .with("fingerprint", end.Print.High)
-        .with("refused_from_now", refused(end.Print, now) ? 1 : 0);
+    if (Lines.take(now))
+      support::LogLine("leaf_broke")
+          .with("request", end.RequestId)
+          .with("fingerprint", end.Print.High)
+          .with("refused_from_now", refused(end.Print, now) ? 1 : 0);
   }
   if (!records.empty() && TellOthers)
     TellOthers(records);
--- a/src/entry/CrashWatch.h
+++ b/src/entry/CrashWatch.h
@@ -13,6 +13,7 @@
 
 #include "entry/CallerSession.h"
 #include "savorytrestle/core/CrashQuarantine.h"
+#include "support/LineBudget.h"
 
 namespace savorytrestle::entry {
 
@@ -60,6 +61,7 @@
 private:
   core::CrashQuarantine Quarantine;
   Tell TellOthers;
+  support::LineBudget Lines;
 };
 
 } // namespace savorytrestle::entry
--- a/src/entry/RequestRecord.cpp
+++ b/src/entry/RequestRecord.cpp
@@ -11,17 +11,25 @@
 void RequestRecords::onFinished(
     const leaf::CallContext &context,
     const std::vector<std::shared_ptr<leaf::ServiceCall>> &calls,
-    unsigned status, const char *outcome) {
+    const core::ShardTally &shards, unsigned status, const char *outcome) {
   const auto now = SteadyClock::now();
   const auto elapsed = now - context.Start;
-  Counts.countRequest("", context.Route.Name, outcome, elapsed);
+  const core::RouteRule &route = context.Route;
+  int attempts = 0;
+  for (const auto &call : calls)
+    attempts += call->attempts();
+  // Callers of one workspace share the host name of its routes.
+  Counts.countRequest(route.Host, route.Name, outcome, elapsed);
+  if (route.sharded())
+    Counts.countShards(route.Host, static_cast<std::uint32_t>(shards.Total),
+                       static_cast<std::uint32_t>(shards.Answered));
+  if (const auto calm = static_cast<int>(calls.size()); attempts > calm)
+    Counts.countExtra(route.Host, static_cast<std::uint32_t>(attempts - calm));
   const bool served = std::string_view(outcome) == "ok";
   if (!(served ? Served : Failed).take(now))
     return;
-  int attempts = 0;
   std::string trouble;
   for (const auto &call : calls) {
-    attempts += call->attempts();
     const bool answered =
         call->ended() && call->end() == leaf::CallEnd::Answered;
     if (answered && call->attempts() == 1)
@@ -39,6 +47,8 @@
       .with("outcome", outcome)
       .with("status", status)
       .with("calls", calls.size())
+      .with("shards", shards.Total)
+      .with("answered", shards.Answered)
       .with("attempts", attempts)
       .with("elapsed", elapsed)
       .with("deadline", context.Deadline - context.Start);
@@ -62,10 +72,11 @@
 }
 
 void RequestRecords::onTurnedAway(const std::string &requestId,
+                                  const std::string &host,
                                   const std::string &route,
                                   std::uint64_t version, unsigned status,
                                   const std::string &why) {
-  Counts.countRequest("", route, "turned_away", std::chrono::nanoseconds(0));
+  Counts.countRequest(host, route, "turned_away", std::chrono::nanoseconds(0));
   if (!Failed.take(SteadyClock::now()))
     return;
   support::LogLine("request_turned_away")
--- a/src/entry/RequestRecord.h
+++ b/src/entry/RequestRecord.h
@@ -23,12 +23,14 @@
 
   /// @brief A request that reached its route is over.
   /// @param context the request
-  /// @param calls its calls
+  /// @param calls its calls to leaves
+  /// @param shards how many were asked for and answered, here or by others
   /// @param status status of the answer; 0 when its caller had left
   /// @param outcome what became of it, for logs and metrics
   void onFinished(const leaf::CallContext &context,
                   const std::vector<std::shared_ptr<leaf::ServiceCall>> &calls,
-                  unsigned status, const char *outcome);
+                  const core::ShardTally &shards, unsigned status,
+                  const char *outcome);
 
   /// @brief Another host did not take a relayed request.
   /// @param context the request
@@ -39,13 +41,14 @@
 
   /// @brief A request was turned away before any leaf was asked.
   /// @param requestId its identity
+  /// @param host host name of its route; empty when it has none
   /// @param route its route's name; empty when it has none
   /// @param version version of the configuration; 0 for none
   /// @param status status of the answer
   /// @param why the reason
-  void onTurnedAway(const std::string &requestId, const std::string &route,
-                    std::uint64_t version, unsigned status,
-                    const std::string &why);
+  void onTurnedAway(const std::string &requestId, const std::string &host,
+                    const std::string &route, std::uint64_t version,
+                    unsigned status, const std::string &why);
 
 private:
   support::Metrics &Counts;
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -138,7 +138,8 @@
                              const core::RouteRule *route,
                              const Refusal &refusal, const Respond &respond) {
   Records.onTurnedAway(std::string(support::text(request[Names.RequestId])),
-                       route ? route->Name : "", Config ? Config->Version : 0,
+                       route ? route->Host : "", route ? route->Name : "",
+                       Config ? Config->Version : 0,
                        static_cast<unsigned>(refusal.Status), refusal.Why);
   respond(errorAnswer(refusal.Status, refusal.Why, refusal.RetryAfter));
 }
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -192,7 +192,7 @@
   CallerAnswer answer{http::status::ok, 11};
   answer.set(Context->Names.RequestId, Context->RequestId);
   answer.set(Context->Names.PartSignatures, absl::StrJoin(signatures, ", "));
-  const std::size_t missing = total - signatures.size();
+  const std::size_t missing = total - std::min(total, signatures.size());
   answer.set(Context->Names.MissingShards, std::to_string(missing));
   answer.set(http::field::content_type, "application/octet-stream");
   answer.body() = core::greatestRecords(parts, Context->Route.TopRecords);
@@ -245,7 +245,7 @@
 }
 
 void RequestRun::report(unsigned status, const char *outcome) {
-  Records.onFinished(*Context, Calls, status, outcome);
+  Records.onFinished(*Context, Calls, progress(), status, outcome);
   // Calls to other hosts don't count here: each host reports its own leaves.
   RunEnd end{Context->Print, Context->RequestId};
   for (const auto &call : Calls) {
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -49,8 +49,7 @@
                              core::RetryBudgetRule rule)
     : Context(context), Place(std::move(place)), Rule(rule),
       Hosts(AssumedHosts), OwnDomainHosts(AssumedOwnDomain),
-      AssumeUntil(SteadyClock::now() + JointStart),
-      Random(std::random_device{}()) {}
+      Started(SteadyClock::now()), Random(std::random_device{}()) {}
 
 void LeafDirectory::setBudgetRule(const core::RetryBudgetRule &rule) {
   Rule = rule;
@@ -65,6 +64,8 @@
     service->Name = name;
     service->Budget = core::SharedRetryBudget(Rule);
     setBudgetShare(*service);
+    if (SteadyClock::now() - Started > Rule.Window)
+      service->Budget.fill();
   }
   return *service;
 }
@@ -175,7 +176,7 @@
   OwnDomainHosts = std::max<std::size_t>(1, InDomain[Place.FailureDomain]);
   Hosts = std::max(Hosts, OwnDomainHosts);
   // Hosts that start together see each other only after some time.
-  if (SteadyClock::now() < AssumeUntil) {
+  if (SteadyClock::now() - Started < JointStart) {
     Hosts = std::max(Hosts, AssumedHosts);
     OwnDomainHosts = std::max(OwnDomainHosts, AssumedOwnDomain);
   }
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -117,7 +117,7 @@
   std::map<std::string, std::size_t> InDomain;
   std::size_t Hosts;
   std::size_t OwnDomainHosts;
-  core::TimePoint AssumeUntil;
+  const core::TimePoint Started;
   std::uint64_t Generation = 0;
   std::minstd_rand Random;
 };
