Soak: links that delay, reset, silence and cut one way; drain and budget checks

Hosts reach the store and the leaves through loopback proxies that the soak disturbs. From what leaves saw, it checks that no window has more extra arrivals than the rule allows and that a drained leaf gets nothing more.

--- /dev/null
+++ b/soak/FaultyLink.h
@@ -0,0 +1,151 @@
+#ifndef SAVORYTRESTLE_SOAK_FAULTY_LINK_H
+#define SAVORYTRESTLE_SOAK_FAULTY_LINK_H
+
+/// @file
+/// @brief A loopback proxy whose connections can be disturbed.
+
+#include <utility>
+
+#include <array>
+#include <list>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace savorytrestle::soak {
+
+/// @brief What a link does to bytes.
+enum class LinkFault {
+  None,
+  Slow,         ///< bytes come later
+  SilentOut,    ///< bytes to the server are held back
+  SilentBack,   ///< bytes from the server are held back
+  SilentBoth,   ///< as behind a cut
+  RefusesBytes, ///< connections are reset at their first byte
+};
+
+/// @brief One direction of a connection.
+class Pump : public std::enable_shared_from_this<Pump> {
+public:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  Pump(boost::asio::io_context &io, std::shared_ptr<Socket> from,
+       std::shared_ptr<Socket> to, const LinkFault &fault, LinkFault silent)
+      : Timer(io), From(std::move(from)), To(std::move(to)), Fault(fault),
+        Silent(silent) {}
+
+  void run() {
+    From->async_read_some(
+        boost::asio::buffer(Bytes),
+        [self = shared_from_this()](const boost::system::error_code &ec,
+                                    std::size_t n) {
+          if (ec)
+            return self->end();
+          self->pass(n);
+        });
+  }
+
+private:
+  static constexpr std::chrono::milliseconds Lag{60};
+  static constexpr std::chrono::milliseconds HeldPoll{20};
+
+  void pass(std::size_t n) {
+    if (Fault == LinkFault::RefusesBytes)
+      return end();
+    const bool held = Fault == Silent || Fault == LinkFault::SilentBoth;
+    if (!held && Fault != LinkFault::Slow)
+      return write(n);
+    Timer.expires_after(held ? HeldPoll : Lag);
+    Timer.async_wait([self = shared_from_this(), n,
+                      held](const boost::system::error_code &ec) {
+      if (ec || !self->From->is_open())
+        return self->end();
+      // Bytes held back come once the fault is over.
+      held ? self->pass(n) : self->write(n);
+    });
+  }
+
+  void write(std::size_t n) {
+    boost::asio::async_write(
+        *To, boost::asio::buffer(Bytes, n),
+        [self = shared_from_this()](const boost::system::error_code &ec,
+                                    std::size_t) {
+          if (ec)
+            return self->end();
+          self->run();
+        });
+  }
+
+  void end() {
+    for (const auto &socket : {From, To}) {
+      boost::system::error_code ignored; // it may be closed already
+      socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+
+  boost::asio::steady_timer Timer;
+  std::shared_ptr<Socket> From;
+  std::shared_ptr<Socket> To;
+  const LinkFault &Fault;
+  const LinkFault Silent;
+  std::array<char, 16384> Bytes{};
+};
+
+/// @brief A listener that passes connections on to a server; outlives them.
+class FaultyLink {
+public:
+  using Endpoint = boost::asio::ip::tcp::endpoint;
+
+  FaultyLink(boost::asio::io_context &io, Endpoint server)
+      : Io(io), Acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}),
+        Server(std::move(server)) {
+    accept();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+  void setFault(LinkFault fault) { Fault = fault; }
+
+private:
+  using SocketPtr = std::shared_ptr<boost::asio::ip::tcp::socket>;
+
+  void accept() {
+    const auto client = std::make_shared<boost::asio::ip::tcp::socket>(Io);
+    Acceptor.async_accept(*client,
+                          [this, client](const boost::system::error_code &ec) {
+                            if (ec)
+                              return;
+                            open(client);
+                            accept();
+                          });
+  }
+
+  void open(const SocketPtr &client) {
+    const auto server = std::make_shared<boost::asio::ip::tcp::socket>(Io);
+    server->async_connect(Server, [this, client, server](
+                                      const boost::system::error_code &ec) {
+      if (ec)
+        return;
+      std::make_shared<Pump>(Io, client, server, Fault, LinkFault::SilentOut)
+          ->run();
+      std::make_shared<Pump>(Io, server, client, Fault, LinkFault::SilentBack)
+          ->run();
+    });
+  }
+
+  boost::asio::io_context &Io;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  Endpoint Server;
+  LinkFault Fault = LinkFault::None;
+};
+
+} // namespace savorytrestle::soak
+
+#endif
--- a/soak/Ledger.h
+++ b/soak/Ledger.h
@@ -4,6 +4,7 @@
 /// @file
 /// @brief What callers saw, for the checks of a soak.
 
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <set>
@@ -33,6 +34,26 @@
   std::vector<std::string> Texts;
 };
 
+/// @brief When requests were sent; thread-safe.
+class SendTimes {
+public:
+  /// @brief Notes one that is being sent now.
+  void note() {
+    const std::lock_guard lock(Guard);
+    Times.push_back(std::chrono::steady_clock::now());
+  }
+
+  /// @brief All noted so far.
+  std::vector<std::chrono::steady_clock::time_point> times() const {
+    const std::lock_guard lock(Guard);
+    return Times;
+  }
+
+private:
+  mutable std::mutex Guard;
+  std::vector<std::chrono::steady_clock::time_point> Times;
+};
+
 /// @brief Answers to requests that may run once, by the request's id.
 class Ledger {
 public:
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -11,8 +11,11 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include "BudgetCheck.h"
+#include "FaultyLink.h"
 #include "Ledger.h"
 #include "NodeDeployment.h"
+#include "support/SocketOptions.h"
 
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the faults and requests");
 ABSL_FLAG(int, seconds, 8, "how long faults go on");
@@ -31,6 +34,9 @@
 /// Time in which all is well again once faults have ended.
 constexpr std::chrono::milliseconds RecoveryTime{15000};
 constexpr std::size_t TopRecords = 4;
+/// Bound on requests to a draining leaf, as the platform sets it.
+constexpr std::chrono::milliseconds DrainTime{3000};
+constexpr std::chrono::milliseconds DrainedLongEnough{500};
 
 /// Shard sets that configurations alternate between.
 const std::vector<std::vector<std::string>> ShardSets = {
@@ -47,11 +53,15 @@
     for (const char *domain : {"a", "b"})
       Cluster.addLeaf(std::string("i-plain") + domain, "plain", domain);
     putNextConfig();
+    linkLeaves();
     for (int i = 0; i < nodes; ++i)
-      Cluster.addNode(true, i % 2 == 0 ? "a" : "b");
+      Cluster.addNode(true, i % 2 == 0 ? "a" : "b", linkToStore());
     Paused.resize(Cluster.Nodes.size());
   }
 
+  // The links' thread ends before the links do.
+  ~Soak() { Cluster.stop(); }
+
   int run(std::chrono::seconds length, int callers) {
     std::vector<std::thread> threads;
     threads.reserve(static_cast<std::size_t>(callers));
@@ -67,11 +77,49 @@
     for (auto &thread : threads)
       thread.join();
     settle();
+    checkDrain();
     checkAll();
     return report();
   }
 
 private:
+  /// Leaves are reached through links that can be disturbed.
+  void linkLeaves() {
+    Cluster.onThread([&] {
+      for (const auto &leaf : Cluster.Leaves) {
+        Links.push_back(std::make_unique<soak::FaultyLink>(
+            Cluster.Io, endpoint(leaf->address())));
+        leaf->Advertised = Links.back()->address();
+        Cluster.Store->put(leaf->key(), leaf->entry());
+      }
+      return 0;
+    });
+  }
+
+  /// Each host reaches the store through a link of its own.
+  std::string linkToStore() {
+    return Cluster.onThread([&] {
+      Links.push_back(std::make_unique<soak::FaultyLink>(
+          Cluster.Io, endpoint(Cluster.StoreAddress)));
+      return Links.back()->address();
+    });
+  }
+
+  static boost::asio::ip::tcp::endpoint endpoint(const std::string &address) {
+    boost::asio::ip::tcp::endpoint endpoint;
+    support::parseEndpoint(address, endpoint);
+    return endpoint;
+  }
+
+  void disturbLink() {
+    const std::size_t n = Random() % Links.size();
+    const auto fault = static_cast<soak::LinkFault>(Random() % 6);
+    Cluster.onThread([&] {
+      Links[n]->setFault(fault);
+      return 0;
+    });
+  }
+
   void putNextConfig() {
     Version += 1 + static_cast<int>(Random() % 3);
     Cluster.putConfig(
@@ -81,7 +129,7 @@
   void disturb() {
     const std::size_t n = Random() % Cluster.Nodes.size();
     NodeProcess &node = *Cluster.Nodes[n];
-    switch (Random() % 9) {
+    switch (Random() % 12) {
     case 0:
       Paused[n] = false;
       node.Child.kill();
@@ -97,9 +145,13 @@
     case 5:
       return putNextConfig();
     case 6:
-      return setStoreFault(static_cast<StoreFault>(Random() % 4));
+      return setStoreFault(static_cast<StoreFault>(Random() % 5));
     case 7:
       return changeLeaf();
+    case 8:
+    case 9:
+    case 10:
+      return disturbLink();
     default:
       return lapse();
     }
@@ -168,6 +220,7 @@
           "c" + std::to_string(caller) + "-" + std::to_string(i);
       const bool write = random() % 2 == 0;
       const std::string body = write ? "filing " + id : "";
+      (write ? WritesSent : SearchesSent).note();
       const auto reply =
           clients[n].send({write ? "POST" : "GET",
                            "http://" + Cluster.Nodes[n]->Callers +
@@ -239,6 +292,8 @@
       Cluster.Nodes[n]->Child.signal(SIGCONT);
     Cluster.onThread([&] {
       Cluster.Store->setFault(StoreFault::None);
+      for (const auto &link : Links)
+        link->setFault(soak::LinkFault::None);
       for (const auto &leaf : Cluster.Leaves) {
         leaf->Conduct = {};
         Cluster.Store->put(leaf->key(), leaf->entry());
@@ -249,8 +304,8 @@
     for (const auto &node : Cluster.Nodes)
       if (!testing::eventually(
               [&] {
-                const auto reply =
-                    NodeDeployment::ask(*node, "/search/x", "settle");
+                const auto reply = NodeDeployment::ask(
+                    *node, "/search/x", absl::StrCat("settle-", ++Settling));
                 return reply.Status == 200 &&
                        reply.Headers.at("savorytrestle-missing-parts") == "0";
               },
@@ -258,7 +313,49 @@
         Broken.add(node->Id + " serves no whole answer after the faults");
   }
 
+  /// A leaf that is draining gets nothing more once the bound is over.
+  void checkDrain() {
+    tests::PlatformLeaf *leaf = nullptr;
+    Cluster.onThread([&] {
+      for (const auto &it : Cluster.Leaves)
+        if (it->Service == "plain")
+          leaf = it.get();
+      Cluster.Store->put(leaf->key(), leaf->entry(true));
+      return 0;
+    });
+    const auto drained = std::chrono::steady_clock::now() + DrainTime;
+    for (int i = 0;
+         std::chrono::steady_clock::now() < drained + DrainedLongEnough; ++i)
+      for (const auto &node : Cluster.Nodes)
+        NodeDeployment::ask(*node, "/read/x", absl::StrCat("d", i, node->Id));
+    const auto late = Cluster.onThread([&] {
+      return std::count_if(
+          leaf->Arrivals.begin(), leaf->Arrivals.end(),
+          [&](const auto &arrival) { return arrival.At > drained; });
+    });
+    if (late > 0)
+      Broken.add(
+          absl::StrCat(late, " requests reached a leaf that had drained"));
+  }
+
+  void checkBudgets() {
+    std::map<std::string, std::vector<tests::PlatformLeaf::Arrival>> arrivals;
+    Cluster.onThread([&] {
+      for (const auto &leaf : Cluster.Leaves)
+        arrivals[leaf->Service].insert(arrivals[leaf->Service].end(),
+                                       leaf->Arrivals.begin(),
+                                       leaf->Arrivals.end());
+      return 0;
+    });
+    for (const auto &[service, seen] : arrivals)
+      soak::checkBudget(
+          service, seen,
+          (service == "plain" ? WritesSent : SearchesSent).times(),
+          {0.2, 54, 10s}, Broken);
+  }
+
   void checkAll() {
+    checkBudgets();
     std::map<std::string, int> runs;
     Cluster.onThread([&] {
       for (const auto &leaf : Cluster.Leaves)
@@ -302,11 +399,16 @@
   NodeDeployment Cluster;
   std::minstd_rand Random;
   std::vector<bool> Paused;
+  /// They outlive the connections through them.
+  std::vector<std::unique_ptr<soak::FaultyLink>> Links;
   soak::Ledger Writes;
+  soak::SendTimes WritesSent;
+  soak::SendTimes SearchesSent;
   soak::Findings Broken;
   std::atomic<int> Served{0};
   std::atomic<bool> Stop{false};
   int Version = 0;
+  int Settling = 0;
 };
 
 } // namespace
--- a/tests/NodeDeployment.h
+++ b/tests/NodeDeployment.h
@@ -50,6 +50,7 @@
   std::string Id;
   std::string Callers;
   std::string Readiness;
+  std::string Peers;
   std::string Metrics;
   std::string ConfigFile;
   std::string LogFile;
@@ -85,12 +86,18 @@
   }
 
   ~NodeDeployment() {
+    stop();
+    if (std::getenv("KEEP_LOGS") == nullptr)
+      std::filesystem::remove_all(Folder);
+  }
+
+  /// @brief Ends the hosts, and the thread of the stand-ins.
+  void stop() {
     Nodes.clear();
     Work.reset();
     Io.stop();
-    Thread.join();
-    if (std::getenv("KEEP_LOGS") == nullptr)
-      std::filesystem::remove_all(Folder);
+    if (Thread.joinable())
+      Thread.join();
   }
 
   /// @brief Runs a function on the stand-ins' thread and gives its result.
@@ -123,12 +130,15 @@
   /// @brief Starts a host; waits until it is ready unless told not to.
   /// @param waitReady whether to wait
   /// @param failureDomain where it stands
+  /// @param store where it reaches the store; empty for the store's address
   NodeProcess &addNode(bool waitReady = true,
-                       const std::string &failureDomain = "a") {
+                       const std::string &failureDomain = "a",
+                       const std::string &store = "") {
     auto node = std::make_unique<NodeProcess>();
     node->Id = "node-" + std::to_string(Nodes.size());
     node->Callers = "127.0.0.1:" + std::to_string(stablePort());
     node->Readiness = "127.0.0.1:" + std::to_string(stablePort());
+    node->Peers = "127.0.0.1:" + std::to_string(stablePort());
     node->Metrics = "127.0.0.1:" + std::to_string(stablePort());
     node->ConfigFile = (Folder / (node->Id + ".yaml")).string();
     node->LogFile = (Folder / (node->Id + ".log")).string();
@@ -137,9 +147,10 @@
         << "}\n"
         << "regions: {a: west, b: west, c: east}\n"
         << "listen:\n  callers: " << node->Callers
-        << "\n  readiness: " << node->Readiness
-        << "\n  metrics: " << node->Metrics
-        << "\nplatform:\n  store: " << StoreAddress
+        << "\n  readiness: " << node->Readiness << "\n  peers: " << node->Peers
+        << "\n  metrics: " << node->Metrics << "\nseeds: [" << seedsBefore()
+        << "]"
+        << "\nplatform:\n  store: " << (store.empty() ? StoreAddress : store)
         << "\nbounds: {stop_grace: 4 s, retry_ratio: 0.2, "
         << "retry_extra: 54, retry_window: 10 s}\n";
     Nodes.push_back(std::move(node));
@@ -149,6 +160,14 @@
     return *Nodes.back();
   }
 
+  /// @brief Peers' listeners of the first three hosts.
+  std::string seedsBefore() const {
+    std::string seeds;
+    for (std::size_t i = 0; i < std::min<std::size_t>(3, Nodes.size()); ++i)
+      seeds += (i == 0 ? "\"" : ", \"") + Nodes[i]->Peers + "\"";
+    return seeds;
+  }
+
   /// @brief Starts a host's process (again).
   void start(NodeProcess &node) const {
     node.Child = testing::Process(
--- a/tests/standins/PlatformLeaf.h
+++ b/tests/standins/PlatformLeaf.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -51,10 +52,14 @@
   /// @brief Its entry as it would write it to the store.
   std::string entry(bool draining = false) const {
     return nlohmann::json{
-        {"service", Service},    {"address", address()},
-        {"zone", FailureDomain}, {"version", "v1"},
-        {"maxConcurrency", 5},   {"state", draining ? "draining" : "ready"},
-        {"warmupLeftMs", 0},     {"sequence", 1}}
+        {"service", Service},
+        {"address", Advertised.empty() ? address() : Advertised},
+        {"zone", FailureDomain},
+        {"version", "v1"},
+        {"maxConcurrency", 5},
+        {"state", draining ? "draining" : "ready"},
+        {"warmupLeftMs", 0},
+        {"sequence", 1}}
         .dump();
   }
 
@@ -63,12 +68,21 @@
   }
   std::string key() const { return "servers/" + Id; }
 
+  /// A request as it arrived.
+  struct Arrival {
+    std::chrono::steady_clock::time_point At;
+    std::string RequestId;
+  };
+
   LeafConduct Conduct;
+  /// Address that its entry names instead of its own.
+  std::string Advertised;
   const std::string Id;
   const std::string Service;
   const std::string FailureDomain;
   /// Times that each request was run, by its id.
   std::map<std::string, int> Run;
+  std::vector<Arrival> Arrivals;
   /// Requests that were broken off while they ran.
   int BrokenOff = 0;
   bool Opened = false;
@@ -83,6 +97,7 @@
     const std::string id = text(request["Savorytrestle-Request-Id"]);
     const std::string expected =
         text(request["Savorytrestle-Expected-Instance"]);
+    Arrivals.push_back({std::chrono::steady_clock::now(), id});
     if (!expected.empty() && expected != Id)
       return refuse(421, respond);
     if (Conduct.Shed)
