--- a/src/core/LeafScore.cpp
+++ b/src/core/LeafScore.cpp
@@ -34,9 +34,9 @@
 /// Age of the oldest request, in expected latencies, below which it says
 /// nothing of the leaf.
 constexpr double UsualSpread = 2.5;
-/// Time that a failed request costs its caller until a retry has answered, in
-/// expected latencies.
-constexpr double RetryCost = 5;
+/// What a failed request costs its caller, in expected latencies: a second try
+/// takes some, and one that gets no token of the shared budget is lost.
+constexpr double RetryCost = 10;
 /// Slowness of a leaf that has just started (measured on both sites).
 constexpr double ColdSlowness = 1.6;
 /// Round trips and the price of bytes between failure domains and regions.
--- a/tests/process-node.cpp
+++ b/tests/process-node.cpp
@@ -2,8 +2,13 @@
 
 #include <csignal>
 
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include "support/LineBudget.h"
+#include "support/SocketOptions.h"
+
 using namespace savorytrestle;
 using namespace savorytrestle::tests;
 using namespace std::chrono_literals;
@@ -308,6 +313,56 @@
             std::string::npos);
 }
 
+TEST_F(NodeTest, AFloodOfRefusalsLeavesABoundedNumberOfLines) {
+  const auto &node = Cluster.addNode();
+  const auto begin = std::chrono::steady_clock::now();
+  constexpr int Requests = 3000;
+  for (int i = 0; i < Requests; ++i)
+    (void)NodeDeployment::ask(node, "/nowhere/x", "f" + std::to_string(i));
+  // The line of a later second tells how many were left out.
+  std::this_thread::sleep_for(1100ms);
+  (void)NodeDeployment::ask(node, "/nowhere/x", "last");
+  ASSERT_TRUE(eventually(
+      [&] { return node.log().find("request=last ") != std::string::npos; }));
+  const std::chrono::duration<double> elapsed =
+      std::chrono::steady_clock::now() - begin;
+  const std::string log = node.log();
+  int written = 0;
+  for (auto at = log.find("request_turned_away"); at != std::string::npos;
+       at = log.find("request_turned_away", at + 1))
+    ++written;
+  int leftOut = 0;
+  const std::string counter = "log_lines_left_out lines=";
+  for (auto at = log.find(counter); at != std::string::npos;
+       at = log.find(counter, at + 1))
+    leftOut += std::stoi(log.substr(at + counter.size()));
+  EXPECT_LE(written,
+            support::LineBudget::LinesPerSecond * (elapsed.count() + 1));
+  EXPECT_EQ(written + leftOut, Requests + 1);
+}
+
+TEST_F(NodeTest, ACallerThatExpectsItIsToldToSendItsBody) {
+  const auto &node = Cluster.addNode();
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  boost::asio::ip::tcp::endpoint address;
+  ASSERT_TRUE(support::parseEndpoint(node.Callers, address));
+  socket.connect(address);
+  const std::string head = "POST /file/x HTTP/1.1\r\nHost: a.example\r\n"
+                           "Savorytrestle-Request-Id: w1\r\n"
+                           "Content-Length: 4\r\nExpect: 100-continue\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(head));
+  std::string answer;
+  boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer),
+                          "\r\n\r\n");
+  EXPECT_EQ(answer, "HTTP/1.1 100 Continue\r\n\r\n");
+  answer.clear();
+  boost::asio::write(socket, boost::asio::buffer(std::string("body")));
+  boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer),
+                          "\r\n\r\n");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+}
+
 TEST_F(NodeTest, AReaderOfTheLogThatDoesNotReadBlocksNothing) {
   auto &node = Cluster.addNode();
   node.Child.kill();
--- a/tests/unit-placing.cpp
+++ b/tests/unit-placing.cpp
@@ -62,6 +62,15 @@
   EXPECT_GT(grey.cost(Begin, Usual), far().cost(Begin, Usual));
 }
 
+/// Leaves that lose four answers in ten: the few requests that a host sends to
+/// one leaf in a second must be enough to leave it.
+TEST(LeafScore, OneLostAnswerIsEnoughToTryAnotherRegionForSeconds) {
+  LeafScore lossy = near();
+  lossy.onFailure(Begin);
+  EXPECT_GT(lossy.cost(Begin + 2s, Usual), far().cost(Begin + 2s, Usual));
+  EXPECT_LT(lossy.cost(Begin + 6s, Usual), far().cost(Begin + 6s, Usual));
+}
+
 TEST(LeafScore, AFullLeafIsLeft) {
   LeafScore full = near();
   full.onLoad(Begin, {5, 12, 5});
