--- a/include/savorytrestle/core/FeedPolicy.h
+++ b/include/savorytrestle/core/FeedPolicy.h
@@ -78,7 +78,7 @@
 
   /// @brief Takes the sources, most wanted first; none of them rests.
   /// @param rests how long each rests after a failure
-  explicit SourceRotation(std::vector<Rest> rests = {});
+  explicit SourceRotation(const std::vector<Rest> &rests = {});
 
   /// @brief The source to ask next; O(sources).
   Choice next(TimePoint now) const;
--- a/src/core/FeedPolicy.cpp
+++ b/src/core/FeedPolicy.cpp
@@ -10,7 +10,10 @@
 /// In a smaller failure domain, one host's short calls cost as much as the few
 /// long ones of the others that it saves.
 constexpr std::size_t LeastHostsOfDomain = 5;
-/// Hosts of other failure domains kept as further sources.
+/// Hosts that follow one reader, itself among them: it sends each of them every
+/// change, which is what its link bears on a day of many changes.
+constexpr std::size_t HostsOfReader = 24;
+/// Further hosts kept as further sources.
 constexpr std::size_t MaxSpareSources = 3;
 
 /// Parts of the time in which a change must be in force: three of them, the
@@ -32,18 +35,24 @@
     return it == regions.end() ? std::string() : it->second;
   };
 
-  // Each domain's first host reads for the others of the domain. It stays the
-  // first one while hosts with later names come and go.
+  // Each domain's first hosts read for the others of the domain. They stay the
+  // first ones while hosts with later names come and go.
   FeedPlan plan;
   const auto &ownDomain = domains[own.FailureDomain];
-  const std::string &reader = *ownDomain.begin();
+  std::vector<std::string> spares;
   if (ownDomain.size() >= LeastHostsOfDomain) {
-    if (reader == own.Id)
+    const std::vector<std::string> ids(ownDomain.begin(), ownDomain.end());
+    const std::size_t readers = 1 + (ids.size() - 1) / HostsOfReader;
+    const auto rank = static_cast<std::size_t>(
+        std::find(ids.begin(), ids.end(), own.Id) - ids.begin());
+    if (rank < readers) {
       plan.PassesOn = true;
-    else
-      plan.Before.push_back(reader);
+    } else {
+      plan.Before.push_back(ids[rank % readers]);
+      if (readers > 1)
+        spares.push_back(ids[(rank + 1) % readers]);
+    }
   }
-  std::vector<std::string> spares;
   for (const bool sameRegion : {true, false})
     for (const auto &[domain, ids] : domains)
       if (domain != own.FailureDomain &&
@@ -60,7 +69,7 @@
       Gather(std::min<Duration>(LongestGather, configApply / 4)),
       MaxAge(2 * ShortWait + Gather) {}
 
-SourceRotation::SourceRotation(std::vector<Rest> rests) {
+SourceRotation::SourceRotation(const std::vector<Rest> &rests) {
   for (const Rest &rest : rests)
     Sources.push_back({rest, rest.First, TimePoint{}});
 }
--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -100,7 +100,7 @@
     Sources.push_back(sourceAt(address, false));
     rests.push_back(HostRest);
   }
-  Rotation = core::SourceRotation(std::move(rests));
+  Rotation = core::SourceRotation(rests);
 }
 
 bool StoreMirror::fresh() const {
@@ -162,14 +162,15 @@
 }
 
 void StoreMirror::listStore(const SourcePtr &source, const std::string &after) {
-  source->Connection->call(platform::readRange("", after), StoreReplyTimeout,
-                           [self = shared_from_this(), source](Reply reply) {
-                             if (!self->Stopped)
-                               self->onPage(source, std::move(reply));
-                           });
+  source->Connection->call(
+      platform::readRange("", after), StoreReplyTimeout,
+      [self = shared_from_this(), source](const Reply &reply) {
+        if (!self->Stopped)
+          self->onPage(source, reply);
+      });
 }
 
-void StoreMirror::onPage(const SourcePtr &source, Reply reply) {
+void StoreMirror::onPage(const SourcePtr &source, const Reply &reply) {
   if (reply.Status != platform::Done)
     return failed(source, reply.Status, reply.Why);
   auto page = platform::decodeRange(reply.Body);
@@ -191,15 +192,15 @@
   // After a loss the reply is wanted at once: it tells that the store is back.
   const auto wait = source->Lost ? NoWait : storeWait();
   AskedLong = wait == LongWait;
-  source->Connection->call(platform::watch("", From, wait),
-                           wait + StoreReplyTimeout,
-                           [self = shared_from_this(), source](Reply reply) {
-                             if (!self->Stopped)
-                               self->onEvents(source, std::move(reply));
-                           });
+  source->Connection->call(
+      platform::watch("", From, wait), wait + StoreReplyTimeout,
+      [self = shared_from_this(), source](const Reply &reply) {
+        if (!self->Stopped)
+          self->onEvents(source, reply);
+      });
 }
 
-void StoreMirror::onEvents(const SourcePtr &source, Reply reply) {
+void StoreMirror::onEvents(const SourcePtr &source, const Reply &reply) {
   if (reply.Status == platform::HistoryGone) {
     support::LogLine("store_history_gone").with("after", From);
     ListWanted = true;
@@ -220,15 +221,15 @@
 void StoreMirror::askHost(const SourcePtr &source) {
   const FeedQuery query{ListWanted ? 0 : From,
                         std::chrono::floor<milliseconds>(Timing.ShortWait)};
-  source->Connection->call({"GET", feedTarget(query), ""},
-                           query.Wait + HostReplyTimeout,
-                           [self = shared_from_this(), source](Reply reply) {
-                             if (!self->Stopped)
-                               self->onHostReply(source, std::move(reply));
-                           });
+  source->Connection->call(
+      {"GET", feedTarget(query), ""}, query.Wait + HostReplyTimeout,
+      [self = shared_from_this(), source](const Reply &reply) {
+        if (!self->Stopped)
+          self->onHostReply(source, reply);
+      });
 }
 
-void StoreMirror::onHostReply(const SourcePtr &source, Reply reply) {
+void StoreMirror::onHostReply(const SourcePtr &source, const Reply &reply) {
   if (reply.Status != platform::Done)
     return failed(source, reply.Status, reply.Why);
   auto page = decodeFeedPage(reply.Body);
--- a/src/registry/StoreMirror.h
+++ b/src/registry/StoreMirror.h
@@ -101,9 +101,9 @@
   void listStore(const SourcePtr &source, const std::string &after);
   void watchStore(const SourcePtr &source);
   void askHost(const SourcePtr &source);
-  void onPage(const SourcePtr &source, Reply reply);
-  void onEvents(const SourcePtr &source, Reply reply);
-  void onHostReply(const SourcePtr &source, Reply reply);
+  void onPage(const SourcePtr &source, const Reply &reply);
+  void onEvents(const SourcePtr &source, const Reply &reply);
+  void onHostReply(const SourcePtr &source, const Reply &reply);
   void succeeded(const SourcePtr &source, std::chrono::milliseconds age);
   void failed(const SourcePtr &source, unsigned status, const std::string &why);
   void replaceAll(std::vector<store::StoredItem> items, store::Revision at);
--- a/tests/unit-feed-policy.cpp
+++ b/tests/unit-feed-policy.cpp
@@ -40,6 +40,24 @@
   }
 }
 
+/// No host sends the changes to more others than its link bears.
+TEST(FeedPlan, AVeryLargeDomainHasSeveralReaders) {
+  constexpr std::size_t MostFollowers = 24;
+  const auto hosts = hostsOf("w-a", 139);
+  std::map<std::string, std::size_t> followers;
+  std::size_t readers = 0;
+  for (const FeedHost &host : hosts) {
+    const auto plan = planFeed(host, Regions, hosts);
+    readers += plan.PassesOn ? 1 : 0;
+    for (const std::string &asked : plan.Before)
+      ++followers[asked];
+  }
+  EXPECT_EQ(followers.size(), readers);
+  EXPECT_LE(readers, hosts.size() / 20);
+  for (const auto &[id, n] : followers)
+    EXPECT_LE(n, MostFollowers) << id;
+}
+
 TEST(FeedPlan, SparesOfTheOwnRegionComeFirst) {
   auto hosts = hostsOf("w-a", 6);
   for (const char *domain : {"g-a", "g-b", "w-b"})
