A watch that the store never answers is noticed within 4 s

Change: watches are held 2 s. Costs about 30 calls a minute for a host that asks the store itself; hosts that follow others are not concerned.

--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -14,8 +14,10 @@
 namespace {
 
 /// How long the store holds a watch without changes when no other host depends
-/// on it; long, since each call is paid for.
-constexpr milliseconds LongWait{12000};
+/// on it. Each call is paid for; but one that the store never answers is
+/// noticed only after this, and must be before the store counts as stable again
+/// (4 s at the least) and leaves that drain must get nothing more.
+constexpr milliseconds LongWait{2000};
 /// Shortest wait that the store takes.
 constexpr milliseconds NoWait{1};
 /// Time for a reply beyond what the other side holds back.
--- a/tests/unit-store-mirror.cpp
+++ b/tests/unit-store-mirror.cpp
@@ -200,6 +200,23 @@
   EXPECT_TRUE(until([&] { return Follower.Regained > 0; }));
 }
 
+/// A store that falls silent never answers the calls of that time, also when it
+/// is back.
+TEST_F(StoreMirrorTest, AWatchThatIsNeverAnsweredIsGivenUpSoon) {
+  Reader.Mirror->start();
+  Reader.Mirror->setHosts({});
+  ASSERT_TRUE(until([&] { return Reader.has("k/1"); }));
+  Store.put("k/2", "two");
+  ASSERT_TRUE(until([&] { return Reader.has("k/2"); }));
+  Store.setFault(StoreFault::Silent);
+  Io.restart();
+  Io.run_for(std::chrono::ceil<std::chrono::milliseconds>(Timing.Gather) +
+             300ms);
+  Store.setFault(StoreFault::None);
+  Store.put("k/3", "three");
+  EXPECT_TRUE(until([&] { return Reader.has("k/3"); }, 7s));
+}
+
 TEST_F(StoreMirrorTest, ADroppedHistoryIsListedAfresh) {
   Reader.Mirror->start();
   ASSERT_TRUE(until([&] { return Reader.has("k/1"); }));
