--- a/src/hosts/PeerDuties.cpp
+++ b/src/hosts/PeerDuties.cpp
@@ -98,9 +98,7 @@
       [&](store::Revision after) {
         return feed.WatchSlots(after, Options.Timing.WatchWait);
       },
-      [&](const store::StorePage &seen, TimePoint at) {
-        takeSlots(seen, at);
-      });
+      [&](const store::StorePage &seen, TimePoint at) { takeSlots(seen, at); });
 }
 
 void PeerNode::Impl::push() {
--- a/tests/FakeKvStore.h
+++ b/tests/FakeKvStore.h
@@ -35,7 +35,8 @@
       return down();
     return State->get(key);
   }
-  Result<std::vector<store::StoredItem>> list(const std::string &prefix, Millis) {
+  Result<std::vector<store::StoredItem>> list(const std::string &prefix,
+                                              Millis) {
     if (!readable())
       return down();
     return State->list(prefix);
@@ -49,7 +50,7 @@
     return write([&] { return State->compareAndDelete(key, revision); });
   }
   Result<store::StorePage> watch(const std::string &prefix,
-                                   store::Revision after, Millis wait) {
+                                 store::Revision after, Millis wait) {
     if (!readable())
       return down();
     return State->watch(prefix, after, wait);
--- a/tests/KvState.h
+++ b/tests/KvState.h
@@ -36,8 +36,7 @@
     const std::lock_guard guard(Lock);
     expireLeases();
     const auto it = Entries.find(key);
-    const auto found =
-        it == Entries.end() ? store::NoItem : it->second.Changed;
+    const auto found = it == Entries.end() ? store::NoItem : it->second.Changed;
     if (found != revision)
       return false;
     put({key, value, 0, store::NoLease, false});
@@ -55,7 +54,7 @@
   }
 
   store::StorePage watch(const std::string &prefix, store::Revision after,
-                           std::chrono::milliseconds wait) {
+                         std::chrono::milliseconds wait) {
     std::unique_lock guard(Lock);
     const auto until = std::chrono::steady_clock::now() + wait;
     expireLeases();
--- a/tests/unit-store-connection.cpp
+++ b/tests/unit-store-connection.cpp
@@ -70,8 +70,8 @@
         });
   };
   accept();
-  const auto connection = std::make_shared<store::StoreConnection>(
-      io, acceptor.local_endpoint());
+  const auto connection =
+      std::make_shared<store::StoreConnection>(io, acceptor.local_endpoint());
   // Too long for the socket's buffers, so that its write stays unfinished.
   const std::string large(16 << 20, 'x');
   int replies = 0;
