One JSON decoder, feed pages and relayed signatures read once

A held call of another host no longer builds its page twice, and hosts that wait from the same position share one encoded page. The signatures of a relayed part are split when it ends, not at each step of the search. The mirror's filter by prefix is one function.

--- a/src/entry/CrashWatch.cpp
+++ b/src/entry/CrashWatch.cpp
@@ -19,6 +19,8 @@
 core::QuarantineSettings settings() {
   core::QuarantineSettings settings;
   settings.MaxCrashes = BrokenRuns;
+  // Only a canary asks what is known to be good, and there is none here.
+  settings.MaxKnownGood = 0;
   return settings;
 }
 
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -48,9 +48,10 @@
                        std::vector<RelayPart> relays) {
   Relays = std::move(relays);
   Calls.reserve(services.size());
-  for (RelayPart &relay : Relays) {
-    relay.Call =
-        std::make_shared<ServiceCall>(relay.Context, *relay.Hosts, onEnd());
+  for (std::size_t i = 0; i < Relays.size(); ++i) {
+    RelayPart &relay = Relays[i];
+    relay.Call = std::make_shared<ServiceCall>(relay.Context, *relay.Hosts,
+                                               onRelayEnd(i));
     relay.Call->start();
   }
   for (leaf::Service *service : services)
@@ -71,6 +72,14 @@
   };
 }
 
+ServiceCall::EndHandler RequestRun::onRelayEnd(std::size_t i) {
+  return [self = shared_from_this(), i](const ServiceCall &call) {
+    self->Relays[i].Signatures = signaturesOf(*self->Context, call);
+    if (self->Started)
+      self->step();
+  };
+}
+
 void RequestRun::takeBackRefused() {
   for (RelayPart &relay : Relays) {
     if (!relay.Call || !relay.Call->ended())
@@ -145,7 +154,7 @@
     progress.Total += relay.Shards.size();
     if (!relay.Call->ended())
       continue;
-    const std::size_t in = signaturesOf(*Context, *relay.Call).size();
+    const std::size_t in = relay.Signatures.size();
     progress.Answered += in;
     progress.Failed += relay.Shards.size() - std::min(in, relay.Shards.size());
   }
@@ -176,7 +185,7 @@
     if (!relay.Call)
       continue;
     total += relay.Shards.size();
-    const auto in = signaturesOf(*Context, *relay.Call);
+    const auto &in = relay.Signatures;
     if (in.empty())
       continue;
     parts.emplace_back(relay.Call->answer().body());
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -29,6 +29,8 @@
   std::vector<leaf::Service *> Shards{};
   /// The call to a host; null once this host asks itself.
   std::shared_ptr<leaf::ServiceCall> Call{};
+  /// Signatures of the parts that the host has merged, once it has answered.
+  std::vector<std::string> Signatures{};
 };
 
 /// @brief A request being worked on: one call for a plain route, one for each
@@ -60,6 +62,7 @@
   void step();
   void call(leaf::Service &service);
   leaf::ServiceCall::EndHandler onEnd();
+  leaf::ServiceCall::EndHandler onRelayEnd(std::size_t i);
   void takeBackRefused();
   void stepPlain(core::TimePoint now);
   void stepSharded(core::TimePoint now);
--- a/src/registry/FeedDoor.cpp
+++ b/src/registry/FeedDoor.cpp
@@ -1,5 +1,7 @@
 #include "registry/FeedDoor.h"
 
+#include <map>
+
 #include "entry/Answers.h"
 
 namespace savorytrestle::registry {
@@ -11,6 +13,12 @@
 /// Bounds what a host may ask for; each host asks again before that.
 constexpr std::chrono::milliseconds LongestWait{5000};
 
+entry::CallerAnswer answerOf(const std::optional<FeedPage> &page) {
+  return page ? entry::textAnswer(http::status::ok, encodeFeedPage(*page))
+              : entry::errorAnswer(http::status::service_unavailable,
+                                   "this host knows less");
+}
+
 } // namespace
 
 FeedDoor::FeedDoor(boost::asio::io_context &io,
@@ -41,7 +49,7 @@
     return nullptr;
   }
   if (page->Whole || !page->Items.empty() || query->Wait.count() == 0) {
-    answer(respond, query->After);
+    respond(answerOf(page));
     return nullptr;
   }
   const auto waiter =
@@ -62,23 +70,20 @@
 void FeedDoor::answerWaiters() {
   const auto waiting = std::move(Waiters);
   Waiters.clear();
+  // Nearly all of them know the items up to the same position.
+  std::map<store::Revision, entry::CallerAnswer> answers;
   for (const WaiterPtr &waiter : waiting) {
     waiter->Timer.cancel();
-    answer(waiter->Respond, waiter->After);
+    const auto [it, isNew] = answers.try_emplace(waiter->After);
+    if (isNew)
+      it->second = answerOf(Mirror->pageAfter(waiter->After));
+    waiter->Respond(it->second);
   }
 }
 
 void FeedDoor::end(const WaiterPtr &waiter) {
   Waiters.remove(waiter);
-  answer(waiter->Respond, waiter->After);
-}
-
-void FeedDoor::answer(const entry::Respond &respond,
-                      store::Revision after) const {
-  const auto page = Mirror->pageAfter(after);
-  respond(page ? entry::textAnswer(http::status::ok, encodeFeedPage(*page))
-               : entry::errorAnswer(http::status::service_unavailable,
-                                    "this host knows less"));
+  waiter->Respond(answerOf(Mirror->pageAfter(waiter->After)));
 }
 
 } // namespace savorytrestle::registry
--- a/src/registry/FeedDoor.h
+++ b/src/registry/FeedDoor.h
@@ -46,7 +46,6 @@
 
   void answerWaiters();
   void end(const WaiterPtr &waiter);
-  void answer(const entry::Respond &respond, store::Revision after) const;
 
   boost::asio::io_context &Io;
   std::shared_ptr<StoreMirror> Mirror;
--- a/src/registry/FeedPage.cpp
+++ b/src/registry/FeedPage.cpp
@@ -73,20 +73,15 @@
 }
 
 core::Result<FeedPage> decodeFeedPage(std::string_view body) {
-  const auto object = support::parseBoundedJson(body);
-  if (!object)
-    return tl::unexpected(object.error());
-  try {
+  return support::decodeJson<FeedPage>(body, [](const json &object) {
     FeedPage page;
-    page.At = object->at("at").get<store::Revision>();
-    page.Whole = object->at("whole").get<bool>();
-    page.Age = milliseconds(object->at("age_ms").get<std::int64_t>());
-    for (const json &item : object->at("items"))
+    page.At = object.at("at").get<store::Revision>();
+    page.Whole = object.at("whole").get<bool>();
+    page.Age = milliseconds(object.at("age_ms").get<std::int64_t>());
+    for (const json &item : object.at("items"))
       page.Items.push_back(decodeItem(item));
     return page;
-  } catch (const json::exception &ex) {
-    return core::makeError(core::ErrorCode::BadRequest, ex.what());
-  }
+  });
 }
 
 } // namespace savorytrestle::registry
--- a/src/registry/HostEntry.cpp
+++ b/src/registry/HostEntry.cpp
@@ -53,19 +53,14 @@
 
 core::Result<HostEntry> decodeHostEntry(const std::string &id,
                                         std::string_view text, WallTime now) {
-  const auto object = support::parseBoundedJson(text);
-  if (!object)
-    return tl::unexpected(object.error());
-  try {
-    HostEntry entry{id, object->at("failure_domain").get<std::string>(),
-                    object->at("callers").get<std::string>(),
-                    object->value("peers", "")};
-    for (const json &record : object->value("crashes", json::array()))
+  return support::decodeJson<HostEntry>(text, [&](const json &object) {
+    HostEntry entry{id, object.at("failure_domain").get<std::string>(),
+                    object.at("callers").get<std::string>(),
+                    object.value("peers", "")};
+    for (const json &record : object.value("crashes", json::array()))
       entry.Crashes.push_back(decodeRecord(record, now));
     return entry;
-  } catch (const json::exception &ex) {
-    return core::makeError(core::ErrorCode::BadRequest, ex.what());
-  }
+  });
 }
 
 } // namespace savorytrestle::registry
--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -32,6 +32,16 @@
 /// Kept for hosts that ask again after some seconds without an answer.
 constexpr std::size_t MaxRemovals = 4096;
 
+std::vector<StoredItem> under(const std::string &prefix,
+                              const std::vector<StoredItem> &items) {
+  std::vector<StoredItem> part;
+  std::copy_if(items.begin(), items.end(), std::back_inserter(part),
+               [&prefix](const StoredItem &item) {
+                 return item.Key.starts_with(prefix);
+               });
+  return part;
+}
+
 std::string nameOf(const StoreMirror::Endpoint &address) {
   return address.address().to_string() + ":" + std::to_string(address.port());
 }
@@ -244,7 +254,7 @@
     return failed(source, reply.Status, "behind");
   succeeded(source, page->Age);
   if (page->Whole)
-    replaceAll(std::move(page->Items), page->At);
+    replaceAll(page->Items, page->At);
   else
     change(page->Items, page->At);
   step();
@@ -293,7 +303,7 @@
   step();
 }
 
-void StoreMirror::replaceAll(std::vector<StoredItem> items,
+void StoreMirror::replaceAll(const std::vector<StoredItem> &items,
                              store::Revision at) {
   Items.clear();
   for (const StoredItem &item : items)
@@ -305,12 +315,7 @@
   LastChange = at;
   ListWanted = false;
   for (const auto &[prefix, handlers] : Followers) {
-    std::vector<StoredItem> part;
-    std::copy_if(items.begin(), items.end(), std::back_inserter(part),
-                 [&prefix = prefix](const StoredItem &item) {
-                   return item.Key.starts_with(prefix);
-                 });
-    handlers.OnList(part);
+    handlers.OnList(under(prefix, items));
   }
 }
 
@@ -320,12 +325,7 @@
   for (const StoredItem &item : items)
     remember(item);
   for (const auto &[prefix, handlers] : Followers) {
-    std::vector<StoredItem> part;
-    std::copy_if(items.begin(), items.end(), std::back_inserter(part),
-                 [&prefix = prefix](const StoredItem &item) {
-                   return item.Key.starts_with(prefix);
-                 });
-    if (!part.empty())
+    if (const auto part = under(prefix, items); !part.empty())
       handlers.OnChanges(part);
   }
 }
--- a/src/registry/StoreMirror.h
+++ b/src/registry/StoreMirror.h
@@ -106,7 +106,8 @@
   void onHostReply(const SourcePtr &source, const Reply &reply);
   void succeeded(const SourcePtr &source, std::chrono::milliseconds age);
   void failed(const SourcePtr &source, unsigned status, const std::string &why);
-  void replaceAll(std::vector<store::StoredItem> items, store::Revision at);
+  void replaceAll(const std::vector<store::StoredItem> &items,
+                  store::Revision at);
   void change(const std::vector<store::StoredItem> &items, store::Revision at);
   void remember(const store::StoredItem &item);
   std::chrono::milliseconds storeWait() const;
--- a/src/support/BoundedJson.h
+++ b/src/support/BoundedJson.h
@@ -28,6 +28,26 @@
 /// @ref MaxJsonDepth
 core::Result<nlohmann::json> parseBoundedJson(std::string_view text);
 
+/// @brief Reads a JSON text into a type.
+/// @tparam T the type
+/// @param text the text
+/// @param read makes a T, or an error, of the value; may throw the library's
+/// exceptions for fields that are missing or of another type
+/// @param code error for such fields
+/// @return what was read, or why it can't be
+template <typename T, typename Read>
+core::Result<T> decodeJson(std::string_view text, Read read,
+                           core::ErrorCode code = core::ErrorCode::BadRequest) {
+  const auto value = parseBoundedJson(text);
+  if (!value)
+    return tl::unexpected(value.error());
+  try {
+    return read(*value);
+  } catch (const nlohmann::json::exception &ex) {
+    return core::makeError(code, ex.what());
+  }
+}
+
 } // namespace savorytrestle::support
 
 #endif
