Leave leaves that say they are leaving or ask for a pause

Cause: a leaf's Server-Leaving and the Retry-After of its 503 were not read, so a host went on sending to it until the store's entry changed, and all hosts came back to an overloaded leaf at once.

Change: core::DepartedLeaves keeps the runs that have left (by id, address and start), core::LeafSilence the time that a leaf named, with one request as a test at its end. Requests that wait for a connection to such a leaf go elsewhere. A departure reaches other hosts in the answer to a relay and, where the store still lists the leaf as ready, in the entry of a host, mostly of one. Refusals state when the first silent leaf takes requests again, at most a third of the caller's time.

--- a/include/savorytrestle/core/RefusalPolicy.h
+++ b/include/savorytrestle/core/RefusalPolicy.h
@@ -3,18 +3,37 @@
 
 /// @file
 /// @brief Time after which a caller that was refused may retry, for services
-/// whose leaves are all down or full.
+/// whose leaves are all down, full or silent.
 
 #include <chrono>
+#include <cstddef>
+#include <vector>
 
 #include "savorytrestle/core/ServingConfig.h"
+#include "savorytrestle/core/Time.h"
 
 namespace savorytrestle::core {
 
-/// @brief Wait that a refusal states: long enough for leaves to be probed
-/// again, short enough that the request can still meet its objective.
+/// @brief When enough services can take requests.
+/// @param availability for each service when it can; TimePoint::max() if
+/// unknown
+/// @param needed how many of them the request needs
+/// @return the time; TimePoint::max() if unknown. O(services)
+TimePoint enoughAvailableAt(std::vector<TimePoint> availability,
+                            std::size_t needed);
+
+/// @brief Wait that a refusal states: until capacity is expected, or, if that
+/// is unknown, long enough for leaves to be probed again and short enough that
+/// the request can still meet its objective. At most a third of the time that
+/// the caller has left.
 /// @param route the request's route
-std::chrono::milliseconds retryAfter(const RouteRule &route);
+/// @param now current time
+/// @param availableAt when capacity is expected; TimePoint::max() if unknown
+/// @param deadline end of the caller's time
+/// @param draw uniform random number in [0, 1); spreads the callers' return
+std::chrono::milliseconds retryAfter(const RouteRule &route, TimePoint now,
+                                     TimePoint availableAt, TimePoint deadline,
+                                     double draw);
 
 } // namespace savorytrestle::core
 
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -8,7 +8,7 @@
 
 #include "entry/Answers.h"
 #include "entry/RequestRun.h"
-#include "savorytrestle/core/RefusalPolicy.h"
+#include "savorytrestle/core/HedgePolicy.h"
 #include "support/BeastStringView.h"
 #include "support/Log.h"
 
@@ -103,10 +103,12 @@
   const core::RouteRule &rule = partialRoute ? *partialRoute : *route;
   const auto services = selectServices(rule);
   if (!enoughServicesReachable(rule, services)) {
-    refuse(request, route,
-           {http::status::service_unavailable, "too few leaves are reachable",
-            core::retryAfter(*route)},
-           respond);
+    const auto deadline = SteadyClock::now() + timeLimit(request, rule);
+    refuse(
+        request, route,
+        {http::status::service_unavailable, "too few leaves are reachable",
+         Leaves.retryAfter(rule, {services.begin(), services.end()}, deadline)},
+        respond);
     return nullptr;
   }
   const auto context =
@@ -158,18 +160,23 @@
   respond(errorAnswer(refusal.Status, refusal.Reason, refusal.RetryAfter));
 }
 
-std::shared_ptr<const leaf::CallContext> RequestRouter::makeContext(
-    CallerRequest request, const core::Fingerprint &fingerprint,
-    const core::RouteRule &route,
-    std::shared_ptr<const core::RouteRule> derivedRoute) const {
-  const auto start = SteadyClock::now();
-  milliseconds timeout = route.Timeout;
+milliseconds RequestRouter::timeLimit(const CallerRequest &request,
+                                      const core::RouteRule &route) const {
   std::int64_t remainingMs = 0;
   const auto header = request[Names.Deadline];
   if (absl::SimpleAtoi(absl::string_view(header.data(), header.size()),
                        &remainingMs) &&
       remainingMs > 0)
-    timeout = std::min(timeout, milliseconds(remainingMs));
+    return std::min(route.Timeout, milliseconds(remainingMs));
+  return route.Timeout;
+}
+
+std::shared_ptr<const leaf::CallContext> RequestRouter::makeContext(
+    CallerRequest request, const core::Fingerprint &fingerprint,
+    const core::RouteRule &route,
+    std::shared_ptr<const core::RouteRule> derivedRoute) const {
+  const auto start = SteadyClock::now();
+  const milliseconds timeout = timeLimit(request, route);
   std::string id(support::toStringView(request[Names.RequestId]));
   // The objective includes the time that a relay spends between the hosts.
   const bool relayed = request.find(RelayVersionHeader) != request.end();
@@ -179,10 +186,10 @@
   request.erase(RelayShardsHeader);
   request.version(11);
   request.prepare_payload();
-  return std::make_shared<const leaf::CallContext>(
-      leaf::CallContext{Leaves, Names, Config, route, std::move(derivedRoute),
-                        std::move(request), std::move(id), fingerprint,
-                        Names.LeafSignature, arrived, start + timeout});
+  return std::make_shared<const leaf::CallContext>(leaf::CallContext{
+      Leaves, Names, Config, route, std::move(derivedRoute), std::move(request),
+      std::move(id), fingerprint, Names.LeafSignature, arrived, start + timeout,
+      relayed});
 }
 
 std::shared_ptr<const leaf::CallContext>
@@ -199,7 +206,7 @@
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
       Leaves, Names, Config, rule, std::move(route), std::move(request),
       direct.RequestId, direct.Fingerprint, Names.PartSignatures, direct.Start,
-      direct.Deadline});
+      direct.Deadline, false, true});
 }
 
 const core::RelayPlan &
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -86,6 +86,9 @@
   bool
   enoughServicesReachable(const core::RouteRule &route,
                           const std::vector<leaf::Service *> &services) const;
+  /// End of the time that a request has, from its arrival.
+  std::chrono::milliseconds timeLimit(const CallerRequest &request,
+                                      const core::RouteRule &route) const;
   void refuse(const CallerRequest &request, const core::RouteRule *route,
               const Refusal &refusal, const AnswerHandler &respond);
 
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -6,8 +6,9 @@
 #include <absl/strings/str_split.h>
 
 #include "entry/Answers.h"
-#include "savorytrestle/core/RefusalPolicy.h"
+#include "leaf/LeavingLeaves.h"
 #include "savorytrestle/core/TopRecords.h"
+#include "support/BeastStringView.h"
 
 namespace savorytrestle::entry {
 
@@ -76,6 +77,10 @@
 ServiceCall::EndHandler RequestRun::relayEndHandler(std::size_t i) {
   return [self = shared_from_this(), i](const ServiceCall &call) {
     self->Relays[i].Signatures = signaturesOf(*self->Context, call);
+    if (call.end() == CallEnd::Answered)
+      for (const core::LeafRun &run : leaf::parseLeavingLeaves(
+               support::toStringView(call.answer()[leaf::LeavingLeavesHeader])))
+        self->Context->Leaves.markDeparted(run);
     if (self->Started)
       self->advance();
   };
@@ -128,7 +133,7 @@
   case CallEnd::Rejected:
   case CallEnd::Unreachable:
     return finish(errorAnswer(http::status::service_unavailable, call.reason(),
-                              core::retryAfter(Context->Route)),
+                              retryAfter()),
                   "refused");
   case CallEnd::OutcomeUnknown:
     return finishIncomplete(now);
@@ -219,8 +224,7 @@
     return answerSharded();
   if (!anyLeafMayHaveRun())
     return finish(errorAnswer(http::status::service_unavailable,
-                              "no leaf accepted the request",
-                              core::retryAfter(Context->Route)),
+                              "no leaf accepted the request", retryAfter()),
                   "refused");
   if (now >= Context->Deadline)
     return finish(errorAnswer(http::status::gateway_timeout,
@@ -230,6 +234,17 @@
          "failed");
 }
 
+std::chrono::milliseconds RequestRun::retryAfter() const {
+  std::vector<const leaf::Service *> services;
+  for (const auto &call : Calls)
+    services.push_back(&call->service());
+  for (const Relay &relay : Relays)
+    if (relay.Call)
+      services.insert(services.end(), relay.Shards.begin(), relay.Shards.end());
+  return Context->Leaves.retryAfter(Context->Route, services,
+                                    Context->Deadline);
+}
+
 bool RequestRun::anyLeafMayHaveRun() const {
   return std::any_of(Calls.begin(), Calls.end(),
                      [](const auto &call) { return call->mayHaveRun(); }) ||
@@ -243,10 +258,21 @@
   Timer.cancel();
   cancelCalls();
   recordOutcome(answer.result_int(), outcome);
+  if (Context->FromHost)
+    addLeavingLeaves(answer);
   const auto onAnswer = std::move(OnAnswer);
   onAnswer(std::move(answer));
 }
 
+void RequestRun::addLeavingLeaves(CallerAnswer &answer) const {
+  std::vector<core::LeafRun> leaving;
+  for (const auto &call : Calls)
+    leaving.insert(leaving.end(), call->leavingLeaves().begin(),
+                   call->leavingLeaves().end());
+  if (!leaving.empty())
+    answer.set(leaf::LeavingLeavesHeader, leaf::formatLeavingLeaves(leaving));
+}
+
 void RequestRun::cancel() {
   if (Finished)
     return;
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -78,6 +78,10 @@
   void finish(CallerAnswer answer, const char *outcome);
   void recordOutcome(unsigned status, const char *outcome);
   core::ShardCounts shardTally() const;
+  /// Wait that a refusal states.
+  std::chrono::milliseconds retryAfter() const;
+  /// Names the leaves that are leaving in the answer to another host.
+  void addLeavingLeaves(CallerAnswer &answer) const;
   bool anyLeafMayHaveRun() const;
   void runDueActions(core::TimePoint now);
   void cancelCalls();
--- a/src/leaf/Leaf.cpp
+++ b/src/leaf/Leaf.cpp
@@ -40,6 +40,20 @@
   Idle.clear();
   for (const auto &connection : idle)
     connection->close();
+  cancelConnecting();
+}
+
+void Leaf::pause(core::TimePoint now, core::Duration wait, double draw) {
+  Silence.onRetryAfter(now, wait, draw);
+  cancelConnecting();
+}
+
+void Leaf::cancelConnecting() {
+  const auto connecting = std::move(Connecting);
+  Connecting.clear();
+  for (const auto &weak : connecting)
+    if (const auto connection = weak.lock())
+      connection->cancelConnect();
 }
 
 bool Leaf::hasFreeConnection() const {
@@ -58,10 +72,17 @@
   if (ConnectionCount >= MaxConnections)
     return nullptr;
   ++ConnectionCount;
-  return std::make_shared<LeafConnection>(Io, [weak = weak_from_this()] {
-    if (const auto self = weak.lock())
-      --self->ConnectionCount;
+  auto connection =
+      std::make_shared<LeafConnection>(Io, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+          --self->ConnectionCount;
+      });
+  std::erase_if(Connecting, [](const auto &it) {
+    const auto other = it.lock();
+    return !other || !other->connecting();
   });
+  Connecting.push_back(connection);
+  return connection;
 }
 
 void Leaf::releaseConnection(std::shared_ptr<LeafConnection> connection) {
--- a/src/leaf/Leaf.h
+++ b/src/leaf/Leaf.h
@@ -11,8 +11,10 @@
 #include <vector>
 
 #include "leaf/LeafConnection.h"
+#include "savorytrestle/core/DepartedLeaves.h"
 #include "savorytrestle/core/LeafEntry.h"
 #include "savorytrestle/core/LeafScore.h"
+#include "savorytrestle/core/LeafSilence.h"
 
 namespace savorytrestle::leaf {
 
@@ -34,9 +36,22 @@
   /// @brief Replaces the entry by a newer one of the same process.
   void update(core::LeafEntry entry);
 
-  /// @brief Stops new requests to the leaf and closes idle connections.
+  /// @brief The run of the leaf's process that this object stands for.
+  core::LeafRun run() const {
+    return {Entry.Id, Entry.Address, Entry.StartedAt};
+  }
+
+  /// @brief Stops new requests to the leaf, closes idle connections and cancels
+  /// the requests that wait for a connection.
   void retire();
 
+  /// @brief Sends the leaf no requests for a time that it asked for, and
+  /// cancels the requests that wait for a connection.
+  /// @param now current time
+  /// @param wait the time
+  /// @param draw see @ref core::LeafSilence::onRetryAfter
+  void pause(core::TimePoint now, core::Duration wait, double draw);
+
   /// @brief Whether new requests may be sent to the leaf.
   bool acceptsRequests() const { return !Retired; }
 
@@ -55,16 +70,25 @@
   /// @brief Returns a connection to the pool, if it can carry further requests.
   void releaseConnection(std::shared_ptr<LeafConnection> connection);
 
+  /// @brief Time in which the leaf wants no requests.
+  core::LeafSilence &silence() { return Silence; }
+  const core::LeafSilence &silence() const { return Silence; }
+
   /// @brief This host's score of the leaf.
   core::LeafScore &score() { return Score; }
   const core::LeafScore &score() const { return Score; }
 
 private:
+  void cancelConnecting();
+
   boost::asio::io_context &Io;
   core::LeafEntry Entry;
   boost::asio::ip::tcp::endpoint Address;
   core::LeafScore Score;
+  core::LeafSilence Silence;
   std::vector<std::shared_ptr<LeafConnection>> Idle;
+  /// Connections that may still be being established.
+  std::vector<std::weak_ptr<LeafConnection>> Connecting;
   std::size_t ConnectionCount = 0;
   std::size_t MaxConnections = 4;
   bool Retired = false;
--- a/src/leaf/LeafConnection.cpp
+++ b/src/leaf/LeafConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/string_view.h>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -69,6 +70,13 @@
   closeSocket();
 }
 
+void LeafConnection::cancelConnect() {
+  boost::asio::post(Socket.get_executor(), [self = shared_from_this()] {
+    if (self->Connecting && !self->Closed)
+      self->fail(Delivery::NotSent, "leaf accepts no requests");
+  });
+}
+
 void LeafConnection::connect(const tcp::endpoint &address) {
   Connecting = true;
   Socket.async_connect(address, [self = shared_from_this()](error_code ec) {
--- a/src/leaf/LeafConnection.h
+++ b/src/leaf/LeafConnection.h
@@ -72,6 +72,10 @@
   /// @brief Closes the connection without a call of the pending reply handler.
   void close();
 
+  /// @brief Ends a request that still waits for the connection, with NotSent.
+  /// The handler is called after this function has returned.
+  void cancelConnect();
+
   /// @brief Whether the connection is open and carries no request.
   bool ready() const { return Open && !OnReply; }
 
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "savorytrestle/core/HedgePolicy.h"
+#include "savorytrestle/core/RefusalPolicy.h"
 #include "support/Log.h"
 #include "support/SocketOptions.h"
 
@@ -42,7 +44,7 @@
 /// Whether a request can be sent to the leaf now.
 bool acceptsNow(const Leaf &leaf, core::TimePoint now) {
   return leaf.acceptsRequests() && leaf.hasFreeConnection() &&
-         !leaf.score().inBackoff(now);
+         !leaf.score().inBackoff(now) && leaf.silence().allowsRequest(now);
 }
 
 } // namespace
@@ -84,6 +86,9 @@
 
 void LeafDirectory::putLeaf(const core::LeafEntry &entry) {
   ++Generation;
+  const core::LeafRun run{entry.Id, entry.Address, entry.StartedAt};
+  if (entry.Draining)
+    Departed.add(run);
   if (const auto it = ById.find(entry.Id); it != ById.end()) {
     const core::LeafEntry &known = it->second->entry();
     if (known.Address == entry.Address && known.Service == entry.Service &&
@@ -102,6 +107,8 @@
   }
   auto leaf = std::make_shared<Leaf>(Io, entry, address,
                                      distanceTo(entry.FailureDomain));
+  if (Departed.contains(run))
+    leaf->retire();
   Service &owner = service(entry.Service);
   setConnectionShare(owner, *leaf);
   owner.Leaves.push_back(leaf);
@@ -119,6 +126,52 @@
   ById.erase(it);
 }
 
+void LeafDirectory::markLeaving(Leaf &leaf) {
+  const core::LeafRun run = leaf.run();
+  leaf.retire();
+  if (!Departed.add(run))
+    return;
+  ++Generation;
+  support::LogLine("leaf_leaving")
+      .with("leaf", run.Id)
+      .with("service", leaf.entry().Service)
+      .with("found_by", "answer");
+  if (OnLeaving)
+    OnLeaving(run);
+}
+
+void LeafDirectory::markDeparted(const core::LeafRun &run) {
+  if (!Departed.add(run))
+    return;
+  const auto it = ById.find(run.Id);
+  if (it == ById.end() || it->second->run() != run)
+    return;
+  ++Generation;
+  it->second->retire();
+  support::LogLine("leaf_leaving")
+      .with("leaf", run.Id)
+      .with("service", it->second->entry().Service)
+      .with("found_by", "host");
+}
+
+bool LeafDirectory::listedAsReady(const core::LeafRun &run) const {
+  const auto it = ById.find(run.Id);
+  return it != ById.end() && it->second->run() == run &&
+         !it->second->entry().Draining;
+}
+
+void LeafDirectory::pauseLeaf(Leaf &leaf, core::Duration wait) {
+  leaf.pause(SteadyClock::now(), wait, draw());
+  support::LogLine("leaf_paused")
+      .with("leaf", leaf.entry().Id)
+      .with("service", leaf.entry().Service)
+      .with("wait", std::chrono::ceil<std::chrono::milliseconds>(wait));
+}
+
+double LeafDirectory::draw() {
+  return std::uniform_real_distribution<double>(0, 1)(Random);
+}
+
 bool LeafDirectory::acceptsRequests(const std::string &id) const {
   const auto it = ById.find(id);
   return it != ById.end() && it->second->acceptsRequests();
@@ -249,6 +302,33 @@
       [now](const auto &leaf) { return acceptsNow(*leaf, now); });
 }
 
+core::TimePoint LeafDirectory::availableAt(const Service &service,
+                                           core::TimePoint now) const {
+  auto earliest = core::TimePoint::max();
+  for (const auto &leaf : service.Leaves) {
+    if (acceptsNow(*leaf, now))
+      return now;
+    // The end of a backoff after a failed connection promises nothing.
+    if (leaf->acceptsRequests() && leaf->silence().end() > now)
+      earliest = std::min(earliest, leaf->silence().end());
+  }
+  return earliest;
+}
+
+std::chrono::milliseconds
+LeafDirectory::retryAfter(const core::RouteRule &route,
+                          const std::vector<const Service *> &services,
+                          core::TimePoint deadline) {
+  const auto now = SteadyClock::now();
+  std::vector<core::TimePoint> availability;
+  for (const Service *service : services)
+    availability.push_back(availableAt(*service, now));
+  const std::size_t needed = route.sharded() ? core::minShards(route) : 1;
+  return core::retryAfter(route, now,
+                          core::enoughAvailableAt(availability, needed),
+                          deadline, draw());
+}
+
 core::LeafDistance
 LeafDirectory::distanceTo(const std::string &failureDomain) const {
   if (failureDomain == Location.FailureDomain)
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -6,6 +6,7 @@
 
 #include <utility>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -69,6 +70,25 @@
   /// @brief Removes a leaf whose entry has been removed.
   void removeLeaf(const std::string &id);
 
+  /// @brief Sends no new requests to a leaf that said that it is leaving. The
+  /// knowledge outlives its entry and ends with the run of its process.
+  void markLeaving(Leaf &leaf);
+
+  /// @brief The same for a run of which another host said so.
+  void markDeparted(const core::LeafRun &run);
+
+  /// @brief Sets the handler of runs that this host found leaving.
+  void onLeaving(std::function<void(const core::LeafRun &)> handler) {
+    OnLeaving = std::move(handler);
+  }
+
+  /// @brief Whether the store's entry of a run shows it as ready, though it has
+  /// left.
+  bool listedAsReady(const core::LeafRun &run) const;
+
+  /// @brief Sends a leaf no requests for a time that it asked for.
+  void pauseLeaf(Leaf &leaf, core::Duration wait);
+
   /// @brief Whether a leaf has an entry and new requests may be sent to it.
   bool acceptsRequests(const std::string &id) const;
 
@@ -110,6 +130,24 @@
   /// @brief Whether a request can be sent to any leaf of the service now.
   bool reachable(const Service &service) const;
 
+  /// @brief When a request can be sent to a leaf of the service.
+  /// @return now, or the end of the first leaf's silence; TimePoint::max() if
+  /// no leaf has named a time. O(leaves of the service)
+  core::TimePoint availableAt(const Service &service,
+                              core::TimePoint now) const;
+
+  /// @brief Wait that the refusal of a request states.
+  /// @param route the request's route
+  /// @param services the services that it needs, or enough of them
+  /// @param deadline end of the caller's time
+  std::chrono::milliseconds
+  retryAfter(const core::RouteRule &route,
+             const std::vector<const Service *> &services,
+             core::TimePoint deadline);
+
+  /// @brief Returns a uniform random number in [0, 1).
+  double draw();
+
 private:
   std::vector<std::string> idsWithPrefix(const std::string &prefix) const;
   core::LeafDistance distanceTo(const std::string &failureDomain) const;
@@ -123,6 +161,8 @@
   core::RetryBudgetRule BudgetRule;
   std::map<std::string, std::unique_ptr<Service>> Services;
   std::map<std::string, std::shared_ptr<Leaf>> ById;
+  core::DepartedLeaves Departed;
+  std::function<void(const core::LeafRun &)> OnLeaving;
   std::map<std::string, std::size_t> HostsByDomain;
   std::size_t HostCount;
   std::size_t OwnDomainHostCount;
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -12,6 +12,7 @@
 using core::TimePoint;
 using SteadyClock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
+namespace http = boost::beast::http;
 
 namespace {
 
@@ -21,6 +22,8 @@
 constexpr int MaxAttempts = 5;
 /// HTTP status of a leaf that isn't the one that the request names.
 constexpr unsigned Misdirected = 421;
+/// HTTP status of a leaf that turned the request away.
+constexpr unsigned Unavailable = 503;
 
 } // namespace
 
@@ -69,8 +72,8 @@
   ++PossibleExecutions;
   MayHaveRun = true;
   const std::size_t index = Attempts.size();
-  Attempts.push_back(
-      {to, connection, to->score().onSend(now, expected), now, false});
+  Attempts.push_back({to, connection, to->score().onSend(now, expected), now,
+                      to->silence().onSend(), false});
   connection->send(to->address(), requestFor(*to, now),
                    [self = shared_from_this(), index](LeafReply reply) {
                      self->onReply(index, std::move(reply));
@@ -95,14 +98,23 @@
   attempt.Ended = true;
   attempt.Target->score().onEnd(attempt.ScoreHandle);
   const auto now = SteadyClock::now();
-  if (reply.Result == Delivery::Answered)
+  if (reply.Result == Delivery::Answered) {
+    if (attempt.IsTest)
+      attempt.Target->silence().onTestAnswered();
     return onAnswer(attempt, std::move(reply), now);
+  }
+  if (attempt.IsTest)
+    attempt.Target->silence().onTestLost();
   Reason = reply.Reason;
   LeafId = attempt.Target->entry().Id;
   if (reply.Result == Delivery::NotSent) {
     --PossibleExecutions;
     MayHaveRun = PossibleExecutions > 0;
-    attempt.Target->score().onUnreachable(now);
+    // A connection that was cancelled since the leaf accepts no requests says
+    // nothing about its network.
+    if (attempt.Target->acceptsRequests() &&
+        attempt.Target->silence().allowsRequest(now))
+      attempt.Target->score().onUnreachable(now);
     return retryOrFinish(PossibleExecutions > 0 ? CallEnd::OutcomeUnknown
                                                 : CallEnd::Unreachable,
                          Cause::Replace, now);
@@ -122,6 +134,7 @@
   const LeafAnswer &answer = reply.Answer;
   Leaf &from = *attempt.Target;
   LeafId = from.entry().Id;
+  applyLeafNotices(attempt, answer);
   if (!isValidAnswer(answer)) {
     attempt.Connection->close();
     from.score().onFailure(now);
@@ -156,6 +169,32 @@
   retryOrFinish(CallEnd::Answered, resendCause(), now);
 }
 
+void ServiceCall::applyLeafNotices(const Attempt &attempt,
+                                   const LeafAnswer &answer) {
+  if (Context->ToHost)
+    return;
+  Leaf &from = *attempt.Target;
+  // Another leaf may have taken over the address.
+  const auto id = answer.find(Context->Names.LeafId);
+  if (answer.result_int() == Misdirected ||
+      (id != answer.end() &&
+       support::toStringView(id->value()) != from.entry().Id))
+    return;
+  if (support::toStringView(answer[Context->Names.LeafLeaving]) == "1") {
+    Leaving.push_back(from.run());
+    Context->Leaves.markLeaving(from);
+  }
+  if (answer.result_int() != Unavailable)
+    return;
+  const auto header = answer.find(http::field::retry_after);
+  if (header == answer.end())
+    return;
+  if (const auto wait =
+          core::parseRetryAfter(support::toStringView(header->value()));
+      wait && *wait > core::Duration::zero())
+    Context->Leaves.pauseLeaf(from, *wait);
+}
+
 bool ServiceCall::isValidAnswer(const LeafAnswer &answer) const {
   const auto id = answer.find(Context->Names.RequestId);
   if (id != answer.end() &&
@@ -239,6 +278,8 @@
 void ServiceCall::abandon(Attempt &attempt) {
   attempt.Ended = true;
   attempt.Target->score().onEnd(attempt.ScoreHandle);
+  if (attempt.IsTest)
+    attempt.Target->silence().onTestLost();
   const auto now = SteadyClock::now();
   attempt.Target->score().onCancelled(now, now - attempt.StartedAt,
                                       latencyEstimate().get());
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -40,6 +40,10 @@
   /// Deadline of the caller or end of the route's timeout, whichever is
   /// earlier.
   core::TimePoint Deadline;
+  /// Whether the request came from another host.
+  bool FromHost = false;
+  /// Whether the call goes to another host, which sends it to leaves.
+  bool ToHost = false;
 };
 
 /// @brief How a call to a service ended.
@@ -104,6 +108,10 @@
   int attempts() const { return AttemptCount; }
   const std::string &reason() const { return Reason; }
   const std::string &serviceName() const { return TargetService.Name; }
+  const Service &service() const { return TargetService; }
+
+  /// @brief Runs of leaves whose answers said that they are leaving.
+  const std::vector<core::LeafRun> &leavingLeaves() const { return Leaving; }
 
 private:
   struct Attempt {
@@ -111,6 +119,8 @@
     std::shared_ptr<LeafConnection> Connection;
     std::uint64_t ScoreHandle = 0;
     core::TimePoint StartedAt;
+    /// Whether it tests the leaf after a silence.
+    bool IsTest = false;
     bool Ended = false;
   };
 
@@ -130,6 +140,9 @@
   /// and not encoded.
   bool isValidAnswer(const LeafAnswer &answer) const;
   void recordLoad(Leaf &from, const LeafAnswer &answer, core::TimePoint now);
+  /// Handles what an answer says about its leaf: that it is leaving, or wants
+  /// no requests for a time.
+  void applyLeafNotices(const Attempt &attempt, const LeafAnswer &answer);
   /// Starts another attempt if there is a cause and it is allowed; else ends
   /// the call, once no attempt is pending.
   void retryOrFinish(CallEnd fallback, std::optional<Cause> cause,
@@ -149,6 +162,7 @@
   core::HedgePlan Plan;
   std::vector<Attempt> Attempts;
   std::vector<std::shared_ptr<Leaf>> Tried;
+  std::vector<core::LeafRun> Leaving;
   std::optional<CallEnd> End;
   LeafAnswer Answer;
   std::string LeafId;
--- /dev/null
+++ b/src/registry/DepartureNotices.h
@@ -0,0 +1,58 @@
+#ifndef SAVORYTRESTLE_REGISTRY_DEPARTURE_NOTICES_H
+#define SAVORYTRESTLE_REGISTRY_DEPARTURE_NOTICES_H
+
+/// @file
+/// @brief Tells other hosts which leaves said that they are leaving while the
+/// store still lists them as ready.
+
+#include <utility>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "leaf/LeafDirectory.h"
+
+namespace savorytrestle::registry {
+
+/// @brief Publishes each departure through one host, in most cases: each host
+/// waits for a random time, and those that learn of it meanwhile don't publish.
+class DepartureNotices : public std::enable_shared_from_this<DepartureNotices> {
+public:
+  using PublishHandler =
+      std::function<void(const std::vector<core::LeafRun> &)>;
+
+  /// @brief Makes notices.
+  /// @param io runs its timer
+  /// @param leaves the leaves
+  /// @param onPublish called with departures to write to the store
+  DepartureNotices(boost::asio::io_context &io, leaf::LeafDirectory &leaves,
+                   PublishHandler onPublish);
+
+  /// @brief Sets the number of hosts, over which the waits are spread.
+  void setHostCount(std::size_t hosts) { HostCount = hosts; }
+
+  /// @brief This host found a leaf leaving.
+  void onLeaving(const core::LeafRun &run);
+
+  /// @brief Another host has published departures.
+  void onPublished(const std::vector<core::LeafRun> &runs);
+
+private:
+  void startTimer();
+  void publishDue();
+
+  boost::asio::steady_timer Timer;
+  leaf::LeafDirectory &Leaves;
+  PublishHandler OnPublish;
+  std::map<core::LeafRun, core::TimePoint> Pending;
+  std::size_t HostCount = 1;
+  bool TimerRunning = false;
+};
+
+} // namespace savorytrestle::registry
+
+#endif
--- a/src/registry/HostEntry.cpp
+++ b/src/registry/HostEntry.cpp
@@ -48,6 +48,10 @@
               {"peers", entry.PeerAddress}};
   for (const QuarantineRecord &record : entry.QuarantineRecords)
     object["crashes"].push_back(encodeRecord(record, now));
+  for (const core::LeafRun &run : entry.LeavingLeaves)
+    object["leaving"].push_back({{"leaf", run.Id},
+                                 {"address", run.Address},
+                                 {"started_at", run.StartedAt}});
   return object.dump();
 }
 
@@ -59,6 +63,10 @@
                     object.value("peers", "")};
     for (const json &record : object.value("crashes", json::array()))
       entry.QuarantineRecords.push_back(decodeRecord(record, now));
+    for (const json &run : object.value("leaving", json::array()))
+      entry.LeavingLeaves.push_back({run.at("leaf").get<std::string>(),
+                                     run.at("address").get<std::string>(),
+                                     run.at("started_at").get<std::int64_t>()});
     return entry;
   });
 }
--- a/src/registry/HostEntry.h
+++ b/src/registry/HostEntry.h
@@ -2,14 +2,15 @@
 #define SAVORYTRESTLE_REGISTRY_HOST_ENTRY_H
 
 /// @file
-/// @brief Store item in which a host publishes its addresses and its quarantine
-/// records.
+/// @brief Store item in which a host publishes its addresses, its quarantine
+/// records and the leaves that it found leaving.
 
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "savorytrestle/core/CrashQuarantine.h"
+#include "savorytrestle/core/DepartedLeaves.h"
 #include "savorytrestle/core/Error.h"
 
 namespace savorytrestle::registry {
@@ -26,6 +27,8 @@
   std::string PeerAddress;
   /// Its records of requests that crash leaves, newest last.
   std::vector<core::QuarantineRecord> QuarantineRecords{};
+  /// Leaves that told it that they are leaving, newest last.
+  std::vector<core::LeafRun> LeavingLeaves{};
 };
 
 /// @brief Encodes a host's item. Records are stored with their age instead of
--- a/src/registry/HostFeed.cpp
+++ b/src/registry/HostFeed.cpp
@@ -21,9 +21,9 @@
 } // namespace
 
 HostFeed::HostFeed(boost::asio::io_context &io, std::string ownId,
-                   HostsHandler onHosts, RecordsHandler onRecords)
+                   HostsHandler onHosts, EntryHandler onEntry)
     : OwnId(std::move(ownId)), OnHosts(std::move(onHosts)),
-      OnRecords(std::move(onRecords)),
+      OnEntry(std::move(onEntry)),
       Removals(std::make_shared<HeldRemovals>(
           io, GraceTime,
           [this](const std::string &id, bool) { removeHost(id); })) {}
@@ -82,7 +82,7 @@
   Removals->onPut(id);
   DomainByHost[id] = entry->FailureDomain;
   if (id != OwnId)
-    OnRecords(entry->QuarantineRecords);
+    OnEntry(*entry);
   LiveHosts[id] = std::move(*entry);
 }
 
--- a/src/registry/HostFeed.h
+++ b/src/registry/HostFeed.h
@@ -31,20 +31,19 @@
   std::vector<HostEntry> LiveHosts;
 };
 
-/// @brief Tracks the hosts and passes on their quarantine records.
+/// @brief Tracks the hosts and passes on their entries.
 class HostFeed : public std::enable_shared_from_this<HostFeed> {
 public:
   using HostsHandler = std::function<void(const KnownHosts &)>;
-  using RecordsHandler =
-      std::function<void(const std::vector<core::QuarantineRecord> &)>;
+  using EntryHandler = std::function<void(const HostEntry &)>;
 
   /// @brief Makes a feed.
   /// @param io runs its handlers
-  /// @param ownId id of this host; records of its own entry aren't passed on
+  /// @param ownId id of this host; its own entry isn't passed on
   /// @param onHosts called after each change of the hosts
-  /// @param onRecords called with the quarantine records of other hosts
+  /// @param onEntry called with each new or changed entry of another host
   HostFeed(boost::asio::io_context &io, std::string ownId, HostsHandler onHosts,
-           RecordsHandler onRecords);
+           EntryHandler onEntry);
 
   /// @brief Subscribes to the mirror; must be called before the mirror starts.
   void start(StoreMirror &mirror);
@@ -58,7 +57,7 @@
 
   std::string OwnId;
   HostsHandler OnHosts;
-  RecordsHandler OnRecords;
+  EntryHandler OnEntry;
   std::shared_ptr<HeldRemovals> Removals;
   std::map<std::string, HostEntry> LiveHosts;
   /// Failure domain of each host that ever had an entry.
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -18,10 +18,21 @@
 constexpr milliseconds RenewInterval{4500};
 constexpr milliseconds RetryInterval{1000};
 constexpr milliseconds ReplyTimeout{1500};
-/// Collects the records of several requests in one write.
-constexpr milliseconds RecordsDelay{1000};
+/// Collects the data of several requests in one write.
+constexpr milliseconds WriteDelay{1000};
 /// Keeps the item small; few requests crash leaves.
 constexpr std::size_t MaxQuarantineRecords = 32;
+/// Leaves of a service that is replaced leave one after the other.
+constexpr std::size_t MaxLeavingLeaves = 64;
+
+/// Appends items and drops the oldest beyond a limit.
+template <typename T>
+void appendNewest(std::vector<T> &items, const std::vector<T> &added,
+                  std::size_t limit) {
+  items.insert(items.end(), added.begin(), added.end());
+  if (items.size() > limit)
+    items.erase(items.begin(), items.end() - static_cast<long>(limit));
+}
 
 core::WallTime recordTime() {
   return core::steadyTimeAsWallTime(std::chrono::steady_clock::now());
@@ -50,18 +61,22 @@
 
 void HostPresence::addRecords(
     const std::vector<core::QuarantineRecord> &records) {
-  Entry.QuarantineRecords.insert(Entry.QuarantineRecords.end(), records.begin(),
-                                 records.end());
-  if (Entry.QuarantineRecords.size() > MaxQuarantineRecords)
-    Entry.QuarantineRecords.erase(Entry.QuarantineRecords.begin(),
-                                  Entry.QuarantineRecords.end() -
-                                      MaxQuarantineRecords);
-  HasUnsentRecords = true;
-  // Frequent records must not postpone the renewal of the lease; after the
-  // renewal the entry is written with the records that are left.
+  appendNewest(Entry.QuarantineRecords, records, MaxQuarantineRecords);
+  scheduleWrite();
+}
+
+void HostPresence::addLeavingLeaves(const std::vector<core::LeafRun> &runs) {
+  appendNewest(Entry.LeavingLeaves, runs, MaxLeavingLeaves);
+  scheduleWrite();
+}
+
+void HostPresence::scheduleWrite() {
+  HasUnsentData = true;
+  // Frequent data must not postpone the renewal of the lease; after the
+  // renewal the entry is written with the data that is left.
   if (CallScheduled && Lease != store::NoLease &&
       std::chrono::steady_clock::now() < RenewBy)
-    scheduleCall(RecordsDelay, &HostPresence::writeEntry);
+    scheduleCall(WriteDelay, &HostPresence::writeEntry);
 }
 
 void HostPresence::requestLease() {
@@ -81,7 +96,7 @@
 }
 
 void HostPresence::writeEntry() {
-  HasUnsentRecords = false;
+  HasUnsentData = false;
   Connection->call(platform::encodeTransaction(
                        {{},
                         {{HostPrefix + Entry.Id,
@@ -105,7 +120,7 @@
       [self = shared_from_this()](const store::StoreReply &reply) {
         if (reply.Status == platform::StatusOk) {
           self->RenewBy = std::chrono::steady_clock::now() + RenewInterval;
-          return self->HasUnsentRecords
+          return self->HasUnsentData
                      ? self->writeEntry()
                      : self->scheduleCall(RenewInterval,
                                           &HostPresence::renewLease);
--- a/src/registry/HostPresence.h
+++ b/src/registry/HostPresence.h
@@ -30,10 +30,17 @@
   /// @brief Adds quarantine records to the entry, which is written soon after.
   void addRecords(const std::vector<core::QuarantineRecord> &records);
 
+  /// @brief Adds leaves that are leaving to the entry, which is written soon
+  /// after.
+  void addLeavingLeaves(const std::vector<core::LeafRun> &runs);
+
   /// @brief Ends the lease, with which the store deletes the item.
   void stop();
 
 private:
+  /// Writes the entry soon, or with the next renewal of the lease if that is
+  /// due.
+  void scheduleWrite();
   void requestLease();
   void writeEntry();
   void renewLease();
@@ -45,8 +52,8 @@
   HostEntry Entry;
   store::LeaseId Lease = store::NoLease;
   core::TimePoint RenewBy{};
-  /// Whether the entry has records that haven't been written to the store.
-  bool HasUnsentRecords = false;
+  /// Whether the entry has data that hasn't been written to the store.
+  bool HasUnsentData = false;
   /// Whether no call is in flight and the timer for the next one runs; only
   /// then may the next call be made earlier.
   bool CallScheduled = false;
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -112,9 +112,16 @@
   LeafEntries = std::make_shared<registry::LeafFeed>(Io, Leaves);
   Hosts = std::make_shared<registry::HostFeed>(
       Io, Config.Id, [this](const auto &hosts) { applyHosts(hosts); },
-      [this](const auto &records) {
-        Router.crashTracker().merge(records, SteadyClock::now());
+      [this](const registry::HostEntry &entry) {
+        Router.crashTracker().merge(entry.QuarantineRecords,
+                                    SteadyClock::now());
+        Departures->onPublished(entry.LeavingLeaves);
       });
+  Departures = std::make_shared<registry::DepartureNotices>(
+      Io, Leaves,
+      [this](const auto &runs) { Presence->addLeavingLeaves(runs); });
+  Leaves.onLeaving(
+      [this](const core::LeafRun &run) { Departures->onLeaving(run); });
   PeerFeed = std::make_shared<registry::FeedServer>(Io, Mirror);
   // Starts the leaf feed first, so that the leaves of a configuration's
   // services are known when it comes into force.
@@ -135,6 +142,7 @@
 
 void PlatformHost::applyHosts(const registry::KnownHosts &hosts) {
   Leaves.setHostCounts(hosts.CountByDomain);
+  Departures->setHostCount(hosts.LiveHosts.size());
   std::vector<core::LeafEntry> peers;
   for (const registry::HostEntry &host : hosts.LiveHosts)
     if (host.Id != Config.Id) {
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -18,6 +18,7 @@
 #include "entry/Listener.h"
 #include "entry/RequestRouter.h"
 #include "registry/ConfigFeed.h"
+#include "registry/DepartureNotices.h"
 #include "registry/FeedServer.h"
 #include "registry/HostFeed.h"
 #include "registry/HostPresence.h"
@@ -72,6 +73,7 @@
   std::shared_ptr<registry::LeafFeed> LeafEntries;
   std::shared_ptr<registry::HostFeed> Hosts;
   std::shared_ptr<registry::HostPresence> Presence;
+  std::shared_ptr<registry::DepartureNotices> Departures;
   entry::RequestRouter Router;
   std::shared_ptr<entry::SessionContext> CallerContext;
   std::shared_ptr<entry::SessionContext> StatusContext;
--- a/src/support/HeaderNames.h
+++ b/src/support/HeaderNames.h
@@ -25,6 +25,8 @@
   std::string LeafLoad;
   /// Present when the leaf has not executed the request.
   std::string NotExecuted;
+  /// "1" in answers of a leaf that is shutting down.
+  std::string LeafLeaving;
   /// Signatures of the parts in an answer, separated by commas.
   std::string PartSignatures;
   /// Number of shards that an answer leaves out.
--- a/tests/standins/PlatformLeaf.h
+++ b/tests/standins/PlatformLeaf.h
@@ -30,6 +30,10 @@
   bool NeverAnswer = false;
   /// Answers 500 after the execution.
   bool Fail = false;
+  /// Says in all answers that it is leaving.
+  bool Leaving = false;
+  /// Turns requests away with 503 and this Retry-After, unless empty.
+  std::string RetryAfter{};
 };
 
 /// @brief The leaf; runs on one thread.
@@ -100,7 +104,7 @@
     Arrivals.push_back({std::chrono::steady_clock::now(), id});
     if (!expected.empty() && expected != Id)
       return refuse(421, respond);
-    if (Behavior.Shed)
+    if (Behavior.Shed || !Behavior.RetryAfter.empty())
       return refuse(503, respond);
     ++RunsByRequest[id];
     if (Behavior.NeverAnswer)
@@ -123,6 +127,10 @@
     auto refusal =
         entry::textAnswer(static_cast<boost::beast::http::status>(status), "");
     refusal.set("Savorytrestle-Not-Executed", "1");
+    if (!Behavior.RetryAfter.empty())
+      refusal.set("Retry-After", Behavior.RetryAfter);
+    if (Behavior.Leaving)
+      refusal.set("Server-Leaving", "1");
     respond(std::move(refusal));
     return nullptr;
   }
@@ -135,6 +143,8 @@
     answer.set("Savorytrestle-Request-Id", id);
     answer.set("Savorytrestle-Server-Stamp", "stamp-" + Id + "-" + id);
     answer.set("Savorytrestle-Instance-Load", "1,0,5");
+    if (Behavior.Leaving)
+      answer.set("Server-Leaving", "1");
     return answer;
   }
 
