Follow the store through its return from an older copy

Cause: revisions were compared without an era. A store that comes back from a copy gives revisions out again; the mirror then waited for changes after a revision of the past, and leases, host entries and configuration went by what the copy holds.

Change: a position is (era, revision) in the mirror and in the pages between hosts; store::EraTracker notices a rise on any answer and drops answers of an older era. After a rise all items are listed anew, the newest configuration stays and is offered to hosts that start, lost leaf entries stay for the grace period, leaves that had left don't come back, and each host writes its entry under a new lease, spread over the hosts.

--- a/include/savorytrestle/core/DepartedLeaves.h
+++ b/include/savorytrestle/core/DepartedLeaves.h
@@ -6,9 +6,11 @@
 /// them, from the store, another host or an older copy of the store, doesn't
 /// bring them back.
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <set>
 #include <string>
 
@@ -45,6 +47,24 @@
   std::deque<LeafRun> ByAge;
 };
 
+/// @brief Runs whose entries were removed of late. An older copy of the store
+/// may show them again, until the store has removed them for their silence.
+class RemovedRuns {
+public:
+  /// Time after which an entry in a copy is taken for one of a living leaf.
+  static constexpr std::chrono::milliseconds CopyLifetime{5000};
+
+  /// @brief Records a removal. O(log n) amortised.
+  void onRemoved(const LeafRun &run, TimePoint now);
+
+  /// @brief Whether the run was removed within the last minutes, so that a copy
+  /// may show it. O(log n).
+  bool contains(const LeafRun &run, TimePoint now) const;
+
+private:
+  std::map<LeafRun, TimePoint> RemovedAt;
+};
+
 /// @brief Time that a host waits before it tells the others of a leaf that is
 /// leaving. The first host's notice saves the others theirs.
 /// @param hosts number of hosts
--- a/src/core/DepartedLeaves.cpp
+++ b/src/core/DepartedLeaves.cpp
@@ -6,6 +6,8 @@
 
 /// Several times the leaves of a large deployment.
 constexpr std::size_t MaxRuns = 16384;
+/// Longest age of a copy from which the store comes back, its outage included.
+constexpr std::chrono::minutes MaxCopyAge{5};
 /// Within this time a leaf that shuts down as planned has updated its entry.
 constexpr std::chrono::milliseconds MinNoticeDelay{1000};
 /// The first notice takes about a second to reach all hosts; about twenty hosts
@@ -25,6 +27,17 @@
   return true;
 }
 
+void RemovedRuns::onRemoved(const LeafRun &run, TimePoint now) {
+  std::erase_if(RemovedAt,
+                [now](const auto &it) { return now - it.second > MaxCopyAge; });
+  RemovedAt[run] = now;
+}
+
+bool RemovedRuns::contains(const LeafRun &run, TimePoint now) const {
+  const auto it = RemovedAt.find(run);
+  return it != RemovedAt.end() && now - it->second <= MaxCopyAge;
+}
+
 Duration departureNoticeDelay(std::size_t hosts, double draw) {
   const Duration spread =
       NoticeSpreadPerHost * static_cast<Duration::rep>(hosts);
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -177,6 +177,13 @@
   return it != ById.end() && it->second->acceptsRequests();
 }
 
+std::optional<core::LeafRun> LeafDirectory::runOf(const std::string &id) const {
+  const auto it = ById.find(id);
+  if (it == ById.end())
+    return std::nullopt;
+  return it->second->run();
+}
+
 std::vector<std::string> LeafDirectory::leafIds() const {
   std::vector<std::string> ids;
   for (const auto &[id, leaf] : ById)
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -92,6 +93,9 @@
   /// @brief Whether a leaf has an entry and new requests may be sent to it.
   bool acceptsRequests(const std::string &id) const;
 
+  /// @brief The run of a leaf's process that has an entry, if any.
+  std::optional<core::LeafRun> runOf(const std::string &id) const;
+
   /// @brief Identities of all leaves with an entry.
   std::vector<std::string> leafIds() const;
 
--- a/src/registry/ConfigFeed.cpp
+++ b/src/registry/ConfigFeed.cpp
@@ -18,6 +18,15 @@
   };
   handlers.OnChanges = handlers.OnList;
   handlers.OnStoreReachable = [] {};
+  // A configuration in force is never replaced by an older one.
+  handlers.KeepsHeld = [](const store::StoredItem &held,
+                          const store::StoredItem *listed) {
+    const auto config = platform::decodeServingConfig(held.Value);
+    if (!config || listed == nullptr)
+      return config.has_value();
+    const auto other = platform::decodeServingConfig(listed->Value);
+    return !other || other->Version < config->Version;
+  };
   mirror.subscribe(platform::ConfigKey, std::move(handlers));
 }
 
--- a/src/registry/FeedPage.cpp
+++ b/src/registry/FeedPage.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "support/BoundedJson.h"
+#include "support/UrlEncode.h"
 
 namespace savorytrestle::registry {
 
@@ -39,8 +40,14 @@
 } // namespace
 
 std::string formatFeedTarget(const FeedQuery &query) {
-  return absl::StrCat(std::string(FeedPath), "after=", query.After,
-                      "&wait_ms=", query.Wait.count());
+  std::string target =
+      absl::StrCat(std::string(FeedPath), "after=", query.After.At,
+                   "&wait_ms=", query.Wait.count());
+  if (query.After.StoreEra)
+    absl::StrAppend(&target, "&era=", *query.After.StoreEra);
+  if (!query.Prefix.empty())
+    absl::StrAppend(&target, "&prefix=", support::urlEncoded(query.Prefix));
+  return target;
 }
 
 std::optional<FeedQuery> parseFeedTarget(std::string_view target) {
@@ -51,11 +58,17 @@
   for (const auto part : absl::StrSplit(std::string(target), '&')) {
     const std::pair<std::string, std::string> field =
         absl::StrSplit(part, absl::MaxSplits('=', 1));
+    if (field.first == "prefix") {
+      query.Prefix = support::urlDecoded(field.second);
+      continue;
+    }
     std::int64_t number = 0;
     if (!absl::SimpleAtoi(field.second, &number) || number < 0)
       return std::nullopt;
     if (field.first == "after")
-      query.After = static_cast<store::Revision>(number);
+      query.After.At = static_cast<store::Revision>(number);
+    else if (field.first == "era")
+      query.After.StoreEra = static_cast<store::Era>(number);
     else if (field.first == "wait_ms")
       query.Wait = milliseconds(number);
   }
@@ -66,17 +79,21 @@
   json items = json::array();
   for (const store::StoredItem &item : page.Items)
     items.push_back(encodeItem(item));
-  return json{{"at", page.At},
+  json object{{"at", page.At.At},
               {"whole", page.IsFullList},
               {"age_ms", page.Age.count()},
-              {"items", std::move(items)}}
-      .dump(-1, ' ', false, json::error_handler_t::replace);
+              {"items", std::move(items)}};
+  if (page.At.StoreEra)
+    object["era"] = *page.At.StoreEra;
+  return object.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 core::Result<FeedPage> decodeFeedPage(std::string_view body) {
   return support::decodeJson<FeedPage>(body, [](const json &object) {
     FeedPage page;
-    page.At = object.at("at").get<store::Revision>();
+    page.At.At = object.at("at").get<store::Revision>();
+    if (object.contains("era"))
+      page.At.StoreEra = object["era"].get<store::Era>();
     page.IsFullList = object.at("whole").get<bool>();
     page.Age = milliseconds(object.at("age_ms").get<std::int64_t>());
     for (const json &item : object.at("items"))
--- a/src/registry/FeedPage.h
+++ b/src/registry/FeedPage.h
@@ -18,8 +18,11 @@
 
 /// @brief Request of a host for changes.
 struct FeedQuery {
-  /// Revision up to which the requesting host has the items; 0 if it has none.
-  store::Revision After = 0;
+  /// Position up to which the requesting host has the items; revision 0 if it
+  /// has none.
+  store::Position After{};
+  /// Prefix of the keys of the items that it wants.
+  std::string Prefix{};
   /// How long the reply may be held back while there are no changes.
   std::chrono::milliseconds Wait{0};
 };
@@ -27,8 +30,8 @@
 /// @brief Items or changes as held by the replying host.
 struct FeedPage {
   std::vector<store::StoredItem> Items{};
-  /// Revision up to which Items is complete.
-  store::Revision At = 0;
+  /// Position up to which Items is complete.
+  store::Position At{};
   /// Whether Items holds all items of the store rather than changes.
   bool IsFullList = false;
   /// Time since the replying host's copy was last known to be up to date.
--- a/src/registry/FeedServer.cpp
+++ b/src/registry/FeedServer.cpp
@@ -42,10 +42,10 @@
     respond(entry::errorAnswer(http::status::not_found, "no such path"));
     return nullptr;
   }
-  const auto page = Mirror->pageAfter(query->After);
+  const auto page = Mirror->pageAfter(query->After, query->Prefix);
   // A host without any items (revision 0) gets items of any age: old items are
   // better than none.
-  if (!page || (query->After != 0 && !Mirror->isFresh())) {
+  if (!page || (query->After.At != 0 && !Mirror->isFresh())) {
     respond(entry::errorAnswer(http::status::service_unavailable,
                                "no up-to-date copy of the store"));
     return nullptr;
@@ -72,9 +72,9 @@
 void FeedServer::answerPolls() {
   const auto polls = std::move(PendingPolls);
   PendingPolls.clear();
-  // Nearly all polls wait for changes after the same revision, so each answer
-  // is encoded once per revision.
-  std::map<store::Revision, entry::CallerAnswer> answers;
+  // Nearly all polls wait for changes after the same position, so each answer
+  // is encoded once per position.
+  std::map<store::Position, entry::CallerAnswer> answers;
   for (const PendingPollPtr &poll : polls) {
     poll->Timer.cancel();
     const auto [it, isNew] = answers.try_emplace(poll->After);
--- a/src/registry/FeedServer.h
+++ b/src/registry/FeedServer.h
@@ -38,11 +38,11 @@
 
 private:
   struct PendingPoll {
-    PendingPoll(boost::asio::io_context &io, store::Revision after,
+    PendingPoll(boost::asio::io_context &io, store::Position after,
                 entry::AnswerHandler respond)
         : Timer(io), After(after), Respond(std::move(respond)) {}
     boost::asio::steady_timer Timer;
-    store::Revision After;
+    store::Position After;
     entry::AnswerHandler Respond;
   };
   using PendingPollPtr = std::shared_ptr<PendingPoll>;
--- a/src/registry/HostFeed.cpp
+++ b/src/registry/HostFeed.cpp
@@ -34,6 +34,10 @@
   handlers.OnList = [self](const auto &items) { self->onList(items); };
   handlers.OnChanges = [self](const auto &items) { self->onChanges(items); };
   handlers.OnStoreReachable = [self] { self->Removals->onStoreReachable(); };
+  handlers.OnEraRise = [self] {
+    self->Removals->onStoreReachable();
+    self->LastReadRevision.clear();
+  };
   mirror.subscribe(HostPrefix, std::move(handlers));
 }
 
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -17,6 +17,9 @@
 /// Three renewals fit into the lease time, so that two may fail.
 constexpr milliseconds RenewInterval{4500};
 constexpr milliseconds RetryInterval{1000};
+/// After a rise of the store's era all hosts write their entries again: 200 a
+/// second.
+constexpr milliseconds RelistSpreadPerHost{5};
 constexpr milliseconds ReplyTimeout{1500};
 /// Collects the data of several requests in one write.
 constexpr milliseconds WriteDelay{1000};
@@ -42,12 +45,40 @@
 
 HostPresence::HostPresence(boost::asio::io_context &io,
                            const boost::asio::ip::tcp::endpoint &store,
-                           HostEntry entry)
+                           HostEntry entry,
+                           std::shared_ptr<store::EraTracker> eras)
     : Timer(io),
-      Connection(std::make_shared<store::StoreConnection>(io, store)),
-      Entry(std::move(entry)) {}
+      Connection(std::make_shared<store::StoreConnection>(io, store, eras)),
+      Entry(std::move(entry)), Eras(std::move(eras)) {}
+
+void HostPresence::start() {
+  Eras->onRise([weak = weak_from_this()](store::Era) {
+    if (const auto self = weak.lock())
+      self->onEraRise();
+  });
+  requestLease();
+}
 
-void HostPresence::start() { requestLease(); }
+void HostPresence::onEraRise() {
+  // A call in flight ends first; its handler asks for the lease.
+  if (CallScheduled)
+    replacedLostLease();
+}
+
+bool HostPresence::replacedLostLease() {
+  if (Lease == store::NoLease || LeaseEra == Eras->current())
+    return false;
+  support::LogLine("host_lease_lost")
+      .with("lease", Lease)
+      .with("why", "store era");
+  // The store may have given the id to another host.
+  Lease = store::NoLease;
+  const auto spread = RelistSpreadPerHost * HostCount;
+  scheduleCall(milliseconds(std::uniform_int_distribution<std::int64_t>(
+                   0, spread.count())(Random)),
+               &HostPresence::requestLease);
+  return true;
+}
 
 void HostPresence::stop() {
   Stopped = true;
@@ -80,6 +111,7 @@
 }
 
 void HostPresence::requestLease() {
+  LeaseEra = Eras->current();
   Connection->call(
       platform::encodeGrantLease(LeaseTime), ReplyTimeout,
       [self = shared_from_this()](const store::StoreReply &reply) {
@@ -90,6 +122,9 @@
         if (!lease)
           return self->scheduleCall(RetryInterval, &HostPresence::requestLease);
         self->Lease = lease->Id;
+        // The first answer of all tells the era.
+        if (!self->LeaseEra)
+          self->LeaseEra = self->Eras->current();
         self->RenewBy = std::chrono::steady_clock::now() + RenewInterval;
         self->writeEntry();
       });
@@ -104,6 +139,8 @@
                         {}}),
                    ReplyTimeout,
                    [self = shared_from_this()](const store::StoreReply &reply) {
+                     if (self->replacedLostLease())
+                       return;
                      if (reply.Status == platform::StatusOk)
                        return self->scheduleCall(RenewInterval,
                                                  &HostPresence::renewLease);
@@ -118,6 +155,8 @@
   Connection->call(
       platform::encodeRenewLease(Lease), ReplyTimeout,
       [self = shared_from_this()](const store::StoreReply &reply) {
+        if (self->replacedLostLease())
+          return;
         if (reply.Status == platform::StatusOk) {
           self->RenewBy = std::chrono::steady_clock::now() + RenewInterval;
           return self->HasUnsentData
--- a/src/registry/HostPresence.h
+++ b/src/registry/HostPresence.h
@@ -7,6 +7,8 @@
 #include <utility>
 
 #include <memory>
+#include <optional>
+#include <random>
 #include <vector>
 
 #include "registry/HostEntry.h"
@@ -21,12 +23,18 @@
   /// @param io runs its handlers
   /// @param store the store's address
   /// @param entry the entry of this host
+  /// @param eras era of the store, shared with the host's other connections
   HostPresence(boost::asio::io_context &io,
-               const boost::asio::ip::tcp::endpoint &store, HostEntry entry);
+               const boost::asio::ip::tcp::endpoint &store, HostEntry entry,
+               std::shared_ptr<store::EraTracker> eras);
 
   /// @brief Writes the entry under a lease and renews the lease.
   void start();
 
+  /// @brief Sets the number of hosts, over which new leases after a rise of the
+  /// store's era are spread.
+  void setHostCount(std::size_t hosts) { HostCount = hosts; }
+
   /// @brief Adds quarantine records to the entry, which is written soon after.
   void addRecords(const std::vector<core::QuarantineRecord> &records);
 
@@ -41,6 +49,9 @@
   /// Writes the entry soon, or with the next renewal of the lease if that is
   /// due.
   void scheduleWrite();
+  void onEraRise();
+  /// Whether the lease was granted in an older era; asks for a new one then.
+  bool replacedLostLease();
   void requestLease();
   void writeEntry();
   void renewLease();
@@ -50,7 +61,12 @@
   boost::asio::steady_timer Timer;
   std::shared_ptr<store::StoreConnection> Connection;
   HostEntry Entry;
+  std::shared_ptr<store::EraTracker> Eras;
   store::LeaseId Lease = store::NoLease;
+  /// Era in which the lease was requested.
+  std::optional<store::Era> LeaseEra{};
+  std::size_t HostCount = 1;
+  std::minstd_rand Random{std::random_device{}()};
   core::TimePoint RenewBy{};
   /// Whether the entry has data that hasn't been written to the store.
   bool HasUnsentData = false;
--- a/src/registry/LeafFeed.cpp
+++ b/src/registry/LeafFeed.cpp
@@ -9,6 +9,8 @@
 
 namespace savorytrestle::registry {
 
+using SteadyClock = std::chrono::steady_clock;
+
 namespace {
 
 /// Live leaves write their entry again about two seconds after the store is
@@ -22,13 +24,15 @@
 } // namespace
 
 LeafFeed::LeafFeed(boost::asio::io_context &io, leaf::LeafDirectory &leaves)
-    : Leaves(leaves),
+    : Leaves(leaves), CopyTimer(io),
       Removals(std::make_shared<HeldRemovals>(
-          io, GraceTime, [&leaves](const std::string &id, bool held) {
+          io, GraceTime, [this](const std::string &id, bool held) {
             support::LogLine("leaf_gone")
                 .with("leaf", id)
                 .with("held", held ? 1 : 0);
-            leaves.removeLeaf(id);
+            if (const auto run = Leaves.runOf(id))
+              Removed.onRemoved(*run, SteadyClock::now());
+            Leaves.removeLeaf(id);
           })) {}
 
 void LeafFeed::start(StoreMirror &mirror) {
@@ -37,14 +41,22 @@
   handlers.OnList = [self](const auto &items) { self->onList(items); };
   handlers.OnChanges = [self](const auto &items) { self->onChanges(items); };
   handlers.OnStoreReachable = [self] { self->Removals->onStoreReachable(); };
+  handlers.OnEraRise = [self] {
+    self->Removals->onStoreReachable();
+    self->NextListIsCopy = true;
+  };
   mirror.subscribe(platform::LeafKeyPrefix, std::move(handlers));
 }
 
 void LeafFeed::onList(const std::vector<store::StoredItem> &items) {
   std::set<std::string> listed;
+  const bool fromCopy = std::exchange(NextListIsCopy, false);
   for (const store::StoredItem &item : items) {
     listed.insert(idOf(item));
-    onItem(item);
+    if (fromCopy && wasRemoved(item))
+      withhold(item);
+    else
+      onItem(item);
   }
   for (const std::string &id : Leaves.leafIds())
     if (listed.count(id) == 0)
@@ -64,8 +76,30 @@
     onItem(item);
 }
 
+bool LeafFeed::wasRemoved(const store::StoredItem &item) const {
+  const auto entry = platform::decodeLeafEntry(idOf(item), item.Value);
+  return entry && !Leaves.runOf(entry->Id) &&
+         Removed.contains({entry->Id, entry->Address, entry->StartedAt},
+                          SteadyClock::now());
+}
+
+void LeafFeed::withhold(const store::StoredItem &item) {
+  support::LogLine("leaf_withheld").with("leaf", idOf(item));
+  Withheld[idOf(item)] = item;
+  CopyTimer.expires_after(core::RemovedRuns::CopyLifetime);
+  CopyTimer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code &ec) {
+        if (ec)
+          return;
+        // The store still lists it, so the leaf reports to it.
+        for (const auto &[id, withheld] : std::exchange(self->Withheld, {}))
+          self->onItem(withheld);
+      });
+}
+
 void LeafFeed::onItem(const store::StoredItem &item) {
   const std::string id = idOf(item);
+  Withheld.erase(id);
   if (item.Removed)
     return Removals->onRemoved(id);
   const auto entry = platform::decodeLeafEntry(id, item.Value);
--- a/src/registry/LeafFeed.h
+++ b/src/registry/LeafFeed.h
@@ -7,7 +7,9 @@
 
 #include <utility>
 
+#include <map>
 #include <memory>
+#include <string>
 
 #include "leaf/LeafDirectory.h"
 #include "registry/HeldRemovals.h"
@@ -33,9 +35,19 @@
   void onList(const std::vector<store::StoredItem> &items);
   void onChanges(const std::vector<store::StoredItem> &items);
   void onItem(const store::StoredItem &item);
+  /// Whether an item in an older copy is of a leaf that was removed after it.
+  bool wasRemoved(const store::StoredItem &item) const;
+  /// Holds such an item back until it is written again, or has outlived its
+  /// copy.
+  void withhold(const store::StoredItem &item);
 
   leaf::LeafDirectory &Leaves;
+  boost::asio::steady_timer CopyTimer;
   std::shared_ptr<HeldRemovals> Removals;
+  core::RemovedRuns Removed;
+  std::map<std::string, store::StoredItem> Withheld;
+  /// Whether the next list is of a store that came back from an older copy.
+  bool NextListIsCopy = false;
   bool HasList = false;
 };
 
--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -52,8 +52,10 @@
 } // namespace
 
 StoreMirror::StoreMirror(boost::asio::io_context &io, const Endpoint &store,
-                         const core::FeedTiming &timing)
-    : Io(io), NextCallTimer(io), Timing(timing), StoreAddress(store) {
+                         const core::FeedTiming &timing,
+                         std::shared_ptr<store::EraTracker> eras)
+    : Io(io), NextCallTimer(io), Timing(timing), Eras(std::move(eras)),
+      StoreAddress(store) {
   rebuildSources();
 }
 
@@ -61,7 +63,28 @@
   Subscriptions.emplace_back(std::move(prefix), std::move(handlers));
 }
 
-void StoreMirror::start() { callNextSource(); }
+void StoreMirror::start() {
+  Eras->onRise([weak = weak_from_this()](store::Era) {
+    if (const auto self = weak.lock())
+      self->onEraRise();
+  });
+  callNextSource();
+}
+
+void StoreMirror::onEraRise() {
+  NeedsFullList = true;
+  for (const auto &[prefix, handlers] : Subscriptions)
+    if (handlers.OnEraRise)
+      handlers.OnEraRise();
+  if (Stopped || !PendingSource)
+    return;
+  // The call in flight may wait for changes after a position of the older era.
+  PendingSource->Connection->close();
+  PendingSource.reset();
+  scheduleNextCall(core::Duration::zero());
+}
+
+bool StoreMirror::behindEra() const { return Known.StoreEra < Eras->current(); }
 
 void StoreMirror::stop() {
   Stopped = true;
@@ -76,7 +99,9 @@
   if (!source)
     source = std::make_shared<Source>(
         Source{addressText(address),
-               std::make_shared<store::StoreConnection>(Io, address), isStore});
+               std::make_shared<store::StoreConnection>(
+                   Io, address, isStore ? Eras : nullptr),
+               isStore});
   return source;
 }
 
@@ -121,31 +146,43 @@
 }
 
 bool StoreMirror::isFresh() const {
-  return KnownRevision != 0 && SteadyClock::now() - UpToDateAt <= Timing.MaxAge;
+  return Known.At != 0 && !behindEra() &&
+         SteadyClock::now() - UpToDateAt <= Timing.MaxAge;
 }
 
 milliseconds StoreMirror::age() const {
   return std::chrono::ceil<milliseconds>(SteadyClock::now() - UpToDateAt);
 }
 
-std::optional<FeedPage> StoreMirror::pageAfter(store::Revision after) const {
-  if (KnownRevision == 0 || after > KnownRevision)
+std::optional<FeedPage>
+StoreMirror::pageAfter(store::Position after, const std::string &prefix) const {
+  if (!after.StoreEra)
+    after.StoreEra = Eras->first();
+  if (Known.At == 0)
+    return std::nullopt;
+  if (after.At != 0 && (after > Known || behindEra()))
     return std::nullopt;
-  FeedPage page{{}, KnownRevision, false, age()};
-  if (after == 0 || after < RemovalsKeptAfter) {
+  FeedPage page{{}, Known, false, age()};
+  const auto add = [&](const StoredItem &item) {
+    if (item.Key.starts_with(prefix))
+      page.Items.push_back(item);
+  };
+  // A host of an older era, or one that is far behind, starts anew.
+  if (after.At == 0 || after.StoreEra < Known.StoreEra ||
+      after.At < RemovalsKeptAfter) {
     page.IsFullList = true;
     for (const auto &[key, item] : Items)
-      page.Items.push_back(item);
+      add(item);
     return page;
   }
-  if (after >= LastChangeRevision)
+  if (after.At >= LastChangeRevision)
     return page;
   for (const StoredItem &item : Removals)
-    if (item.ModRevision > after)
-      page.Items.push_back(item);
+    if (item.ModRevision > after.At)
+      add(item);
   for (const auto &[key, item] : Items)
-    if (item.ModRevision > after)
-      page.Items.push_back(item);
+    if (item.ModRevision > after.At)
+      add(item);
   return page;
 }
 
@@ -175,7 +212,7 @@
   if (!NeedsFullList)
     return watchStore(source);
   ListedItems.clear();
-  ListRevision = 0;
+  ListStart = {};
   listStore(source, "");
 }
 
@@ -196,14 +233,21 @@
     return onSourceFailure(source, reply.Status, page.error().Message);
   // The pages are not a snapshot. A watch from the first page's revision
   // returns the changes made while the other pages were read.
-  if (ListRevision == 0)
-    ListRevision = page->At;
+  const auto era = Eras->current();
+  if (ListStart.At == 0)
+    ListStart = {era, page->At};
+  // The pages of two eras make no list.
+  if (ListStart.StoreEra != era)
+    return callStore(source);
   std::move(page->Items.begin(), page->Items.end(),
             std::back_inserter(ListedItems));
   if (page->HasMore && !page->Items.empty())
     return listStore(source, ListedItems.back().Key);
   onSourceSuccess(source, milliseconds(0));
-  replaceItems(std::exchange(ListedItems, {}), ListRevision);
+  const bool first = Known.At == 0;
+  replaceItems(std::exchange(ListedItems, {}), ListStart);
+  if (first && Eras->hasEverRisen())
+    askHostsForHeldItems();
   callNextSource();
 }
 
@@ -213,7 +257,7 @@
   const auto wait = source->Unavailable ? MinPollWait : storePollWait();
   PendingIsLongPoll = wait == LongPollWait;
   source->Connection->call(
-      platform::encodeWatch("", KnownRevision, wait), wait + StoreReplyTimeout,
+      platform::encodeWatch("", Known.At, wait), wait + StoreReplyTimeout,
       [self = shared_from_this(), source](const Reply &reply) {
         if (!self->Stopped)
           self->onWatchReply(source, reply);
@@ -222,7 +266,7 @@
 
 void StoreMirror::onWatchReply(const SourcePtr &source, const Reply &reply) {
   if (reply.Status == platform::StatusHistoryGone) {
-    support::LogLine("store_history_gone").with("after", KnownRevision);
+    support::LogLine("store_history_gone").with("after", Known.At);
     NeedsFullList = true;
     return callNextSource();
   }
@@ -232,6 +276,11 @@
   if (!page)
     return onSourceFailure(source, reply.Status, page.error().Message);
   onSourceSuccess(source, milliseconds(0));
+  // The items came from a host that knows no eras.
+  if (behindEra()) {
+    NeedsFullList = true;
+    return callNextSource();
+  }
   applyChanges(page->Items, page->At);
   if (page->Items.empty())
     return callNextSource();
@@ -239,8 +288,8 @@
 }
 
 void StoreMirror::callHost(const SourcePtr &source) {
-  const FeedQuery query{NeedsFullList ? 0 : KnownRevision,
-                        std::chrono::floor<milliseconds>(Timing.ShortPollWait)};
+  FeedQuery query{NeedsFullList ? store::Position{} : Known};
+  query.Wait = std::chrono::floor<milliseconds>(Timing.ShortPollWait);
   source->Connection->call(
       {"GET", formatFeedTarget(query), ""}, query.Wait + HostReplyTimeout,
       [self = shared_from_this(), source](const Reply &reply) {
@@ -256,15 +305,18 @@
   if (!page)
     return onSourceFailure(source, reply.Status, page.error().Message);
   // A host without any items accepts a page of any age.
-  if (KnownRevision != 0 && page->Age > Timing.MaxAge)
+  if (Known.At != 0 && page->Age > Timing.MaxAge)
     return onSourceFailure(source, reply.Status, "too old");
-  if (page->At < KnownRevision)
+  // A host that knows no eras is taken to be in the first one.
+  if (!page->At.StoreEra)
+    page->At.StoreEra = Eras->first();
+  if (!Eras->observe(page->At.StoreEra) || page->At < Known)
     return onSourceFailure(source, reply.Status, "behind");
   onSourceSuccess(source, page->Age);
   if (page->IsFullList)
-    replaceItems(page->Items, page->At);
-  else
-    applyChanges(page->Items, page->At);
+    replaceItems(std::move(page->Items), page->At);
+  else if (page->At.StoreEra == Known.StoreEra)
+    applyChanges(page->Items, page->At.At);
   callNextSource();
 }
 
@@ -279,7 +331,7 @@
   if (source->Unavailable)
     support::LogLine(source->IsStore ? "store_regained" : "feed_host_regained")
         .with("source", source->Name)
-        .with("known_at", KnownRevision);
+        .with("known_at", Known.At);
   source->Unavailable = false;
   source->LastFailure.clear();
   AllUnavailable = false;
@@ -298,7 +350,7 @@
         .with("source", source->Name)
         .with("status", status)
         .with("why", why)
-        .with("known_at", KnownRevision)
+        .with("known_at", Known.At)
         .with("age", age());
   source->Unavailable = true;
   source->LastFailure = reason;
@@ -313,26 +365,93 @@
   callNextSource();
 }
 
-void StoreMirror::replaceItems(const std::vector<StoredItem> &items,
-                               store::Revision atRevision) {
+void StoreMirror::replaceItems(std::vector<StoredItem> items,
+                               store::Position at) {
+  if (Known.At != 0 && at.StoreEra > Known.StoreEra)
+    restoreHeldItems(items, at.At);
   Items.clear();
   for (const StoredItem &item : items)
     Items[item.Key] = item;
   Removals.clear();
   // Other hosts may still have items that were removed before this list, and
   // those removals aren't known here: hosts behind it get the full list.
-  RemovalsKeptAfter = atRevision;
-  KnownRevision = atRevision;
-  LastChangeRevision = atRevision;
-  NeedsFullList = false;
+  RemovalsKeptAfter = at.At;
+  Known = at;
+  LastChangeRevision = at.At;
+  NeedsFullList = behindEra();
   for (const auto &[prefix, handlers] : Subscriptions) {
     handlers.OnList(itemsUnder(prefix, items));
   }
 }
 
+void StoreMirror::restoreHeldItems(std::vector<StoredItem> &listed,
+                                   store::Revision atRevision) const {
+  for (const auto &[prefix, handlers] : Subscriptions) {
+    if (!handlers.KeepsHeld)
+      continue;
+    for (auto it = Items.lower_bound(prefix);
+         it != Items.end() && it->first.starts_with(prefix); ++it) {
+      const auto same = std::find_if(
+          listed.begin(), listed.end(),
+          [&](const StoredItem &item) { return item.Key == it->first; });
+      if (!handlers.KeepsHeld(it->second,
+                              same == listed.end() ? nullptr : &*same))
+        continue;
+      StoredItem kept = it->second;
+      kept.ModRevision = atRevision;
+      if (same == listed.end())
+        listed.push_back(std::move(kept));
+      else
+        *same = std::move(kept);
+    }
+  }
+}
+
+void StoreMirror::askHostsForHeldItems() {
+  for (const auto &[prefix, handlers] : Subscriptions) {
+    if (!handlers.KeepsHeld)
+      continue;
+    FeedQuery query;
+    query.Prefix = prefix;
+    for (const Endpoint &address : Plan.FallbackSources) {
+      // A connection of its own, as the source's carries the mirror's calls.
+      const auto connection =
+          std::make_shared<store::StoreConnection>(Io, address);
+      connection->call(
+          {"GET", formatFeedTarget(query), ""}, HostReplyTimeout,
+          [self = shared_from_this(), connection, prefix](const Reply &reply) {
+            if (!self->Stopped)
+              self->onHeldItems(prefix, reply);
+          });
+    }
+  }
+}
+
+void StoreMirror::onHeldItems(const std::string &prefix, const Reply &reply) {
+  // A host that doesn't answer may hold nothing newer: nothing is lost by it.
+  if (reply.Status != platform::StatusOk)
+    return;
+  const auto page = decodeFeedPage(reply.Body);
+  if (!page)
+    return;
+  for (const auto &[subscribed, handlers] : Subscriptions) {
+    if (subscribed != prefix || !handlers.KeepsHeld)
+      continue;
+    for (const StoredItem &item : page->Items) {
+      const auto known = Items.find(item.Key);
+      if (!handlers.KeepsHeld(item,
+                              known == Items.end() ? nullptr : &known->second))
+        continue;
+      StoredItem kept = item;
+      kept.ModRevision = Known.At;
+      applyChanges({kept}, Known.At);
+    }
+  }
+}
+
 void StoreMirror::applyChanges(const std::vector<StoredItem> &items,
                                store::Revision atRevision) {
-  KnownRevision = std::max(KnownRevision, atRevision);
+  Known.At = std::max(Known.At, atRevision);
   for (const StoredItem &item : items)
     applyChange(item);
   for (const auto &[prefix, handlers] : Subscriptions) {
--- a/src/registry/StoreMirror.h
+++ b/src/registry/StoreMirror.h
@@ -29,6 +29,14 @@
   std::function<void(const std::vector<store::StoredItem> &)> OnChanges;
   /// Called when the store is reachable again, before the items read from it.
   std::function<void()> OnStoreReachable;
+  /// Called when the store has come back from an older copy, before the items
+  /// read from it; may be null.
+  std::function<void()> OnEraRise{};
+  /// Whether an item stays in place of that of an older copy, which is null if
+  /// the copy has none; null if none does.
+  std::function<bool(const store::StoredItem &held,
+                     const store::StoredItem *listed)>
+      KeepsHeld{};
 };
 
 /// @brief Addresses of the hosts from which a mirror gets changes; see
@@ -55,8 +63,10 @@
   /// @param io runs its handlers
   /// @param store the store's address
   /// @param timing waits of the polls and bound on the age of items
+  /// @param eras era of the store, shared with the host's other connections
   StoreMirror(boost::asio::io_context &io, const Endpoint &store,
-              const core::FeedTiming &timing);
+              const core::FeedTiming &timing,
+              std::shared_ptr<store::EraTracker> eras);
 
   /// @brief Subscribes to items; must be called before @ref start.
   /// @param prefix prefix of the items' keys
@@ -76,11 +86,13 @@
   /// @brief Sets the hosts to use from now on.
   void setPlan(const MirrorPlan &plan);
 
-  /// @brief Makes the page for a host that has the items up to a revision.
-  /// @param after the revision; 0 if the host has no items
+  /// @brief Makes the page for a host that has the items up to a position.
+  /// @param after the position; revision 0 if the host has no items
+  /// @param prefix prefix of the keys of the items that it wants
   /// @return the items or changes, an empty page if there are none; nothing if
-  /// this mirror is behind that revision
-  std::optional<FeedPage> pageAfter(store::Revision after) const;
+  /// this mirror is behind that position
+  std::optional<FeedPage> pageAfter(store::Position after,
+                                    const std::string &prefix = "") const;
 
   /// @brief Whether the copy is recent enough to be served to other hosts.
   bool isFresh() const;
@@ -110,11 +122,18 @@
   void onListReply(const SourcePtr &source, const Reply &reply);
   void onWatchReply(const SourcePtr &source, const Reply &reply);
   void onHostReply(const SourcePtr &source, const Reply &reply);
+  void onEraRise();
+  bool behindEra() const;
+  /// Asks other hosts for items that the store's copy may have lost.
+  void askHostsForHeldItems();
+  void onHeldItems(const std::string &prefix, const Reply &reply);
+  /// Puts back held items that stay in place of those of an older copy.
+  void restoreHeldItems(std::vector<store::StoredItem> &listed,
+                        store::Revision atRevision) const;
   void onSourceSuccess(const SourcePtr &source, std::chrono::milliseconds age);
   void onSourceFailure(const SourcePtr &source, unsigned status,
                        const std::string &why);
-  void replaceItems(const std::vector<store::StoredItem> &items,
-                    store::Revision atRevision);
+  void replaceItems(std::vector<store::StoredItem> items, store::Position at);
   void applyChanges(const std::vector<store::StoredItem> &items,
                     store::Revision atRevision);
   void applyChange(const store::StoredItem &item);
@@ -125,6 +144,7 @@
   boost::asio::io_context &Io;
   boost::asio::steady_timer NextCallTimer;
   const core::FeedTiming Timing;
+  const std::shared_ptr<store::EraTracker> Eras;
   std::vector<std::pair<std::string, FeedHandlers>> Subscriptions;
   std::map<Endpoint, SourcePtr> SourcesByAddress;
   std::vector<SourcePtr> Sources;
@@ -141,16 +161,16 @@
   std::deque<store::StoredItem> Removals;
   /// Removals up to this revision are no longer in Removals.
   store::Revision RemovalsKeptAfter = 0;
-  /// Revision up to which Items is complete; 0 before the first list.
-  store::Revision KnownRevision = 0;
+  /// Position up to which Items is complete; revision 0 before the first list.
+  store::Position Known{};
   /// Highest revision of a change in Items or Removals.
   store::Revision LastChangeRevision = 0;
   /// Last time at which the copy was known to be up to date.
   core::TimePoint UpToDateAt{};
   /// Items of the list that is being read page by page.
   std::vector<store::StoredItem> ListedItems;
-  /// Revision of that list's first page.
-  store::Revision ListRevision = 0;
+  /// Position of that list's first page.
+  store::Position ListStart{};
   bool NeedsFullList = true;
   /// Whether the last call to each source failed.
   bool AllUnavailable = false;
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -103,7 +103,7 @@
 
 void PlatformHost::startFeeds(const Endpoint &store) {
   Mirror = std::make_shared<registry::StoreMirror>(
-      Io, store, core::FeedTiming(Config.ConfigApplyTime));
+      Io, store, core::FeedTiming(Config.ConfigApplyTime), Eras);
   Configs = std::make_shared<registry::ConfigFeed>([this](const auto &config) {
     Leaves.applyConfig(*config);
     Router.setConfig(config);
@@ -134,7 +134,8 @@
   Presence = std::make_shared<registry::HostPresence>(
       Io, store,
       registry::HostEntry{Config.Id, Config.FailureDomain, Config.CallerAddress,
-                          Config.PeerAddress});
+                          Config.PeerAddress},
+      Eras);
   Presence->start();
   Router.crashTracker().onRecords(
       [this](const auto &records) { Presence->addRecords(records); });
@@ -143,6 +144,7 @@
 void PlatformHost::applyHosts(const registry::KnownHosts &hosts) {
   Leaves.setHostCounts(hosts.CountByDomain);
   Departures->setHostCount(hosts.LiveHosts.size());
+  Presence->setHostCount(hosts.LiveHosts.size());
   std::vector<core::LeafEntry> peers;
   for (const registry::HostEntry &host : hosts.LiveHosts)
     if (host.Id != Config.Id) {
@@ -202,6 +204,9 @@
   HostMetrics.setGauge("savorytrestle_config_version",
                        "Version of the configuration in force.",
                        config ? static_cast<double>(config->Version) : 0);
+  HostMetrics.setGauge("savorytrestle_store_era",
+                       "Era of the store; 0 if it states none.",
+                       static_cast<double>(Eras->current().value_or(0)));
   HostMetrics.setGauge("savorytrestle_caller_connections",
                        "Open connections of callers.",
                        static_cast<double>(CallerListener->connectionCount()));
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -67,6 +67,8 @@
   std::filesystem::file_time_type ConfigFileWritten;
   support::Metrics HostMetrics;
   leaf::LeafDirectory Leaves;
+  std::shared_ptr<store::EraTracker> Eras =
+      std::make_shared<store::EraTracker>();
   std::shared_ptr<registry::StoreMirror> Mirror;
   std::shared_ptr<registry::FeedServer> PeerFeed;
   std::shared_ptr<registry::ConfigFeed> Configs;
--- a/src/store/StoreConnection.cpp
+++ b/src/store/StoreConnection.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
+#include <absl/strings/numbers.h>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "platform/StoreProtocol.h"
 #include "support/SocketOptions.h"
 
 namespace savorytrestle::store {
@@ -27,11 +29,20 @@
 /// Enough for the longest page of a range in its encoded form.
 constexpr std::size_t MaxReplyBytes = 8 << 20;
 
+std::optional<Era> eraOf(const http::response<http::string_body> &response) {
+  const auto text = response[platform::StoreEraHeader];
+  Era era = 0;
+  if (!absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &era))
+    return std::nullopt;
+  return era;
+}
+
 } // namespace
 
 StoreConnection::StoreConnection(boost::asio::io_context &io,
-                                 tcp::endpoint address)
-    : Io(io), Address(std::move(address)), Timer(io) {}
+                                 tcp::endpoint address,
+                                 std::shared_ptr<EraTracker> eras)
+    : Io(io), Address(std::move(address)), Eras(std::move(eras)), Timer(io) {}
 
 void StoreConnection::call(const StoreCall &call, milliseconds timeout,
                            ReplyHandler onReply) {
@@ -131,6 +142,11 @@
 void StoreConnection::onResponse(const std::shared_ptr<Link> &link,
                                  Parser &parser) {
   auto response = parser.release();
+  if (Eras && !Eras->observe(eraOf(response)))
+    return fail("reply of an older store era");
+  // A handler of the rise may have closed the connection.
+  if (CurrentLink != link)
+    return;
   if (!response.keep_alive() || link->Buffer.size() > 0)
     CurrentLink.reset();
   complete({response.result_int(), std::move(response.body()), "", true});
--- a/src/store/StoreConnection.h
+++ b/src/store/StoreConnection.h
@@ -18,7 +18,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include "store/StoreTypes.h"
+#include "store/EraTracker.h"
 
 namespace savorytrestle::store {
 
@@ -43,8 +43,11 @@
   /// @brief Makes a connection; it is not opened yet.
   /// @param io runs its handlers
   /// @param address the store's address
+  /// @param eras takes the eras of the replies, if given; replies of an older
+  /// era than the newest are dropped, and their calls fail
   StoreConnection(boost::asio::io_context &io,
-                  boost::asio::ip::tcp::endpoint address);
+                  boost::asio::ip::tcp::endpoint address,
+                  std::shared_ptr<EraTracker> eras = nullptr);
 
   /// @brief Makes a call; the previous one must have ended.
   /// @param call the call
@@ -79,6 +82,7 @@
 
   boost::asio::io_context &Io;
   boost::asio::ip::tcp::endpoint Address;
+  std::shared_ptr<EraTracker> Eras;
   boost::asio::steady_timer Timer;
   std::shared_ptr<Link> CurrentLink;
   std::shared_ptr<Request> PendingRequest;
--- a/src/store/StoreTypes.h
+++ b/src/store/StoreTypes.h
@@ -5,7 +5,9 @@
 /// @brief Data of the platform's store, and a call to it.
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,19 @@
 /// @brief Revision of a key that has no item.
 inline constexpr Revision NoItem = 0;
 
+/// @brief Era of the store; it rises by one when the store comes back from an
+/// older copy. Revisions are given out again in each era.
+using Era = std::uint64_t;
+
+/// @brief Position in the store's history.
+struct Position {
+  /// Nothing if the store or the host that states the position knows no eras.
+  std::optional<Era> StoreEra{};
+  Revision At = 0;
+
+  auto operator<=>(const Position &) const = default;
+};
+
 /// @brief Id of a lease.
 using LeaseId = std::uint64_t;
 
--- a/src/support/UrlEncode.h
+++ b/src/support/UrlEncode.h
@@ -13,6 +13,9 @@
 /// @return the encoded form; empty when memory for it can't be allocated
 std::string urlEncoded(const std::string &text);
 
+/// @brief Decodes a percent-encoded text.
+std::string urlDecoded(const std::string &text);
+
 } // namespace savorytrestle::support
 
 #endif
--- a/tests/standins/MetadataStore.h
+++ b/tests/standins/MetadataStore.h
@@ -83,6 +83,27 @@
       tryAnswerWatch(watch);
   }
 
+  /// @brief Takes the copy from which @ref restoreCopy brings the store back.
+  void takeCopy() { Copy = {Items, CurrentRevision}; }
+
+  /// @brief Comes back from the copy: what was written since is gone, leases
+  /// too, revisions are given out again, and the era rises by one.
+  void restoreCopy() {
+    Items = Copy.Items;
+    CurrentRevision = CompactedRevision = Copy.Revision;
+    History.clear();
+    Leases.clear();
+    ++CurrentEra;
+    auto waiting = std::move(Watches);
+    Watches.clear();
+    for (auto &watch : waiting) {
+      watch.Timer->cancel();
+      watch.Respond(std::nullopt);
+    }
+  }
+
+  std::uint64_t revision() const { return CurrentRevision; }
+
   void setFault(StoreFault fault) { Fault = fault; }
 
   /// @brief Closes all connections, as an idle timeout does.
@@ -140,8 +161,9 @@
   };
   using Query = std::map<std::string, std::string>;
 
-  static StandInResponse reply(unsigned status, const Json &body) {
+  StandInResponse reply(unsigned status, const Json &body) const {
     StandInResponse answer{static_cast<boost::beast::http::status>(status), 11};
+    answer.set("Store-Era", std::to_string(CurrentEra));
     answer.set(boost::beast::http::field::content_type, "application/json");
     answer.body() = body.dump();
     return answer;
@@ -315,7 +337,7 @@
   /// Answers a watch that has events or whose history was dropped; returns
   /// whether it did.
   bool tryAnswerWatch(Watch &watch) {
-    if (watch.After < CompactedRevision) {
+    if (watch.After < CompactedRevision || watch.After > CurrentRevision) {
       watch.Timer->cancel();
       watch.Respond(reply(410, Json::object()));
       return true;
@@ -418,6 +440,12 @@
   std::vector<Watch> Watches;
   std::vector<SendResponse> Unanswered;
   std::map<std::uint64_t, Lease> Leases;
+  /// State to come back to.
+  struct StoreCopy {
+    std::map<std::string, Item> Items;
+    std::uint64_t Revision = 1;
+  } Copy;
+  std::uint64_t CurrentEra = 1;
   std::uint64_t CurrentRevision = 1;
   std::uint64_t CompactedRevision = 0;
   std::uint64_t NextLease = 1;
--- a/tests/unit-store-mirror.cpp
+++ b/tests/unit-store-mirror.cpp
@@ -27,7 +27,7 @@
 public:
   MirrorHost(boost::asio::io_context &io, int storePort)
       : Mirror(std::make_shared<registry::StoreMirror>(io, loopback(storePort),
-                                                       Timing)),
+                                                       Timing, Eras)),
         Server(std::make_shared<registry::FeedServer>(io, Mirror)),
         Context(std::make_shared<entry::SessionContext>()),
         HostListener(std::make_shared<entry::Listener>(io, Context)) {
@@ -51,6 +51,8 @@
   tcp::endpoint address() const { return HostListener->address(); }
   bool has(const std::string &key) const { return Items.count(key) > 0; }
 
+  std::shared_ptr<store::EraTracker> Eras =
+      std::make_shared<store::EraTracker>();
   std::shared_ptr<registry::StoreMirror> Mirror;
   std::map<std::string, std::string> Items;
   int StoreReachableCalls = 0;
