Take the first list from a seed instead of the store

Change: a host that is no seed asks one first, which answers once it has its own list; the store follows after 600 ms. A page that is too old counts only if the store has failed.

--- a/include/savorytrestle/core/FeedPolicy.h
+++ b/include/savorytrestle/core/FeedPolicy.h
@@ -90,6 +90,12 @@
   /// @brief A source answered.
   void onSuccess(std::size_t source);
 
+  /// @brief Keeps a source from being used before a time, unless it is the
+  /// first that may be.
+  void holdBack(std::size_t source, TimePoint until) {
+    Sources[source].RetryAt = std::max(Sources[source].RetryAt, until);
+  }
+
 private:
   struct State {
     Backoff Limits;
--- a/src/registry/FeedServer.cpp
+++ b/src/registry/FeedServer.cpp
@@ -45,12 +45,16 @@
   const auto page = Mirror->pageAfter(query->After, query->Prefix);
   // A host without any items (revision 0) gets items of any age: old items are
   // better than none.
-  if (!page || (query->After.At != 0 && !Mirror->isFresh())) {
+  const bool waitsForFirstList =
+      !page && query->After.At == 0 && query->Wait.count() > 0;
+  if (!waitsForFirstList &&
+      (!page || (query->After.At != 0 && !Mirror->isFresh()))) {
     respond(entry::errorAnswer(http::status::service_unavailable,
                                "no up-to-date copy of the store"));
     return nullptr;
   }
-  if (page->IsFullList || !page->Items.empty() || query->Wait.count() == 0) {
+  if (page &&
+      (page->IsFullList || !page->Items.empty() || query->Wait.count() == 0)) {
     respond(answerOf(page));
     return nullptr;
   }
--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -31,6 +31,10 @@
 /// whole reply time-out.
 constexpr core::SourceFailover::Backoff HostBackoff{milliseconds(2000),
                                                     milliseconds(10000)};
+/// Hosts that start together open their listeners within this time.
+constexpr milliseconds SeedHeadStart{600};
+constexpr core::SourceFailover::Backoff SeedBackoff{milliseconds(150),
+                                                    milliseconds(10000)};
 /// Number of removals that are kept, for hosts that poll again after some
 /// seconds without an answer. Hosts further behind get the full list.
 constexpr std::size_t MaxRemovals = 4096;
@@ -105,9 +109,13 @@
   return source;
 }
 
-void StoreMirror::setSeeds(std::vector<Endpoint> seeds) {
-  Plan.FallbackSources = std::move(seeds);
+void StoreMirror::setSeeds(std::vector<Endpoint> seeds, bool listsStore) {
+  (listsStore ? Plan.FallbackSources : Plan.PreferredSources) =
+      std::move(seeds);
   rebuildSources();
+  if (!listsStore && !Plan.PreferredSources.empty())
+    Failover.holdBack(Plan.PreferredSources.size(),
+                      SteadyClock::now() + SeedHeadStart);
 }
 
 void StoreMirror::setPlan(const MirrorPlan &plan) {
@@ -134,7 +142,7 @@
   std::vector<core::SourceFailover::Backoff> backoffs;
   for (const Endpoint &address : Plan.PreferredSources) {
     Sources.push_back(findOrAddSource(address, false));
-    backoffs.push_back(HostBackoff);
+    backoffs.push_back(HasPlan ? HostBackoff : SeedBackoff);
   }
   Sources.push_back(findOrAddSource(StoreAddress, true));
   backoffs.push_back(StoreBackoff);
@@ -150,6 +158,12 @@
          SteadyClock::now() - UpToDateAt <= Timing.MaxAge;
 }
 
+bool StoreMirror::storeFailed() const {
+  return std::any_of(Sources.begin(), Sources.end(), [](const SourcePtr &it) {
+    return it->IsStore && it->Unavailable;
+  });
+}
+
 milliseconds StoreMirror::age() const {
   return std::chrono::ceil<milliseconds>(SteadyClock::now() - UpToDateAt);
 }
@@ -290,6 +304,8 @@
 void StoreMirror::callHost(const SourcePtr &source) {
   FeedQuery query{NeedsFullList ? store::Position{} : Known};
   query.Wait = std::chrono::floor<milliseconds>(Timing.ShortPollWait);
+  if (Known.At == 0)
+    query.Wait = std::min(query.Wait, SeedHeadStart);
   source->Connection->call(
       {"GET", formatFeedTarget(query), ""}, query.Wait + HostReplyTimeout,
       [self = shared_from_this(), source](const Reply &reply) {
@@ -304,8 +320,9 @@
   auto page = decodeFeedPage(reply.Body);
   if (!page)
     return onSourceFailure(source, reply.Status, page.error().Message);
-  // A host without any items accepts a page of any age.
-  if (Known.At != 0 && page->Age > Timing.MaxAge)
+  // A host without any items accepts a page of any age, unless it may get a
+  // newer one from the store.
+  if (page->Age > Timing.MaxAge && (Known.At != 0 || !storeFailed()))
     return onSourceFailure(source, reply.Status, "too old");
   // A host that knows no eras is taken to be in the first one.
   if (!page->At.StoreEra)
--- a/src/registry/StoreMirror.h
+++ b/src/registry/StoreMirror.h
@@ -79,9 +79,12 @@
   /// @brief Stops; no handler is called after this.
   void stop();
 
-  /// @brief Sets the hosts to use while the store doesn't answer and there is
-  /// no plan yet.
-  void setSeeds(std::vector<Endpoint> seeds);
+  /// @brief Sets the hosts to use until there is a plan: for the first list,
+  /// so that hosts that start together don't all read it from the store, and
+  /// while the store doesn't answer.
+  /// @param seeds addresses of hosts
+  /// @param listsStore whether this host reads the first list from the store
+  void setSeeds(std::vector<Endpoint> seeds, bool listsStore = true);
 
   /// @brief Sets the hosts to use from now on.
   void setPlan(const MirrorPlan &plan);
@@ -124,6 +127,8 @@
   void onHostReply(const SourcePtr &source, const Reply &reply);
   void onEraRise();
   bool behindEra() const;
+  /// Whether the last call to the store failed.
+  bool storeFailed() const;
   /// Asks other hosts for items that the store's copy may have lost.
   void askHostsForHeldItems();
   void onHeldItems(const std::string &prefix, const Reply &reply);
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -1,5 +1,8 @@
 #include "serve/PlatformHost.h"
 
+#include <algorithm>
+#include <functional>
+
 #include "entry/Answers.h"
 #include "platform/Headers.h"
 #include "support/BeastStringView.h"
@@ -129,7 +132,16 @@
   Configs->start(*Mirror);
   Hosts->start(*Mirror);
   PeerFeed->start();
-  Mirror->setSeeds(seedEndpoints());
+  // Each host asks one seed first, so that the seeds share the others.
+  auto seeds = seedEndpoints();
+  const bool isSeed = seeds.size() < Config.SeedAddresses.size();
+  if (!seeds.empty())
+    std::rotate(seeds.begin(),
+                seeds.begin() +
+                    static_cast<long>(std::hash<std::string>()(Config.Id) %
+                                      seeds.size()),
+                seeds.end());
+  Mirror->setSeeds(std::move(seeds), isSeed);
   Mirror->start();
   Presence = std::make_shared<registry::HostPresence>(
       Io, store,
--- a/tests/unit-store-mirror.cpp
+++ b/tests/unit-store-mirror.cpp
@@ -177,6 +177,46 @@
   EXPECT_TRUE(runUntil([&] { return Follower.has("k/1"); }));
 }
 
+/// Load: many hosts that start within a moment, of which one is a seed. Were
+/// each to list the store, the calls would grow with hosts times items.
+TEST_F(StoreMirrorTest, HostsThatStartTogetherListTheStoreOnce) {
+  for (int i = 0; i < 200; ++i)
+    Store.put("k/" + std::to_string(i), "v");
+  std::vector<std::unique_ptr<MirrorHost>> hosts;
+  for (int i = 0; i < 20; ++i) {
+    hosts.push_back(std::make_unique<MirrorHost>(Io, Store.port()));
+    hosts.back()->Mirror->setSeeds({Reader.address()}, false);
+    hosts.back()->Mirror->start();
+  }
+  Reader.Mirror->start();
+  Reader.Mirror->setPlan({{}, {}, true});
+  ASSERT_TRUE(runUntil([&] {
+    return std::all_of(hosts.begin(), hosts.end(),
+                       [](const auto &it) { return it->has("k/199"); });
+  }));
+  // The seed reads five pages and starts to watch.
+  EXPECT_LE(Store.calls(), 8U);
+}
+
+TEST_F(StoreMirrorTest, AHostListsTheStoreWhenNoSeedAnswers) {
+  Follower.Mirror->setSeeds({loopback(1)}, false);
+  Follower.Mirror->start();
+  EXPECT_TRUE(runUntil([&] { return Follower.has("k/1"); }, 3s));
+}
+
+TEST_F(StoreMirrorTest, AHostDoesNotStartWithOldItemsOfASeed) {
+  Reader.Mirror->start();
+  ASSERT_TRUE(runUntil([&] { return Reader.has("k/1"); }));
+  Reader.Mirror->stop();
+  Store.put("k/2", "two");
+  Io.restart();
+  Io.run_for(std::chrono::ceil<std::chrono::milliseconds>(Timing.MaxAge) +
+             100ms);
+  Follower.Mirror->setSeeds({Reader.address()}, false);
+  Follower.Mirror->start();
+  EXPECT_TRUE(runUntil([&] { return Follower.has("k/2"); }, 3s));
+}
+
 TEST_F(StoreMirrorTest, AHostThatCannotReachTheStoreGetsChangesFromSeeds) {
   MetadataStore busyStore(Io);
   ASSERT_TRUE(busyStore.open("127.0.0.1:0"));
