Exchange reports on leaves within a failure domain

Searches spend the shared budget on hedges out of slow leaves.

Change: every 300 ms a host sends what it saw of the leaves to one host of its domain and gets the median of all hosts back (core::LeafReports); own samples of that time go first, and one host alone takes no leaf out. Domains of fewer than five hosts don't exchange. Hosts that follow another one ask a lost store seldom, and return to a preferred host without a fresh copy after 500 ms. The first list comes from a seed only when the whole fleet starts (start: fleet), since hosts that restart under load would wait for seeds that are dark.

--- a/include/savorytrestle/core/FeedPolicy.h
+++ b/include/savorytrestle/core/FeedPolicy.h
@@ -60,6 +60,15 @@
   Duration MaxAge;
 };
 
+/// @brief Selects the hosts that collect the reports on leaves of a failure
+/// domain, the preferred one first: the first two by id.
+/// @param own this host
+/// @param hosts all hosts
+/// @return their ids; none in a domain of few hosts, each of which sees the
+/// leaves often enough. O(hosts log hosts)
+std::vector<std::string> planCollectors(const FeedHost &own,
+                                        const std::vector<FeedHost> &hosts);
+
 /// @brief Selects the source to use next: the first one that is not in backoff
 /// after a failure.
 class SourceFailover {
--- a/include/savorytrestle/core/LeafScore.h
+++ b/include/savorytrestle/core/LeafScore.h
@@ -9,7 +9,9 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 
+#include "savorytrestle/core/LeafReports.h"
 #include "savorytrestle/core/Time.h"
 
 namespace savorytrestle::core {
@@ -92,6 +94,18 @@
   /// @brief Records the load that the leaf reported. O(1).
   void onLoadReport(TimePoint now, const ReportedLoad &load);
 
+  /// @brief Takes what this host saw of the leaf since the last call, for the
+  /// other hosts. O(1).
+  /// @param now current time
+  /// @return the report; nothing if there was no sample
+  std::optional<LeafReport> takeReport(TimePoint now);
+
+  /// @brief Records what the hosts of the failure domain see of the leaf. Own
+  /// samples go first unless they are older. O(1).
+  /// @param report the merged report
+  /// @param at time of its newest sample
+  void onReport(const LeafReport &report, TimePoint at);
+
   /// @brief Sets when the leaf, which is slow after its start, expects to reach
   /// full speed. O(1).
   /// @param end end of the warm-up
@@ -117,7 +131,9 @@
   /// Ratio of the leaf's latency to the expected one, from its answers and from
   /// the age of its oldest outstanding request.
   double slowness(TimePoint now) const;
+  double ownFailureRate(TimePoint now) const;
   double failureRate(TimePoint now) const;
+  double recordedSlowness(TimePoint now) const;
   void addSlowness(TimePoint now, double sample);
 
   LeafDistance Distance;
@@ -128,6 +144,13 @@
   TimePoint SlownessUpdated{};
   double FailureRate = 0;
   TimePoint FailureRateUpdated{};
+  LeafReport SharedReport;
+  TimePoint SharedAt{};
+  /// Samples since the last report.
+  double ReportedSlowness = 0;
+  int ReportedSamples = 0;
+  int ReportedRequests = 0;
+  int ReportedFailures = 0;
   int ConsecutiveUnreachable = 0;
   TimePoint BackoffUntil{};
   TimePoint WarmUpEnd{};
--- a/src/core/FeedPolicy.cpp
+++ b/src/core/FeedPolicy.cpp
@@ -14,6 +14,7 @@
 /// change to each of them; its link can carry no more on a day with many
 /// changes.
 constexpr std::size_t MaxHostsPerReader = 24;
+constexpr std::size_t MaxCollectors = 2;
 /// Most fallback sources of a host.
 constexpr std::size_t MaxFallbackSources = 3;
 
@@ -66,6 +67,19 @@
   return plan;
 }
 
+std::vector<std::string> planCollectors(const FeedHost &own,
+                                        const std::vector<FeedHost> &hosts) {
+  std::set<std::string> ids{own.Id};
+  for (const FeedHost &host : hosts)
+    if (host.FailureDomain == own.FailureDomain)
+      ids.insert(host.Id);
+  if (ids.size() < MinHostsPerDomain)
+    return {};
+  std::vector<std::string> collectors(ids.begin(), ids.end());
+  collectors.resize(MaxCollectors);
+  return collectors;
+}
+
 FeedTiming::FeedTiming(Duration configApply)
     : ShortPollWait(configApply / ApplyTimeDivisor),
       BatchDelay(std::min<Duration>(MaxBatchDelay, configApply / 4)),
--- /dev/null
+++ b/src/core/LeafReports.cpp
@@ -0,0 +1,62 @@
+#include "savorytrestle/core/LeafReports.h"
+
+#include <algorithm>
+
+namespace savorytrestle::core {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds MaxReportAge{3000};
+/// Reports that are older than the newest one on the leaf by more than this
+/// don't tell its present state.
+constexpr milliseconds MergeSpan{700};
+constexpr std::size_t MinHosts = 2;
+
+/// Returns the lower median; reorders the values.
+double lowerMedian(std::vector<double> &values) {
+  const auto middle =
+      values.begin() + static_cast<long>((values.size() - 1) / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+} // namespace
+
+void LeafReports::add(const std::string &host, const std::string &leaf,
+                      const LeafReport &report, TimePoint now) {
+  ByLeaf[leaf][host] = {report, now};
+}
+
+std::map<std::string, AgedLeafReport> LeafReports::merge(TimePoint now) {
+  std::map<std::string, AgedLeafReport> merged;
+  for (auto it = ByLeaf.begin(); it != ByLeaf.end();) {
+    auto &byHost = it->second;
+    std::erase_if(byHost, [now](const auto &entry) {
+      return now - entry.second.At > MaxReportAge;
+    });
+    if (byHost.empty()) {
+      it = ByLeaf.erase(it);
+      continue;
+    }
+    TimePoint newest{};
+    for (const auto &[host, report] : byHost)
+      newest = std::max(newest, report.At);
+    std::vector<double> slowness;
+    std::vector<double> failures;
+    for (const auto &[host, report] : byHost) {
+      if (newest - report.At > MergeSpan)
+        continue;
+      slowness.push_back(report.Report.Slowness);
+      failures.push_back(report.Report.FailureRate);
+    }
+    if (slowness.size() >= MinHosts)
+      merged[it->first] = {{lowerMedian(slowness), lowerMedian(failures)},
+                           now - newest};
+    ++it;
+  }
+  return merged;
+}
+
+} // namespace savorytrestle::core
--- a/src/core/LeafScore.cpp
+++ b/src/core/LeafScore.cpp
@@ -31,6 +31,8 @@
 /// (1 / e) without new samples, so that the leaf is tried again.
 constexpr milliseconds SlownessDecayTime{3000};
 constexpr milliseconds FailureDecayTime{4000};
+/// Age difference up to which an own sample goes before a report of all hosts.
+constexpr milliseconds OwnSamplePreference{300};
 /// Ratio of a request's age to its expected latency up to which the age is
 /// normal and doesn't count as slowness.
 constexpr double NormalLatencyRatio = 2.5;
@@ -73,9 +75,10 @@
 
 void LeafScore::onAnswer(TimePoint now, Duration latency, Duration expected) {
   addSlowness(now, ratio(latency, expected));
-  FailureRate = failureRate(now) * (1 - FailureWeight);
+  FailureRate = ownFailureRate(now) * (1 - FailureWeight);
   FailureRateUpdated = now;
   ConsecutiveUnreachable = 0;
+  ++ReportedRequests;
 }
 
 void LeafScore::onCancelled(TimePoint now, Duration elapsed,
@@ -90,11 +93,15 @@
   Slowness +=
       SlownessWeight * (std::clamp(sample, 0.1, MaxSlowness) - Slowness);
   SlownessUpdated = now;
+  ReportedSlowness += std::clamp(sample, 0.1, MaxSlowness);
+  ++ReportedSamples;
 }
 
 void LeafScore::onFailure(TimePoint now) {
-  FailureRate = failureRate(now);
+  FailureRate = ownFailureRate(now);
   FailureRate += FailureWeight * (1 - FailureRate);
+  ++ReportedRequests;
+  ++ReportedFailures;
   FailureRateUpdated = now;
   ConsecutiveUnreachable = 0;
 }
@@ -114,9 +121,43 @@
 
 bool LeafScore::inBackoff(TimePoint now) const { return now < BackoffUntil; }
 
+std::optional<LeafReport> LeafScore::takeReport(TimePoint now) {
+  // A request that is out for long shows a slow leaf before its answer does.
+  if (!Outstanding.empty()) {
+    const OutstandingRequest &oldest = Outstanding.begin()->second;
+    const double age = ratio(now - oldest.SentAt, oldest.Expected);
+    if (age > NormalLatencyRatio) {
+      ReportedSlowness += std::min(age, MaxSlowness);
+      ++ReportedSamples;
+    }
+  }
+  if (ReportedSamples == 0 && ReportedRequests == 0)
+    return std::nullopt;
+  LeafReport report;
+  if (ReportedSamples > 0)
+    report.Slowness = ReportedSlowness / ReportedSamples;
+  if (ReportedRequests > 0)
+    report.FailureRate =
+        static_cast<double>(ReportedFailures) / ReportedRequests;
+  ReportedSlowness = 0;
+  ReportedSamples = ReportedRequests = ReportedFailures = 0;
+  return report;
+}
+
+void LeafScore::onReport(const LeafReport &report, TimePoint at) {
+  SharedReport = report;
+  SharedAt = at;
+}
+
+double LeafScore::recordedSlowness(TimePoint now) const {
+  if (SharedAt > SlownessUpdated + OwnSamplePreference)
+    return 1 + decayed(std::max(0.0, SharedReport.Slowness - 1), SharedAt, now,
+                       SlownessDecayTime);
+  return 1 + decayed(Slowness - 1, SlownessUpdated, now, SlownessDecayTime);
+}
+
 double LeafScore::slowness(TimePoint now) const {
-  const double recorded =
-      1 + decayed(Slowness - 1, SlownessUpdated, now, SlownessDecayTime);
+  const double recorded = recordedSlowness(now);
   if (Outstanding.empty())
     return recorded;
   const OutstandingRequest &oldest = Outstanding.begin()->second;
@@ -124,10 +165,16 @@
   return age > NormalLatencyRatio ? std::max(recorded, age) : recorded;
 }
 
-double LeafScore::failureRate(TimePoint now) const {
+double LeafScore::ownFailureRate(TimePoint now) const {
   return decayed(FailureRate, FailureRateUpdated, now, FailureDecayTime);
 }
 
+double LeafScore::failureRate(TimePoint now) const {
+  if (SharedAt > FailureRateUpdated + OwnSamplePreference)
+    return decayed(SharedReport.FailureRate, SharedAt, now, FailureDecayTime);
+  return ownFailureRate(now);
+}
+
 Duration LeafScore::cost(TimePoint now, Duration expected) const {
   double factor = slowness(now);
   if (now < WarmUpEnd)
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -172,6 +172,23 @@
   return std::uniform_real_distribution<double>(0, 1)(Random);
 }
 
+std::vector<std::pair<std::string, core::LeafReport>>
+LeafDirectory::takeReports(core::TimePoint now) {
+  std::vector<std::pair<std::string, core::LeafReport>> reports;
+  for (const auto &[id, leaf] : ById)
+    if (!id.starts_with(PeerServicePrefix))
+      if (const auto report = leaf->score().takeReport(now))
+        reports.emplace_back(id, *report);
+  return reports;
+}
+
+void LeafDirectory::applyReport(const std::string &id,
+                                const core::LeafReport &report,
+                                core::TimePoint at) {
+  if (const auto it = ById.find(id); it != ById.end())
+    it->second->score().onReport(report, at);
+}
+
 bool LeafDirectory::acceptsRequests(const std::string &id) const {
   const auto it = ById.find(id);
   return it != ById.end() && it->second->acceptsRequests();
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -90,6 +90,18 @@
   /// @brief Sends a leaf no requests for a time that it asked for.
   void pauseLeaf(Leaf &leaf, core::Duration wait);
 
+  /// @brief Takes this host's reports on all leaves that it has sent requests
+  /// to since the last call. O(leaves).
+  std::vector<std::pair<std::string, core::LeafReport>>
+  takeReports(core::TimePoint now);
+
+  /// @brief Records the merged reports of hosts on a leaf, if it has an entry.
+  /// @param id the leaf
+  /// @param report the merged report
+  /// @param at time of its newest sample
+  void applyReport(const std::string &id, const core::LeafReport &report,
+                   core::TimePoint at);
+
   /// @brief Whether a leaf has an entry and new requests may be sent to it.
   bool acceptsRequests(const std::string &id) const;
 
--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -27,10 +27,18 @@
 /// Short, so that the store is used again soon after it is reachable.
 constexpr core::SourceFailover::Backoff StoreBackoff{milliseconds(50),
                                                      milliseconds(400)};
+/// A host that follows another one finds the store back through that one in
+/// most cases: the calls of hundreds of hosts to a store that is away would
+/// otherwise grow with their number.
+constexpr core::SourceFailover::Backoff FollowerStoreBackoff{
+    milliseconds(400), milliseconds(1500)};
 /// Longer, as each call to a host that doesn't answer blocks the mirror for the
 /// whole reply time-out.
 constexpr core::SourceFailover::Backoff HostBackoff{milliseconds(2000),
                                                     milliseconds(10000)};
+/// Pause before a host that answered without an up-to-date copy is asked again:
+/// it has the store's changes as soon as it reaches the store.
+constexpr milliseconds NotFreshPause{500};
 /// Hosts that start together open their listeners within this time.
 constexpr milliseconds SeedHeadStart{600};
 constexpr core::SourceFailover::Backoff SeedBackoff{milliseconds(150),
@@ -145,7 +153,9 @@
     backoffs.push_back(HasPlan ? HostBackoff : SeedBackoff);
   }
   Sources.push_back(findOrAddSource(StoreAddress, true));
-  backoffs.push_back(StoreBackoff);
+  backoffs.push_back(HasPlan && !Plan.PreferredSources.empty()
+                         ? FollowerStoreBackoff
+                         : StoreBackoff);
   for (const Endpoint &address : Plan.FallbackSources) {
     Sources.push_back(findOrAddSource(address, false));
     backoffs.push_back(HostBackoff);
@@ -376,9 +386,14 @@
       std::all_of(Sources.begin(), Sources.end(),
                   [](const SourcePtr &it) { return it->Unavailable; });
   if (const auto it = std::find(Sources.begin(), Sources.end(), source);
-      it != Sources.end())
-    Failover.onFailure(static_cast<std::size_t>(it - Sources.begin()),
-                       SteadyClock::now());
+      it != Sources.end()) {
+    const auto index = static_cast<std::size_t>(it - Sources.begin());
+    const auto now = SteadyClock::now();
+    if (!source->IsStore && status == platform::StatusUnavailable)
+      Failover.holdBack(index, now + NotFreshPause);
+    else
+      Failover.onFailure(index, now);
+  }
   callNextSource();
 }
 
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -54,8 +54,12 @@
   };
   PeerContext->OnRequest = [this](const entry::CallerRequest &request,
                                   entry::AnswerHandler respond) {
-    return PeerFeed->handle(support::toStringView(request.target()),
-                            std::move(respond));
+    const auto target = support::toStringView(request.target());
+    if (registry::LeafExchange::isReport(target)) {
+      respond(Exchange->handle(request.body()));
+      return entry::CancelHandler();
+    }
+    return PeerFeed->handle(target, std::move(respond));
   };
 }
 
@@ -126,6 +130,8 @@
   Leaves.onLeaving(
       [this](const core::LeafRun &run) { Departures->onLeaving(run); });
   PeerFeed = std::make_shared<registry::FeedServer>(Io, Mirror);
+  Exchange = std::make_shared<registry::LeafExchange>(Io, Leaves, Config.Id);
+  Exchange->start();
   // Starts the leaf feed first, so that the leaves of a configuration's
   // services are known when it comes into force.
   LeafEntries->start(*Mirror);
@@ -141,7 +147,7 @@
                     static_cast<long>(std::hash<std::string>()(Config.Id) %
                                       seeds.size()),
                 seeds.end());
-  Mirror->setSeeds(std::move(seeds), isSeed);
+  Mirror->setSeeds(std::move(seeds), isSeed || !Config.FleetStarts);
   Mirror->start();
   Presence = std::make_shared<registry::HostPresence>(
       Io, store,
@@ -171,7 +177,7 @@
 }
 
 registry::MirrorPlan PlatformHost::planMirrorHosts(
-    const std::vector<registry::HostEntry> &knownHosts) const {
+    const std::vector<registry::HostEntry> &knownHosts) {
   std::vector<core::FeedHost> hosts;
   std::map<std::string, Endpoint> addresses;
   for (const registry::HostEntry &host : knownHosts)
@@ -187,6 +193,15 @@
   for (const std::string &id : plan.FallbackSources)
     feed.FallbackSources.push_back(addresses[id]);
   feed.ServesOthers = plan.ServesOthers;
+  const auto collectors =
+      core::planCollectors({Config.Id, Config.FailureDomain}, hosts);
+  std::vector<Endpoint> collectorAddresses;
+  for (const std::string &id : collectors)
+    if (id != Config.Id && addresses.count(id) > 0)
+      collectorAddresses.push_back(addresses[id]);
+  Exchange->setCollectors(collectorAddresses,
+                          !collectors.empty() &&
+                              collectors.front() == Config.Id);
   if (addresses.empty())
     feed.FallbackSources = seedEndpoints();
   return feed;
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -22,6 +22,7 @@
 #include "registry/FeedServer.h"
 #include "registry/HostFeed.h"
 #include "registry/HostPresence.h"
+#include "registry/LeafExchange.h"
 #include "registry/LeafFeed.h"
 #include "serve/PlatformHostConfig.h"
 #include "support/Metrics.h"
@@ -46,7 +47,7 @@
   void startFeeds(const boost::asio::ip::tcp::endpoint &store);
   void applyHosts(const registry::KnownHosts &hosts);
   registry::MirrorPlan
-  planMirrorHosts(const std::vector<registry::HostEntry> &knownHosts) const;
+  planMirrorHosts(const std::vector<registry::HostEntry> &knownHosts);
   std::vector<boost::asio::ip::tcp::endpoint> seedEndpoints() const;
   void waitForSignal();
   void reload();
@@ -71,6 +72,7 @@
       std::make_shared<store::EraTracker>();
   std::shared_ptr<registry::StoreMirror> Mirror;
   std::shared_ptr<registry::FeedServer> PeerFeed;
+  std::shared_ptr<registry::LeafExchange> Exchange;
   std::shared_ptr<registry::ConfigFeed> Configs;
   std::shared_ptr<registry::LeafFeed> LeafEntries;
   std::shared_ptr<registry::HostFeed> Hosts;
--- a/src/serve/PlatformHostConfig.h
+++ b/src/serve/PlatformHostConfig.h
@@ -29,6 +29,10 @@
   /// Peer listeners of other hosts, used at the start when the store can't be
   /// reached; some of them may no longer exist.
   std::vector<std::string> SeedAddresses;
+  /// Whether all hosts start together for the first time, before callers come.
+  /// Those that are no seed then take their first list from a seed, instead of
+  /// each one from the store.
+  bool FleetStarts = false;
   /// Address of the listener for the metrics; empty for none.
   std::string MetricsAddress;
   /// Address of the platform's metadata store.
--- a/tests/unit-store-mirror.cpp
+++ b/tests/unit-store-mirror.cpp
@@ -244,6 +244,24 @@
   EXPECT_TRUE(runUntil([&] { return Follower.StoreReachableCalls > 0; }));
 }
 
+/// Load: many hosts that follow one, while the store is away. Were each to ask
+/// the store as often as the one does, the calls would grow with the hosts.
+TEST_F(StoreMirrorTest, HostsThatFollowAnotherOneAskALostStoreSeldom) {
+  startReaderAndFollower();
+  Store.setFault(StoreFault::Busy);
+  Store.dropConnections();
+  Reader.Mirror->stop();
+  Io.restart();
+  Io.run_for(std::chrono::ceil<std::chrono::milliseconds>(Timing.MaxAge));
+  const auto before = Store.calls();
+  Io.restart();
+  Io.run_for(5s);
+  EXPECT_LE(Store.calls() - before, 6U);
+  Store.setFault(StoreFault::None);
+  Store.put("k/3", "three");
+  EXPECT_TRUE(runUntil([&] { return Follower.has("k/3"); }, 3s));
+}
+
 /// A store that stops answering for a while never answers the calls made in
 /// that time, even after it works again.
 TEST_F(StoreMirrorTest, AWatchWithoutAnAnswerTimesOutSoon) {
