--- a/src/serve/PlatformHostConfig.cpp
+++ b/src/serve/PlatformHostConfig.cpp
@@ -26,8 +26,7 @@
   config.StoreAddress = platform.address("store", "");
   platform.reportUnknownKeys();
   config.SeedAddresses = root.addresses("seeds");
-  config.FleetStarts =
-      root.oneOf("start", {"host", "fleet"}, "host") == "fleet";
+  config.FleetStarts = root.oneOf("start", {"host", "fleet"}) == "fleet";
   auto bounds = root.map("bounds");
   config.StopGrace = bounds.duration("stop_grace", config.StopGrace,
                                      milliseconds(100), minutes(10));
