Keep the guarantees of our own interface when the store loses its last writes

Cause: claims of keyed writes, slots and settings relied on a store that loses nothing. After its return from an older copy a resend was granted again, two hosts could use one slot, and every change of the settings was refused as a stale read for good (SettingsStore compares with the newest known revision).

Change: the first host that notices an era records it in the store with the time; all writes of claim documents expect that record, so none that was read for in one era takes effect in the next. Keys made before the rise are answered as not known unless their outcome is stored; outcomes that hosts still hold are written. Slots whose lease is of an older era end, and free ones rest for the lapse grace after a rise. A host whose settings are newer than the store's writes them again, with an audit entry.

--- a/include/savorytrestle/core/ClaimDocument.h
+++ b/include/savorytrestle/core/ClaimDocument.h
@@ -83,6 +83,7 @@
   Finished,   ///< the outcome is final
   InProgress, ///< another attempt may have been dispatched
   Closed,     ///< this or a later send was answered with "not run"
+  Lost,       ///< the store may have lost what it knew of the key
   KeyReused,  ///< the key was used for a request with another digest
   Full,       ///< the document has reached its size limit for claims
 };
@@ -115,6 +116,12 @@
   /// @return the value to store; O(entries)
   std::string dump() const;
 
+  /// @brief Decides on the claim of a key that was made before the store came
+  /// back from an older copy: only a stored outcome is known.
+  /// @param request the claim
+  /// @return Finished, KeyReused or Lost
+  ClaimResult claimAfterLoss(const ClaimRequest &request) const;
+
   /// @brief Proposes a claim. An attempt that already holds the claim is
   /// granted it again.
   /// @param request the claim
@@ -131,6 +138,15 @@
   bool recordOutcome(const ClaimRequest &request, WriteOutcome outcome,
                      const WriteLimits &limits);
 
+  /// @brief Proposes the outcome of an attempt whose claim the store may have
+  /// lost with its return from an older copy. No other attempt is granted such
+  /// a key.
+  /// @param request the claim
+  /// @param outcome the outcome of the write
+  /// @param limits limits on kept bodies
+  void restoreOutcome(const ClaimRequest &request, WriteOutcome outcome,
+                      const WriteLimits &limits);
+
   /// @brief Proposes to release the claim of an attempt that was not
   /// dispatched.
   ///
@@ -156,6 +172,8 @@
   std::size_t sizeBytes() const { return Bytes; }
 
 private:
+  void finish(const ClaimRequest &request, ClaimEntry entry,
+              WriteOutcome outcome, const WriteLimits &limits);
   ClaimEntry &setEntry(const std::string &name, ClaimEntry entry);
 
   std::map<std::string, ClaimEntry> Entries;
--- a/src/core/ClaimDocument.cpp
+++ b/src/core/ClaimDocument.cpp
@@ -102,6 +102,13 @@
               "it is not known whether the write was executed",
               RunState::Unknown,
               {}});
+  case ClaimDecision::Lost:
+    return tl::unexpected<Error>(
+        Error{ErrorCode::OutcomeUnknown,
+              "the store came back from an older copy: it is not known whether "
+              "the write was executed",
+              RunState::Unknown,
+              {}});
   case ClaimDecision::Closed:
     return error(ErrorCode::Overloaded, "the write was not run",
                  RunState::NotRun);
@@ -152,6 +159,16 @@
   return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+ClaimResult ClaimDocument::claimAfterLoss(const ClaimRequest &request) const {
+  const ClaimEntry *found = find(request.Key);
+  if (found != nullptr && found->Digest != request.Digest)
+    return {ClaimDecision::KeyReused, {}};
+  // A claim or a release in the copy may have been followed by another one.
+  if (found != nullptr && found->State == ClaimState::Finished)
+    return {ClaimDecision::Finished, found->Outcome};
+  return {ClaimDecision::Lost, {}};
+}
+
 ClaimResult ClaimDocument::claim(const ClaimRequest &request,
                                  const WriteLimits &limits) {
   const ClaimEntry *found = find(request.Key);
@@ -196,17 +213,37 @@
     return false;
   if (found->State == ClaimState::Finished)
     return true;
+  finish(request, *found, std::move(outcome), limits);
+  return true;
+}
+
+void ClaimDocument::restoreOutcome(const ClaimRequest &request,
+                                   WriteOutcome outcome,
+                                   const WriteLimits &limits) {
+  const ClaimEntry *found = find(request.Key);
+  if (found != nullptr &&
+      (found->State == ClaimState::Finished || found->Digest != request.Digest))
+    return;
+  finish(request,
+         {ClaimState::Claimed,
+          request.Attempt,
+          request.Digest,
+          found == nullptr ? UnknownSend : found->ClosedSend,
+          {}},
+         std::move(outcome), limits);
+}
+
+void ClaimDocument::finish(const ClaimRequest &request, ClaimEntry entry,
+                           WriteOutcome outcome, const WriteLimits &limits) {
   if (outcome.Body.size() > limits.MaxKeptBodyBytes ||
       Bytes >= limits.MaxDocumentBytesForBodies || !isUtf8(outcome.Body)) {
     outcome.BodyDigest = bodyDigest(outcome.Body);
     outcome.BodyKept = false;
     outcome.Body.clear();
   }
-  ClaimEntry entry = *found;
   entry.State = ClaimState::Finished;
   entry.Outcome = std::move(outcome);
   setEntry(request.Key.entryName(), std::move(entry));
-  return true;
 }
 
 bool ClaimDocument::releaseClaim(const ClaimRequest &request) {
--- a/src/hosts/HostSlotManager.h
+++ b/src/hosts/HostSlotManager.h
@@ -13,7 +13,7 @@
 
 #include "hosts/SlotKeys.h"
 #include "savorytrestle/core/Membership.h"
-#include "store/KvStore.h"
+#include "store/EraRecord.h"
 #include "support/Log.h"
 
 namespace savorytrestle::hosts {
@@ -33,6 +33,11 @@
   std::function<core::TimePoint()> Now = [] {
     return std::chrono::steady_clock::now();
   };
+  /// Wall clock; replaced in tests.
+  std::function<core::WallTime()> WallClock = [] {
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+  };
   /// Seed of the random order of equally good slots and of the delays.
   std::uint64_t Seed = 1;
 };
@@ -153,7 +158,8 @@
     if (!renewed)
       return onStoreUnreachable();
     const std::lock_guard guard(Lock);
-    if (*renewed) {
+    // Leases of an earlier era are gone, and their ids may be others' now.
+    if (*renewed && Client.era() == LeaseEra) {
       Lease.onConfirmed(HeldSlot, sentAt);
       return Options.Timing.renewalInterval();
     }
@@ -183,6 +189,10 @@
   }
 
   Millis claim() {
+    const auto recorded =
+        store::confirmEra(Client, Options.WallClock(), Options.CallTimeout);
+    if (!recorded)
+      return retryDelay();
     auto entries = Client.list(HostsPrefix, Options.CallTimeout);
     if (!entries)
       return retryDelay();
@@ -192,10 +202,11 @@
     if (!lease)
       return retryDelay();
     const SlotTable table = parseSlots(*entries, Options.SlotCount);
-    for (const auto number : candidates(table, sentAt)) {
+    for (const auto number : candidates(table, sentAt, *recorded)) {
       if (!tryClaim(table.Records[number], number, *lease))
         continue;
       HeldLease = *lease;
+      LeaseEra = recorded->StoreEra;
       HeldSlot = number;
       const std::lock_guard guard(Lock);
       Lease.onConfirmed(number, sentAt);
@@ -209,9 +220,14 @@
   Millis retryDelay() { return randomClaimDelay() + Millis(500); }
 
   std::vector<core::SlotNumber> candidates(const SlotTable &table,
-                                           core::TimePoint now) {
+                                           core::TimePoint now,
+                                           const store::RecordedEra &era) {
     constexpr std::size_t MaxClaimAttempts = 8;
     auto slotNumbers = Chooser.candidates(table.Slots, now, Random);
+    // The store may have lost the claims of hosts that still use their slots.
+    if (era.NoticedAt != core::WallTime() &&
+        Options.WallClock() - era.NoticedAt < Options.Timing.LapseGrace)
+      slotNumbers.clear();
     // A free slot last claimed by this process needs no grace: any connection
     // still open under that slot belongs to this process.
     for (const auto &slotUse : table.Slots)
@@ -263,6 +279,8 @@
   core::Rng Random;
   /// Lease of the held slot; NoLease while no slot is held.
   store::LeaseId HeldLease = store::NoLease;
+  /// Era in which it was granted.
+  std::optional<store::Era> LeaseEra{};
   core::SlotNumber HeldSlot = 0;
 };
 
--- a/src/hosts/PeerNode.h
+++ b/src/hosts/PeerNode.h
@@ -39,6 +39,9 @@
   /// Puts settings in force; returns whether it did. Must reject a revision
   /// that is not higher than the one in force.
   std::function<bool(core::VersionedBlob)> ApplySettings;
+  /// The store has older settings than those in force: writes them again if it
+  /// has lost them. May be empty.
+  std::function<void()> RestoreSettings{};
   /// Returns the records to share; equal contents must give equal text.
   std::function<std::string()> LocalRecords;
   /// Merges a peer's records; must be commutative and idempotent.
--- a/src/hosts/PeerNodeThreads.cpp
+++ b/src/hosts/PeerNodeThreads.cpp
@@ -51,8 +51,11 @@
     if (blob)
       applyUpdate({Topic::Settings, std::move(*blob), std::nullopt});
   }
-  if (Callbacks.CurrentSettings().Revision >= manifest.Revision)
+  const auto inForce = Callbacks.CurrentSettings().Revision;
+  if (inForce >= manifest.Revision)
     View.onSettingsCurrent(calledAt);
+  if (inForce > manifest.Revision && Callbacks.RestoreSettings)
+    Callbacks.RestoreSettings();
 }
 
 void PeerNode::Impl::applySlots(const store::StorePage &page,
--- a/src/operators/AdminApi.h
+++ b/src/operators/AdminApi.h
@@ -25,6 +25,10 @@
                                                             std::size_t)>
       History;
   std::function<core::Result<core::VersionedBlob>()> Read;
+  /// See SettingsStore::restoreLost.
+  std::function<core::Result<bool>(const core::SettingsTree &, std::uint64_t,
+                                   core::WallTime)>
+      RestoreLost;
 };
 
 /// @brief Wraps a settings store, which is not thread-safe, in a mutex.
@@ -46,6 +50,12 @@
     const std::lock_guard guard(*lock);
     return store.read();
   };
+  backend.RestoreLost = [&store, lock](const core::SettingsTree &tree,
+                                       std::uint64_t revision,
+                                       core::WallTime now) {
+    const std::lock_guard guard(*lock);
+    return store.restoreLost(tree, revision, now);
+  };
   return backend;
 }
 
--- a/src/operators/SettingsManifest.cpp
+++ b/src/operators/SettingsManifest.cpp
@@ -223,6 +223,20 @@
     manifest.Recent.erase(manifest.Recent.begin());
 }
 
+std::vector<core::AuditItem> changedNodes(const core::SettingsTree &before,
+                                          const core::SettingsTree &after) {
+  const json old = before.toJson();
+  const json now = after.toJson();
+  std::vector<core::AuditItem> items;
+  for (const auto &[path, overrides] : now.items())
+    if (const json previous = old.value(path, json()); previous != overrides)
+      items.push_back({path, "", previous, overrides});
+  for (const auto &[path, overrides] : old.items())
+    if (!now.contains(path))
+      items.push_back({path, "", overrides, nullptr});
+  return items;
+}
+
 core::Result<PreparedManifest>
 makeNextManifest(const SettingsManifest &before, const core::SettingsTree &tree,
                  core::AuditEntry entry, const std::string &fingerprint) {
--- a/src/operators/SettingsManifest.h
+++ b/src/operators/SettingsManifest.h
@@ -135,6 +135,10 @@
 /// @param change the change
 void addRecentChange(SettingsManifest &manifest, RecentChange change);
 
+/// @brief Lists the nodes that differ between two trees, as whole nodes.
+std::vector<core::AuditItem> changedNodes(const core::SettingsTree &before,
+                                          const core::SettingsTree &after);
+
 /// @brief Makes the manifest of the next revision.
 /// @param before the current manifest
 /// @param tree the whole tree after the change
--- a/src/operators/SettingsReader.h
+++ b/src/operators/SettingsReader.h
@@ -48,6 +48,10 @@
   /// @return the manifest with an empty tree, or an error as for @ref load
   core::Result<LoadedSettings> loadManifest();
 
+  /// @brief Reads the manifest and the tree also if they are older than the
+  /// newest known revision, as after the store's return from an older copy.
+  core::Result<LoadedSettings> loadAnyRevision();
+
   /// @brief Visits audit entries, newest first.
   /// @param manifest manifest with the newest entries
   /// @param visit called with each entry; returns false to stop
@@ -67,6 +71,7 @@
   std::uint64_t newestKnownRevision() const { return NewestKnown; }
 
 private:
+  core::Result<LoadedSettings> readManifest();
   /// Returns false if a part has been deleted because a newer manifest replaced
   /// this one.
   core::Result<bool> loadNodes(LoadedSettings &loaded);
@@ -81,7 +86,7 @@
 };
 
 template <store::KvStore Kv>
-core::Result<LoadedSettings> SettingsReader<Kv>::loadManifest() {
+core::Result<LoadedSettings> SettingsReader<Kv>::readManifest() {
   auto entry = Store.get(ManifestKey, Options.CallTimeout);
   if (!entry)
     return tl::unexpected(entry.error());
@@ -93,6 +98,29 @@
     loaded.Manifest = std::move(*manifest);
     loaded.StoreRevision = (*entry)->ModRevision;
   }
+  return loaded;
+}
+
+template <store::KvStore Kv>
+core::Result<LoadedSettings> SettingsReader<Kv>::loadAnyRevision() {
+  auto loaded = readManifest();
+  if (!loaded)
+    return loaded;
+  const auto complete = loadNodes(*loaded);
+  if (!complete)
+    return tl::unexpected(complete.error());
+  if (!*complete)
+    return core::makeError(core::ErrorCode::StoreUnavailable,
+                           "parts of the settings are missing in the store");
+  return loaded;
+}
+
+template <store::KvStore Kv>
+core::Result<LoadedSettings> SettingsReader<Kv>::loadManifest() {
+  auto read = readManifest();
+  if (!read)
+    return read;
+  LoadedSettings &loaded = *read;
   if (loaded.Manifest.Revision < NewestKnown)
     return core::makeError(
         core::ErrorCode::StoreUnavailable,
@@ -100,7 +128,7 @@
             std::to_string(loaded.Manifest.Revision) +
             ", newest known revision: " + std::to_string(NewestKnown));
   NewestKnown = loaded.Manifest.Revision;
-  return loaded;
+  return read;
 }
 
 template <store::KvStore Kv>
--- a/src/operators/SettingsStore.h
+++ b/src/operators/SettingsStore.h
@@ -8,6 +8,7 @@
 /// the manifest that refers to them by compare-and-swap, so that it is atomic.
 
 #include "operators/SettingsReader.h"
+#include "support/Log.h"
 
 namespace savorytrestle::operators {
 
@@ -57,6 +58,15 @@
   /// @return the result; NotMade or Unknown if the store is unavailable
   CommitResult commit(const core::ChangeRequest &request);
 
+  /// @brief Writes settings again that the store has lost by its return from an
+  /// older copy. An audit entry names what was restored.
+  /// @param tree the settings in force
+  /// @param revision their revision
+  /// @param now the wall clock
+  /// @return whether they were lost and are restored, or the error of a call
+  core::Result<bool> restoreLost(const core::SettingsTree &tree,
+                                 std::uint64_t revision, core::WallTime now);
+
   /// @brief Returns audit entries, newest first.
   /// @param before only entries of revisions below this one are returned
   /// @param limit maximum number of entries
@@ -335,6 +345,38 @@
                      "too many concurrent changes of the settings");
 }
 
+template <store::KvStore Kv>
+core::Result<bool>
+SettingsStore<Kv>::restoreLost(const core::SettingsTree &tree,
+                               std::uint64_t revision, core::WallTime now) {
+  const auto loaded = Reader.loadAnyRevision();
+  if (!loaded)
+    return tl::unexpected(loaded.error());
+  if (loaded->Manifest.Revision >= revision)
+    return false;
+  auto before = loaded->Manifest;
+  before.Revision = revision - 1;
+  auto next = makeNextManifest(before, tree,
+                               {0, loaded->Manifest.Revision, now, "system",
+                                "restore-" + std::to_string(revision),
+                                changedNodes(loaded->Tree, tree)},
+                               "");
+  if (!next)
+    return tl::unexpected(next.error());
+  if (const auto done = writeEntries(next->Entries); !done)
+    return tl::unexpected(done.error());
+  const auto swapped =
+      Store.compareAndSet(ManifestKey, serialize(next->Manifest),
+                          loaded->StoreRevision, Options.CallTimeout);
+  if (!swapped || !*swapped)
+    return swapped;
+  Reader.raiseNewestKnownRevision(revision);
+  support::LogLine("settings_restored")
+      .with("revision", revision)
+      .with("store_had", loaded->Manifest.Revision);
+  return true;
+}
+
 template <store::KvStore Kv>
 CommitResult SettingsStore<Kv>::finishCommit(const LoadedSettings &before,
                                              const PreparedManifest &next) {
--- a/src/serve/ControlPlane.cpp
+++ b/src/serve/ControlPlane.cpp
@@ -4,6 +4,7 @@
 
 #include "hosts/StoreReader.h"
 #include "operators/SettingsManifest.h"
+#include "support/Log.h"
 
 namespace savorytrestle::serve {
 
@@ -69,6 +70,7 @@
                            std::shared_ptr<backend::HostQuarantine> guard)
     : Config(config), Self(makeHostInfo(config)), Guard(std::move(guard)),
       AdminClient(config.StoreAddress), AdminStore(AdminClient),
+      StoreBackend(operators::makeBackend(AdminStore)),
       Peers(peerOptions(Self), peerCallbacks()),
       Slot(Store(config.StoreAddress), slotOptions(config, Self, Peers)),
       Admin(adminOptions(), settingsBackend(), Replica) {}
@@ -113,6 +115,19 @@
   callbacks.ApplySettings = [this](const core::VersionedBlob &blob) {
     return Replica.applyBlob(blob) == operators::BlobOutcome::Applied;
   };
+  callbacks.RestoreSettings = [this] {
+    const auto inForce = Replica.current();
+    if (!inForce)
+      return;
+    const auto restored =
+        StoreBackend.RestoreLost(inForce->Tree, inForce->Blob.Revision,
+                                 std::chrono::time_point_cast<milliseconds>(
+                                     std::chrono::system_clock::now()));
+    if (!restored)
+      support::LogLine("settings_not_restored")
+          .with("revision", inForce->Blob.Revision)
+          .with("why", restored.error().Message);
+  };
   callbacks.LocalRecords = [this] { return Guard->recordsJson(); };
   callbacks.MergeRecords = [this](const std::string &text) {
     Guard->merge(text);
@@ -134,10 +149,9 @@
 }
 
 operators::SettingsBackend ControlPlane::settingsBackend() {
-  const auto storeBackend = operators::makeBackend(AdminStore);
-  operators::SettingsBackend backend = storeBackend;
-  backend.Commit = [this, storeBackend](const core::ChangeRequest &request) {
-    return commit(storeBackend, request);
+  operators::SettingsBackend backend = StoreBackend;
+  backend.Commit = [this](const core::ChangeRequest &request) {
+    return commit(request);
   };
   return backend;
 }
@@ -145,12 +159,11 @@
 // Applies an accepted change on this host and publishes it to the peers
 // immediately, without waiting for a watch event.
 operators::CommitResult
-ControlPlane::commit(const operators::SettingsBackend &storeBackend,
-                     const core::ChangeRequest &request) {
-  auto result = storeBackend.Commit(request);
+ControlPlane::commit(const core::ChangeRequest &request) {
+  auto result = StoreBackend.Commit(request);
   if (result.Outcome != operators::CommitOutcome::Accepted)
     return result;
-  if (const auto blob = storeBackend.Read();
+  if (const auto blob = StoreBackend.Read();
       blob && Replica.applyBlob(*blob) == operators::BlobOutcome::Applied)
     Peers.publishSettings();
   return result;
--- a/src/serve/ControlPlane.h
+++ b/src/serve/ControlPlane.h
@@ -87,8 +87,7 @@
   hosts::PeerCallbacks peerCallbacks();
   operators::SettingsBackend settingsBackend();
   operators::AdminApiOptions adminOptions();
-  operators::CommitResult commit(const operators::SettingsBackend &storeBackend,
-                                 const core::ChangeRequest &request);
+  operators::CommitResult commit(const core::ChangeRequest &request);
 
   const HostConfig Config;
   const core::HostInfo Self;
@@ -96,6 +95,7 @@
   operators::SettingsReplica Replica;
   Store AdminClient;
   operators::SettingsStore<Store> AdminStore;
+  operators::SettingsBackend StoreBackend;
   hosts::PeerNode Peers;
   hosts::HostSlotManager<Store> Slot;
   operators::AdminApi Admin;
--- a/src/store/ClaimBatches.cpp
+++ b/src/store/ClaimBatches.cpp
@@ -64,10 +64,13 @@
 
 std::vector<core::ClaimResult>
 ClaimBatches::propose(const core::ClaimDocumentName &document,
-                      core::ClaimDocument &contents) const {
+                      core::ClaimDocument &contents,
+                      core::WallTime lostBefore) const {
   const auto &batch = Batches.at(document);
   for (const auto &change : batch.Changes) {
-    if (change.Outcome)
+    if (change.Outcome && change.Request.Key.CreatedAt < lostBefore)
+      contents.restoreOutcome(change.Request, *change.Outcome, Options.Limits);
+    else if (change.Outcome)
       contents.recordOutcome(change.Request, *change.Outcome, Options.Limits);
     else
       contents.releaseClaim(change.Request);
@@ -75,7 +78,9 @@
   std::vector<core::ClaimResult> results;
   results.reserve(batch.Claims.size());
   for (const auto &claim : batch.Claims)
-    results.push_back(contents.claim(claim.Request, Options.Limits));
+    results.push_back(claim.Request.Key.CreatedAt < lostBefore
+                          ? contents.claimAfterLoss(claim.Request)
+                          : contents.claim(claim.Request, Options.Limits));
   return results;
 }
 
--- a/src/store/ClaimBatches.h
+++ b/src/store/ClaimBatches.h
@@ -114,10 +114,11 @@
   /// @brief Applies a document's batch to its contents.
   /// @param document name of the document
   /// @param contents the contents as read; receives the proposed ones
+  /// @param lostBefore the store may have lost claims of keys made before this
   /// @return the decision on each claim of the batch
   std::vector<core::ClaimResult>
   propose(const core::ClaimDocumentName &document,
-          core::ClaimDocument &contents) const;
+          core::ClaimDocument &contents, core::WallTime lostBefore) const;
 
   /// @brief The proposal is stored: completes the batch.
   /// @param document the document
--- a/src/store/ClaimStore.h
+++ b/src/store/ClaimStore.h
@@ -18,7 +18,7 @@
 #include <concurrentqueue/blockingconcurrentqueue.h>
 
 #include "store/ClaimBatches.h"
-#include "store/KvStore.h"
+#include "store/EraRecord.h"
 
 namespace savorytrestle::store {
 
@@ -175,18 +175,23 @@
   /// document was changed by another host or the reply was lost, the batch
   /// stays pending and the document is read again.
   void commit(const core::ClaimDocumentName &document) {
+    if (!EraConfirmed || Recorded.StoreEra != Kv.era())
+      return confirmEra();
     ++Stats.Reads;
     const auto entry = Kv.get(document.path(), Options.StoreTimeout);
     if (!entry) {
       Pacer.spend(SteadyClock::now(), false);
       return Batches.onStoreDown();
     }
+    // The contents may be of another era than the record.
+    if (Kv.era() != Recorded.StoreEra)
+      return confirmEra();
     auto contents = *entry ? core::ClaimDocument::parse((*entry)->Value)
                            : core::Result<core::ClaimDocument>();
     Pacer.spend(SteadyClock::now(), contents.has_value());
     if (!contents)
       return Batches.onUnreadable(document);
-    const auto results = Batches.propose(document, *contents);
+    const auto results = Batches.propose(document, *contents, lostBefore());
     if (!contents->isModified())
       return Batches.onStored(document, results);
     const auto revision = *entry ? (*entry)->ModRevision : NoItem;
@@ -199,9 +204,14 @@
     ++Stats.Writes;
     const auto stored = Kv.compareAndSet(document.path(), value, revision,
                                          Options.StoreTimeout);
-    if (stored && *stored)
+    const bool sameEra = Kv.era() == Recorded.StoreEra;
+    if (stored && *stored && sameEra)
       return Batches.onStored(document, results);
-    if (stored)
+    // A conflict may be one with the record of a new era.
+    EraConfirmed = false;
+    if (stored && *stored)
+      Batches.onLostReply(document, results);
+    else if (stored)
       ++Stats.Conflicts;
     else if (stored.error().Code == core::ErrorCode::OutcomeUnknown)
       Batches.onLostReply(document, results);
@@ -209,6 +219,29 @@
       Batches.onStoreDown();
   }
 
+  /// Reads the record of the store's era, on which all writes of documents
+  /// depend: without it a write that was read for in one era could replace a
+  /// document of the next one.
+  void confirmEra() {
+    ++Stats.Reads;
+    Kv.guardWrites(std::nullopt);
+    auto recorded =
+        store::confirmEra(Kv, Options.WallClock(), Options.StoreTimeout);
+    Pacer.spend(SteadyClock::now(), false);
+    if (!recorded)
+      return Batches.onStoreDown();
+    Recorded = *recorded;
+    EraConfirmed = true;
+    Kv.guardWrites(StoreTransaction::Expected{EraRecordKey, Recorded.At});
+  }
+
+  /// The store may have lost claims of keys that were made before this.
+  core::WallTime lostBefore() const {
+    return Recorded.NoticedAt == core::WallTime()
+               ? core::WallTime()
+               : Recorded.NoticedAt + Options.Limits.MaxClockSkew;
+  }
+
   /// Deletes expired documents while no batch is ready. Each host picks windows
   /// at random, so that hosts need no coordination and no window is left out
   /// for long.
@@ -251,6 +284,8 @@
   // Used by the claim thread only, except as noted in ClaimBatches.
   ClaimBatches Batches{Options, Stats};
   std::vector<StoredItem> ExpiredDocuments;
+  RecordedEra Recorded;
+  bool EraConfirmed = false;
   WritePacer Pacer;
   core::TimePoint NextSweep;
   std::thread Worker;
--- a/src/store/KvStore.h
+++ b/src/store/KvStore.h
@@ -48,6 +48,10 @@
   {
     store.watch(key, revision, timeout)
     } -> std::same_as<core::Result<StorePage>>;
+  // Makes all further compare-and-sets expect one more item, or none.
+  store.guardWrites(std::optional<StoreTransaction::Expected>());
+  // Newest era that a reply stated; nothing if none did.
+  { store.era() } -> std::same_as<std::optional<Era>>;
   // Opens a lease that ends if it is not renewed within its time to live.
   { store.openLease(timeout, timeout) } -> std::same_as<core::Result<LeaseId>>;
   // Renews a lease; false when it has ended.
--- a/src/store/PlatformStore.cpp
+++ b/src/store/PlatformStore.cpp
@@ -27,7 +27,7 @@
     : Io(std::make_unique<boost::asio::io_context>()) {
   boost::asio::ip::tcp::endpoint endpoint;
   if (support::parseEndpoint(address, endpoint))
-    Connection = std::make_shared<StoreConnection>(*Io, endpoint);
+    Connection = std::make_shared<StoreConnection>(*Io, endpoint, Eras);
 }
 
 PlatformStore::~PlatformStore() {
@@ -124,7 +124,10 @@
                                           const std::string &value,
                                           Revision revision,
                                           milliseconds timeout) {
-  return write({{{key, revision}}, {{key, value, NoLease}}, {}}, timeout);
+  StoreTransaction transaction{{{key, revision}}, {{key, value, NoLease}}, {}};
+  if (Guard)
+    transaction.Expects.push_back(*Guard);
+  return write(transaction, timeout);
 }
 
 Result<bool> PlatformStore::compareAndDelete(const std::string &key,
--- a/src/store/PlatformStore.h
+++ b/src/store/PlatformStore.h
@@ -51,6 +51,14 @@
                                    const std::string &value, Revision revision,
                                    std::chrono::milliseconds timeout);
 
+  /// @brief Makes all further compare-and-sets expect one more item, or none.
+  void guardWrites(std::optional<StoreTransaction::Expected> guard) {
+    Guard = std::move(guard);
+  }
+
+  /// @brief Newest era that a reply stated; nothing if none did.
+  std::optional<Era> era() const { return Eras->current(); }
+
   /// @brief Deletes if the item is still at the expected revision.
   /// @param key the key
   /// @param revision expected revision
@@ -108,6 +116,8 @@
   // The connection is declared after the context, so that it is destroyed
   // first: its sockets use the context.
   std::unique_ptr<boost::asio::io_context> Io;
+  std::shared_ptr<EraTracker> Eras = std::make_shared<EraTracker>();
+  std::optional<StoreTransaction::Expected> Guard;
   std::shared_ptr<StoreConnection> Connection;
 };
 
--- a/tests/FakeKvStore.h
+++ b/tests/FakeKvStore.h
@@ -43,8 +43,13 @@
   }
   Result<bool> compareAndSet(const std::string &key, const std::string &value,
                              store::Revision revision, Millis) {
-    return write([&] { return State->compareAndSet(key, value, revision); });
+    return write(
+        [&] { return State->compareAndSet(key, value, revision, Guard); });
   }
+  void guardWrites(std::optional<store::StoreTransaction::Expected> guard) {
+    Guard = std::move(guard);
+  }
+  std::optional<store::Era> era() const { return SeenEra; }
   Result<bool> compareAndDelete(const std::string &key,
                                 store::Revision revision, Millis) {
     return write([&] { return State->compareAndDelete(key, revision); });
@@ -78,6 +83,9 @@
   std::shared_ptr<KvFaults> Faults = std::make_shared<KvFaults>();
 
 private:
+  std::optional<store::StoreTransaction::Expected> Guard;
+  std::optional<store::Era> SeenEra;
+
   static tl::unexpected<core::Error> down() {
     return core::makeError(core::ErrorCode::StoreUnavailable, "outage");
   }
@@ -92,6 +100,8 @@
   }
   bool tryRead() {
     ++Faults->Reads;
+    if (!Faults->Outage)
+      SeenEra = State->era();
     return !Faults->Outage;
   }
   template <typename F> Result<bool> write(F effect) {
@@ -101,6 +111,7 @@
     if (consume(Faults->LoseWrites))
       return lost();
     const bool done = effect();
+    SeenEra = State->era();
     if (consume(Faults->LoseWriteReplies))
       return lost();
     return done;
--- a/tests/KvState.h
+++ b/tests/KvState.h
@@ -31,14 +31,17 @@
     return itemsUnder(prefix);
   }
 
+  using Expected = store::StoreTransaction::Expected;
+
+  /// @param alsoExpected another item that must be at a revision
   bool compareAndSet(const std::string &key, const std::string &value,
-                     store::Revision revision) {
+                     store::Revision revision,
+                     const std::optional<Expected> &alsoExpected = {}) {
     const std::lock_guard guard(Lock);
     expireLeases();
-    const auto it = Entries.find(key);
-    const auto found =
-        it == Entries.end() ? store::NoItem : it->second.ModRevision;
-    if (found != revision)
+    if (revisionOf(key) != revision ||
+        (alsoExpected &&
+         revisionOf(alsoExpected->Key) != alsoExpected->ModRevision))
       return false;
     put({key, value, 0, store::NoLease, false});
     return true;
@@ -109,7 +112,37 @@
     return true;
   }
 
+  store::Era era() {
+    const std::lock_guard guard(Lock);
+    return CurrentEra;
+  }
+
+  /// Takes the copy from which @ref restoreCopy brings the store back.
+  void takeCopy() {
+    const std::lock_guard guard(Lock);
+    Copy = Entries;
+    CopyRevision = LatestRevision;
+  }
+
+  /// Comes back from the copy: what was written since is gone, leases too.
+  void restoreCopy() {
+    const std::lock_guard guard(Lock);
+    Entries = Copy;
+    std::erase_if(Entries, [](const auto &item) {
+      return item.second.Lease != store::NoLease;
+    });
+    Leases.clear();
+    LatestRevision = CopyRevision;
+    ++CurrentEra;
+    RevisionAdvanced.notify_all();
+  }
+
 private:
+  store::Revision revisionOf(const std::string &key) const {
+    const auto it = Entries.find(key);
+    return it == Entries.end() ? store::NoItem : it->second.ModRevision;
+  }
+
   struct Lease {
     std::chrono::milliseconds TimeToLive;
     core::TimePoint ExpiresAt;
@@ -162,6 +195,9 @@
   std::map<std::string, Entry> Entries;
   std::map<store::LeaseId, Lease> Leases;
   store::Revision LatestRevision = 1;
+  std::map<std::string, Entry> Copy;
+  store::Revision CopyRevision = 1;
+  store::Era CurrentEra = 1;
   store::LeaseId LastLease = store::NoLease;
 };
 
--- a/tests/unit-claim-store.cpp
+++ b/tests/unit-claim-store.cpp
@@ -219,4 +219,34 @@
   EXPECT_TRUE(Store.list("claims/", 1s).value().empty());
 }
 
+/// The store comes back from a copy without the claim of a key that ran. The
+/// resend must not run again, and isn't said not to have run.
+TEST_F(ClaimStoreTest, AKeyWhoseClaimTheStoreLostIsNotExecutedAgain) {
+  ASSERT_TRUE(A.send(A.key(7)).get());
+  Store.State->takeCopy();
+  ASSERT_TRUE(A.send(A.key(1)).get());
+  Store.State->restoreCopy();
+  const auto again = B.send(B.key(1), 2).get();
+  ASSERT_FALSE(again);
+  EXPECT_EQ(again.error().Code, ErrorCode::OutcomeUnknown);
+  EXPECT_EQ(again.error().Run, RunState::Unknown);
+  EXPECT_EQ(Leaf.executions(1), 1U);
+  // What the copy holds is known.
+  const auto known = B.send(B.key(7), 2).get();
+  ASSERT_TRUE(known);
+  EXPECT_TRUE(known->Replayed);
+}
+
+/// A first send that was held up until after the rise, too: another send of the
+/// key may have been executed in the time that was lost.
+TEST_F(ClaimStoreTest, AKeyMadeBeforeTheRiseIsNotGranted) {
+  ASSERT_TRUE(A.send(A.key(7)).get());
+  Store.State->takeCopy();
+  Store.State->restoreCopy();
+  const auto first = A.send(A.key(1)).get();
+  ASSERT_FALSE(first);
+  EXPECT_EQ(first.error().Run, RunState::Unknown);
+  EXPECT_EQ(Leaf.executions(1), 0U);
+}
+
 } // namespace
--- a/tests/unit-host-slots.cpp
+++ b/tests/unit-host-slots.cpp
@@ -165,4 +165,45 @@
   EXPECT_TRUE(hosts::parseHolders(entries).at(0).Draining);
 }
 
+/// The store comes back from a copy that doesn't hold a slot's claim: its
+/// holder stops to use it, and nobody else takes it while the holder might.
+TEST(HostSlotManager, ASlotWhoseClaimTheStoreLostHasNoTwoUsers) {
+  Fleet fleet;
+  fleet.SlotCount = 1;
+  core::WallTime wall(std::chrono::hours(1));
+  const auto options = [&](const std::string &id) {
+    auto made = fleet.options(id);
+    made.WallClock = [&wall] { return wall; };
+    return made;
+  };
+  SlotManager a(fleet.Store, options("a"));
+  SlotManager b(fleet.Store, options("b"));
+  fleet.Store.State->takeCopy();
+  a.renewOrClaim();
+  ASSERT_TRUE(a.slot());
+  fleet.Store.State->restoreCopy();
+  b.renewOrClaim();
+  EXPECT_FALSE(b.slot());
+  a.renewOrClaim();
+  EXPECT_FALSE(a.slot());
+  wall += 2min;
+  b.renewOrClaim();
+  EXPECT_TRUE(b.slot());
+}
+
+TEST(HostSlotManager, AHolderTakesItsSlotBackWhenTheCopyNamesIt) {
+  Fleet fleet;
+  fleet.SlotCount = 1;
+  SlotManager a(fleet.Store, fleet.options("a"));
+  a.renewOrClaim();
+  const auto slot = a.slot();
+  ASSERT_TRUE(slot);
+  fleet.Store.State->takeCopy();
+  fleet.Store.State->restoreCopy();
+  a.renewOrClaim();
+  EXPECT_FALSE(a.slot());
+  a.renewOrClaim();
+  EXPECT_EQ(a.slot(), slot);
+}
+
 } // namespace
--- a/tests/unit-settings-store.cpp
+++ b/tests/unit-settings-store.cpp
@@ -279,4 +279,29 @@
     EXPECT_LT(entry.Value.size(), 1'000'000U) << entry.Key;
 }
 
+/// The store comes back from a copy that is older than settings in force.
+/// Without the restored manifest every later change is refused as stale.
+TEST_F(SettingsStoreTest, SettingsThatTheStoreLostAreWrittenAgain) {
+  Kv.State->takeCopy();
+  First.commit(makeChange("1", setEdit("/a", "max_deadline", "4 s")));
+  First.commit(makeChange("2", setEdit("/b", "canary", "true")));
+  const auto inForce = First.read().value();
+  Kv.State->restoreCopy();
+  EXPECT_EQ(
+      First.commit(makeChange("3", setEdit("/c", "canary", "true"))).Outcome,
+      CommitOutcome::NotMade);
+  const auto tree = fromBlob(inForce).value();
+  EXPECT_TRUE(First.restoreLost(tree, inForce.Revision, {}).value());
+  // A second host that knows the revision has nothing left to restore.
+  EXPECT_FALSE(Second.restoreLost(tree, inForce.Revision, {}).value());
+  EXPECT_EQ(Second.read()->Revision, inForce.Revision);
+  EXPECT_EQ(valueOf(Second, "/a", "max_deadline"), "\"4 s\"");
+  EXPECT_EQ(valueOf(Second, "/b", "canary"), "true");
+  const auto next =
+      First.commit(makeChange("3", setEdit("/c", "canary", "true")));
+  EXPECT_EQ(next.Outcome, CommitOutcome::Accepted);
+  EXPECT_EQ(next.Revision, inForce.Revision + 1);
+  EXPECT_EQ(valueOf(Second, "/a", "max_deadline"), "\"4 s\"");
+}
+
 } // namespace
