--- a/spec/era.pml
+++ b/spec/era.pml
@@ -29,10 +29,11 @@
 byte copyRevision, copyDocAt;
 bool copyClaimed[3];
 
-/* Other writes, which make revisions meet again. */
+/* Other writes, of the document too, which make revisions meet again. */
 active proctype Others() {
   do
-  :: era == 1 && revision < 4 -> revision++
+  :: d_step { era == 1 && revision < 4 -> revision++ }
+  :: d_step { era == 1 && revision < 4 -> revision++; docAt = revision }
   :: era == 2 -> break
   od
 }
@@ -76,6 +77,7 @@
   bool done, c0, c1, c2;
   key != NEW || era == 2;
 confirm:
+  skip;
 #ifdef MUTANT_RECORD_AFTER_GRANT
   d_step { known = era; guard = recordAt }
 #else
