Bound answers that never end

Cause: an answer could take 4 MB on each connection, so forty leaves that never end one would fill a host of 160 MB; a chunk's header and trailers had no bound.

Past a bound the connection is closed, the leaf charged with a failure, and the request goes on elsewhere.

Measured: seven kinds of endless answers are broken off within 1.1 MB; fifty at once hold 4 MB under a bound of 4 MB.

--- a/src/leaf/Leaf.cpp
+++ b/src/leaf/Leaf.cpp
@@ -21,9 +21,9 @@
 
 Leaf::Leaf(boost::asio::io_context &io, core::LeafEntry entry,
            const boost::asio::ip::tcp::endpoint &address,
-           core::LeafDistance distance)
+           core::LeafDistance distance, std::shared_ptr<AnswerMemory> memory)
     : Io(io), Entry(std::move(entry)), Address(address),
-      Score(distance, Entry.Slots) {
+      Score(distance, Entry.Slots), Memory(std::move(memory)) {
   update(Entry);
 }
 
@@ -72,11 +72,13 @@
   if (ConnectionCount >= MaxConnections)
     return nullptr;
   ++ConnectionCount;
-  auto connection =
-      std::make_shared<LeafConnection>(Io, [weak = weak_from_this()] {
+  auto connection = std::make_shared<LeafConnection>(
+      Io,
+      [weak = weak_from_this()] {
         if (const auto self = weak.lock())
           --self->ConnectionCount;
-      });
+      },
+      Memory);
   std::erase_if(Connecting, [](const auto &it) {
     const auto other = it.lock();
     return !other || !other->connecting();
--- a/src/leaf/Leaf.h
+++ b/src/leaf/Leaf.h
@@ -26,9 +26,10 @@
   /// @param entry its entry in the store
   /// @param address the entry's address, parsed
   /// @param distance its distance from this host
+  /// @param memory bounds of answers, shared by all leaves
   Leaf(boost::asio::io_context &io, core::LeafEntry entry,
        const boost::asio::ip::tcp::endpoint &address,
-       core::LeafDistance distance);
+       core::LeafDistance distance, std::shared_ptr<AnswerMemory> memory);
 
   const core::LeafEntry &entry() const { return Entry; }
   const boost::asio::ip::tcp::endpoint &address() const { return Address; }
@@ -85,6 +86,7 @@
   core::LeafEntry Entry;
   boost::asio::ip::tcp::endpoint Address;
   core::LeafScore Score;
+  std::shared_ptr<AnswerMemory> Memory;
   core::LeafSilence Silence;
   std::vector<std::shared_ptr<LeafConnection>> Idle;
   /// Connections that may still be being established.
--- a/src/leaf/LeafConnection.cpp
+++ b/src/leaf/LeafConnection.cpp
@@ -18,7 +18,8 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 8192;
-constexpr std::size_t MaxAnswerBytes = 4 << 20;
+/// Bytes that the parser may leave for more to come, as in a chunk's header.
+constexpr std::size_t MaxUnparsedBytes = 64 << 10;
 /// The connection is closed if sent bytes stay unacknowledged for so long.
 constexpr milliseconds UnackedTimeout{2000};
 /// Idle time-out that is assumed for leaves whose answers state none.
@@ -46,8 +47,9 @@
 } // namespace
 
 LeafConnection::LeafConnection(boost::asio::io_context &context,
-                               CloseHandler onClose)
-    : Socket(context), OnClose(std::move(onClose)),
+                               CloseHandler onClose,
+                               std::shared_ptr<AnswerMemory> memory)
+    : Socket(context), OnClose(std::move(onClose)), Memory(std::move(memory)),
       KeepAlive(DefaultKeepAlive) {}
 
 void LeafConnection::send(const tcp::endpoint &address, LeafRequest request,
@@ -55,7 +57,7 @@
   Request = std::move(request);
   OnReply = std::move(onReply);
   Answer.emplace();
-  Answer->body_limit(MaxAnswerBytes);
+  Answer->body_limit(Memory->limits().MaxAnswer);
   Answer->eager(true);
   if (Request.method() == http::verb::head)
     Answer->skip(true);
@@ -130,6 +132,16 @@
   Buffer.commit(n);
   if (!OnReply)
     return fail(Delivery::Broken, "leaf sent bytes without a pending request");
+  // The parser's own limits leave out what surrounds chunks.
+  if (AnswerBytes + n > Memory->limits().MaxAnswer + MaxUnparsedBytes)
+    return fail(Delivery::Broken,
+                "answer exceeds " + std::to_string(Memory->limits().MaxAnswer) +
+                    " bytes");
+  if (!Memory->tryAdd(n))
+    return fail(Delivery::Broken,
+                "unfinished answers exceed " +
+                    std::to_string(Memory->limits().MaxUnfinished) + " bytes");
+  AnswerBytes += n;
   parse();
 }
 
@@ -148,9 +160,16 @@
       break;
   }
   if (Answer->is_done())
-    finishAnswer();
-  else
-    read();
+    return finishAnswer();
+  if (Buffer.size() > MaxUnparsedBytes)
+    return fail(Delivery::Broken, "answer: no end of a header within " +
+                                      std::to_string(MaxUnparsedBytes) +
+                                      " bytes");
+  read();
+}
+
+void LeafConnection::releaseMemory() {
+  Memory->release(std::exchange(AnswerBytes, 0));
 }
 
 void LeafConnection::finishAnswer() {
@@ -161,6 +180,7 @@
   const bool keep =
       Open && !Writing && Answer->keep_alive() && Buffer.size() == 0;
   reply.Answer = Answer->release();
+  releaseMemory();
   KeepAlive = statedKeepAlive(reply.Answer);
   IdleSince = std::chrono::steady_clock::now();
   auto onReply = std::move(OnReply);
@@ -185,6 +205,7 @@
     return;
   Closed = true;
   Open = false;
+  releaseMemory();
   error_code ignored; // the socket may be closed already
   Socket.close(ignored);
   if (OnClose)
--- a/src/leaf/LeafConnection.h
+++ b/src/leaf/LeafConnection.h
@@ -19,6 +19,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "leaf/AnswerMemory.h"
+
 namespace savorytrestle::leaf {
 
 /// @brief A request as it is sent to a leaf.
@@ -59,7 +61,9 @@
   /// @brief Creates a connection that is not yet open.
   /// @param context runs its handlers
   /// @param onClose called once, when the connection is closed
-  LeafConnection(boost::asio::io_context &context, CloseHandler onClose);
+  /// @param memory bounds of answers, shared by all connections
+  LeafConnection(boost::asio::io_context &context, CloseHandler onClose,
+                 std::shared_ptr<AnswerMemory> memory);
 
   /// @brief Sends a request; connects first if the connection isn't open.
   /// @param address the leaf's address
@@ -99,6 +103,7 @@
   void parse();
   void finishAnswer();
   void fail(Delivery result, const std::string &reason);
+  void releaseMemory();
   void closeSocket();
 
   boost::asio::ip::tcp::socket Socket;
@@ -107,6 +112,9 @@
   LeafRequest Request;
   ReplyHandler OnReply;
   CloseHandler OnClose;
+  std::shared_ptr<AnswerMemory> Memory;
+  /// Bytes received of the current answer.
+  std::size_t AnswerBytes = 0;
   std::chrono::steady_clock::time_point IdleSince{};
   std::chrono::milliseconds KeepAlive;
   bool Open = false;
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -106,7 +106,7 @@
     return;
   }
   auto leaf = std::make_shared<Leaf>(Io, entry, address,
-                                     distanceTo(entry.FailureDomain));
+                                     distanceTo(entry.FailureDomain), Memory);
   if (Departed.contains(run))
     leaf->retire();
   Service &owner = service(entry.Service);
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -57,6 +57,11 @@
   /// @brief Replaces the limit of retries and hedges.
   void setBudgetRule(const core::RetryBudgetRule &rule);
 
+  /// @brief Replaces the limits on answers of leaves.
+  void setAnswerLimits(const AnswerLimits &limits) {
+    Memory->setLimits(limits);
+  }
+
   /// @brief Returns the service of a name and creates it if needed; the
   /// reference stays valid.
   Service &service(const std::string &name);
@@ -178,6 +183,8 @@
   std::map<std::string, std::unique_ptr<Service>> Services;
   std::map<std::string, std::shared_ptr<Leaf>> ById;
   core::DepartedLeaves Departed;
+  std::shared_ptr<AnswerMemory> Memory =
+      std::make_shared<AnswerMemory>(AnswerLimits{});
   std::function<void(const core::LeafRun &)> OnLeaving;
   std::map<std::string, std::size_t> HostsByDomain;
   std::size_t HostCount;
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -43,6 +43,7 @@
       CallerContext(std::make_shared<entry::SessionContext>()),
       StatusContext(std::make_shared<entry::SessionContext>()),
       PeerContext(std::make_shared<entry::SessionContext>()) {
+  Leaves.setAnswerLimits(Config.Answers);
   CallerContext->OnRequest = [this](auto request, auto respond) {
     return Router.handle(std::move(request), std::move(respond));
   };
@@ -271,7 +272,9 @@
   Config.RetryRatio = config->RetryRatio;
   Config.RetryExtraPerWindow = config->RetryExtraPerWindow;
   Config.RetryWindow = config->RetryWindow;
+  Config.Answers = config->Answers;
   Leaves.setBudgetRule(retryBudgetRule(Config));
+  Leaves.setAnswerLimits(Config.Answers);
   support::LogLine("reload")
       .with("host", Config.Id)
       .with("retry_extra", Config.RetryExtraPerWindow)
--- a/src/serve/PlatformHostConfig.cpp
+++ b/src/serve/PlatformHostConfig.cpp
@@ -37,6 +37,13 @@
       bounds.decimal("retry_extra", config.RetryExtraPerWindow, 0, 1e6);
   config.RetryWindow = bounds.duration("retry_window", config.RetryWindow,
                                        milliseconds(100), minutes(60));
+  config.Answers.MaxAnswer = static_cast<std::size_t>(bounds.integer(
+      "answer_bytes", static_cast<std::int64_t>(config.Answers.MaxAnswer),
+      16 << 10, 256 << 20));
+  config.Answers.MaxUnfinished = static_cast<std::size_t>(
+      bounds.integer("unfinished_answers_bytes",
+                     static_cast<std::int64_t>(config.Answers.MaxUnfinished),
+                     16 << 10, std::int64_t{4} << 30));
   bounds.reportUnknownKeys();
   root.reportUnknownKeys();
   return config;
--- a/src/serve/PlatformHostConfig.h
+++ b/src/serve/PlatformHostConfig.h
@@ -12,6 +12,8 @@
 
 #include "savorytrestle/core/Error.h"
 
+#include "leaf/AnswerMemory.h"
+
 namespace savorytrestle::serve {
 
 /// @brief Settings of a platform host.
@@ -47,6 +49,8 @@
   /// Extra requests allowed beyond the ratio in each window, over all hosts.
   double RetryExtraPerWindow = 50;
   std::chrono::milliseconds RetryWindow{10000};
+  /// Largest answer of a leaf, and all unfinished ones together, in bytes.
+  leaf::AnswerLimits Answers;
 };
 
 /// @brief Reads and validates a platform host's YAML file.
--- a/src/store/StoreConnection.cpp
+++ b/src/store/StoreConnection.cpp
@@ -26,8 +26,6 @@
 /// Covers many round trips between any two regions. If the first packet of the
 /// handshake is lost, the call fails and has to be made again.
 constexpr milliseconds ConnectTimeout{700};
-/// Enough for the longest page of a range in its encoded form.
-constexpr std::size_t MaxReplyBytes = 8 << 20;
 
 std::optional<Era> eraOf(const http::response<http::string_body> &response) {
   const auto text = response[platform::StoreEraHeader];
--- a/src/store/StoreConnection.h
+++ b/src/store/StoreConnection.h
@@ -61,12 +61,16 @@
   void close();
 
 private:
+  /// Enough for the longest page of a range in its encoded form. Bounds the
+  /// bytes of an unfinished reply, whatever they are.
+  static constexpr std::size_t MaxReplyBytes = 8 << 20;
+
   /// Socket and buffer of one TCP connection. They are replaced together, so
   /// that handlers of a closed connection detect that it isn't the current one.
   struct Link {
     explicit Link(boost::asio::io_context &io) : Socket(io) {}
     boost::asio::ip::tcp::socket Socket;
-    boost::beast::flat_buffer Buffer;
+    boost::beast::flat_buffer Buffer{MaxReplyBytes};
   };
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
--- a/tests/unit-leaf-connection.cpp
+++ b/tests/unit-leaf-connection.cpp
@@ -1,5 +1,7 @@
 #include "leaf/LeafConnection.h"
 
+#include <vector>
+
 #include <gtest/gtest.h>
 
 #include "standins/RawLeaf.h"
@@ -28,7 +30,8 @@
   void startLeaf(const RawAnswer &answer) {
     Leaf = std::make_unique<RawLeaf>(
         Io, [answer](const std::string &) { return answer; });
-    Connection = std::make_shared<LeafConnection>(Io, [this] { ++CloseCalls; });
+    Connection = std::make_shared<LeafConnection>(
+        Io, [this] { ++CloseCalls; }, Memory);
   }
 
   /// Sends one request and runs until its reply, for at most 5 s.
@@ -52,6 +55,9 @@
 
   boost::asio::io_context Io;
   std::unique_ptr<RawLeaf> Leaf;
+  std::shared_ptr<leaf::AnswerMemory> Memory =
+      std::make_shared<leaf::AnswerMemory>(
+          leaf::AnswerLimits{1 << 20, 4 << 20});
   std::shared_ptr<LeafConnection> Connection;
   int Replies = 0;
   int CloseCalls = 0;
@@ -134,4 +140,52 @@
   EXPECT_EQ(Leaf->requests(), 1);
 }
 
+/// Bytes that are no answer and never end must neither be kept nor waited for.
+TEST_F(LeafConnectionTest, AnswersWithoutAnEndAreBroken) {
+  const std::string endless(8 << 20, 'x');
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::string> answers = {
+      endless,
+      "HTTP/1.1 200 OK\r\nA: " + endless,
+      "HTTP/1.1 200 OK\r\n\r\n" + endless,
+      chunked + "1;" + endless,
+      chunked + "7fffff\r\n" + endless,
+      chunked + "0\r\nA: " + endless,
+      "HTTP/1.1 200 OK\r\nContent-Length: 8388608\r\n\r\n" + endless};
+  for (const std::string &bytes : answers) {
+    startLeaf({bytes});
+    EXPECT_EQ(send().Result, Delivery::Broken) << bytes.substr(0, 60);
+    EXPECT_FALSE(Connection->ready());
+    EXPECT_EQ(Memory->held(), 0U);
+  }
+  EXPECT_LE(Memory->peak(), (1U << 20) + (128U << 10));
+}
+
+/// Fifty leaves do so at once: together they stay under the bound, and other
+/// answers arrive once they are closed.
+TEST_F(LeafConnectionTest, UnfinishedAnswersOfManyLeavesAreBounded) {
+  const std::string endless =
+      "HTTP/1.1 200 OK\r\n\r\n" + std::string(900 << 10, 'x');
+  RawLeaf leaf(Io, [&](const std::string &) { return RawAnswer{endless}; });
+  std::vector<std::shared_ptr<LeafConnection>> connections;
+  int broken = 0;
+  for (int i = 0; i < 50; ++i) {
+    connections.push_back(std::make_shared<LeafConnection>(
+        Io, [] {}, Memory));
+    connections.back()->send(leaf.address(), request(), [&](LeafReply reply) {
+      broken += reply.Result == Delivery::Broken ? 1 : 0;
+    });
+  }
+  Io.restart();
+  Io.run_for(500ms);
+  EXPECT_GE(broken, 46);
+  EXPECT_LE(Memory->peak(), 4U << 20);
+  for (const auto &connection : connections)
+    connection->close();
+  EXPECT_EQ(Memory->held(), 0U);
+  startLeaf({leafAnswer("hello")});
+  EXPECT_EQ(send().Answer.body(), "hello");
+}
+
 } // namespace
