--- a/include/savorytrestle/core/DepartedLeaves.h
+++ b/include/savorytrestle/core/DepartedLeaves.h
@@ -7,12 +7,12 @@
 /// bring them back.
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 
 #include "savorytrestle/core/Time.h"
 
@@ -26,7 +26,11 @@
   /// Start time in milliseconds since 1970, 0 if unknown.
   std::int64_t StartedAt = 0;
 
-  auto operator<=>(const LeafRun &) const = default;
+  bool operator==(const LeafRun &) const = default;
+  bool operator<(const LeafRun &other) const {
+    return std::tie(Id, Address, StartedAt) <
+           std::tie(other.Id, other.Address, other.StartedAt);
+  }
 };
 
 /// @brief Set of runs that have left; the oldest are dropped beyond a limit.
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -345,6 +345,7 @@
                           core::TimePoint deadline) {
   const auto now = SteadyClock::now();
   std::vector<core::TimePoint> availability;
+  availability.reserve(services.size());
   for (const Service *service : services)
     availability.push_back(availableAt(*service, now));
   const std::size_t needed = route.sharded() ? core::minShards(route) : 1;
--- a/src/operators/SettingsStore.h
+++ b/src/operators/SettingsStore.h
@@ -365,7 +365,7 @@
     return tl::unexpected(next.error());
   if (const auto done = writeEntries(next->Entries); !done)
     return tl::unexpected(done.error());
-  const auto swapped =
+  auto swapped =
       Store.compareAndSet(ManifestKey, serialize(next->Manifest),
                           loaded->StoreRevision, Options.CallTimeout);
   if (!swapped || !*swapped)
--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -184,7 +184,7 @@
     after.StoreEra = Eras->first();
   if (Known.At == 0)
     return std::nullopt;
-  if (after.At != 0 && (after > Known || behindEra()))
+  if (after.At != 0 && (Known < after || behindEra()))
     return std::nullopt;
   FeedPage page{{}, Known, false, age()};
   const auto add = [&](const StoredItem &item) {
@@ -449,12 +449,12 @@
       // A connection of its own, as the source's carries the mirror's calls.
       const auto connection =
           std::make_shared<store::StoreConnection>(Io, address);
-      connection->call(
-          {"GET", formatFeedTarget(query), ""}, HostReplyTimeout,
-          [self = shared_from_this(), connection, prefix](const Reply &reply) {
-            if (!self->Stopped)
-              self->onHeldItems(prefix, reply);
-          });
+      connection->call({"GET", formatFeedTarget(query), ""}, HostReplyTimeout,
+                       [self = shared_from_this(), connection,
+                        asked = query.Prefix](const Reply &reply) {
+                         if (!self->Stopped)
+                           self->onHeldItems(asked, reply);
+                       });
     }
   }
 }
--- a/src/store/ClaimStore.h
+++ b/src/store/ClaimStore.h
@@ -209,12 +209,14 @@
       return Batches.onStored(document, results);
     // A conflict may be one with the record of a new era.
     EraConfirmed = false;
-    if (stored && *stored)
+    // A write that took effect in a new era counts as one with a lost reply.
+    const bool mayBeStored =
+        stored ? *stored
+               : stored.error().Code == core::ErrorCode::OutcomeUnknown;
+    if (mayBeStored)
       Batches.onLostReply(document, results);
     else if (stored)
       ++Stats.Conflicts;
-    else if (stored.error().Code == core::ErrorCode::OutcomeUnknown)
-      Batches.onLostReply(document, results);
     else
       Batches.onStoreDown();
   }
--- a/src/store/StoreTypes.h
+++ b/src/store/StoreTypes.h
@@ -5,10 +5,10 @@
 /// @brief Data of the platform's store, and a call to it.
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace savorytrestle::store {
@@ -29,7 +29,10 @@
   std::optional<Era> StoreEra{};
   Revision At = 0;
 
-  auto operator<=>(const Position &) const = default;
+  bool operator==(const Position &) const = default;
+  bool operator<(const Position &other) const {
+    return std::tie(StoreEra, At) < std::tie(other.StoreEra, other.At);
+  }
 };
 
 /// @brief Id of a lease.
--- a/tests/unit-leaf-connection.cpp
+++ b/tests/unit-leaf-connection.cpp
@@ -173,9 +173,10 @@
   for (int i = 0; i < 50; ++i) {
     connections.push_back(std::make_shared<LeafConnection>(
         Io, [] {}, Memory));
-    connections.back()->send(leaf.address(), request(), [&](LeafReply reply) {
-      broken += reply.Result == Delivery::Broken ? 1 : 0;
-    });
+    connections.back()->send(
+        leaf.address(), request(), [&](const LeafReply &reply) {
+          broken += reply.Result == Delivery::Broken ? 1 : 0;
+        });
   }
   Io.restart();
   Io.run_for(500ms);
--- a/tests/unit-store-era.cpp
+++ b/tests/unit-store-era.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include "EventLoop.h"
 #include "entry/Listener.h"
 #include "standins/MetadataStore.h"
 #include "support/BeastStringView.h"
@@ -163,10 +164,7 @@
 
   bool runUntil(const std::function<bool()> &condition,
                 core::Duration timeout = std::chrono::seconds(10)) {
-    const auto end = std::chrono::steady_clock::now() + timeout;
-    while (!condition() && std::chrono::steady_clock::now() < end)
-      runFor(5ms);
-    return condition();
+    return tests::runUntil(Io, condition, timeout);
   }
 
   boost::asio::io_context Io;
--- a/tests/unit-store-mirror.cpp
+++ b/tests/unit-store-mirror.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include "EventLoop.h"
 #include "entry/Listener.h"
 #include "registry/FeedServer.h"
 #include "standins/MetadataStore.h"
@@ -81,16 +82,9 @@
     Store.put("other", "x");
   }
 
-  /// Runs the event loop until the condition holds or the timeout has passed.
-  /// @return whether the condition holds
   bool runUntil(const std::function<bool()> &condition,
                 core::Duration timeout = std::chrono::seconds(10)) {
-    const auto end = std::chrono::steady_clock::now() + timeout;
-    while (!condition() && std::chrono::steady_clock::now() < end) {
-      Io.restart();
-      Io.run_for(5ms);
-    }
-    return condition();
+    return tests::runUntil(Io, condition, timeout);
   }
 
   /// Starts a host that reads the store and a host that gets changes from it.
