A rise that a page shows starts no second call

Cause: on a page of another host that shows a new era, StoreMirror::onEraRise took the call that had just ended for one in flight and scheduled the next one, beside the one that onHostReply makes: two calls on one connection, the second of which got the reply of the first or broke the connection.

Change: the call has ended when its reply is handled.

Measured: StoreEraTest.ARiseInAPageStartsNoSecondCall saw four polls and two connections before, three and one now.

--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -325,6 +325,8 @@
 }
 
 void StoreMirror::onHostReply(const SourcePtr &source, const Reply &reply) {
+  // The call has ended: a rise that the page shows must not start another one.
+  PendingSource.reset();
   if (reply.Status != platform::StatusOk)
     return onSourceFailure(source, reply.Status, reply.Error);
   auto page = decodeFeedPage(reply.Body);
--- a/tests/unit-store-era.cpp
+++ b/tests/unit-store-era.cpp
@@ -4,7 +4,10 @@
 #include "registry/LeafFeed.h"
 #include "registry/StoreMirror.h"
 
+#include <array>
+
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include "EventLoop.h"
@@ -281,6 +284,78 @@
   EXPECT_EQ(follower.Eras->current(), 2U);
 }
 
+/// Answers the first poll of each era with a full list, and no other one.
+class ScriptedSource {
+public:
+  explicit ScriptedSource(boost::asio::io_context &io)
+      : Acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}) {
+    accept();
+  }
+
+  tcp::endpoint address() const { return Acceptor.local_endpoint(); }
+  int polls() const { return Polls; }
+  int connections() const { return Connections; }
+
+private:
+  using SocketPtr = std::shared_ptr<tcp::socket>;
+
+  void accept() {
+    Acceptor.async_accept(
+        [this](boost::system::error_code ec, tcp::socket socket) {
+          if (ec)
+            return;
+          ++Connections;
+          read(std::make_shared<tcp::socket>(std::move(socket)),
+               std::make_shared<std::array<char, 4096>>());
+          accept();
+        });
+  }
+
+  void read(const SocketPtr &socket,
+            const std::shared_ptr<std::array<char, 4096>> &bytes) {
+    socket->async_read_some(
+        boost::asio::buffer(*bytes),
+        [this, socket, bytes](boost::system::error_code ec, std::size_t n) {
+          if (ec)
+            return;
+          const std::string text(bytes->data(), n);
+          for (auto at = text.find("GET "); at != std::string::npos;
+               at = text.find("GET ", at + 1))
+            if (++Polls <= 2)
+              answer(*socket, static_cast<store::Era>(Polls));
+          read(socket, bytes);
+        });
+  }
+
+  static void answer(tcp::socket &socket, store::Era era) {
+    registry::FeedPage page;
+    page.At = {era, 10};
+    page.IsFullList = true;
+    const auto body = registry::encodeFeedPage(page);
+    const std::string out =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
+    boost::asio::write(socket, boost::asio::buffer(out));
+  }
+
+  tcp::acceptor Acceptor;
+  int Polls = 0;
+  int Connections = 0;
+};
+
+/// A host that learns of the rise from a page goes on with one call at a time;
+/// a second one would get the reply of the first.
+TEST_F(StoreEraTest, ARiseInAPageStartsNoSecondCall) {
+  ScriptedSource source(Io);
+  Host.Mirror->setPlan({{source.address()}, {}, false});
+  Host.Mirror->start();
+  ASSERT_TRUE(runUntil([&] { return source.polls() >= 2; }));
+  runFor(200ms);
+  EXPECT_EQ(source.polls(), 3);
+  EXPECT_EQ(source.connections(), 1);
+  EXPECT_EQ(Host.Eras->current(), 2U);
+}
+
 /// Pages of a host that has not noticed the rise are not taken.
 TEST_F(StoreEraTest, PagesOfAnOlderEraAreDropped) {
   FeedHost behind(Io, Store.port());
