Slots over a rise: keep those that the copy holds, take none of two eras

Cause: a holder gave up its slot at any rise, also if the copy holds it, and then had none until the old lease ended; a claim that fell across a rise was kept for up to a renewal without the rest.

Change: a holder keeps its slot if the entry still has its value and lease; a claim whose replies are of two eras is given up; seeds are asked with a wait only when the fleet starts.

--- a/src/hosts/HostSlotManager.h
+++ b/src/hosts/HostSlotManager.h
@@ -142,7 +142,8 @@
   std::string serializeSelf() {
     const std::lock_guard guard(Lock);
     EntryOutdated = false;
-    return core::serializeHost(Options.Self);
+    HeldEntry = core::serializeHost(Options.Self);
+    return HeldEntry;
   }
 
   Millis renew() {
@@ -154,12 +155,14 @@
     if (entryOutdated)
       Client.acquire(slotKey(HeldSlot), serializeSelf(), HeldLease,
                      Options.CallTimeout);
-    const auto renewed = Client.renewLease(HeldLease, Options.CallTimeout);
+    auto renewed = Client.renewLease(HeldLease, Options.CallTimeout);
+    // A lease of an earlier era may be gone, and its id another host's.
+    if (renewed && *renewed && Client.era() != LeaseEra)
+      renewed = confirmSlot();
     if (!renewed)
       return onStoreUnreachable();
     const std::lock_guard guard(Lock);
-    // Leases of an earlier era are gone, and their ids may be others' now.
-    if (*renewed && Client.era() == LeaseEra) {
+    if (*renewed) {
       Lease.onConfirmed(HeldSlot, sentAt);
       return Options.Timing.renewalInterval();
     }
@@ -169,6 +172,19 @@
     return randomClaimDelay();
   }
 
+  // A slot's entry that is in the older copy with this host's lease proves that
+  // the lease is, too: the copy was taken after both.
+  core::Result<bool> confirmSlot() {
+    const auto item = Client.get(slotKey(HeldSlot), Options.CallTimeout);
+    if (!item)
+      return tl::unexpected(item.error());
+    const bool held =
+        *item && (*item)->Lease == HeldLease && (*item)->Value == HeldEntry;
+    if (held)
+      LeaseEra = Client.era();
+    return held;
+  }
+
   // After an outage many leases have lapsed at the same time. The random delay
   // spreads the claims over the time in which the store can process them.
   Millis randomClaimDelay() {
@@ -205,6 +221,9 @@
     for (const auto number : candidates(table, sentAt, *recorded)) {
       if (!tryClaim(table.Records[number], number, *lease))
         continue;
+      // In an era that began meanwhile another host may use the slot.
+      if (Client.era() != recorded->StoreEra)
+        break;
       HeldLease = *lease;
       LeaseEra = recorded->StoreEra;
       HeldSlot = number;
@@ -282,6 +301,8 @@
   /// Era in which it was granted.
   std::optional<store::Era> LeaseEra{};
   core::SlotNumber HeldSlot = 0;
+  /// Value of the slot's entry that was written last.
+  std::string HeldEntry;
 };
 
 } // namespace savorytrestle::hosts
--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -314,8 +314,11 @@
 void StoreMirror::callHost(const SourcePtr &source) {
   FeedQuery query{NeedsFullList ? store::Position{} : Known};
   query.Wait = std::chrono::floor<milliseconds>(Timing.ShortPollWait);
+  // Only when the fleet starts will a seed have its first list soon.
   if (Known.At == 0)
-    query.Wait = std::min(query.Wait, SeedHeadStart);
+    query.Wait = HasPlan || Plan.PreferredSources.empty()
+                     ? milliseconds(0)
+                     : std::min(query.Wait, SeedHeadStart);
   source->Connection->call(
       {"GET", formatFeedTarget(query), ""}, query.Wait + HostReplyTimeout,
       [self = shared_from_this(), source](const Reply &reply) {
