Reports of failures by the mean without the highest; plan and collectors apart

Cause (read-through): the median of a few requests' outcomes is no failure for a leaf that fails two in five, and a report without ended requests said so too; both ended the hosts' own memory of a grey leaf after 300 ms. planMirrorHosts set the collectors as well.

Change: failures are merged by the mean without the highest report, and left out where no request ended; PlatformHost::setCollectors is a function of its own.

--- a/include/savorytrestle/core/LeafReports.h
+++ b/include/savorytrestle/core/LeafReports.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,8 +20,8 @@
 struct LeafReport {
   /// Mean ratio of its latency to the expected one.
   double Slowness = 1;
-  /// Share of the requests that failed.
-  double FailureRate = 0;
+  /// Share of the requests that failed; nothing if none has ended.
+  std::optional<double> FailureRate{};
 };
 
 /// @brief A report with the time since its newest sample.
@@ -40,9 +41,11 @@
   void add(const std::string &host, const std::string &leaf,
            const LeafReport &report, TimePoint now);
 
-  /// @brief Merges the reports on each leaf by their median, so that one host
-  /// alone takes no leaf out. Leaves with reports of fewer than two hosts are
-  /// left out. O(reports).
+  /// @brief Merges the reports on each leaf so that one host alone takes no
+  /// leaf out: slowness by the median, failures by the mean without the highest
+  /// report, since a leaf that fails a part of its requests fails none of most
+  /// hosts' few. Leaves with reports of fewer than two hosts are left out.
+  /// O(reports).
   /// @param now the time; reports that are too old are dropped
   std::map<std::string, AgedLeafReport> merge(TimePoint now);
 
--- a/src/core/LeafReports.cpp
+++ b/src/core/LeafReports.cpp
@@ -1,6 +1,7 @@
 #include "savorytrestle/core/LeafReports.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace savorytrestle::core {
 
@@ -22,6 +23,15 @@
   return *middle;
 }
 
+/// Returns the mean without the highest value; nothing for fewer than two.
+std::optional<double> meanWithoutHighest(const std::vector<double> &values) {
+  if (values.size() < MinHosts)
+    return std::nullopt;
+  const double highest = *std::max_element(values.begin(), values.end());
+  const double sum = std::accumulate(values.begin(), values.end(), 0.0);
+  return (sum - highest) / static_cast<double>(values.size() - 1);
+}
+
 } // namespace
 
 void LeafReports::add(const std::string &host, const std::string &leaf,
@@ -49,11 +59,12 @@
       if (newest - report.At > MergeSpan)
         continue;
       slowness.push_back(report.Report.Slowness);
-      failures.push_back(report.Report.FailureRate);
+      if (report.Report.FailureRate)
+        failures.push_back(*report.Report.FailureRate);
     }
     if (slowness.size() >= MinHosts)
-      merged[it->first] = {{lowerMedian(slowness), lowerMedian(failures)},
-                           now - newest};
+      merged[it->first] = {
+          {lowerMedian(slowness), meanWithoutHighest(failures)}, now - newest};
     ++it;
   }
   return merged;
--- a/src/core/LeafScore.cpp
+++ b/src/core/LeafScore.cpp
@@ -170,8 +170,9 @@
 }
 
 double LeafScore::failureRate(TimePoint now) const {
-  if (SharedAt > FailureRateUpdated + OwnSamplePreference)
-    return decayed(SharedReport.FailureRate, SharedAt, now, FailureDecayTime);
+  if (SharedReport.FailureRate &&
+      SharedAt > FailureRateUpdated + OwnSamplePreference)
+    return decayed(*SharedReport.FailureRate, SharedAt, now, FailureDecayTime);
   return ownFailureRate(now);
 }
 
--- a/src/registry/LeafExchange.cpp
+++ b/src/registry/LeafExchange.cpp
@@ -37,11 +37,15 @@
 }
 
 json encodeReport(const std::string &leaf, const core::LeafReport &report) {
-  return {leaf, encodeRatio(report.Slowness), encodeRatio(report.FailureRate)};
+  return {leaf, encodeRatio(report.Slowness),
+          report.FailureRate ? json(encodeRatio(*report.FailureRate)) : json()};
 }
 
 core::LeafReport decodeReport(const json &row) {
-  return {decodeRatio(row.at(1)), decodeRatio(row.at(2))};
+  core::LeafReport report{decodeRatio(row.at(1))};
+  if (!row.at(2).is_null())
+    report.FailureRate = decodeRatio(row.at(2));
+  return report;
 }
 
 } // namespace
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -174,40 +174,43 @@
       peers.push_back(std::move(peer));
     }
   Leaves.setPeers(peers);
-  Mirror->setPlan(planMirrorHosts(hosts.LiveHosts));
-}
-
-registry::MirrorPlan PlatformHost::planMirrorHosts(
-    const std::vector<registry::HostEntry> &knownHosts) {
-  std::vector<core::FeedHost> hosts;
-  std::map<std::string, Endpoint> addresses;
-  for (const registry::HostEntry &host : knownHosts)
+  HostAddresses others;
+  for (const registry::HostEntry &host : hosts.LiveHosts)
     if (Endpoint address; support::parseEndpoint(host.PeerAddress, address)) {
-      hosts.push_back({host.Id, host.FailureDomain});
-      addresses[host.Id] = address;
+      others.Hosts.push_back({host.Id, host.FailureDomain});
+      others.ById[host.Id] = address;
     }
-  const auto plan =
-      core::planFeed({Config.Id, Config.FailureDomain}, Config.Regions, hosts);
+  setCollectors(others);
+  Mirror->setPlan(planMirror(others));
+}
+
+registry::MirrorPlan
+PlatformHost::planMirror(const HostAddresses &others) const {
+  const auto plan = core::planFeed({Config.Id, Config.FailureDomain},
+                                   Config.Regions, others.Hosts);
   registry::MirrorPlan feed;
   for (const std::string &id : plan.PreferredSources)
-    feed.PreferredSources.push_back(addresses[id]);
+    feed.PreferredSources.push_back(others.ById.at(id));
   for (const std::string &id : plan.FallbackSources)
-    feed.FallbackSources.push_back(addresses[id]);
+    feed.FallbackSources.push_back(others.ById.at(id));
   feed.ServesOthers = plan.ServesOthers;
-  const auto collectors =
-      core::planCollectors({Config.Id, Config.FailureDomain}, hosts);
-  std::vector<Endpoint> collectorAddresses;
-  for (const std::string &id : collectors)
-    if (id != Config.Id && addresses.count(id) > 0)
-      collectorAddresses.push_back(addresses[id]);
-  Exchange->setCollectors(collectorAddresses,
-                          !collectors.empty() &&
-                              collectors.front() == Config.Id);
-  if (addresses.empty())
+  if (others.ById.empty())
     feed.FallbackSources = seedEndpoints();
   return feed;
 }
 
+void PlatformHost::setCollectors(const HostAddresses &others) {
+  const auto collectors =
+      core::planCollectors({Config.Id, Config.FailureDomain}, others.Hosts);
+  std::vector<Endpoint> addresses;
+  for (const std::string &id : collectors)
+    if (const auto it = others.ById.find(id);
+        id != Config.Id && it != others.ById.end())
+      addresses.push_back(it->second);
+  Exchange->setCollectors(addresses, !collectors.empty() &&
+                                         collectors.front() == Config.Id);
+}
+
 std::vector<Endpoint> PlatformHost::seedEndpoints() const {
   std::vector<Endpoint> seeds;
   for (const std::string &text : Config.SeedAddresses)
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -46,8 +46,14 @@
   core::Result<void> openListeners();
   void startFeeds(const boost::asio::ip::tcp::endpoint &store);
   void applyHosts(const registry::KnownHosts &hosts);
-  registry::MirrorPlan
-  planMirrorHosts(const std::vector<registry::HostEntry> &knownHosts);
+  /// Live hosts with a listener for other hosts, this one included.
+  struct HostAddresses {
+    std::vector<core::FeedHost> Hosts;
+    std::map<std::string, boost::asio::ip::tcp::endpoint> ById;
+  };
+  registry::MirrorPlan planMirror(const HostAddresses &others) const;
+  /// Sets the hosts with which reports on leaves are exchanged.
+  void setCollectors(const HostAddresses &others);
   std::vector<boost::asio::ip::tcp::endpoint> seedEndpoints() const;
   void waitForSignal();
   void reload();
--- a/tests/unit-leaf-reports.cpp
+++ b/tests/unit-leaf-reports.cpp
@@ -36,6 +36,34 @@
   EXPECT_EQ(merged.at("i-1").Age, Duration(100ms));
 }
 
+/// A grey leaf fails two in five requests; a host has one or two a report. The
+/// median of such reports is "no failure", which would end the hosts' own
+/// memory of failures.
+TEST(LeafReports, ALeafThatFailsAPartOfItsRequestsIsReported) {
+  LeafReports reports;
+  for (int i = 0; i < 10; ++i)
+    reports.add("h-" + std::to_string(i), "i-1", {1, i < 4 ? 1.0 : 0.0}, Begin);
+  const auto merged = reports.merge(Begin);
+  ASSERT_TRUE(merged.at("i-1").Report.FailureRate);
+  EXPECT_NEAR(*merged.at("i-1").Report.FailureRate, 0.33, 0.01);
+}
+
+/// Requests that are out tell nothing about failures.
+TEST(LeafReports, ReportsWithoutEndedRequestsKeepTheMemoryOfFailures) {
+  LeafReports reports;
+  reports.add("h-1", "i-1", {5, std::nullopt}, Begin + 1s);
+  reports.add("h-2", "i-1", {5, std::nullopt}, Begin + 1s);
+  const auto merged = reports.merge(Begin + 1s);
+  EXPECT_FALSE(merged.at("i-1").Report.FailureRate);
+  LeafScore failing(LeafDistance::SameDomain, 3);
+  failing.onFailure(Begin);
+  LeafScore sound(LeafDistance::SameDomain, 3);
+  for (LeafScore *score : {&failing, &sound})
+    score->onReport(merged.at("i-1").Report, Begin + 1s);
+  EXPECT_GT(failing.cost(Begin + 1s, UsualLatency),
+            sound.cost(Begin + 1s, UsualLatency));
+}
+
 TEST(LeafReports, OldReportsAreDropped) {
   LeafReports reports;
   reports.add("h-1", "i-1", {9, 0}, Begin);
@@ -58,7 +86,7 @@
   const auto report = score.takeReport(Begin);
   ASSERT_TRUE(report);
   EXPECT_DOUBLE_EQ(report->Slowness, 3);
-  EXPECT_DOUBLE_EQ(report->FailureRate, 0.5);
+  EXPECT_DOUBLE_EQ(report->FailureRate.value(), 0.5);
   EXPECT_FALSE(score.takeReport(Begin));
 }
 
