The write test has slots for all the hosts that it kills

Cause: a killed host's slot rests for a minute, and the test kills a host at every seventh fault; beside load more faults fit in, and the sixth kill leaves a host without a slot, so that it isn't ready within the 30 s that the test asks for. Shown: with 6 slots it fails after 33 faults (same place), with 13 it passes with 50; with the default 8 it passed with 37 and failed with 39.

Change: the test's hosts have 13 slots; all checks and bounds stay.

--- a/tests/PathFixture.h
+++ b/tests/PathFixture.h
@@ -40,7 +40,7 @@
   /// @param furtherRoutes further routes of the search service
   HostProcess &startHost(const std::string &serviceSettings = "",
                          const std::string &furtherRoutes = "") {
-    auto &host = Cluster.addHost("wien");
+    auto &host = Cluster.addHost("wien", HostSettings);
     if (Cluster.Hosts.size() == 1) {
       EXPECT_TRUE(eventually([&] {
         return apply(host, settingsText(serviceSettings, furtherRoutes));
@@ -87,6 +87,8 @@
   LeafProcess &writeLeaf() { return *Cluster.Leaves.back(); }
 
   Deployment Cluster;
+  /// Further settings of the hosts that are started next.
+  std::string HostSettings;
 
 private:
   std::string settingsText(const std::string &serviceSettings,
--- a/tests/process-writes.cpp
+++ b/tests/process-writes.cpp
@@ -40,6 +40,9 @@
 class WritesUnderFaults : public PathTest {
 protected:
   void SetUp() override {
+    // The slot of a killed host rests for a minute; with the default number the
+    // sixth kill within it would leave a host without one.
+    HostSettings = "host_slots: {hosts: 12}\n";
     startLeaves();
     for (std::size_t i = 0; i < Hosts; ++i)
       startHost();
