Log and count what leaves name as their limit and what they are sent

Logs couldn't tell whether hosts ignore Server-Limit, keep it each for itself, or forget it. leaf_rate_limit says when a host learns of a limit or its end, leaf_rate what it sent meanwhile; the gauge savorytrestle_limited_leaves counts them. Nothing acts on it yet. The parser of decimals is shared with Retry-After.

--- a/src/core/LeafSilence.cpp
+++ b/src/core/LeafSilence.cpp
@@ -1,8 +1,8 @@
 #include "savorytrestle/core/LeafSilence.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
+
+#include "savorytrestle/core/Decimal.h"
 
 namespace savorytrestle::core {
 
@@ -15,30 +15,15 @@
 constexpr double ReturnSpreadShare = 0.25;
 constexpr milliseconds MaxReturnSpread{2000};
 
-std::string_view trimmed(std::string_view text) {
-  constexpr std::string_view Blanks = " \t";
-  const auto first = text.find_first_not_of(Blanks);
-  if (first == std::string_view::npos)
-    return {};
-  return text.substr(first, text.find_last_not_of(Blanks) - first + 1);
-}
-
 } // namespace
 
 std::optional<Duration> parseRetryAfter(std::string_view text) {
-  text = trimmed(text);
-  double seconds = 0;
-  const char *const end = text.data() + text.size();
-  const auto [stop, ec] = std::from_chars(text.data(), end, seconds);
-  constexpr double MaxSeconds = std::chrono::seconds(MaxSilence).count();
-  // A number that is too large for a double is a long time as well.
-  if (ec == std::errc::result_out_of_range && stop == end && text[0] != '-')
-    return Duration(MaxSilence);
-  if (ec != std::errc() || stop != end || !std::isfinite(seconds) ||
-      std::signbit(seconds))
+  const auto seconds = parseDecimal(text);
+  if (!seconds)
     return std::nullopt;
+  constexpr double MaxSeconds = std::chrono::seconds(MaxSilence).count();
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(std::min(seconds, MaxSeconds)));
+      std::chrono::duration<double>(std::min(*seconds, MaxSeconds)));
 }
 
 void LeafSilence::onRetryAfter(TimePoint now, Duration wait, double draw) {
--- a/src/leaf/Leaf.h
+++ b/src/leaf/Leaf.h
@@ -13,6 +13,7 @@
 #include "leaf/LeafConnection.h"
 #include "savorytrestle/core/DepartedLeaves.h"
 #include "savorytrestle/core/LeafEntry.h"
+#include "savorytrestle/core/LeafRateLimit.h"
 #include "savorytrestle/core/LeafScore.h"
 #include "savorytrestle/core/LeafSilence.h"
 
@@ -75,6 +76,10 @@
   core::LeafSilence &silence() { return Silence; }
   const core::LeafSilence &silence() const { return Silence; }
 
+  /// @brief Rate of requests that the leaf takes from all hosts together.
+  core::LeafRateLimit &rateLimit() { return RateLimit; }
+  const core::LeafRateLimit &rateLimit() const { return RateLimit; }
+
   /// @brief This host's score of the leaf.
   core::LeafScore &score() { return Score; }
   const core::LeafScore &score() const { return Score; }
@@ -88,6 +93,7 @@
   core::LeafScore Score;
   std::shared_ptr<AnswerMemory> Memory;
   core::LeafSilence Silence;
+  core::LeafRateLimit RateLimit;
   std::vector<std::shared_ptr<LeafConnection>> Idle;
   /// Connections that may still be being established.
   std::vector<std::weak_ptr<LeafConnection>> Connecting;
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -168,6 +168,34 @@
       .with("wait", std::chrono::ceil<std::chrono::milliseconds>(wait));
 }
 
+void LeafDirectory::applyRateLimit(Leaf &leaf,
+                                   std::optional<double> perSecond) {
+  const auto now = SteadyClock::now();
+  core::LeafRateLimit &limit = leaf.rateLimit();
+  if (const auto use = limit.takeUse(now))
+    support::LogLine("leaf_rate")
+        .with("leaf", leaf.entry().Id)
+        .with("service", leaf.entry().Service)
+        .with("limit", *limit.limit())
+        .with("sent", use->Sent)
+        .with("period", use->Period);
+  if (limit.limit() == perSecond)
+    return;
+  limit.set(perSecond, now);
+  support::LogLine line("leaf_rate_limit");
+  line.with("leaf", leaf.entry().Id).with("service", leaf.entry().Service);
+  if (perSecond)
+    line.with("limit", *perSecond);
+  line.with("limited", perSecond ? 1 : 0).with("found_by", "answer");
+}
+
+std::size_t LeafDirectory::limitedLeafCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(ById.begin(), ById.end(), [](const auto &it) {
+        return it.second->rateLimit().limit().has_value();
+      }));
+}
+
 double LeafDirectory::draw() {
   return std::uniform_real_distribution<double>(0, 1)(Random);
 }
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -95,6 +95,14 @@
   /// @brief Sends a leaf no requests for a time that it asked for.
   void pauseLeaf(Leaf &leaf, core::Duration wait);
 
+  /// @brief Applies the rate limit that an answer of a leaf names.
+  /// @param perSecond requests a second from all hosts; nothing if the answer
+  /// names none
+  void applyRateLimit(Leaf &leaf, std::optional<double> perSecond);
+
+  /// @brief Number of leaves with a rate limit. O(leaves)
+  std::size_t limitedLeafCount() const;
+
   /// @brief Takes this host's reports on all leaves that it has sent requests
   /// to since the last call. O(leaves).
   std::vector<std::pair<std::string, core::LeafReport>>
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
+#include "savorytrestle/core/Decimal.h"
 #include "support/BeastStringView.h"
 
 namespace savorytrestle::leaf {
@@ -67,6 +68,7 @@
   auto connection = to->acquireConnection();
   if (!connection)
     return false;
+  to->rateLimit().onSend();
   Tried.push_back(to);
   ++AttemptCount;
   ++PossibleExecutions;
@@ -184,6 +186,14 @@
     Leaving.push_back(from.run());
     Context->Leaves.markLeaving(from);
   }
+  const auto rate = answer.find(Context->Names.LeafRateLimit);
+  if (rate == answer.end()) {
+    if (isValidAnswer(answer))
+      Context->Leaves.applyRateLimit(from, std::nullopt);
+  } else if (const auto perSecond =
+                 core::parseDecimal(support::toStringView(rate->value()))) {
+    Context->Leaves.applyRateLimit(from, perSecond);
+  }
   if (answer.result_int() != Unavailable)
     return;
   const auto header = answer.find(http::field::retry_after);
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -140,8 +140,8 @@
   /// and not encoded.
   bool isValidAnswer(const LeafAnswer &answer) const;
   void recordLoad(Leaf &from, const LeafAnswer &answer, core::TimePoint now);
-  /// Handles what an answer says about its leaf: that it is leaving, or wants
-  /// no requests for a time.
+  /// Handles what an answer says about its leaf: that it is leaving, wants no
+  /// requests for a time, or only so many a second.
   void applyLeafNotices(const Attempt &attempt, const LeafAnswer &answer);
   /// Starts another attempt if there is a cause and it is allowed; else ends
   /// the call, once no attempt is pending.
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -241,6 +241,9 @@
   HostMetrics.setGauge("savorytrestle_caller_connections",
                        "Open connections of callers.",
                        static_cast<double>(CallerListener->connectionCount()));
+  HostMetrics.setGauge("savorytrestle_limited_leaves",
+                       "Leaves that name a limit of requests a second.",
+                       static_cast<double>(Leaves.limitedLeafCount()));
   HostMetrics.setGauge("savorytrestle_log_lines_dropped",
                        "Log lines dropped for want of a reader.",
                        static_cast<double>(support::droppedLogLines()));
--- a/src/support/HeaderNames.h
+++ b/src/support/HeaderNames.h
@@ -27,6 +27,8 @@
   std::string NotExecuted;
   /// "1" in answers of a leaf that is shutting down.
   std::string LeafLeaving;
+  /// Requests a second that the leaf takes from all hosts together.
+  std::string LeafRateLimit;
   /// Signatures of the parts in an answer, separated by commas.
   std::string PartSignatures;
   /// Number of shards that an answer leaves out.
--- a/tests/standins/PlatformLeaf.h
+++ b/tests/standins/PlatformLeaf.h
@@ -34,6 +34,8 @@
   bool Leaving = false;
   /// Turns requests away with 503 and this Retry-After, unless empty.
   std::string RetryAfter{};
+  /// Names this limit of requests a second in all answers, unless empty.
+  std::string RateLimit{};
 };
 
 /// @brief The leaf; runs on one thread.
@@ -131,6 +133,8 @@
       refusal.set("Retry-After", Behavior.RetryAfter);
     if (Behavior.Leaving)
       refusal.set("Server-Leaving", "1");
+    if (!Behavior.RateLimit.empty())
+      refusal.set("Server-Limit", Behavior.RateLimit);
     respond(std::move(refusal));
     return nullptr;
   }
@@ -145,6 +149,8 @@
     answer.set("Savorytrestle-Instance-Load", "1,0,5");
     if (Behavior.Leaving)
       answer.set("Server-Leaving", "1");
+    if (!Behavior.RateLimit.empty())
+      answer.set("Server-Limit", Behavior.RateLimit);
     return answer;
   }
 
