Tell a host that has lost its links to all leaves from leaves that are down

Logs couldn't tell the two apart. core::LeafLink takes failed connections and silent leaves as a suspicion, and probes of three leaves chosen at random as the proof; leaf::LeafProber opens them. leaves_lost, leaves_regained and the gauge savorytrestle_leaves_lost say so. Nothing acts on it yet.

--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -1,6 +1,7 @@
 #include "leaf/LeafDirectory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 #include "savorytrestle/core/HedgePolicy.h"
@@ -234,6 +235,18 @@
   return it->second->rateLimit().limit();
 }
 
+std::vector<boost::asio::ip::tcp::endpoint>
+LeafDirectory::sampleAddresses(std::size_t count) {
+  std::vector<boost::asio::ip::tcp::endpoint> all;
+  for (const auto &[id, leaf] : ById)
+    if (!id.starts_with(PeerServicePrefix) && leaf->acceptsRequests())
+      all.push_back(leaf->address());
+  std::vector<boost::asio::ip::tcp::endpoint> sample;
+  std::sample(all.begin(), all.end(), std::back_inserter(sample), count,
+              Random);
+  return sample;
+}
+
 std::size_t LeafDirectory::limitedLeafCount() const {
   return static_cast<std::size_t>(
       std::count_if(ById.begin(), ById.end(), [](const auto &it) {
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "leaf/Leaf.h"
+#include "savorytrestle/core/LeafLink.h"
 #include "savorytrestle/core/RelayPolicy.h"
 #include "savorytrestle/core/ServingConfig.h"
 #include "savorytrestle/core/SharedRetryBudget.h"
@@ -119,6 +120,15 @@
   /// nothing if it named none or there was no answer.
   std::optional<double> observedRateLimit(const core::LeafRun &run) const;
 
+  /// @brief Evidence on this host's links to all leaves.
+  core::LeafLink &link() { return Link; }
+
+  /// @brief Addresses of distinct leaves, chosen at random among those that
+  /// accept requests. O(leaves)
+  /// @param count most of them
+  std::vector<boost::asio::ip::tcp::endpoint>
+  sampleAddresses(std::size_t count);
+
   /// @brief Number of leaves with a rate limit. O(leaves)
   std::size_t limitedLeafCount() const;
 
@@ -220,6 +230,7 @@
   std::map<std::string, std::unique_ptr<Service>> Services;
   std::map<std::string, std::shared_ptr<Leaf>> ById;
   core::DepartedLeaves Departed;
+  core::LeafLink Link;
   std::shared_ptr<AnswerMemory> Memory =
       std::make_shared<AnswerMemory>(AnswerLimits{});
   std::function<void(const core::LeafRun &)> OnLeaving;
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -77,7 +77,7 @@
   MayHaveRun = true;
   const std::size_t index = Attempts.size();
   Attempts.push_back({to, connection, to->score().onSend(now, expected), now,
-                      to->silence().onSend(), false});
+                      to->silence().onSend(), !connection->ready(), false});
   connection->send(to->address(), requestFor(*to, now),
                    [self = shared_from_this(), index](LeafReply reply) {
                      self->onReply(index, std::move(reply));
@@ -103,6 +103,11 @@
   attempt.Target->score().onEnd(attempt.ScoreHandle);
   const auto now = SteadyClock::now();
   if (reply.Result == Delivery::Answered) {
+    if (!Context->ToHost) {
+      Context->Leaves.link().onAnswer(now);
+      if (attempt.Connects)
+        Context->Leaves.link().onConnected();
+    }
     if (attempt.IsTest)
       attempt.Target->silence().onTestAnswered();
     return onAnswer(attempt, std::move(reply), now);
@@ -118,7 +123,7 @@
     // nothing about its network.
     if (attempt.Target->acceptsRequests() &&
         attempt.Target->silence().allowsRequest(now))
-      attempt.Target->score().onUnreachable(now);
+      onUnreachable(attempt, now);
     return retryOrFinish(PossibleExecutions > 0 ? CallEnd::OutcomeUnknown
                                                 : CallEnd::Unreachable,
                          Cause::Replace, now);
@@ -252,7 +257,7 @@
       abandon(attempt);
       --PossibleExecutions;
       MayHaveRun = PossibleExecutions > 0;
-      attempt.Target->score().onUnreachable(now);
+      onUnreachable(attempt, now);
       Reason = "connection not established in time";
       retryOrFinish(PossibleExecutions > 0 ? CallEnd::OutcomeUnknown
                                            : CallEnd::Unreachable,
@@ -261,6 +266,9 @@
         return;
     }
   }
+  if (!SilenceRecorded && anyPending() &&
+      now - Attempts.front().StartedAt >= Plan.HedgeDelay)
+    recordSilence(now);
   if (Context->Route.Idempotent && !Hedged && anyPending() &&
       PossibleExecutions < Context->Route.MaxLeaves &&
       now - Attempts.front().StartedAt >= Plan.HedgeDelay) {
@@ -269,6 +277,22 @@
   }
 }
 
+void ServiceCall::onUnreachable(const Attempt &attempt, TimePoint now) {
+  attempt.Target->score().onUnreachable(now);
+  if (!Context->ToHost)
+    Context->Leaves.link().onConnectFailed(attempt.Target->entry().Id, now);
+}
+
+void ServiceCall::recordSilence(TimePoint now) {
+  SilenceRecorded = true;
+  if (Context->ToHost)
+    return;
+  for (const Attempt &attempt : Attempts)
+    if (!attempt.Ended && !attempt.Connection->connecting())
+      Context->Leaves.link().onSilence(attempt.Target->entry().Id,
+                                       attempt.StartedAt, now);
+}
+
 TimePoint ServiceCall::nextDueTime() const {
   TimePoint next = TimePoint::max();
   if (End || Attempts.empty())
@@ -276,8 +300,8 @@
   for (const Attempt &attempt : Attempts)
     if (!attempt.Ended && attempt.Connection->connecting())
       next = std::min(next, attempt.StartedAt + Plan.ConnectTimeout);
-  if (Context->Route.Idempotent && !Hedged &&
-      PossibleExecutions < Context->Route.MaxLeaves)
+  if (!SilenceRecorded || (Context->Route.Idempotent && !Hedged &&
+                           PossibleExecutions < Context->Route.MaxLeaves))
     next = std::min(next, Attempts.front().StartedAt + Plan.HedgeDelay);
   return next;
 }
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -125,6 +125,8 @@
     core::TimePoint StartedAt;
     /// Whether it tests the leaf after a silence.
     bool IsTest = false;
+    /// Whether its connection is opened for it.
+    bool Connects = false;
     bool Ended = false;
   };
 
@@ -156,6 +158,10 @@
   std::optional<Cause> resendCause() const;
   void finish(CallEnd end);
   void abandon(Attempt &attempt);
+  /// The connection of an attempt could not be established.
+  void onUnreachable(const Attempt &attempt, core::TimePoint now);
+  /// Records what an unanswered attempt says about the links to the leaves.
+  void recordSilence(core::TimePoint now);
   bool anyPending() const;
   /// Estimate for this route at this service.
   core::ExpectedLatency &latencyEstimate();
@@ -175,6 +181,7 @@
   /// Attempts that a leaf may have executed.
   int PossibleExecutions = 0;
   bool Hedged = false;
+  bool SilenceRecorded = false;
   bool MayHaveRun = false;
   bool ConnectionBroke = false;
 };
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -136,6 +136,8 @@
       [this](const auto &limits) { Presence->setRateLimits(limits); });
   Leaves.onRateLimit(
       [this](const core::LeafRun &run) { RateLimits->onObserved(run); });
+  Prober = std::make_shared<leaf::LeafProber>(Io, Leaves, [](bool) {});
+  Prober->start();
   PeerFeed = std::make_shared<registry::FeedServer>(Io, Mirror);
   Exchange = std::make_shared<registry::LeafExchange>(Io, Leaves, Config.Id);
   Exchange->start();
@@ -248,6 +250,9 @@
   HostMetrics.setGauge("savorytrestle_caller_connections",
                        "Open connections of callers.",
                        static_cast<double>(CallerListener->connectionCount()));
+  HostMetrics.setGauge("savorytrestle_leaves_lost",
+                       "1 while this host reaches no leaf.",
+                       Leaves.link().lost() ? 1 : 0);
   HostMetrics.setGauge("savorytrestle_limited_leaves",
                        "Leaves that name a limit of requests a second.",
                        static_cast<double>(Leaves.limitedLeafCount()));
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -17,6 +17,7 @@
 
 #include "entry/Listener.h"
 #include "entry/RequestRouter.h"
+#include "leaf/LeafProber.h"
 #include "registry/ConfigFeed.h"
 #include "registry/DepartureNotices.h"
 #include "registry/FeedServer.h"
@@ -75,6 +76,7 @@
   std::filesystem::file_time_type ConfigFileWritten;
   support::Metrics HostMetrics;
   leaf::LeafDirectory Leaves;
+  std::shared_ptr<leaf::LeafProber> Prober;
   std::shared_ptr<store::EraTracker> Eras =
       std::make_shared<store::EraTracker>();
   std::shared_ptr<registry::StoreMirror> Mirror;
