Take relays and reports on leaves from hosts alone

Cause: the headers were trusted wherever they came from. Relays now go to the listener for hosts, which takes them and reports on leaves only from addresses that host entries name, and refuses others with 503 before anything runs. Limits of the callers' configuration bound what hosts send; a shard that is named twice counts once.

Failed before: RelayTest.RelayHeadersOfACallerAreIgnored, ARelayFromNoHostIsRefusedAndNotRun.

--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -24,6 +24,9 @@
       TimeoutStart(std::chrono::steady_clock::now()) {}
 
 void CallerSession::start() {
+  error_code ec;
+  if (const auto remote = Socket.remote_endpoint(ec); !ec)
+    Remote = remote.address();
   support::setNoDelay(Socket);
   resetParser();
   read();
@@ -131,13 +134,15 @@
   State = Phase::Handling;
   KeepAlive = Request->keep_alive();
   const std::uint64_t requestNumber = ++RequestNumber;
-  auto cancel = Context->OnRequest(
-      Request->release(),
-      [self = shared_from_this(), requestNumber](CallerAnswer callerAnswer) {
-        if (self->RequestNumber == requestNumber &&
-            self->State == Phase::Handling)
-          self->answer(std::move(callerAnswer), self->KeepAlive);
-      });
+  auto respond = [self = shared_from_this(),
+                  requestNumber](CallerAnswer callerAnswer) {
+    if (self->RequestNumber == requestNumber && self->State == Phase::Handling)
+      self->answer(std::move(callerAnswer), self->KeepAlive);
+  };
+  auto cancel =
+      Context->OnRequestFrom
+          ? Context->OnRequestFrom(Request->release(), Remote, respond)
+          : Context->OnRequest(Request->release(), respond);
   if (State == Phase::Handling && RequestNumber == requestNumber)
     Cancel = std::move(cancel);
 }
--- a/src/entry/CallerSession.h
+++ b/src/entry/CallerSession.h
@@ -40,9 +40,15 @@
 using RequestHandler =
     std::function<CancelHandler(CallerRequest, AnswerHandler)>;
 
+/// @brief Like @ref RequestHandler, with the address of the other end.
+using RemoteRequestHandler = std::function<CancelHandler(
+    CallerRequest, const boost::asio::ip::address &, AnswerHandler)>;
+
 /// @brief State that all connections of a listener share.
 struct SessionContext {
   RequestHandler OnRequest;
+  /// Used in place of OnRequest, if set.
+  RemoteRequestHandler OnRequestFrom;
   core::CallerLimits Limits;
   /// Whether answers carry "Connection: close".
   bool Draining = false;
@@ -100,6 +106,8 @@
   void close();
 
   boost::asio::ip::tcp::socket Socket;
+  /// Unspecified if the connection broke before it was accepted.
+  boost::asio::ip::address Remote;
   std::shared_ptr<const SessionContext> Context;
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Request;
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -1,6 +1,7 @@
 #include "entry/RequestRouter.h"
 
 #include <algorithm>
+#include <set>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_join.h>
@@ -69,9 +70,11 @@
   derived->Shards.clear();
   // The relaying host checks the share of all shards that answered.
   derived->MinShardShare = 0;
+  std::set<std::size_t> named;
   for (const auto text : absl::StrSplit(std::string(indices), ',')) {
     std::size_t i = 0;
-    if (absl::SimpleAtoi(text, &i) && i < route.Shards.size())
+    if (absl::SimpleAtoi(text, &i) && i < route.Shards.size() &&
+        named.insert(i).second)
       derived->Shards.push_back(route.Shards[i]);
   }
   return derived;
@@ -83,8 +86,25 @@
                              support::HeaderNames names)
     : Io(io), Leaves(leaves), Recorder(metrics), Names(std::move(names)) {}
 
+bool RequestRouter::isRelay(const CallerRequest &request) {
+  return request.find(RelayVersionHeader) != request.end();
+}
+
 CancelHandler RequestRouter::handle(CallerRequest request,
                                     AnswerHandler respond) {
+  // Only hosts may send them: they lift the least share of the shards.
+  request.erase(RelayVersionHeader);
+  request.erase(RelayShardsHeader);
+  return start(std::move(request), std::move(respond), false);
+}
+
+CancelHandler RequestRouter::handleRelay(CallerRequest request,
+                                         AnswerHandler respond) {
+  return start(std::move(request), std::move(respond), true);
+}
+
+CancelHandler RequestRouter::start(CallerRequest request, AnswerHandler respond,
+                                   bool relayed) {
   const core::RouteRule *route =
       Config ? Config->findRoute(hostNameOf(request), pathOf(request))
              : nullptr;
@@ -93,13 +113,19 @@
     refuse(request, route, *refusal, respond);
     return nullptr;
   }
-  const bool relayed = request.find(RelayVersionHeader) != request.end();
   // A relay may cover some of the shards only.
   const auto shardsHeader = request.find(RelayShardsHeader);
   const auto partialRoute =
       relayed && shardsHeader != request.end()
           ? routeForShards(*route, support::toStringView(shardsHeader->value()))
           : nullptr;
+  if (partialRoute && !partialRoute->sharded()) {
+    refuse(request, route,
+           {http::status::service_unavailable,
+            "relay names no shard of the route", std::nullopt},
+           respond);
+    return nullptr;
+  }
   const core::RouteRule &rule = partialRoute ? *partialRoute : *route;
   const auto services = selectServices(rule);
   const double draw = Leaves.draw();
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -47,6 +47,17 @@
   /// @return cancels the request, for use when its caller disconnects
   CancelHandler handle(CallerRequest request, AnswerHandler respond);
 
+  /// @brief Starts a request that another host sent for one of its callers. It
+  /// may cover some of the shards only.
+  /// @param request a request for which @ref isRelay holds
+  /// @param respond called with the answer, before the return or later; 503
+  /// states that the request has not been started
+  /// @return see @ref handle
+  CancelHandler handleRelay(CallerRequest request, AnswerHandler respond);
+
+  /// @brief Whether a request claims to come from another host.
+  static bool isRelay(const CallerRequest &request);
+
 private:
   /// A plan with the generation of leaves and version that it was made for.
   struct CachedRelayPlan {
@@ -60,8 +71,11 @@
     std::optional<std::chrono::milliseconds> RetryAfter;
   };
 
+  CancelHandler start(CallerRequest request, AnswerHandler respond,
+                      bool relayed);
   /// Copies a route with some of its shards only.
-  /// @param indices indices of the shards, separated by commas
+  /// @param indices indices of the shards, separated by commas; others are
+  /// skipped, and those that are named again
   static std::shared_ptr<const core::RouteRule>
   routeForShards(const core::RouteRule &route, std::string_view indices);
   /// Returns why a request can't be started; nothing if it can.
--- a/src/registry/HostEntry.h
+++ b/src/registry/HostEntry.h
@@ -20,11 +20,10 @@
 struct HostEntry {
   std::string Id;
   std::string FailureDomain;
-  /// Address of the listener for callers; other hosts send relays to it as
-  /// well.
+  /// Address of the listener for callers.
   std::string CallerAddress;
-  /// Address of the listener for other hosts, which get changes there; empty if
-  /// the host has none.
+  /// Address of the listener for other hosts, which get changes there and send
+  /// relays to it; empty if the host has none.
   std::string PeerAddress;
   /// Its records of requests that crash leaves, newest last.
   std::vector<core::QuarantineRecord> QuarantineRecords{};
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -28,6 +28,11 @@
 /// The settings file is also reloaded when it changes without a SIGHUP.
 constexpr milliseconds FileCheckInterval{5000};
 
+/// Headers that a relay adds to a caller's request.
+constexpr std::size_t RelayHeaderBytes = 4096;
+/// Holds the largest report on leaves.
+constexpr std::size_t MinPeerBodyBytes = 256 << 10;
+
 core::RetryBudgetRule retryBudgetRule(const PlatformHostConfig &config) {
   return {config.RetryRatio, config.RetryExtraPerWindow, config.RetryWindow};
 }
@@ -44,8 +49,12 @@
       StatusContext(std::make_shared<entry::SessionContext>()),
       PeerContext(std::make_shared<entry::SessionContext>()) {
   Leaves.setAnswerLimits(Config.Answers);
-  CallerContext->OnRequest = [this](auto request, auto respond) {
-    return Router.handle(std::move(request), std::move(respond));
+  // Hosts of earlier versions send relays to the callers' listener.
+  CallerContext->OnRequestFrom = [this](auto request, const auto &from,
+                                        auto respond) {
+    return entry::RequestRouter::isRelay(request) && isHost(from)
+               ? Router.handleRelay(std::move(request), std::move(respond))
+               : Router.handle(std::move(request), std::move(respond));
   };
   StatusContext->OnRequest = [this](const entry::CallerRequest &request,
                                     const entry::AnswerHandler &respond) {
@@ -53,17 +62,36 @@
     respond(isReadinessCheck ? readiness() : metrics());
     return entry::CancelHandler();
   };
-  PeerContext->OnRequest = [this](const entry::CallerRequest &request,
-                                  entry::AnswerHandler respond) {
-    const auto target = support::toStringView(request.target());
-    if (registry::LeafExchange::isReport(target)) {
-      respond(Exchange->handle(request.body()));
-      return entry::CancelHandler();
-    }
-    return PeerFeed->handle(target, std::move(respond));
+  PeerContext->OnRequestFrom = [this](auto request, const auto &from,
+                                      auto respond) {
+    return handleHostRequest(std::move(request), from, std::move(respond));
   };
 }
 
+entry::CancelHandler
+PlatformHost::handleHostRequest(entry::CallerRequest request,
+                                const boost::asio::ip::address &from,
+                                entry::AnswerHandler respond) {
+  const auto target = support::toStringView(request.target());
+  const bool relay = entry::RequestRouter::isRelay(request);
+  const bool report = registry::LeafExchange::isReport(target);
+  // A host that starts reads the feed before it has an entry.
+  if (!relay && !report)
+    return PeerFeed->handle(target, std::move(respond));
+  if (!isHost(from)) {
+    support::LogLine("host_request_refused")
+        .with("from", from.to_string())
+        .with("why", "no host has the address");
+    respond(entry::errorAnswer(http::status::service_unavailable,
+                               "sender has no entry as a host"));
+    return nullptr;
+  }
+  if (relay)
+    return Router.handleRelay(std::move(request), std::move(respond));
+  respond(Exchange->handle(request.body()));
+  return nullptr;
+}
+
 core::Result<void> PlatformHost::run() {
   Endpoint store;
   if (!support::parseEndpoint(Config.StoreAddress, store))
@@ -116,6 +144,10 @@
     Leaves.applyConfig(*config);
     Router.setConfig(config);
     CallerContext->Limits = config->Limits;
+    PeerContext->Limits.MaxHeaderBytes =
+        config->Limits.MaxHeaderBytes + RelayHeaderBytes;
+    PeerContext->Limits.MaxBodyBytes =
+        std::max(config->Limits.MaxBodyBytes, MinPeerBodyBytes);
   });
   LeafEntries = std::make_shared<registry::LeafFeed>(Io, Leaves);
   Hosts = std::make_shared<registry::HostFeed>(
@@ -173,15 +205,21 @@
   Departures->setHostCount(hosts.LiveHosts.size());
   RateLimits->setHostCount(hosts.LiveHosts.size());
   Presence->setHostCount(hosts.LiveHosts.size());
+  HostIps.clear();
   std::vector<core::LeafEntry> peers;
-  for (const registry::HostEntry &host : hosts.LiveHosts)
+  for (const registry::HostEntry &host : hosts.LiveHosts) {
+    for (const std::string &text : {host.CallerAddress, host.PeerAddress})
+      if (Endpoint address; support::parseEndpoint(text, address))
+        HostIps.insert(address.address());
     if (host.Id != Config.Id) {
       core::LeafEntry peer;
       peer.Id = host.Id;
-      peer.Address = host.CallerAddress;
+      peer.Address =
+          host.PeerAddress.empty() ? host.CallerAddress : host.PeerAddress;
       peer.FailureDomain = host.FailureDomain;
       peers.push_back(std::move(peer));
     }
+  }
   Leaves.setPeers(peers);
   HostAddresses others;
   for (const registry::HostEntry &host : hosts.LiveHosts)
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -9,6 +9,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -45,6 +46,10 @@
   core::Result<void> run();
 
 private:
+  /// Answers a request on the listener for hosts.
+  entry::CancelHandler handleHostRequest(entry::CallerRequest request,
+                                         const boost::asio::ip::address &from,
+                                         entry::AnswerHandler respond);
   core::Result<void> openListeners();
   void startFeeds(const boost::asio::ip::tcp::endpoint &store);
   void applyHosts(const registry::KnownHosts &hosts);
@@ -53,6 +58,10 @@
     std::vector<core::FeedHost> Hosts;
     std::map<std::string, boost::asio::ip::tcp::endpoint> ById;
   };
+  /// Whether an address is that of a host with an entry.
+  bool isHost(const boost::asio::ip::address &address) const {
+    return HostIps.count(address) > 0;
+  }
   registry::MirrorPlan planMirror(const HostAddresses &others) const;
   /// Sets the hosts with which reports on leaves are exchanged.
   void setCollectors(const HostAddresses &others);
@@ -86,6 +95,7 @@
   std::shared_ptr<registry::LeafFeed> LeafEntries;
   std::shared_ptr<registry::HostFeed> Hosts;
   std::shared_ptr<registry::HostPresence> Presence;
+  std::set<boost::asio::ip::address> HostIps;
   std::unique_ptr<registry::DepartureNotices> Departures;
   std::unique_ptr<registry::RateLimitNotices> RateLimits;
   entry::RequestRouter Router;
--- a/tests/process-relay.cpp
+++ b/tests/process-relay.cpp
@@ -1,7 +1,11 @@
 #include "NodeDeployment.h"
+#include "support/SocketOptions.h"
 
 #include <csignal>
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <gtest/gtest.h>
 
 using namespace savorytrestle;
@@ -78,4 +82,50 @@
   expectAllShards("r1");
 }
 
+/// Sends a search that claims to be a relay for one shard from an address that
+/// no host has, and returns all that comes back.
+std::string sendForgedRelay(const std::string &address, const std::string &id) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context io;
+  tcp::socket socket(io, tcp::v4());
+  socket.bind({boost::asio::ip::make_address("127.0.0.2"), 0});
+  tcp::endpoint endpoint;
+  EXPECT_TRUE(support::parseEndpoint(address, endpoint));
+  socket.connect(endpoint);
+  const std::string request = "GET /search/x HTTP/1.1\r\nHost: a.example\r\n"
+                              "Connection: close\r\n"
+                              "Relay-Config-Version: 3\r\nRelay-Shards: 0\r\n"
+                              "Savorytrestle-Deadline-Ms: 2000\r\n"
+                              "Savorytrestle-Request-Id: " +
+                              id + "\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(request));
+  std::string reply;
+  boost::system::error_code ec; // the end of the connection
+  boost::asio::read(socket, boost::asio::dynamic_buffer(reply), ec);
+  return reply;
+}
+
+/// Guards against callers that lift the least share of shards with the headers
+/// that hosts use among each other.
+TEST_F(RelayTest, RelayHeadersOfACallerAreIgnored) {
+  const auto reply = sendForgedRelay(RelayHost->CallerAddress, "r1");
+  EXPECT_NE(reply.find("Missing-Parts: 0"), std::string::npos) << reply;
+  Cluster.runOnStandInThread([&] {
+    for (const auto &leaf : Cluster.Leaves)
+      EXPECT_EQ(leaf->RunsByRequest["r1"], 1) << leaf->Id;
+    return 0;
+  });
+}
+
+TEST_F(RelayTest, ARelayFromNoHostIsRefusedAndNotRun) {
+  const auto reply = sendForgedRelay(RelayHost->PeerAddress, "r1");
+  EXPECT_EQ(reply.substr(0, 12), "HTTP/1.1 503") << reply;
+  Cluster.runOnStandInThread([&] {
+    for (const auto &leaf : Cluster.Leaves)
+      EXPECT_EQ(leaf->RunsByRequest.count("r1"), 0U) << leaf->Id;
+    return 0;
+  });
+  EXPECT_TRUE(logged(*RelayHost, "event=host_request_refused"));
+}
+
 } // namespace
