Serve callers of a host that reaches no leaf through another host

Cause: a host could serve a request only over its own connections to leaves, and took its own cut for the failure of many leaves, to be tried again one by one with callers' requests.

A host whose probes of leaves all fail sends its callers' requests whole to a host that takes them, of its failure domain first; that host handles them like its own and never passes them on. One that reaches no leaf either, stops or has too many says so and is left for a moment; up to three are tried, then the leaves directly. Requests in progress follow when the links are lost: those that can't have reached a leaf, and others if they may be repeated and the retry budget allows it. A write is sent to one host and not again, unless that host says that it hasn't started it. A stopping host finishes the relays that it has taken. Calls that end while timers are handled no longer release themselves or their list under the loop.

--- a/src/entry/RequestRecorder.cpp
+++ b/src/entry/RequestRecorder.cpp
@@ -75,6 +75,19 @@
       .with("why", call.reason());
 }
 
+void RequestRecorder::onForwarded(const leaf::CallContext &context,
+                                  const leaf::Service &hosts,
+                                  std::size_t services) {
+  ++Forwards;
+  if (!FailureLogBudget.allowLine(SteadyClock::now()))
+    return;
+  support::LogLine("request_forwarded")
+      .with("request", context.RequestId)
+      .with("route", context.Route.Name)
+      .with("hosts", hosts.Name)
+      .with("calls", services);
+}
+
 void RequestRecorder::onRefused(const std::string &requestId,
                                 const std::string &host,
                                 const std::string &route, std::uint64_t version,
--- a/src/entry/RequestRecorder.h
+++ b/src/entry/RequestRecorder.h
@@ -40,6 +40,16 @@
   void onRelayRefused(const leaf::CallContext &context,
                       const leaf::ServiceCall &call, unsigned status);
 
+  /// @brief Records that calls are forwarded to another host, as this one
+  /// reaches no leaf.
+  /// @param hosts hosts of which one gets the request
+  /// @param services number of the calls
+  void onForwarded(const leaf::CallContext &context, const leaf::Service &hosts,
+                   std::size_t services);
+
+  /// @brief Number of forwards since the start.
+  std::uint64_t forwardCount() const { return Forwards; }
+
   /// @brief Records that a request was refused before it was sent to any leaf.
   /// @param requestId value of its request id header
   /// @param host host name of its route; empty if no route matched
@@ -55,6 +65,7 @@
   support::Metrics &RequestMetrics;
   support::LogRateLimiter SuccessLogBudget;
   support::LogRateLimiter FailureLogBudget;
+  std::uint64_t Forwards = 0;
 };
 
 } // namespace savorytrestle::entry
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -16,6 +16,8 @@
 namespace savorytrestle::entry {
 
 namespace http = boost::beast::http;
+using leaf::RelayShardsHeader;
+using leaf::RelayVersionHeader;
 using std::chrono::milliseconds;
 using SteadyClock = std::chrono::steady_clock;
 
@@ -25,12 +27,8 @@
 /// than the relaying host.
 constexpr milliseconds ConfigRetryAfter{300};
 
-/// Marks a relay; the value is the relaying host's configuration version. Both
-/// hosts must use the same version, or a caller could see an older one after a
-/// newer one.
-constexpr const char *RelayVersionHeader = "Relay-Config-Version";
-/// Indices of the route's shards that the relay covers, separated by commas.
-constexpr const char *RelayShardsHeader = "Relay-Shards";
+/// Most relays that this host handles at a time.
+constexpr std::size_t MaxRelaysInHand = 512;
 /// Assumed round trip between hosts of a region, including waits for the CPU.
 constexpr milliseconds RelayRoundTrip{18};
 
@@ -100,7 +98,82 @@
 
 CancelHandler RequestRouter::handleRelay(CallerRequest request,
                                          AnswerHandler respond) {
-  return start(std::move(request), std::move(respond), true);
+  if (const auto refusal = findRelayRefusal()) {
+    refuse(request, nullptr, *refusal, respond);
+    return nullptr;
+  }
+  ++*RelaysInHand;
+  const std::shared_ptr<std::size_t> inHand(
+      RelaysInHand.get(),
+      [counter = RelaysInHand](std::size_t *) { --*counter; });
+  return start(
+      std::move(request),
+      [inHand, respond = std::move(respond)](CallerAnswer answer) {
+        respond(std::move(answer));
+      },
+      true);
+}
+
+std::optional<RequestRouter::Refusal> RequestRouter::findRelayRefusal() const {
+  const char *why = nullptr;
+  if (RefusesRelays)
+    why = "stopping";
+  else if (Leaves.link().lost())
+    why = "leaves_lost";
+  else if (*RelaysInHand >= MaxRelaysInHand)
+    why = "too_many_relays";
+  if (why == nullptr)
+    return std::nullopt;
+  return Refusal{http::status::service_unavailable,
+                 std::string("this host takes no relays: ") + why, std::nullopt,
+                 why};
+}
+
+void RequestRouter::onLeavesLost() {
+  Leaves.closeIdleConnections();
+  const auto runs = Runs;
+  for (const auto &weak : runs)
+    if (const auto run = weak.lock())
+      run->onLeavesLost();
+}
+
+std::shared_ptr<RequestRun>
+RequestRouter::makeRun(std::shared_ptr<const leaf::CallContext> context,
+                       AnswerHandler respond) {
+  const bool relayed = context->FromHost;
+  auto run = std::make_shared<RequestRun>(Io, std::move(context), Recorder,
+                                          Tracker, std::move(respond));
+  // A relay is not passed on again, so that requests don't go round.
+  if (relayed)
+    return run;
+  run->setForwardFactory([this](const leaf::CallContext &direct,
+                                const std::vector<leaf::Service *> &services) {
+    return makeForward(direct, services);
+  });
+  if (Runs.size() >= PruneRunsAt) {
+    std::erase_if(Runs, [](const auto &weak) { return weak.expired(); });
+    PruneRunsAt = std::max(MinRunsToPrune, 2 * Runs.size());
+  }
+  Runs.push_back(run);
+  return run;
+}
+
+std::optional<Relay>
+RequestRouter::makeForward(const leaf::CallContext &direct,
+                           const std::vector<leaf::Service *> &services) {
+  leaf::Service *const hosts = Leaves.reachablePeers();
+  if (hosts == nullptr)
+    return std::nullopt;
+  std::vector<std::size_t> shards;
+  const auto &names = direct.Route.Shards;
+  for (const leaf::Service *service : services)
+    if (const auto it = std::find(names.begin(), names.end(), service->Name);
+        it != names.end())
+      shards.push_back(static_cast<std::size_t>(it - names.begin()));
+  return Relay{.Context = makeRelayContext(direct, shards),
+               .Hosts = hosts,
+               .Services = services,
+               .IsForward = true};
 }
 
 CancelHandler RequestRouter::start(CallerRequest request, AnswerHandler respond,
@@ -129,7 +202,9 @@
   const core::RouteRule &rule = partialRoute ? *partialRoute : *route;
   const auto services = selectServices(rule);
   const double draw = Leaves.draw();
-  if (!enoughServicesReachable(rule, services, draw)) {
+  const bool forward =
+      !relayed && Leaves.link().lost() && Leaves.reachablePeers() != nullptr;
+  if (!forward && !enoughServicesReachable(rule, services, draw)) {
     const auto deadline = SteadyClock::now() + timeLimit(request, rule);
     refuse(
         request, route,
@@ -140,9 +215,10 @@
   }
   const auto context =
       makeContext(std::move(request), fingerprint, rule, partialRoute, draw);
-  const auto run = std::make_shared<RequestRun>(Io, context, Recorder, Tracker,
-                                                std::move(respond));
-  if (const auto &plan = relayPlanFor(*route); plan.empty() || relayed)
+  const auto run = makeRun(context, std::move(respond));
+  if (forward)
+    run->start({}, {*makeForward(*context, services)});
+  else if (const auto &plan = relayPlanFor(*route); plan.empty() || relayed)
     run->start(services);
   else
     startRelayed(*run, *context, plan, services);
@@ -184,7 +260,10 @@
       route ? route->Host : "", route ? route->Name : "",
       Config ? Config->Version : 0, static_cast<unsigned>(refusal.Status),
       refusal.Reason);
-  respond(errorAnswer(refusal.Status, refusal.Reason, refusal.RetryAfter));
+  auto answer = errorAnswer(refusal.Status, refusal.Reason, refusal.RetryAfter);
+  if (refusal.RelayRefused != nullptr)
+    answer.set(leaf::RelayRefusedHeader, refusal.RelayRefused);
+  respond(std::move(answer));
 }
 
 milliseconds RequestRouter::timeLimit(const CallerRequest &request,
@@ -227,12 +306,14 @@
   route->Idempotent = false;
   route->MaxLeaves = 1;
   leaf::LeafRequest request = direct.Request;
-  request.set(RelayVersionHeader, std::to_string(Config->Version));
-  request.set(RelayShardsHeader, absl::StrJoin(shards, ","));
+  request.set(RelayVersionHeader, std::to_string(direct.Config->Version));
+  if (!shards.empty())
+    request.set(RelayShardsHeader, absl::StrJoin(shards, ","));
   const core::RouteRule &rule = *route;
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
-      Leaves, Names, Config, rule, std::move(route), std::move(request),
-      direct.RequestId, direct.Fingerprint, Names.PartSignatures, direct.Start,
+      Leaves, Names, direct.Config, rule, std::move(route), std::move(request),
+      direct.RequestId, direct.Fingerprint,
+      rule.sharded() ? Names.PartSignatures : Names.LeafSignature, direct.Start,
       direct.Deadline, false, true});
 }
 
@@ -262,9 +343,10 @@
   std::vector<leaf::Service *> ownServices = services;
   std::vector<Relay> relays;
   for (const auto &[domain, shards] : plan) {
-    Relay relay{makeRelayContext(context, shards), &Leaves.peersOf(domain), {}};
+    Relay relay{.Context = makeRelayContext(context, shards),
+                .Hosts = &Leaves.peersOf(domain)};
     for (const std::size_t i : shards) {
-      relay.Shards.push_back(services[i]);
+      relay.Services.push_back(services[i]);
       ownServices[i] = nullptr;
     }
     relays.push_back(std::move(relay));
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -55,10 +55,25 @@
   /// @return see @ref handle
   CancelHandler handleRelay(CallerRequest request, AnswerHandler respond);
 
+  /// @brief This host has lost its links to all leaves: forwards the requests
+  /// in progress.
+  void onLeavesLost();
+
+  /// @brief Refuses relays from now on, for use in a shutdown.
+  void refuseRelays() { RefusesRelays = true; }
+
+  /// @brief Number of relays that are being handled.
+  std::size_t relaysInHand() const { return *RelaysInHand; }
+
+  /// @brief Number of requests that were forwarded to other hosts.
+  std::uint64_t forwardCount() const { return Recorder.forwardCount(); }
+
   /// @brief Whether a request claims to come from another host.
   static bool isRelay(const CallerRequest &request);
 
 private:
+  static constexpr std::size_t MinRunsToPrune = 64;
+
   /// A plan with the generation of leaves and version that it was made for.
   struct CachedRelayPlan {
     std::uint64_t Generation = 0;
@@ -69,6 +84,8 @@
     boost::beast::http::status Status;
     std::string Reason;
     std::optional<std::chrono::milliseconds> RetryAfter;
+    /// Why this host takes no relays, if that is the reason.
+    const char *RelayRefused = nullptr;
   };
 
   CancelHandler start(CallerRequest request, AnswerHandler respond,
@@ -82,6 +99,15 @@
   std::optional<Refusal> findRefusal(const CallerRequest &request,
                                      const core::RouteRule *route,
                                      const core::Fingerprint &fingerprint);
+  /// Returns why this host takes no relays; nothing if it does.
+  std::optional<Refusal> findRelayRefusal() const;
+  std::shared_ptr<RequestRun>
+  makeRun(std::shared_ptr<const leaf::CallContext> context,
+          AnswerHandler respond);
+  /// See RequestRun::ForwardFactory.
+  std::optional<Relay>
+  makeForward(const leaf::CallContext &direct,
+              const std::vector<leaf::Service *> &services);
   std::shared_ptr<const leaf::CallContext>
   makeRelayContext(const leaf::CallContext &direct,
                    const std::vector<std::size_t> &shards) const;
@@ -116,6 +142,11 @@
   std::shared_ptr<const core::ServingConfig> Config;
   /// Rotation over the targets of each traffic split, by the route's name.
   std::map<std::string, core::WeightedRoundRobin> SplitTurns;
+  /// Requests of callers in progress, and ended ones until the next pruning.
+  std::vector<std::weak_ptr<RequestRun>> Runs;
+  std::size_t PruneRunsAt = MinRunsToPrune;
+  std::shared_ptr<std::size_t> RelaysInHand = std::make_shared<std::size_t>(0);
+  bool RefusesRelays = false;
   /// Relay plan of each sharded route, by the route's name.
   std::map<std::string, CachedRelayPlan> RelayPlans;
 };
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -30,6 +30,9 @@
                         absl::SkipEmpty());
 }
 
+/// Most hosts that one forward is sent to.
+constexpr int MaxForwardTries = 3;
+
 /// Hop-by-hop headers of a leaf's answer, which concern only its connection.
 constexpr http::field HopByHop[] = {
     http::field::connection,        http::field::keep_alive,
@@ -49,18 +52,23 @@
                        std::vector<Relay> relays) {
   Relays = std::move(relays);
   Calls.reserve(services.size());
-  for (std::size_t i = 0; i < Relays.size(); ++i) {
-    Relay &relay = Relays[i];
-    relay.Call = std::make_shared<ServiceCall>(relay.Context, *relay.Hosts,
-                                               relayEndHandler(i));
-    relay.Call->start();
-  }
+  for (std::size_t i = 0; i < Relays.size(); ++i)
+    startRelay(i);
   for (leaf::Service *service : services)
     startCall(*service);
   Started = true;
   advance();
 }
 
+void RequestRun::startRelay(std::size_t i) {
+  Relay &relay = Relays[i];
+  if (relay.IsForward)
+    Recorder.onForwarded(*Context, *relay.Hosts, relay.Services.size());
+  relay.Call = std::make_shared<ServiceCall>(relay.Context, *relay.Hosts,
+                                             relayEndHandler(i));
+  relay.Call->start();
+}
+
 void RequestRun::startCall(leaf::Service &service) {
   Calls.push_back(
       std::make_shared<ServiceCall>(Context, service, callEndHandler()));
@@ -87,27 +95,73 @@
 }
 
 void RequestRun::reclaimRefusedRelays() {
-  for (Relay &relay : Relays) {
+  for (std::size_t i = 0; i < Relays.size(); ++i) {
+    Relay &relay = Relays[i];
     if (!relay.Call || !relay.Call->ended())
       continue;
-    const unsigned status = relay.Call->end() == CallEnd::Answered
-                                ? relay.Call->answer().result_int()
-                                : 0;
     // Only a relay that the other host has not started is executed here; leaves
-    // may be executing any other already.
-    const bool refused =
-        status == static_cast<unsigned>(http::status::service_unavailable) ||
-        status == static_cast<unsigned>(http::status::not_found);
+    // may be executing any other already. A leaf's own answer is signed.
+    unsigned status = 0;
+    bool refused = false;
+    if (relay.Call->end() == CallEnd::Answered) {
+      const auto &answer = relay.Call->answer();
+      status = answer.result_int();
+      refused = (answer.result() == http::status::service_unavailable ||
+                 answer.result() == http::status::not_found) &&
+                answer.find(Context->Names.LeafSignature) == answer.end();
+    }
     if (relay.Call->mayHaveRun() && !refused)
       continue;
     Recorder.onRelayRefused(*Context, *relay.Call, status);
     relay.Call->cancel();
+    if (sentToNextHost(i))
+      continue;
     relay.Call = nullptr;
-    for (leaf::Service *service : relay.Shards)
+    for (leaf::Service *service : relay.Services)
       startCall(*service);
   }
 }
 
+bool RequestRun::sentToNextHost(std::size_t i) {
+  Relay &relay = Relays[i];
+  if (!relay.IsForward || !MakeForward || relay.Tries >= MaxForwardTries)
+    return false;
+  auto next = MakeForward(*Context, relay.Services);
+  if (!next)
+    return false;
+  next->Tries = relay.Tries + 1;
+  relay = std::move(*next);
+  startRelay(i);
+  return true;
+}
+
+bool RequestRun::mayForward(const ServiceCall &call, TimePoint now) const {
+  if (call.ended())
+    return false;
+  if (!call.mayHaveArrived())
+    return true;
+  return Context->Route.Idempotent && call.trySpendRetry(now);
+}
+
+void RequestRun::onLeavesLost() {
+  if (Finished || !MakeForward || Context->Leaves.reachablePeers() == nullptr)
+    return;
+  const auto now = SteadyClock::now();
+  std::vector<leaf::Service *> forwarded;
+  std::erase_if(Calls, [&](const ServiceCallPtr &call) {
+    if (!mayForward(*call, now))
+      return false;
+    forwarded.push_back(&call->service());
+    call->cancel();
+    return true;
+  });
+  if (forwarded.empty())
+    return;
+  Relays.push_back(*MakeForward(*Context, forwarded));
+  startRelay(Relays.size() - 1);
+  advance();
+}
+
 void RequestRun::advance() {
   if (Finished)
     return;
@@ -123,8 +177,13 @@
     armTimer();
 }
 
+const ServiceCall &RequestRun::plainCall() const {
+  return Relays.empty() || !Relays.front().Call ? *Calls.front()
+                                                : *Relays.front().Call;
+}
+
 void RequestRun::advancePlain(TimePoint now) {
-  const ServiceCall &call = *Calls.front();
+  const ServiceCall &call = plainCall();
   if (!call.ended())
     return;
   switch (call.end()) {
@@ -158,13 +217,13 @@
   for (const Relay &relay : Relays) {
     if (!relay.Call)
       continue;
-    tally.Total += relay.Shards.size();
+    tally.Total += relay.Services.size();
     if (!relay.Call->ended())
       continue;
     const std::size_t received = relay.Signatures.size();
     tally.Answered += received;
     tally.Failed +=
-        relay.Shards.size() - std::min(received, relay.Shards.size());
+        relay.Services.size() - std::min(received, relay.Services.size());
   }
   for (const auto &call : Calls) {
     if (!call->ended())
@@ -178,9 +237,10 @@
 }
 
 void RequestRun::answerPlain() {
-  CallerAnswer answer = Calls.front()->answer();
+  CallerAnswer answer = plainCall().answer();
   for (const http::field field : HopByHop)
     answer.erase(field);
+  answer.erase(leaf::LeavingLeavesHeader);
   const bool ok = leaf::isSuccess(answer);
   finish(std::move(answer), ok ? "ok" : "leaf_failed");
 }
@@ -192,7 +252,7 @@
   for (const Relay &relay : Relays) {
     if (!relay.Call)
       continue;
-    total += relay.Shards.size();
+    total += relay.Services.size();
     const auto &received = relay.Signatures;
     if (received.empty())
       continue;
@@ -240,7 +300,8 @@
     services.push_back(&call->service());
   for (const Relay &relay : Relays)
     if (relay.Call)
-      services.insert(services.end(), relay.Shards.begin(), relay.Shards.end());
+      services.insert(services.end(), relay.Services.begin(),
+                      relay.Services.end());
   return Context->Leaves.retryAfter(Context->Route, services,
                                     Context->Deadline);
 }
@@ -295,11 +356,13 @@
 }
 
 void RequestRun::runDueActions(TimePoint now) {
-  for (const auto &call : Calls)
-    call->runDueActions(now);
+  // Copies, since a call that ends may start others and release itself.
+  std::vector<ServiceCallPtr> calls = Calls;
   for (const Relay &relay : Relays)
     if (relay.Call)
-      relay.Call->runDueActions(now);
+      calls.push_back(relay.Call);
+  for (const ServiceCallPtr &call : calls)
+    call->runDueActions(now);
 }
 
 void RequestRun::cancelCalls() {
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -6,7 +6,9 @@
 
 #include <utility>
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,14 +22,19 @@
 
 namespace savorytrestle::entry {
 
-/// @brief One relay: shards that a host of another failure domain executes. If
-/// no such host does, this host sends the request to the shards itself.
+/// @brief One relay: services that another host calls. If no host does, this
+/// host sends the request to the services itself.
 struct Relay {
   /// The request as it is sent to the other host.
   std::shared_ptr<const leaf::CallContext> Context;
-  /// Hosts of the other failure domain, held as leaves of a service.
+  /// Hosts of one failure domain, held as leaves of a service.
   leaf::Service *Hosts = nullptr;
-  std::vector<leaf::Service *> Shards{};
+  std::vector<leaf::Service *> Services{};
+  /// Whether it is made since this host reaches no leaf; other hosts are tried
+  /// then before this host calls the services.
+  bool IsForward = false;
+  /// Hosts that it was sent to, this time included.
+  int Tries = 1;
   /// The call to a host; null once this host calls the shards itself.
   std::shared_ptr<leaf::ServiceCall> Call{};
   /// Signatures of the answers that the other host has merged into its own.
@@ -38,6 +45,11 @@
 /// shard of a sharded route. Its handlers hold a reference to it until it ends.
 class RequestRun : public std::enable_shared_from_this<RequestRun> {
 public:
+  /// @brief Makes a forward of a request's calls to services; nothing if no
+  /// host can be sent one.
+  using ForwardFactory = std::function<std::optional<Relay>(
+      const leaf::CallContext &, const std::vector<leaf::Service *> &)>;
+
   /// @brief Creates a run; @ref start starts it.
   /// @param io runs its timer
   /// @param context the request as it is sent to leaves
@@ -56,6 +68,15 @@
   void start(const std::vector<leaf::Service *> &services,
              std::vector<Relay> relays = {});
 
+  /// @brief Allows the run to forward calls to another host.
+  void setForwardFactory(ForwardFactory factory) {
+    MakeForward = std::move(factory);
+  }
+
+  /// @brief This host has lost its links to all leaves: forwards the calls that
+  /// are still unanswered, if they may be sent again.
+  void onLeavesLost();
+
   /// @brief Cancels the calls to leaves, for use when the caller disconnects.
   void cancel();
 
@@ -67,8 +88,15 @@
   void startCall(leaf::Service &service);
   leaf::ServiceCall::EndHandler callEndHandler();
   leaf::ServiceCall::EndHandler relayEndHandler(std::size_t i);
-  /// Calls the shards of relays that the other host did not execute.
+  /// Handles relays that the other host did not execute: sends forwards to
+  /// another one, or calls the services.
   void reclaimRefusedRelays();
+  void startRelay(std::size_t i);
+  bool sentToNextHost(std::size_t i);
+  /// Whether a call may be sent again, through another host.
+  bool mayForward(const leaf::ServiceCall &call, core::TimePoint now) const;
+  /// The call whose answer is that of a plain route.
+  const leaf::ServiceCall &plainCall() const;
   void advancePlain(core::TimePoint now);
   void advanceSharded(core::TimePoint now);
   void answerPlain();
@@ -91,6 +119,7 @@
   RequestRecorder &Recorder;
   CrashTracker &Tracker;
   AnswerHandler OnAnswer;
+  ForwardFactory MakeForward;
   boost::asio::steady_timer Timer;
   std::vector<ServiceCallPtr> Calls;
   std::vector<Relay> Relays;
--- a/src/leaf/Leaf.cpp
+++ b/src/leaf/Leaf.cpp
@@ -36,11 +36,15 @@
 
 void Leaf::retire() {
   Retired = true;
+  closeIdleConnections();
+  cancelConnecting();
+}
+
+void Leaf::closeIdleConnections() {
   const auto idle = std::move(Idle);
   Idle.clear();
   for (const auto &connection : idle)
     connection->close();
-  cancelConnecting();
 }
 
 void Leaf::pause(core::TimePoint now, core::Duration wait, double draw) {
--- a/src/leaf/Leaf.h
+++ b/src/leaf/Leaf.h
@@ -54,6 +54,9 @@
   /// @param draw see @ref core::LeafSilence::onRetryAfter
   void pause(core::TimePoint now, core::Duration wait, double draw);
 
+  /// @brief Closes the connections that carry no request.
+  void closeIdleConnections();
+
   /// @brief Whether new requests may be sent to the leaf.
   bool acceptsRequests() const { return !Retired; }
 
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -309,6 +309,33 @@
   return peers;
 }
 
+Service *LeafDirectory::reachablePeers() {
+  Service *best = nullptr;
+  auto bestDistance = core::LeafDistance::Remote;
+  const auto now = SteadyClock::now();
+  for (auto &[name, service] : Services) {
+    if (!name.starts_with(PeerServicePrefix))
+      continue;
+    const auto it = std::find_if(
+        service->Leaves.begin(), service->Leaves.end(),
+        [now](const auto &host) { return acceptsNow(*host, now); });
+    if (it == service->Leaves.end())
+      continue;
+    const auto distance = distanceTo((*it)->entry().FailureDomain);
+    if (!best || distance < bestDistance) {
+      best = service.get();
+      bestDistance = distance;
+    }
+  }
+  return best;
+}
+
+void LeafDirectory::closeIdleConnections() {
+  for (const auto &[id, leaf] : ById)
+    if (!id.starts_with(PeerServicePrefix))
+      leaf->closeIdleConnections();
+}
+
 void LeafDirectory::setPeers(const std::vector<core::LeafEntry> &hosts) {
   std::set<std::string> present;
   for (core::LeafEntry host : hosts) {
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -122,6 +122,7 @@
 
   /// @brief Evidence on this host's links to all leaves.
   core::LeafLink &link() { return Link; }
+  const core::LeafLink &link() const { return Link; }
 
   /// @brief Addresses of distinct leaves, chosen at random among those that
   /// accept requests. O(leaves)
@@ -160,6 +161,14 @@
   /// @brief The service that holds the other hosts of a failure domain.
   Service &peersOf(const std::string &failureDomain);
 
+  /// @brief The hosts of one failure domain, of which at least one can be sent
+  /// requests: this domain, else one of this region, else any.
+  /// @return null if no host can. O(hosts)
+  Service *reachablePeers();
+
+  /// @brief Closes the connections to leaves that carry no request.
+  void closeIdleConnections();
+
   /// @brief For each shard, the failure domains of this host's region with a
   /// leaf of it that accepts requests. O(leaves of the shards).
   core::ShardDomains nearbyDomains(const std::vector<std::string> &shards);
--- /dev/null
+++ b/src/leaf/RelayHeaders.h
@@ -0,0 +1,23 @@
+#ifndef SAVORYTRESTLE_LEAF_RELAY_HEADERS_H
+#define SAVORYTRESTLE_LEAF_RELAY_HEADERS_H
+
+/// @file
+/// @brief Headers of requests that one host sends to another for its callers.
+
+namespace savorytrestle::leaf {
+
+/// @brief Marks a relay; the value is the relaying host's configuration
+/// version. Both hosts must use the same version, or a caller could see an
+/// older one after a newer one.
+inline constexpr const char *RelayVersionHeader = "Relay-Config-Version";
+
+/// @brief Indices of the route's shards that the relay covers, separated by
+/// commas.
+inline constexpr const char *RelayShardsHeader = "Relay-Shards";
+
+/// @brief Reason for which a host takes no relays for now, in a refusal.
+inline constexpr const char *RelayRefusedHeader = "Relay-Refused";
+
+} // namespace savorytrestle::leaf
+
+#endif
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -173,6 +173,8 @@
     return finish(CallEnd::Answered);
   }
   from.score().onFailure(now);
+  if (Context->ToHost && answer.find(RelayRefusedHeader) != answer.end())
+    from.score().onUnreachable(now);
   Reason = "leaf answered with status " + std::to_string(answer.result_int());
   Answer = std::move(reply.Answer);
   retryOrFinish(CallEnd::Answered, resendCause(), now);
@@ -306,6 +308,14 @@
   return next;
 }
 
+bool ServiceCall::mayHaveArrived() const {
+  const auto connecting = std::count_if(
+      Attempts.begin(), Attempts.end(), [](const Attempt &attempt) {
+        return !attempt.Ended && attempt.Connection->connecting();
+      });
+  return PossibleExecutions > connecting;
+}
+
 bool ServiceCall::anyPending() const {
   return std::any_of(Attempts.begin(), Attempts.end(),
                      [](const Attempt &attempt) { return !attempt.Ended; });
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "leaf/LeafDirectory.h"
+#include "leaf/RelayHeaders.h"
 #include "savorytrestle/core/Fingerprint.h"
 #include "savorytrestle/core/HedgePolicy.h"
 #include "support/HeaderNames.h"
@@ -103,6 +104,9 @@
   /// @brief Whether a leaf may be executing the request or have executed it.
   bool mayHaveRun() const { return MayHaveRun; }
 
+  /// @brief Whether any byte of the request may have reached a leaf.
+  bool mayHaveArrived() const;
+
   /// @brief Whether a leaf's connection broke while the request was in flight.
   bool connectionBroke() const { return ConnectionBroke; }
 
@@ -112,7 +116,12 @@
   int attempts() const { return AttemptCount; }
   const std::string &reason() const { return Reason; }
   const std::string &serviceName() const { return TargetService.Name; }
-  const Service &service() const { return TargetService; }
+  Service &service() const { return TargetService; }
+
+  /// @brief Spends a token of the service's retry budget, if there is one.
+  bool trySpendRetry(core::TimePoint now) const {
+    return TargetService.RetryBudget.trySpend(now);
+  }
 
   /// @brief Runs of leaves whose answers said that they are leaving.
   const std::vector<core::LeafRun> &leavingLeaves() const { return Leaving; }
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -168,7 +168,10 @@
       [this](const auto &limits) { Presence->setRateLimits(limits); });
   Leaves.onRateLimit(
       [this](const core::LeafRun &run) { RateLimits->onObserved(run); });
-  Prober = std::make_shared<leaf::LeafProber>(Io, Leaves, [](bool) {});
+  Prober = std::make_shared<leaf::LeafProber>(Io, Leaves, [this](bool lost) {
+    if (lost)
+      Router.onLeavesLost();
+  });
   Prober->start();
   PeerFeed = std::make_shared<registry::FeedServer>(Io, Mirror);
   Exchange = std::make_shared<registry::LeafExchange>(Io, Leaves, Config.Id);
@@ -291,6 +294,9 @@
   HostMetrics.setGauge("savorytrestle_leaves_lost",
                        "1 while this host reaches no leaf.",
                        Leaves.link().lost() ? 1 : 0);
+  HostMetrics.setGauge("savorytrestle_requests_forwarded",
+                       "Requests sent to another host for want of leaves.",
+                       static_cast<double>(Router.forwardCount()));
   HostMetrics.setGauge("savorytrestle_limited_leaves",
                        "Leaves that name a limit of requests a second.",
                        static_cast<double>(Leaves.limitedLeafCount()));
@@ -356,6 +362,7 @@
   Stopping = true;
   StopDeadline = SteadyClock::now() + Config.StopGrace - ExitReserve;
   CallerContext->Draining = true;
+  PeerContext->Draining = true;
   Presence->stop();
   support::LogLine("stop")
       .with("host", Config.Id)
@@ -371,13 +378,14 @@
 }
 
 void PlatformHost::stopAcceptingCallers() {
+  Router.refuseRelays();
   CallerListener->stopAccepting();
   CallerListener->closeIdleConnections();
   finishWhenIdle();
 }
 
 void PlatformHost::finishWhenIdle() {
-  const auto busy = CallerListener->busyConnections();
+  const auto busy = CallerListener->busyConnections() + Router.relaysInHand();
   if (busy == 0 || SteadyClock::now() >= StopDeadline) {
     support::LogLine("stopping_now").with("busy", busy);
     Io.stop();
