Forward past hosts that have lost the leaves as well

Hosts now say in their entries that they reach no leaf, so that others leave them out, and a refused forward goes to another failure domain next.

--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -147,8 +147,9 @@
   if (relayed)
     return run;
   run->setForwardFactory([this](const leaf::CallContext &direct,
-                                const std::vector<leaf::Service *> &services) {
-    return makeForward(direct, services);
+                                const std::vector<leaf::Service *> &services,
+                                std::vector<const leaf::Service *> tried) {
+    return makeForward(direct, services, std::move(tried));
   });
   if (Runs.size() >= PruneRunsAt) {
     std::erase_if(Runs, [](const auto &weak) { return weak.expired(); });
@@ -160,10 +161,12 @@
 
 std::optional<Relay>
 RequestRouter::makeForward(const leaf::CallContext &direct,
-                           const std::vector<leaf::Service *> &services) {
-  leaf::Service *const hosts = Leaves.reachablePeers();
+                           const std::vector<leaf::Service *> &services,
+                           std::vector<const leaf::Service *> tried) {
+  leaf::Service *const hosts = Leaves.reachablePeers(tried);
   if (hosts == nullptr)
     return std::nullopt;
+  tried.push_back(hosts);
   std::vector<std::size_t> shards;
   const auto &names = direct.Route.Shards;
   for (const leaf::Service *service : services)
@@ -173,7 +176,8 @@
   return Relay{.Context = makeRelayContext(direct, shards),
                .Hosts = hosts,
                .Services = services,
-               .IsForward = true};
+               .IsForward = true,
+               .Tried = std::move(tried)};
 }
 
 CancelHandler RequestRouter::start(CallerRequest request, AnswerHandler respond,
@@ -217,7 +221,7 @@
       makeContext(std::move(request), fingerprint, rule, partialRoute, draw);
   const auto run = makeRun(context, std::move(respond));
   if (forward)
-    run->start({}, {*makeForward(*context, services)});
+    run->start({}, {*makeForward(*context, services, {})});
   else if (const auto &plan = relayPlanFor(*route); plan.empty() || relayed)
     run->start(services);
   else
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -105,9 +105,9 @@
   makeRun(std::shared_ptr<const leaf::CallContext> context,
           AnswerHandler respond);
   /// See RequestRun::ForwardFactory.
-  std::optional<Relay>
-  makeForward(const leaf::CallContext &direct,
-              const std::vector<leaf::Service *> &services);
+  std::optional<Relay> makeForward(const leaf::CallContext &direct,
+                                   const std::vector<leaf::Service *> &services,
+                                   std::vector<const leaf::Service *> tried);
   std::shared_ptr<const leaf::CallContext>
   makeRelayContext(const leaf::CallContext &direct,
                    const std::vector<std::size_t> &shards) const;
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -31,7 +31,7 @@
 }
 
 /// Most hosts that one forward is sent to.
-constexpr int MaxForwardTries = 3;
+constexpr std::size_t MaxForwardTries = 3;
 
 /// Hop-by-hop headers of a leaf's answer, which concern only its connection.
 constexpr http::field HopByHop[] = {
@@ -124,12 +124,11 @@
 
 bool RequestRun::sentToNextHost(std::size_t i) {
   Relay &relay = Relays[i];
-  if (!relay.IsForward || !MakeForward || relay.Tries >= MaxForwardTries)
+  if (!relay.IsForward || !MakeForward || relay.Tried.size() >= MaxForwardTries)
     return false;
-  auto next = MakeForward(*Context, relay.Services);
+  auto next = MakeForward(*Context, relay.Services, relay.Tried);
   if (!next)
     return false;
-  next->Tries = relay.Tries + 1;
   relay = std::move(*next);
   startRelay(i);
   return true;
@@ -157,7 +156,7 @@
   });
   if (forwarded.empty())
     return;
-  Relays.push_back(*MakeForward(*Context, forwarded));
+  Relays.push_back(*MakeForward(*Context, forwarded, {}));
   startRelay(Relays.size() - 1);
   advance();
 }
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -33,8 +33,8 @@
   /// Whether it is made since this host reaches no leaf; other hosts are tried
   /// then before this host calls the services.
   bool IsForward = false;
-  /// Hosts that it was sent to, this time included.
-  int Tries = 1;
+  /// Hosts of the failure domains that it was sent to, one entry a try.
+  std::vector<const leaf::Service *> Tried{};
   /// The call to a host; null once this host calls the shards itself.
   std::shared_ptr<leaf::ServiceCall> Call{};
   /// Signatures of the answers that the other host has merged into its own.
@@ -48,7 +48,8 @@
   /// @brief Makes a forward of a request's calls to services; nothing if no
   /// host can be sent one.
   using ForwardFactory = std::function<std::optional<Relay>(
-      const leaf::CallContext &, const std::vector<leaf::Service *> &)>;
+      const leaf::CallContext &, const std::vector<leaf::Service *> &services,
+      std::vector<const leaf::Service *> tried)>;
 
   /// @brief Creates a run; @ref start starts it.
   /// @param io runs its timer
--- a/src/leaf/Leaf.h
+++ b/src/leaf/Leaf.h
@@ -60,6 +60,11 @@
   /// @brief Whether new requests may be sent to the leaf.
   bool acceptsRequests() const { return !Retired; }
 
+  /// @brief Sets whether requests may be sent for now, for hosts that say that
+  /// they take none.
+  void setAvailable(bool available) { Available = available; }
+  bool available() const { return Available; }
+
   /// @brief Sets this host's share of the connections that the leaf accepts.
   void setMaxConnections(std::size_t maxConnections) {
     MaxConnections = maxConnections;
@@ -103,6 +108,7 @@
   std::size_t ConnectionCount = 0;
   std::size_t MaxConnections = 4;
   bool Retired = false;
+  bool Available = true;
 };
 
 } // namespace savorytrestle::leaf
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -57,8 +57,9 @@
 
 /// Whether a request can be sent to the leaf now.
 bool acceptsNow(const Leaf &leaf, core::TimePoint now) {
-  return leaf.acceptsRequests() && leaf.hasFreeConnection() &&
-         !leaf.score().inBackoff(now) && leaf.silence().allowsRequest(now);
+  return leaf.acceptsRequests() && leaf.available() &&
+         leaf.hasFreeConnection() && !leaf.score().inBackoff(now) &&
+         leaf.silence().allowsRequest(now);
 }
 
 } // namespace
@@ -309,22 +310,25 @@
   return peers;
 }
 
-Service *LeafDirectory::reachablePeers() {
+Service *
+LeafDirectory::reachablePeers(const std::vector<const Service *> &tried) {
   Service *best = nullptr;
-  auto bestDistance = core::LeafDistance::Remote;
+  std::pair<bool, core::LeafDistance> bestRank;
   const auto now = SteadyClock::now();
   for (auto &[name, service] : Services) {
     if (!name.starts_with(PeerServicePrefix))
       continue;
-    const auto it = std::find_if(
-        service->Leaves.begin(), service->Leaves.end(),
-        [now](const auto &host) { return acceptsNow(*host, now); });
-    if (it == service->Leaves.end())
+    const auto host =
+        std::find_if(service->Leaves.begin(), service->Leaves.end(),
+                     [now](const auto &it) { return acceptsNow(*it, now); });
+    if (host == service->Leaves.end())
       continue;
-    const auto distance = distanceTo((*it)->entry().FailureDomain);
-    if (!best || distance < bestDistance) {
+    const std::pair rank(std::find(tried.begin(), tried.end(), service.get()) !=
+                             tried.end(),
+                         distanceTo((*host)->entry().FailureDomain));
+    if (!best || rank < bestRank) {
       best = service.get();
-      bestDistance = distance;
+      bestRank = rank;
     }
   }
   return best;
@@ -336,14 +340,18 @@
       leaf->closeIdleConnections();
 }
 
-void LeafDirectory::setPeers(const std::vector<core::LeafEntry> &hosts) {
+void LeafDirectory::setPeers(const std::vector<core::LeafEntry> &hosts,
+                             const std::set<std::string> &withoutLeaves) {
   std::set<std::string> present;
   for (core::LeafEntry host : hosts) {
     host.Service = peersOf(host.FailureDomain).Name;
     host.Slots = PeerConnections;
+    const bool available = withoutLeaves.count(host.Id) == 0;
     host.Id = PeerServicePrefix + host.Id;
     present.insert(host.Id);
     putLeaf(host);
+    if (const auto it = ById.find(host.Id); it != ById.end())
+      it->second->setAvailable(available);
   }
   for (const std::string &id : idsWithPrefix(PeerServicePrefix))
     if (present.count(id) == 0)
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -156,15 +157,19 @@
 
   /// @brief Replaces the list of other hosts. They are held like leaves, as one
   /// service for each failure domain.
-  void setPeers(const std::vector<core::LeafEntry> &hosts);
+  /// @param hosts the hosts
+  /// @param withoutLeaves ids of those that reach no leaf
+  void setPeers(const std::vector<core::LeafEntry> &hosts,
+                const std::set<std::string> &withoutLeaves);
 
   /// @brief The service that holds the other hosts of a failure domain.
   Service &peersOf(const std::string &failureDomain);
 
   /// @brief The hosts of one failure domain, of which at least one can be sent
   /// requests: this domain, else one of this region, else any.
+  /// @param tried domains to use only if there is no other
   /// @return null if no host can. O(hosts)
-  Service *reachablePeers();
+  Service *reachablePeers(const std::vector<const Service *> &tried = {});
 
   /// @brief Closes the connections to leaves that carry no request.
   void closeIdleConnections();
--- a/src/registry/HostEntry.cpp
+++ b/src/registry/HostEntry.cpp
@@ -71,6 +71,8 @@
     limit["per_second"] = perSecond;
     object["limits"].push_back(std::move(limit));
   }
+  if (entry.LeavesLost)
+    object["leaves_lost"] = true;
   return object.dump();
 }
 
@@ -88,6 +90,7 @@
       if (const double rate = limit.at("per_second").get<double>();
           rate >= 0 && entry.RateLimits.size() < MaxRateLimits)
         entry.RateLimits.emplace(decodeRun(limit), rate);
+    entry.LeavesLost = object.value("leaves_lost", false);
     return entry;
   });
 }
--- a/src/registry/HostEntry.h
+++ b/src/registry/HostEntry.h
@@ -32,6 +32,8 @@
   /// Requests a second that leaves take from all hosts, as they named them to
   /// it.
   std::map<core::LeafRun, double> RateLimits{};
+  /// Whether it reaches no leaf and takes no relays.
+  bool LeavesLost = false;
 };
 
 /// @brief Encodes a host's item. Records are stored with their age instead of
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -107,6 +107,11 @@
   scheduleWrite();
 }
 
+void HostPresence::setLeavesLost(bool lost) {
+  Entry.LeavesLost = lost;
+  scheduleWrite();
+}
+
 void HostPresence::scheduleWrite() {
   HasUnsentData = true;
   // Frequent data must not postpone the renewal of the lease; after the
--- a/src/registry/HostPresence.h
+++ b/src/registry/HostPresence.h
@@ -45,6 +45,10 @@
   /// @brief Replaces the limits in the entry, which is written soon after.
   void setRateLimits(const std::map<core::LeafRun, double> &limits);
 
+  /// @brief Sets whether this host reaches no leaf; the entry is written soon
+  /// after.
+  void setLeavesLost(bool lost);
+
   /// @brief Ends the lease, with which the store deletes the item.
   void stop();
 
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -169,6 +169,7 @@
   Leaves.onRateLimit(
       [this](const core::LeafRun &run) { RateLimits->onObserved(run); });
   Prober = std::make_shared<leaf::LeafProber>(Io, Leaves, [this](bool lost) {
+    Presence->setLeavesLost(lost);
     if (lost)
       Router.onLeavesLost();
   });
@@ -210,6 +211,7 @@
   Presence->setHostCount(hosts.LiveHosts.size());
   HostIps.clear();
   std::vector<core::LeafEntry> peers;
+  std::set<std::string> withoutLeaves;
   for (const registry::HostEntry &host : hosts.LiveHosts) {
     for (const std::string &text : {host.CallerAddress, host.PeerAddress})
       if (Endpoint address; support::parseEndpoint(text, address))
@@ -221,9 +223,11 @@
           host.PeerAddress.empty() ? host.CallerAddress : host.PeerAddress;
       peer.FailureDomain = host.FailureDomain;
       peers.push_back(std::move(peer));
+      if (host.LeavesLost)
+        withoutLeaves.insert(host.Id);
     }
   }
-  Leaves.setPeers(peers);
+  Leaves.setPeers(peers, withoutLeaves);
   HostAddresses others;
   for (const registry::HostEntry &host : hosts.LiveHosts)
     if (Endpoint address; support::parseEndpoint(host.PeerAddress, address)) {
--- a/tests/unit-departed-leaves.cpp
+++ b/tests/unit-departed-leaves.cpp
@@ -73,4 +73,28 @@
   EXPECT_EQ(read->LeavingLeaves, entry.LeavingLeaves);
 }
 
+TEST(HostEntry, CarriesRateLimitsAndLostLeaves) {
+  registry::HostEntry entry{"h-1", "a", "1.2.3.4:5", ""};
+  entry.RateLimits = {{DepartedRun, 32.5}};
+  entry.LeavesLost = true;
+  const auto now = core::WallTime(5s);
+  const auto read = registry::decodeHostEntry(
+      "h-1", registry::encodeHostEntry(entry, now), now);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->RateLimits, entry.RateLimits);
+  EXPECT_TRUE(read->LeavesLost);
+}
+
+/// Guards against entries that grow without a bound.
+TEST(HostEntry, BoundsTheNumberOfRateLimits) {
+  registry::HostEntry entry{"h-1", "a", "1.2.3.4:5", ""};
+  for (int i = 0; i < 1000; ++i)
+    entry.RateLimits[{"i-" + std::to_string(i), "", 0}] = 1;
+  const auto now = core::WallTime(5s);
+  const auto read = registry::decodeHostEntry(
+      "h-1", registry::encodeHostEntry(entry, now), now);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->RateLimits.size(), 256U);
+}
+
 } // namespace
--- a/tests/unit-leaf-directory.cpp
+++ b/tests/unit-leaf-directory.cpp
@@ -49,4 +49,46 @@
   EXPECT_GT(connectionLimit(leaf), atFirst);
 }
 
+class PeerChoiceTest : public ::testing::Test {
+protected:
+  /// Hosts h-a and h-b in this region, h-c in another.
+  void setHosts(const std::set<std::string> &withoutLeaves) {
+    Leaves.setPeers({entry("h-a", "a"), entry("h-b", "b"), entry("h-c", "c")},
+                    withoutLeaves);
+  }
+
+  std::string choose(const std::vector<const leaf::Service *> &tried = {}) {
+    const leaf::Service *const peers = Leaves.reachablePeers(tried);
+    return peers ? peers->Name : "";
+  }
+
+  boost::asio::io_context Io;
+  leaf::LeafDirectory Leaves{
+      Io, {"a", {{"a", "west"}, {"b", "west"}, {"c", "east"}}}, {0.2, 54, 10s}};
+};
+
+TEST_F(PeerChoiceTest, TheNearestHostsComeFirst) {
+  EXPECT_EQ(choose(), "");
+  setHosts({});
+  EXPECT_EQ(choose(), "/hosts/a");
+  EXPECT_EQ(choose({&Leaves.peersOf("a")}), "/hosts/b");
+  EXPECT_EQ(choose({&Leaves.peersOf("a"), &Leaves.peersOf("b")}), "/hosts/c");
+}
+
+TEST_F(PeerChoiceTest, ADomainIsTriedAgainIfThereIsNoOther) {
+  setHosts({"h-b", "h-c"});
+  EXPECT_EQ(choose({&Leaves.peersOf("a")}), "/hosts/a");
+}
+
+/// Guards against forwards to the other hosts of a failure domain that has lost
+/// the leaves as a whole.
+TEST_F(PeerChoiceTest, HostsThatReachNoLeafThemselvesAreLeftOut) {
+  setHosts({"h-a", "h-b"});
+  EXPECT_EQ(choose(), "/hosts/c");
+  setHosts({"h-a", "h-b", "h-c"});
+  EXPECT_EQ(choose(), "");
+  setHosts({});
+  EXPECT_EQ(choose(), "/hosts/a");
+}
+
 } // namespace
