Keep what a leaf has asked for over a lapse of its entry

The same class as a limit forgotten by a restart: a leaf's silence (503 with Retry-After) and its limit were kept with its entry, and forgotten when the entry lapsed for a moment and came back, as after a store outage; the leaf then got requests in the time for which it had asked for none. They are now kept for ten minutes by the run of the leaf. A new start of it has asked for nothing.

Failed before: LeafDirectory.WhatALeafNamedOutlivesItsEntry.

--- a/src/leaf/Leaf.cpp
+++ b/src/leaf/Leaf.cpp
@@ -48,7 +48,7 @@
 }
 
 void Leaf::pause(core::TimePoint now, core::Duration wait, double draw) {
-  Silence.onRetryAfter(now, wait, draw);
+  Demands.Silence.onRetryAfter(now, wait, draw);
   cancelConnecting();
 }
 
--- a/src/leaf/Leaf.h
+++ b/src/leaf/Leaf.h
@@ -19,6 +19,14 @@
 
 namespace savorytrestle::leaf {
 
+/// @brief What one run of a leaf has asked of this host.
+struct LeafDemands {
+  /// Time in which it wants no requests.
+  core::LeafSilence Silence;
+  /// Rate of requests that it takes from all hosts together.
+  core::LeafRateLimit RateLimit;
+};
+
 /// @brief One process of a leaf; a restart of the leaf makes a new object.
 class Leaf : public std::enable_shared_from_this<Leaf> {
 public:
@@ -81,12 +89,23 @@
   void releaseConnection(std::shared_ptr<LeafConnection> connection);
 
   /// @brief Time in which the leaf wants no requests.
-  core::LeafSilence &silence() { return Silence; }
-  const core::LeafSilence &silence() const { return Silence; }
+  core::LeafSilence &silence() { return Demands.Silence; }
+  const core::LeafSilence &silence() const { return Demands.Silence; }
 
   /// @brief Rate of requests that the leaf takes from all hosts together.
-  core::LeafRateLimit &rateLimit() { return RateLimit; }
-  const core::LeafRateLimit &rateLimit() const { return RateLimit; }
+  core::LeafRateLimit &rateLimit() { return Demands.RateLimit; }
+  const core::LeafRateLimit &rateLimit() const { return Demands.RateLimit; }
+
+  /// @brief What the leaf has asked of this host.
+  const LeafDemands &demands() const { return Demands; }
+
+  /// @brief Takes over what the same run has asked while it had an earlier
+  /// entry.
+  void restoreDemands(const LeafDemands &demands) {
+    Demands = demands;
+    // The test, if any, ended with the earlier entry.
+    Demands.Silence.onTestLost();
+  }
 
   /// @brief This host's score of the leaf.
   core::LeafScore &score() { return Score; }
@@ -100,8 +119,7 @@
   boost::asio::ip::tcp::endpoint Address;
   core::LeafScore Score;
   std::shared_ptr<AnswerMemory> Memory;
-  core::LeafSilence Silence;
-  core::LeafRateLimit RateLimit;
+  LeafDemands Demands;
   std::vector<std::shared_ptr<LeafConnection>> Idle;
   /// Connections that may still be being established.
   std::vector<std::weak_ptr<LeafConnection>> Connecting;
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -30,6 +30,10 @@
 /// several leaves with nearly the same cost.
 constexpr double CostJitter = 0.2;
 
+/// Longest time for which a leaf's demands are kept without an entry, and most
+/// leaves of which they are.
+constexpr std::chrono::minutes MaxDemandAge{10};
+constexpr std::size_t MaxKeptDemands = 4096;
 /// Time from an answer that names a rate limit until other hosts have read of
 /// it in the store.
 constexpr std::chrono::milliseconds PublishDelay{3000};
@@ -124,6 +128,10 @@
                                      distanceTo(entry.FailureDomain), Memory);
   if (Departed.contains(run))
     leaf->retire();
+  if (const auto it = DemandsByRun.find(run); it != DemandsByRun.end()) {
+    leaf->restoreDemands(it->second.Demands);
+    DemandsByRun.erase(it);
+  }
   if (const auto it = PublishedLimits.find(run); it != PublishedLimits.end()) {
     leaf->rateLimit().set(it->second, SteadyClock::now());
     logRateLimit(*leaf, "host");
@@ -140,11 +148,23 @@
   if (it == ById.end())
     return;
   ++Generation;
+  keepDemands(*it->second);
   it->second->retire();
   eraseLeaf(service(it->second->entry().Service).Leaves, it->second.get());
   ById.erase(it);
 }
 
+void LeafDirectory::keepDemands(const Leaf &leaf) {
+  const auto now = SteadyClock::now();
+  std::erase_if(DemandsByRun, [now](const auto &it) {
+    return now - it.second.RemovedAt > MaxDemandAge;
+  });
+  const bool asked =
+      leaf.silence().end() > now || leaf.rateLimit().limit().has_value();
+  if (asked && DemandsByRun.size() < MaxKeptDemands)
+    DemandsByRun[leaf.run()] = {leaf.demands(), now};
+}
+
 void LeafDirectory::markLeaving(Leaf &leaf) {
   const core::LeafRun run = leaf.run();
   leaf.retire();
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -229,6 +229,12 @@
   double draw();
 
 private:
+  struct KeptDemands {
+    LeafDemands Demands;
+    core::TimePoint RemovedAt;
+  };
+
+  void keepDemands(const Leaf &leaf);
   std::vector<std::string> idsWithPrefix(const std::string &prefix) const;
   core::LeafDistance distanceTo(const std::string &failureDomain) const;
   void updateShares();
@@ -244,6 +250,8 @@
   std::map<std::string, std::unique_ptr<Service>> Services;
   std::map<std::string, std::shared_ptr<Leaf>> ById;
   core::DepartedLeaves Departed;
+  /// What runs without an entry have asked; an entry may only have lapsed.
+  std::map<core::LeafRun, KeptDemands> DemandsByRun;
   core::LeafLink Link;
   std::shared_ptr<AnswerMemory> Memory =
       std::make_shared<AnswerMemory>(AnswerLimits{});
--- a/tests/unit-leaf-directory.cpp
+++ b/tests/unit-leaf-directory.cpp
@@ -49,6 +49,29 @@
   EXPECT_GT(connectionLimit(leaf), atFirst);
 }
 
+/// Guards against a leaf that gets requests again during its silence, or more
+/// than it named, since its entry lapsed for a moment.
+TEST(LeafDirectory, WhatALeafNamedOutlivesItsEntry) {
+  boost::asio::io_context io;
+  leaf::LeafDirectory leaves(io, {"a", {{"a", "west"}}}, {0.2, 54, 10s});
+  leaf::Service &service = leaves.service("s");
+  core::LeafEntry run = entry("i-1", "a");
+  run.StartedAt = 1700000000000;
+  leaves.putLeaf(run);
+  EXPECT_TRUE(leaves.reachable(service, 0));
+  leaves.pauseLeaf(*service.Leaves.front(), 1min);
+  leaves.applyRateLimit(*service.Leaves.front(), 20);
+  leaves.removeLeaf("i-1");
+  leaves.putLeaf(run);
+  EXPECT_FALSE(leaves.reachable(service, 0));
+  EXPECT_EQ(leaves.limitedLeafCount(), 1U);
+  // Another run of the leaf has said nothing.
+  run.StartedAt += 1;
+  leaves.putLeaf(run);
+  EXPECT_TRUE(leaves.reachable(service, 0));
+  EXPECT_EQ(leaves.limitedLeafCount(), 0U);
+}
+
 class PeerChoiceTest : public ::testing::Test {
 protected:
   /// Hosts h-a and h-b in this region, h-c in another.
