--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -158,22 +158,7 @@
         Departures->onPublished(entry.LeavingLeaves);
         RateLimits->onPublished(entry.Id, entry.RateLimits);
       });
-  Departures = std::make_unique<registry::DepartureNotices>(
-      Io, Leaves,
-      [this](const auto &runs) { Presence->addLeavingLeaves(runs); });
-  Leaves.onLeaving(
-      [this](const core::LeafRun &run) { Departures->onLeaving(run); });
-  RateLimits = std::make_unique<registry::RateLimitNotices>(
-      Io, Leaves,
-      [this](const auto &limits) { Presence->setRateLimits(limits); });
-  Leaves.onRateLimit(
-      [this](const core::LeafRun &run) { RateLimits->onObserved(run); });
-  Prober = std::make_shared<leaf::LeafProber>(Io, Leaves, [this](bool lost) {
-    Presence->setLeavesLost(lost);
-    if (lost)
-      Router.onLeavesLost();
-  });
-  Prober->start();
+  startNotices();
   PeerFeed = std::make_shared<registry::FeedServer>(Io, Mirror);
   Exchange = std::make_shared<registry::LeafExchange>(Io, Leaves, Config.Id);
   Exchange->start();
@@ -204,6 +189,25 @@
       [this](const auto &records) { Presence->addRecords(records); });
 }
 
+void PlatformHost::startNotices() {
+  Departures = std::make_unique<registry::DepartureNotices>(
+      Io, Leaves,
+      [this](const auto &runs) { Presence->addLeavingLeaves(runs); });
+  Leaves.onLeaving(
+      [this](const core::LeafRun &run) { Departures->onLeaving(run); });
+  RateLimits = std::make_unique<registry::RateLimitNotices>(
+      Io, Leaves,
+      [this](const auto &limits) { Presence->setRateLimits(limits); });
+  Leaves.onRateLimit(
+      [this](const core::LeafRun &run) { RateLimits->onObserved(run); });
+  Prober = std::make_shared<leaf::LeafProber>(Io, Leaves, [this](bool lost) {
+    Presence->setLeavesLost(lost);
+    if (lost)
+      Router.onLeavesLost();
+  });
+  Prober->start();
+}
+
 void PlatformHost::applyHosts(const registry::KnownHosts &hosts) {
   Leaves.setHostCounts(hosts.CountByDomain);
   Departures->setHostCount(hosts.LiveHosts.size());
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -52,6 +52,8 @@
                                          entry::AnswerHandler respond);
   core::Result<void> openListeners();
   void startFeeds(const boost::asio::ip::tcp::endpoint &store);
+  /// Starts what tells other hosts of leaves, and of this host's links to them.
+  void startNotices();
   void applyHosts(const registry::KnownHosts &hosts);
   /// Live hosts with a listener for other hosts, this one included.
   struct HostAddresses {
