--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -332,26 +332,27 @@
 
 Service *
 LeafDirectory::reachablePeers(const std::vector<const Service *> &tried) {
-  Service *best = nullptr;
-  std::pair<bool, core::LeafDistance> bestRank;
   const auto now = SteadyClock::now();
-  for (auto &[name, service] : Services) {
+  std::vector<Service *> peers;
+  std::vector<core::ForwardDomain> domains;
+  for (const auto &[name, service] : Services) {
     if (!name.starts_with(PeerServicePrefix))
       continue;
-    const auto host =
-        std::find_if(service->Leaves.begin(), service->Leaves.end(),
-                     [now](const auto &it) { return acceptsNow(*it, now); });
-    if (host == service->Leaves.end())
-      continue;
-    const std::pair rank(std::find(tried.begin(), tried.end(), service.get()) !=
-                             tried.end(),
-                         distanceTo((*host)->entry().FailureDomain));
-    if (!best || rank < bestRank) {
-      best = service.get();
-      bestRank = rank;
+    const auto domain = name.substr(PeerServicePrefix.size());
+    core::ForwardDomain hosts;
+    hosts.Distance = distanceTo(domain);
+    hosts.WithoutLeaves = domain == Location.FailureDomain ? 1 : 0;
+    for (const auto &host : service->Leaves) {
+      hosts.Available += acceptsNow(*host, now) ? 1 : 0;
+      hosts.WithoutLeaves += host->available() ? 0 : 1;
     }
+    hosts.Tried =
+        std::find(tried.begin(), tried.end(), service.get()) != tried.end();
+    peers.push_back(service.get());
+    domains.push_back(hosts);
   }
-  return best;
+  const auto chosen = core::chooseForwardDomain(domains, draw());
+  return chosen ? peers[*chosen] : nullptr;
 }
 
 void LeafDirectory::closeIdleConnections() {
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -166,7 +166,7 @@
   Service &peersOf(const std::string &failureDomain);
 
   /// @brief The hosts of one failure domain, of which at least one can be sent
-  /// requests: this domain, else one of this region, else any.
+  /// requests, see @ref core::chooseForwardDomain.
   /// @param tried domains to use only if there is no other
   /// @return null if no host can. O(hosts)
   Service *reachablePeers(const std::vector<const Service *> &tried = {});
--- a/tests/unit-serving-policies.cpp
+++ b/tests/unit-serving-policies.cpp
@@ -249,4 +249,37 @@
   EXPECT_EQ(lapsed.takeDue(Begin + 2200ms).size(), 1U);
 }
 
+/// Guards against one host that gets the requests of a whole failure domain.
+TEST(ForwardDomain, TheLastHostsOfADomainDoNotGetItsWholeLoad) {
+  const std::vector<ForwardDomain> domains{
+      {LeafDistance::SameDomain, 1, 13, false},
+      {LeafDistance::SameRegion, 14, 0, false},
+      {LeafDistance::Remote, 28, 0, false}};
+  std::vector<int> chosen(3);
+  for (double draw = 0; draw < 1; draw += 0.01)
+    ++chosen[*chooseForwardDomain(domains, draw)];
+  EXPECT_LE(chosen[0], 8);
+  EXPECT_GE(chosen[1], 92);
+  EXPECT_EQ(chosen[2], 0);
+}
+
+TEST(ForwardDomain, TheNearestDomainIsChosenWhileItHasTheHosts) {
+  std::vector<ForwardDomain> domains{{LeafDistance::Remote, 28, 0, false},
+                                     {LeafDistance::SameDomain, 8, 6, false},
+                                     {LeafDistance::SameRegion, 14, 0, false}};
+  EXPECT_EQ(chooseForwardDomain(domains, 0.9), 1U);
+  domains[1].Tried = true;
+  EXPECT_EQ(chooseForwardDomain(domains, 0.9), 2U);
+  domains[2].Tried = true;
+  EXPECT_EQ(chooseForwardDomain(domains, 0.9), 0U);
+}
+
+TEST(ForwardDomain, ATriedDomainIsBetterThanNone) {
+  EXPECT_EQ(chooseForwardDomain({}, 0.5), std::nullopt);
+  EXPECT_EQ(chooseForwardDomain({{LeafDistance::SameDomain, 0, 5, false}}, 0.5),
+            std::nullopt);
+  EXPECT_EQ(chooseForwardDomain({{LeafDistance::SameDomain, 2, 5, true}}, 0.5),
+            0U);
+}
+
 } // namespace
