Ignore a limit that is no finite number

A Server-Limit of 1e999 was taken for infinity, which a host entry can't hold: it was written as null, and other hosts would have skipped the whole entry. Found by reading the change. Failed before: LeafRateLimitTest.ValuesThatAreNoRateAreIgnored, with 1e999 added.

--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -1,6 +1,7 @@
 #include "leaf/ServiceCall.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
@@ -200,7 +201,8 @@
     if (isValidAnswer(answer))
       Context->Leaves.applyRateLimit(from, std::nullopt);
   } else if (const auto perSecond =
-                 core::parseDecimal(support::toStringView(rate->value()))) {
+                 core::parseDecimal(support::toStringView(rate->value()));
+             perSecond && std::isfinite(*perSecond)) {
     Context->Leaves.applyRateLimit(from, perSecond);
   }
   if (answer.result_int() != Unavailable)
--- a/tests/process-leaf-rate-limit.cpp
+++ b/tests/process-leaf-rate-limit.cpp
@@ -132,11 +132,13 @@
 }
 
 TEST_F(LeafRateLimitTest, ValuesThatAreNoRateAreIgnored) {
-  nameLimit("a few");
-  press(500ms);
-  const std::size_t before = arrivals().size();
-  press(500ms);
-  EXPECT_GT(arrivals().size() - before, 20U);
+  for (const char *limit : {"a few", "-1", "1e999", "nan", "inf", ""}) {
+    nameLimit(limit);
+    press(300ms);
+    const std::size_t before = arrivals().size();
+    press(300ms);
+    EXPECT_GT(arrivals().size() - before, 10U) << limit;
+  }
   EXPECT_EQ(Hosts[0]->log().find("event=leaf_rate_limit"), std::string::npos);
 }
 
