Send a forward to the next host also if the one before can't be connected

A forward whose host took no connection at once counted as failed shards, since the loop over relays had passed it; the request was refused although other hosts were left.

--- a/include/savorytrestle/core/LeafLink.h
+++ b/include/savorytrestle/core/LeafLink.h
@@ -39,9 +39,6 @@
   /// links are lost and may be back. O(leaves under suspicion).
   bool probeDue(TimePoint now);
 
-  /// @brief When a probe can be due at the earliest.
-  TimePoint nextProbe() const { return NextProbe; }
-
   /// @brief Probes were started.
   void onProbesStarted(TimePoint now);
 
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -95,31 +95,36 @@
 }
 
 void RequestRun::reclaimRefusedRelays() {
-  for (std::size_t i = 0; i < Relays.size(); ++i) {
-    Relay &relay = Relays[i];
-    if (!relay.Call || !relay.Call->ended())
-      continue;
-    // Only a relay that the other host has not started is executed here; leaves
-    // may be executing any other already. A leaf's own answer is signed.
-    unsigned status = 0;
-    bool refused = false;
-    if (relay.Call->end() == CallEnd::Answered) {
-      const auto &answer = relay.Call->answer();
-      status = answer.result_int();
-      refused = (answer.result() == http::status::service_unavailable ||
-                 answer.result() == http::status::not_found) &&
-                answer.find(Context->Names.LeafSignature) == answer.end();
+  for (std::size_t i = 0; i < Relays.size(); ++i)
+    while (reclaimRelay(i)) {
     }
-    if (relay.Call->mayHaveRun() && !refused)
-      continue;
-    Recorder.onRelayRefused(*Context, *relay.Call, status);
-    relay.Call->cancel();
-    if (sentToNextHost(i))
-      continue;
-    relay.Call = nullptr;
-    for (leaf::Service *service : relay.Services)
-      startCall(*service);
+}
+
+bool RequestRun::reclaimRelay(std::size_t i) {
+  Relay &relay = Relays[i];
+  if (!relay.Call || !relay.Call->ended())
+    return false;
+  // Only a relay that the other host has not started is executed here; leaves
+  // may be executing any other already. A leaf's own answer is signed.
+  unsigned status = 0;
+  bool refused = false;
+  if (relay.Call->end() == CallEnd::Answered) {
+    const auto &answer = relay.Call->answer();
+    status = answer.result_int();
+    refused = (answer.result() == http::status::service_unavailable ||
+               answer.result() == http::status::not_found) &&
+              answer.find(Context->Names.LeafSignature) == answer.end();
   }
+  if (relay.Call->mayHaveRun() && !refused)
+    return false;
+  Recorder.onRelayRefused(*Context, *relay.Call, status);
+  relay.Call->cancel();
+  if (sentToNextHost(i))
+    return true;
+  relay.Call = nullptr;
+  for (leaf::Service *service : relay.Services)
+    startCall(*service);
+  return false;
 }
 
 bool RequestRun::sentToNextHost(std::size_t i) {
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -89,9 +89,11 @@
   void startCall(leaf::Service &service);
   leaf::ServiceCall::EndHandler callEndHandler();
   leaf::ServiceCall::EndHandler relayEndHandler(std::size_t i);
-  /// Handles relays that the other host did not execute: sends forwards to
-  /// another one, or calls the services.
   void reclaimRefusedRelays();
+  /// Handles a relay that the other host did not execute: sends a forward to
+  /// another one, or calls the services.
+  /// @return whether it was sent to another host
+  bool reclaimRelay(std::size_t i);
   void startRelay(std::size_t i);
   bool sentToNextHost(std::size_t i);
   /// Whether a call may be sent again, through another host.
