--- a/include/savorytrestle/core/RelayPolicy.h
+++ b/include/savorytrestle/core/RelayPolicy.h
@@ -42,7 +42,7 @@
 };
 
 /// @brief Selects the failure domain to whose hosts a request is forwarded: the
-/// nearest ones that have at least as many hosts to take requests as hosts that
+/// nearest ones that have a host to take requests for every few hosts that
 /// forward them, so that a few hosts don't get the load of many.
 /// @param domains the domains; this host counts as one without leaves
 /// @param draw uniform random number in [0, 1)
--- a/src/core/RelayPolicy.cpp
+++ b/src/core/RelayPolicy.cpp
@@ -7,6 +7,9 @@
 /// With fewer shards in a relay, the merged answer with its signatures saves
 /// too little to justify the detour through another host.
 constexpr std::size_t MinShardsPerRelay = 6;
+/// Hosts whose requests one host takes beside its own, before those of farther
+/// domains are used: these answer later.
+constexpr std::size_t MaxForwardersPerHost = 4;
 
 /// Selects one of the domains within a distance, in proportion to their
 /// available hosts.
@@ -45,7 +48,7 @@
         available += domain.Available;
         withoutLeaves += domain.WithoutLeaves;
       }
-    if (available < withoutLeaves)
+    if (available * MaxForwardersPerHost < withoutLeaves)
       continue;
     if (const auto i = drawDomain(domains, within, false, draw))
       return i;
