Forward a write that a leaf failed no further

Found by reading the change: a host took an unsigned 503 or 404 to a forward for the refusal of the other host, as not started, and sent the request on. A leaf may answer so after it has run the request: a write ran three times. Cause: whose answer it was followed from a signature that a failing leaf may leave out. The host that runs a relay now marks each answer of a leaf, and the marks of leaves themselves are dropped.

--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -105,7 +105,7 @@
   if (!relay.Call || !relay.Call->ended())
     return false;
   // Only a relay that the other host has not started is executed here; leaves
-  // may be executing any other already. A leaf's own answer is signed.
+  // may be executing any other already, or have answered itself.
   unsigned status = 0;
   bool refused = false;
   if (relay.Call->end() == CallEnd::Answered) {
@@ -113,7 +113,7 @@
     status = answer.result_int();
     refused = (answer.result() == http::status::service_unavailable ||
                answer.result() == http::status::not_found) &&
-              answer.find(Context->Names.LeafSignature) == answer.end();
+              answer.find(leaf::RelayLeafAnswerHeader) == answer.end();
   }
   if (relay.Call->mayHaveRun() && !refused)
     return false;
@@ -245,6 +245,9 @@
   for (const http::field field : HopByHop)
     answer.erase(field);
   answer.erase(leaf::LeavingLeavesHeader);
+  answer.erase(leaf::RelayLeafAnswerHeader);
+  if (Context->FromHost)
+    answer.set(leaf::RelayLeafAnswerHeader, "1");
   const bool ok = leaf::isSuccess(answer);
   finish(std::move(answer), ok ? "ok" : "leaf_failed");
 }
--- a/src/leaf/RelayHeaders.h
+++ b/src/leaf/RelayHeaders.h
@@ -18,6 +18,9 @@
 /// @brief Reason for which a host takes no relays for now, in a refusal.
 inline constexpr const char *RelayRefusedHeader = "Relay-Refused";
 
+/// @brief Marks an answer to a relay as that of a leaf, whatever its status.
+inline constexpr const char *RelayLeafAnswerHeader = "Relay-Leaf-Answer";
+
 } // namespace savorytrestle::leaf
 
 #endif
--- a/tests/process-leaf-cut.cpp
+++ b/tests/process-leaf-cut.cpp
@@ -105,6 +105,18 @@
     });
   }
 
+  /// Runs of a request on all leaves.
+  int totalRuns(const std::string &id) {
+    return Cluster.runOnStandInThread([&] {
+      int runs = 0;
+      for (const auto &leaf : Cluster.Leaves)
+        if (const auto it = leaf->RunsByRequest.find(id);
+            it != leaf->RunsByRequest.end())
+          runs += it->second;
+      return runs;
+    });
+  }
+
   NodeDeployment Cluster;
   std::unique_ptr<MetadataStore> CutStore;
   NodeProcess *Connected = nullptr;
@@ -178,4 +190,18 @@
   EXPECT_EQ(mostRuns(), 1);
 }
 
+/// Guards against a leaf's own answer that is taken for the refusal of the host
+/// that passes it on.
+TEST_F(LeafCutTest, AWriteThatALeafFailedIsNotForwardedAgain) {
+  ASSERT_TRUE(noticeCut());
+  Cluster.runOnStandInThread([&] {
+    for (const auto &leaf : Cluster.Leaves)
+      leaf->Behavior.FailUnsigned = true;
+    return 0;
+  });
+  EXPECT_EQ(send("/file/x", "POST").Status, 503);
+  EXPECT_EQ(mostRuns(), 1);
+  EXPECT_EQ(totalRuns("r" + std::to_string(LastRequest)), 1);
+}
+
 } // namespace
--- a/tests/standins/PlatformLeaf.h
+++ b/tests/standins/PlatformLeaf.h
@@ -30,6 +30,8 @@
   bool NeverAnswer = false;
   /// Answers 500 after the execution.
   bool Fail = false;
+  /// Answers 503 after the execution, without a signature.
+  bool FailUnsigned = false;
   /// Says in all answers that it is leaving.
   bool Leaving = false;
   /// Turns requests away with 503 and this Retry-After, unless empty.
@@ -141,6 +143,9 @@
 
   entry::CallerAnswer answer(const std::string &id,
                              const std::string &echo) const {
+    if (Behavior.FailUnsigned)
+      return entry::textAnswer(boost::beast::http::status::service_unavailable,
+                               "");
     auto answer = entry::textAnswer(
         static_cast<boost::beast::http::status>(Behavior.Fail ? 500 : 200),
         echo.empty() ? records() : echo);
