Count the leaves that a request was sent to before it is forwarded

Found by reading the change: when a host loses the leaves, a request that it had sent to two leaves, as many as its route allows, was forwarded and ran on two more. Cause: the host that takes a forward counted only its own attempts. A forward now says how many leaves are left, and none is made if there are none; calls are cancelled only once there is a host to forward to.

--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_join.h>
@@ -16,6 +17,7 @@
 namespace savorytrestle::entry {
 
 namespace http = boost::beast::http;
+using leaf::RelayMaxLeavesHeader;
 using leaf::RelayShardsHeader;
 using leaf::RelayVersionHeader;
 using std::chrono::milliseconds;
@@ -62,20 +64,35 @@
 } // namespace
 
 std::shared_ptr<const core::RouteRule>
-RequestRouter::routeForShards(const core::RouteRule &route,
-                              std::string_view indices) {
+RequestRouter::routeForRelay(const core::RouteRule &route,
+                             const CallerRequest &request) {
+  const auto shards = request.find(RelayShardsHeader);
+  const auto maxLeaves = request.find(RelayMaxLeavesHeader);
+  if (shards == request.end() && maxLeaves == request.end())
+    return nullptr;
   auto derived = std::make_shared<core::RouteRule>(route);
-  derived->Shards.clear();
+  if (shards != request.end())
+    keepShards(*derived, support::toStringView(shards->value()));
+  int most = 0;
+  if (maxLeaves != request.end() &&
+      absl::SimpleAtoi(absl::string_view(maxLeaves->value().data(),
+                                         maxLeaves->value().size()),
+                       &most))
+    derived->MaxLeaves = std::clamp(most, 1, route.MaxLeaves);
+  return derived;
+}
+
+void RequestRouter::keepShards(core::RouteRule &route,
+                               std::string_view indices) {
+  const auto all = std::exchange(route.Shards, {});
   // The relaying host checks the share of all shards that answered.
-  derived->MinShardShare = 0;
+  route.MinShardShare = 0;
   std::set<std::size_t> named;
   for (const auto text : absl::StrSplit(std::string(indices), ',')) {
     std::size_t i = 0;
-    if (absl::SimpleAtoi(text, &i) && i < route.Shards.size() &&
-        named.insert(i).second)
-      derived->Shards.push_back(route.Shards[i]);
+    if (absl::SimpleAtoi(text, &i) && i < all.size() && named.insert(i).second)
+      route.Shards.push_back(all[i]);
   }
-  return derived;
 }
 
 RequestRouter::RequestRouter(boost::asio::io_context &io,
@@ -93,6 +110,7 @@
   // Only hosts may send them: they lift the least share of the shards.
   request.erase(RelayVersionHeader);
   request.erase(RelayShardsHeader);
+  request.erase(RelayMaxLeavesHeader);
   return start(std::move(request), std::move(respond), false);
 }
 
@@ -148,8 +166,9 @@
     return run;
   run->setForwardFactory([this](const leaf::CallContext &direct,
                                 const std::vector<leaf::Service *> &services,
+                                int leavesLeft,
                                 std::vector<const leaf::Service *> tried) {
-    return makeForward(direct, services, std::move(tried));
+    return makeForward(direct, services, leavesLeft, std::move(tried));
   });
   if (Runs.size() >= PruneRunsAt) {
     std::erase_if(Runs, [](const auto &weak) { return weak.expired(); });
@@ -162,6 +181,7 @@
 std::optional<Relay>
 RequestRouter::makeForward(const leaf::CallContext &direct,
                            const std::vector<leaf::Service *> &services,
+                           int leavesLeft,
                            std::vector<const leaf::Service *> tried) {
   leaf::Service *const hosts = Leaves.reachablePeers(tried);
   if (hosts == nullptr)
@@ -173,10 +193,11 @@
     if (const auto it = std::find(names.begin(), names.end(), service->Name);
         it != names.end())
       shards.push_back(static_cast<std::size_t>(it - names.begin()));
-  return Relay{.Context = makeRelayContext(direct, shards),
+  return Relay{.Context = makeRelayContext(direct, shards, leavesLeft),
                .Hosts = hosts,
                .Services = services,
                .IsForward = true,
+               .LeavesLeft = leavesLeft,
                .Tried = std::move(tried)};
 }
 
@@ -190,25 +211,21 @@
     refuse(request, route, *refusal, respond);
     return nullptr;
   }
-  // A relay may cover some of the shards only.
-  const auto shardsHeader = request.find(RelayShardsHeader);
-  const auto partialRoute =
-      relayed && shardsHeader != request.end()
-          ? routeForShards(*route, support::toStringView(shardsHeader->value()))
-          : nullptr;
-  if (partialRoute && !partialRoute->sharded()) {
+  const auto relayRoute = relayed ? routeForRelay(*route, request) : nullptr;
+  const core::RouteRule &rule = relayRoute ? *relayRoute : *route;
+  if (relayed && request.find(RelayShardsHeader) != request.end() &&
+      !rule.sharded()) {
     refuse(request, route,
            {http::status::service_unavailable,
             "relay names no shard of the route", std::nullopt},
            respond);
     return nullptr;
   }
-  const core::RouteRule &rule = partialRoute ? *partialRoute : *route;
   const auto services = selectServices(rule);
   const double draw = Leaves.draw();
-  const bool forward =
+  const bool forwards =
       !relayed && Leaves.link().lost() && Leaves.reachablePeers() != nullptr;
-  if (!forward && !enoughServicesReachable(rule, services, draw)) {
+  if (!forwards && !enoughServicesReachable(rule, services, draw)) {
     const auto deadline = SteadyClock::now() + timeLimit(request, rule);
     refuse(
         request, route,
@@ -218,10 +235,13 @@
     return nullptr;
   }
   const auto context =
-      makeContext(std::move(request), fingerprint, rule, partialRoute, draw);
+      makeContext(std::move(request), fingerprint, rule, relayRoute, draw);
   const auto run = makeRun(context, std::move(respond));
+  std::optional<Relay> forward;
+  if (forwards)
+    forward = makeForward(*context, services, rule.MaxLeaves, {});
   if (forward)
-    run->start({}, {*makeForward(*context, services, {})});
+    run->start({}, {std::move(*forward)});
   else if (const auto &plan = relayPlanFor(*route); plan.empty() || relayed)
     run->start(services);
   else
@@ -294,6 +314,7 @@
   removeHopByHopHeaders(request);
   request.erase(RelayVersionHeader);
   request.erase(RelayShardsHeader);
+  request.erase(RelayMaxLeavesHeader);
   request.version(11);
   request.prepare_payload();
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
@@ -304,7 +325,8 @@
 
 std::shared_ptr<const leaf::CallContext>
 RequestRouter::makeRelayContext(const leaf::CallContext &direct,
-                                const std::vector<std::size_t> &shards) const {
+                                const std::vector<std::size_t> &shards,
+                                int maxLeaves) const {
   auto route = std::make_shared<core::RouteRule>(direct.Route);
   // The other host hedges and retries; doing so here too would double the load.
   route->Idempotent = false;
@@ -313,6 +335,8 @@
   request.set(RelayVersionHeader, std::to_string(direct.Config->Version));
   if (!shards.empty())
     request.set(RelayShardsHeader, absl::StrJoin(shards, ","));
+  if (maxLeaves < direct.Route.MaxLeaves)
+    request.set(RelayMaxLeavesHeader, std::to_string(maxLeaves));
   const core::RouteRule &rule = *route;
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
       Leaves, Names, direct.Config, rule, std::move(route), std::move(request),
@@ -347,7 +371,8 @@
   std::vector<leaf::Service *> ownServices = services;
   std::vector<Relay> relays;
   for (const auto &[domain, shards] : plan) {
-    Relay relay{.Context = makeRelayContext(context, shards),
+    Relay relay{.Context =
+                    makeRelayContext(context, shards, context.Route.MaxLeaves),
                 .Hosts = &Leaves.peersOf(domain)};
     for (const std::size_t i : shards) {
       relay.Services.push_back(services[i]);
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -90,11 +90,14 @@
 
   CancelHandler start(CallerRequest request, AnswerHandler respond,
                       bool relayed);
-  /// Copies a route with some of its shards only.
+  /// Copies a route with the bounds that a relay names.
+  /// @return null if it names none
+  static std::shared_ptr<const core::RouteRule>
+  routeForRelay(const core::RouteRule &route, const CallerRequest &request);
+  /// Leaves out the shards of a route that a relay doesn't name.
   /// @param indices indices of the shards, separated by commas; others are
   /// skipped, and those that are named again
-  static std::shared_ptr<const core::RouteRule>
-  routeForShards(const core::RouteRule &route, std::string_view indices);
+  static void keepShards(core::RouteRule &route, std::string_view indices);
   /// Returns why a request can't be started; nothing if it can.
   std::optional<Refusal> findRefusal(const CallerRequest &request,
                                      const core::RouteRule *route,
@@ -107,10 +110,11 @@
   /// See RequestRun::ForwardFactory.
   std::optional<Relay> makeForward(const leaf::CallContext &direct,
                                    const std::vector<leaf::Service *> &services,
+                                   int leavesLeft,
                                    std::vector<const leaf::Service *> tried);
   std::shared_ptr<const leaf::CallContext>
   makeRelayContext(const leaf::CallContext &direct,
-                   const std::vector<std::size_t> &shards) const;
+                   const std::vector<std::size_t> &shards, int maxLeaves) const;
   std::shared_ptr<const leaf::CallContext>
   makeContext(CallerRequest request, const core::Fingerprint &fingerprint,
               const core::RouteRule &route,
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -131,7 +131,8 @@
   Relay &relay = Relays[i];
   if (!relay.IsForward || !MakeForward || relay.Tried.size() >= MaxForwardTries)
     return false;
-  auto next = MakeForward(*Context, relay.Services, relay.Tried);
+  auto next =
+      MakeForward(*Context, relay.Services, relay.LeavesLeft, relay.Tried);
   if (!next)
     return false;
   relay = std::move(*next);
@@ -139,29 +140,41 @@
   return true;
 }
 
-bool RequestRun::mayForward(const ServiceCall &call, TimePoint now) const {
+int RequestRun::leavesLeft(const ServiceCall &call, TimePoint now) const {
   if (call.ended())
-    return false;
-  if (!call.mayHaveArrived())
-    return true;
-  return Context->Route.Idempotent && call.trySpendRetry(now);
+    return 0;
+  const int arrivals = call.possibleArrivals();
+  const int left = Context->Route.MaxLeaves - arrivals;
+  const bool allowed = arrivals == 0 || (Context->Route.Idempotent &&
+                                         left > 0 && call.trySpendRetry(now));
+  return allowed ? left : 0;
 }
 
 void RequestRun::onLeavesLost() {
   if (Finished || !MakeForward || Context->Leaves.reachablePeers() == nullptr)
     return;
   const auto now = SteadyClock::now();
-  std::vector<leaf::Service *> forwarded;
-  std::erase_if(Calls, [&](const ServiceCallPtr &call) {
-    if (!mayForward(*call, now))
-      return false;
-    forwarded.push_back(&call->service());
-    call->cancel();
-    return true;
-  });
-  if (forwarded.empty())
+  std::vector<leaf::Service *> services;
+  std::vector<ServiceCallPtr> kept;
+  std::vector<ServiceCallPtr> moved;
+  int least = Context->Route.MaxLeaves;
+  for (const ServiceCallPtr &call : Calls) {
+    const int left = leavesLeft(*call, now);
+    (left > 0 ? moved : kept).push_back(call);
+    if (left <= 0)
+      continue;
+    services.push_back(&call->service());
+    least = std::min(least, left);
+  }
+  if (moved.empty())
     return;
-  Relays.push_back(*MakeForward(*Context, forwarded, {}));
+  auto forward = MakeForward(*Context, services, least, {});
+  if (!forward)
+    return;
+  for (const ServiceCallPtr &call : moved)
+    call->cancel();
+  Calls = std::move(kept);
+  Relays.push_back(std::move(*forward));
   startRelay(Relays.size() - 1);
   advance();
 }
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -33,6 +33,8 @@
   /// Whether it is made since this host reaches no leaf; other hosts are tried
   /// then before this host calls the services.
   bool IsForward = false;
+  /// Leaves of each service that a forward may still be sent to.
+  int LeavesLeft = 0;
   /// Hosts of the failure domains that it was sent to, one entry a try.
   std::vector<const leaf::Service *> Tried{};
   /// The call to a host; null once this host calls the shards itself.
@@ -49,7 +51,7 @@
   /// host can be sent one.
   using ForwardFactory = std::function<std::optional<Relay>(
       const leaf::CallContext &, const std::vector<leaf::Service *> &services,
-      std::vector<const leaf::Service *> tried)>;
+      int leavesLeft, std::vector<const leaf::Service *> tried)>;
 
   /// @brief Creates a run; @ref start starts it.
   /// @param io runs its timer
@@ -96,8 +98,9 @@
   bool reclaimRelay(std::size_t i);
   void startRelay(std::size_t i);
   bool sentToNextHost(std::size_t i);
-  /// Whether a call may be sent again, through another host.
-  bool mayForward(const leaf::ServiceCall &call, core::TimePoint now) const;
+  /// Leaves to which a call may be sent again, through another host; 0 if it
+  /// may not.
+  int leavesLeft(const leaf::ServiceCall &call, core::TimePoint now) const;
   /// The call whose answer is that of a plain route.
   const leaf::ServiceCall &plainCall() const;
   void advancePlain(core::TimePoint now);
--- a/src/leaf/RelayHeaders.h
+++ b/src/leaf/RelayHeaders.h
@@ -18,6 +18,10 @@
 /// @brief Reason for which a host takes no relays for now, in a refusal.
 inline constexpr const char *RelayRefusedHeader = "Relay-Refused";
 
+/// @brief Most leaves of a service that may still get the request: those that
+/// the relaying host has sent it to count as well.
+inline constexpr const char *RelayMaxLeavesHeader = "Relay-Max-Leaves";
+
 /// @brief Marks an answer to a relay as that of a leaf, whatever its status.
 inline constexpr const char *RelayLeafAnswerHeader = "Relay-Leaf-Answer";
 
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -310,12 +310,12 @@
   return next;
 }
 
-bool ServiceCall::mayHaveArrived() const {
+int ServiceCall::possibleArrivals() const {
   const auto connecting = std::count_if(
       Attempts.begin(), Attempts.end(), [](const Attempt &attempt) {
         return !attempt.Ended && attempt.Connection->connecting();
       });
-  return PossibleExecutions > connecting;
+  return PossibleExecutions - static_cast<int>(connecting);
 }
 
 bool ServiceCall::anyPending() const {
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -104,8 +104,8 @@
   /// @brief Whether a leaf may be executing the request or have executed it.
   bool mayHaveRun() const { return MayHaveRun; }
 
-  /// @brief Whether any byte of the request may have reached a leaf.
-  bool mayHaveArrived() const;
+  /// @brief Number of leaves that any byte of the request may have reached.
+  int possibleArrivals() const;
 
   /// @brief Whether a leaf's connection broke while the request was in flight.
   bool connectionBroke() const { return ConnectionBroke; }
--- a/tests/process-leaf-cut.cpp
+++ b/tests/process-leaf-cut.cpp
@@ -117,6 +117,12 @@
     });
   }
 
+  /// Address of the first leaf of the service "plain".
+  std::string plainAddress() {
+    return Cluster.runOnStandInThread(
+        [&] { return Cluster.Leaves[Shards]->address(); });
+  }
+
   NodeDeployment Cluster;
   std::unique_ptr<MetadataStore> CutStore;
   NodeProcess *Connected = nullptr;
@@ -204,4 +210,36 @@
   EXPECT_EQ(totalRuns("r" + std::to_string(LastRequest)), 1);
 }
 
+/// Guards against a request that runs on more leaves than its route allows,
+/// since it is forwarded after it was sent to some.
+TEST_F(LeafCutTest, AForwardKeepsToTheLeavesThatTheRouteAllows) {
+  healLeaves();
+  ASSERT_TRUE(eventually([&] {
+    return Cut->log().find("event=leaf_entry leaf=i-plain-0 service=plain "
+                           "address=" +
+                           plainAddress()) != std::string::npos;
+  }));
+  // Each earns a part of a retry.
+  for (int i = 0; i < 30; ++i)
+    ASSERT_EQ(send("/read/x").Status, 200);
+  Cluster.runOnStandInThread([&] {
+    for (const auto &leaf : Cluster.Leaves)
+      leaf->Behavior.NeverAnswer = leaf->Service == "plain";
+    return 0;
+  });
+  const std::string id = "r" + std::to_string(LastRequest + 1);
+  CallerReply reply;
+  std::thread caller([&] { reply = send("/read/x"); });
+  EXPECT_TRUE(eventually([&] { return totalRuns(id) == 2; }));
+  cutLeaves();
+  EXPECT_TRUE(eventually([&] {
+    NodeDeployment::sendRequest(*Cut, "/search/x", "other", 300ms);
+    return Cut->log().find("event=leaves_lost") != std::string::npos;
+  }));
+  caller.join();
+  EXPECT_EQ(reply.Status, 504);
+  // The route's maxAttempts.
+  EXPECT_EQ(totalRuns(id), 2);
+}
+
 } // namespace
