Count a leaf that got a request before its forward was refused

Found by reading: a host that lost the leaves moved a request, which two leaves had got, to another host. That host was gone, so the request went back to the cut host's own call, which knew of no leaf that had got it: the caller read 503 with Retry-After, hence "not run". Cause: the calls that are replaced by a forward were dropped with what they knew. The call that follows a forward is now given their arrivals: they count against maxAttempts, and it ends as an unknown outcome.

Failed before: LeafCutTest.ARequestThatReachedALeafIsNotRefusedWhenItsForwardIs (503, three of three runs); passes now, three of three.

--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -69,9 +69,9 @@
   relay.Call->start();
 }
 
-void RequestRun::startCall(leaf::Service &service) {
-  Calls.push_back(
-      std::make_shared<ServiceCall>(Context, service, callEndHandler()));
+void RequestRun::startCall(leaf::Service &service, int earlierArrivals) {
+  Calls.push_back(std::make_shared<ServiceCall>(
+      Context, service, callEndHandler(), earlierArrivals));
   Calls.back()->start();
 }
 
@@ -122,8 +122,10 @@
   if (sentToNextHost(i))
     return true;
   relay.Call = nullptr;
+  const int arrivals =
+      relay.IsForward ? Context->Route.MaxLeaves - relay.LeavesLeft : 0;
   for (leaf::Service *service : relay.Services)
-    startCall(*service);
+    startCall(*service, arrivals);
   return false;
 }
 
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -88,7 +88,7 @@
 
   /// Answers if the calls that have ended allow it, else arms the timer.
   void advance();
-  void startCall(leaf::Service &service);
+  void startCall(leaf::Service &service, int earlierArrivals = 0);
   leaf::ServiceCall::EndHandler callEndHandler();
   leaf::ServiceCall::EndHandler relayEndHandler(std::size_t i);
   void reclaimRefusedRelays();
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -30,9 +30,11 @@
 } // namespace
 
 ServiceCall::ServiceCall(std::shared_ptr<const CallContext> context,
-                         Service &service, EndHandler onEnd)
+                         Service &service, EndHandler onEnd,
+                         int earlierArrivals)
     : Context(std::move(context)), TargetService(service),
-      OnEnd(std::move(onEnd)) {}
+      OnEnd(std::move(onEnd)), PossibleExecutions(earlierArrivals),
+      MayHaveRun(earlierArrivals > 0) {}
 
 core::ExpectedLatency &ServiceCall::latencyEstimate() {
   const core::RouteRule &route = Context->Route;
@@ -51,7 +53,7 @@
   Plan = core::planHedge(Context->Route, latencyEstimate().get());
   if (startAttempt(Cause::First, SteadyClock::now()))
     return true;
-  End = CallEnd::Unreachable;
+  End = MayHaveRun ? CallEnd::OutcomeUnknown : CallEnd::Unreachable;
   Reason = "no leaf takes requests";
   return false;
 }
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -68,8 +68,10 @@
   /// @param context data that the request's calls share
   /// @param service the service
   /// @param onEnd called once at the end, but not from within @ref start
+  /// @param earlierArrivals leaves that an earlier call may have reached with
+  /// the request; they count as this call's
   ServiceCall(std::shared_ptr<const CallContext> context, Service &service,
-              EndHandler onEnd);
+              EndHandler onEnd, int earlierArrivals = 0);
 
   /// @brief Sends the first attempt.
   /// @return false if no leaf accepts it; the call has ended then
@@ -188,10 +190,10 @@
   std::string Reason;
   int AttemptCount = 0;
   /// Attempts that a leaf may have executed.
-  int PossibleExecutions = 0;
+  int PossibleExecutions;
   bool Hedged = false;
   bool SilenceRecorded = false;
-  bool MayHaveRun = false;
+  bool MayHaveRun;
   bool ConnectionBroke = false;
 };
 
--- a/tests/process-leaf-cut.cpp
+++ b/tests/process-leaf-cut.cpp
@@ -27,7 +27,12 @@
     }
     for (int i = 0; i < 3; ++i)
       Cluster.addLeaf("i-plain-" + std::to_string(i), "plain", "a");
-    const auto config = testConfig(3, shards);
+    auto config = testConfig(3, shards);
+    auto thrice = config["routes"][1];
+    thrice["name"] = "thrice";
+    thrice["pathPrefix"] = "/thrice/";
+    thrice["maxAttempts"] = 3;
+    config["routes"].push_back(thrice);
     Cluster.putConfig(config);
     const auto address = "127.0.0.1:" + std::to_string(nonEphemeralPort());
     Cluster.runOnStandInThread([&] {
@@ -94,6 +99,34 @@
     });
   }
 
+  /// The same through other routes than those of the service "plain".
+  bool searchUntilLost() {
+    return eventually([&] {
+      NodeDeployment::sendRequest(*Cut, "/search/x", "other", 300ms);
+      return Cut->log().find("event=leaves_lost") != std::string::npos;
+    });
+  }
+
+  /// Heals the leaves and earns some retries at the service "plain".
+  void healWithRetries() {
+    healLeaves();
+    ASSERT_TRUE(eventually([&] {
+      return Cut->log().find("event=leaf_entry leaf=i-plain-0 service=plain "
+                             "address=" +
+                             plainAddress()) != std::string::npos;
+    }));
+    for (int i = 0; i < 30; ++i)
+      ASSERT_EQ(send("/read/x").Status, 200);
+  }
+
+  void neverAnswerPlain() {
+    Cluster.runOnStandInThread([&] {
+      for (const auto &leaf : Cluster.Leaves)
+        leaf->Behavior.NeverAnswer = leaf->Service == "plain";
+      return 0;
+    });
+  }
+
   /// Most runs of a request on a leaf.
   int mostRuns() {
     return Cluster.runOnStandInThread([&] {
@@ -213,33 +246,34 @@
 /// Guards against a request that runs on more leaves than its route allows,
 /// since it is forwarded after it was sent to some.
 TEST_F(LeafCutTest, AForwardKeepsToTheLeavesThatTheRouteAllows) {
-  healLeaves();
-  ASSERT_TRUE(eventually([&] {
-    return Cut->log().find("event=leaf_entry leaf=i-plain-0 service=plain "
-                           "address=" +
-                           plainAddress()) != std::string::npos;
-  }));
-  // Each earns a part of a retry.
-  for (int i = 0; i < 30; ++i)
-    ASSERT_EQ(send("/read/x").Status, 200);
-  Cluster.runOnStandInThread([&] {
-    for (const auto &leaf : Cluster.Leaves)
-      leaf->Behavior.NeverAnswer = leaf->Service == "plain";
-    return 0;
-  });
+  healWithRetries();
+  neverAnswerPlain();
   const std::string id = "r" + std::to_string(LastRequest + 1);
   CallerReply reply;
   std::thread caller([&] { reply = send("/read/x"); });
   EXPECT_TRUE(eventually([&] { return totalRuns(id) == 2; }));
   cutLeaves();
-  EXPECT_TRUE(eventually([&] {
-    NodeDeployment::sendRequest(*Cut, "/search/x", "other", 300ms);
-    return Cut->log().find("event=leaves_lost") != std::string::npos;
-  }));
+  EXPECT_TRUE(searchUntilLost());
   caller.join();
   EXPECT_EQ(reply.Status, 504);
   // The route's maxAttempts.
   EXPECT_EQ(totalRuns(id), 2);
 }
 
+/// Guards against a refusal that says "not run" of a request that a leaf got
+/// before the cut.
+TEST_F(LeafCutTest, ARequestThatReachedALeafIsNotRefusedWhenItsForwardIs) {
+  healWithRetries();
+  neverAnswerPlain();
+  const std::string id = "r" + std::to_string(LastRequest + 1);
+  CallerReply reply;
+  std::thread caller([&] { reply = send("/thrice/x"); });
+  EXPECT_TRUE(eventually([&] { return totalRuns(id) == 2; }));
+  Connected->Child.kill();
+  cutLeaves();
+  EXPECT_TRUE(searchUntilLost());
+  caller.join();
+  EXPECT_TRUE(reply.Status == 502 || reply.Status == 504) << reply.Status;
+}
+
 } // namespace
