Name what was answered in place of an overload refusal

Their bodies were JSON objects, else the test would have ended in an exception, so they were errors of the host itself. The test now prints status and error of each such answer; what it demands is unchanged.

--- a/tests/process-search.cpp
+++ b/tests/process-search.cpp
@@ -2,6 +2,9 @@
 
 #include <atomic>
 #include <csignal>
+#include <map>
+#include <mutex>
+#include <string>
 #include <thread>
 
 using namespace savorytrestle::testing;
@@ -199,22 +202,24 @@
 TEST_F(SearchTest, RefusalsUnderOverloadCarryRetryAfter) {
   startLeaves({"--service_ms=50"});
   const auto &host = startHost();
-  std::atomic<int> refused{0};
-  std::atomic<int> untyped{0};
+  std::mutex lock;
+  // Status and error of each other answer, with its number.
+  std::map<std::string, int> untyped;
   {
     const BackgroundSearches load({&host}, 60, [&](const JsonReply &reply) {
       if (reply.Status == 200)
         return;
-      ++refused;
       const auto error = reply.Body.value("error", json::object());
-      const bool typed = error.value("code", "") == "overloaded" &&
-                         error.value("run", "") == "not_run" &&
-                         reply.Headers.count("retry-after") > 0;
-      untyped += typed ? 0 : 1;
+      if (error.value("code", "") == "overloaded" &&
+          error.value("run", "") == "not_run" &&
+          reply.Headers.count("retry-after") > 0)
+        return;
+      const std::lock_guard guard(lock);
+      ++untyped[std::to_string(reply.Status) + " " + error.dump()];
     });
     std::this_thread::sleep_for(2s);
   }
-  EXPECT_EQ(untyped, 0);
+  EXPECT_EQ(untyped, (std::map<std::string, int>{}));
 }
 
 TEST_F(SearchTest, APausedHostDoesNotReduceCoverageOfOthers) {
