Repeat no request that leaves still answer

Found by reading: when a host finds that it can open no connection to a leaf, it forwards the requests in progress. Connections that were open may live on, though ("connections live on while new ones are refused"), so that it cancelled requests whose answers were on their way, ran them a second time on other leaves and spent the retry budget on it. A request that a leaf has got is now left alone while answers arrive (core::LeafLink::answersArrive); it is looked at again after each round of probes, in case the open connections fall silent too.

Test: LeafLink.AnswersOnOldConnectionsAreSeenWhileLinksAreLost (new function; it can't be built on the code before). No process test: it would depend on how fast a cut is noticed.

--- a/include/savorytrestle/core/LeafLink.h
+++ b/include/savorytrestle/core/LeafLink.h
@@ -51,6 +51,10 @@
   /// @brief Whether the links to all leaves are lost.
   bool lost() const { return Lost; }
 
+  /// @brief Whether a leaf has answered just now. Open connections may live on
+  /// while no new one can be established.
+  bool answersArrive(TimePoint now) const;
+
 private:
   using Suspects = std::map<std::string, TimePoint>;
 
--- a/src/core/LeafLink.cpp
+++ b/src/core/LeafLink.cpp
@@ -15,6 +15,8 @@
 /// Times between rounds of probes, under suspicion and while links are lost.
 constexpr milliseconds SuspicionProbeInterval{1000};
 constexpr milliseconds LostProbeInterval{300};
+/// Less than it takes to notice that all links are silent.
+constexpr milliseconds AnswerRecency{200};
 
 } // namespace
 
@@ -45,6 +47,10 @@
   return suspects.size();
 }
 
+bool LeafLink::answersArrive(TimePoint now) const {
+  return now - LastAnswer < AnswerRecency;
+}
+
 bool LeafLink::probeDue(TimePoint now) {
   if (now < NextProbe)
     return false;
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -55,8 +55,8 @@
   /// @return see @ref handle
   CancelHandler handleRelay(CallerRequest request, AnswerHandler respond);
 
-  /// @brief This host has lost its links to all leaves: forwards the requests
-  /// in progress.
+  /// @brief This host has no links to leaves: forwards the requests in
+  /// progress. May be called repeatedly.
   void onLeavesLost();
 
   /// @brief Refuses relays from now on, for use in a shutdown.
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -147,13 +147,17 @@
     return 0;
   const int arrivals = call.possibleArrivals();
   const int left = Context->Route.MaxLeaves - arrivals;
-  const bool allowed = arrivals == 0 || (Context->Route.Idempotent &&
-                                         left > 0 && call.trySpendRetry(now));
+  // What a leaf executes is not repeated while answers still arrive.
+  const bool allowed =
+      arrivals == 0 ||
+      (Context->Route.Idempotent && left > 0 &&
+       !Context->Leaves.link().answersArrive(now) && call.trySpendRetry(now));
   return allowed ? left : 0;
 }
 
 void RequestRun::onLeavesLost() {
-  if (Finished || !MakeForward || Context->Leaves.reachablePeers() == nullptr)
+  if (Finished || !MakeForward || Calls.empty() ||
+      Context->Leaves.reachablePeers() == nullptr)
     return;
   const auto now = SteadyClock::now();
   std::vector<leaf::Service *> services;
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -76,8 +76,8 @@
     MakeForward = std::move(factory);
   }
 
-  /// @brief This host has lost its links to all leaves: forwards the calls that
-  /// are still unanswered, if they may be sent again.
+  /// @brief This host has no links to leaves: forwards the calls that are still
+  /// unanswered, if they may be sent again. May be called repeatedly.
   void onLeavesLost();
 
   /// @brief Cancels the calls to leaves, for use when the caller disconnects.
--- a/src/leaf/LeafProber.cpp
+++ b/src/leaf/LeafProber.cpp
@@ -32,8 +32,8 @@
 };
 
 LeafProber::LeafProber(boost::asio::io_context &io, LeafDirectory &leaves,
-                       ChangeHandler onChange)
-    : Io(io), Timer(io), Leaves(leaves), OnChange(std::move(onChange)) {}
+                       StateHandler onState)
+    : Io(io), Timer(io), Leaves(leaves), OnState(std::move(onState)) {}
 
 void LeafProber::start() { scheduleCheck(); }
 
@@ -82,13 +82,15 @@
 }
 
 void LeafProber::onRoundEnded(const Round &round) {
-  if (!Leaves.link().onProbesEnded(round.Connected, round.Failed))
-    return;
+  const bool changed =
+      Leaves.link().onProbesEnded(round.Connected, round.Failed);
   const bool lost = Leaves.link().lost();
-  support::LogLine(lost ? "leaves_lost" : "leaves_regained")
-      .with("probes", round.Connected + round.Failed)
-      .with("connected", round.Connected);
-  OnChange(lost);
+  if (changed)
+    support::LogLine(lost ? "leaves_lost" : "leaves_regained")
+        .with("probes", round.Connected + round.Failed)
+        .with("connected", round.Connected);
+  if (changed || lost)
+    OnState(lost);
 }
 
 } // namespace savorytrestle::leaf
--- a/src/leaf/LeafProber.h
+++ b/src/leaf/LeafProber.h
@@ -21,14 +21,15 @@
 /// @brief Probes leaves whenever @ref core::LeafLink asks for it.
 class LeafProber : public std::enable_shared_from_this<LeafProber> {
 public:
-  using ChangeHandler = std::function<void(bool lost)>;
+  using StateHandler = std::function<void(bool lost)>;
 
   /// @brief Makes a prober.
   /// @param io runs its handlers
   /// @param leaves the leaves, and the evidence on the links to them
-  /// @param onChange called when the links are lost or back
+  /// @param onState called when the links are lost or back, and after each
+  /// round of probes while they are lost
   LeafProber(boost::asio::io_context &io, LeafDirectory &leaves,
-             ChangeHandler onChange);
+             StateHandler onState);
 
   /// @brief Starts to look for evidence, several times a second.
   void start();
@@ -45,7 +46,7 @@
   boost::asio::io_context &Io;
   boost::asio::steady_timer Timer;
   LeafDirectory &Leaves;
-  ChangeHandler OnChange;
+  StateHandler OnState;
 };
 
 } // namespace savorytrestle::leaf
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -108,6 +108,8 @@
 }
 
 void HostPresence::setLeavesLost(bool lost) {
+  if (Entry.LeavesLost == lost)
+    return;
   Entry.LeavesLost = lost;
   scheduleWrite();
 }
--- a/tests/unit-leaf-link.cpp
+++ b/tests/unit-leaf-link.cpp
@@ -49,6 +49,17 @@
   EXPECT_TRUE(link.probeDue(Start));
 }
 
+/// Guards against the repetition of requests that leaves are answering.
+TEST(LeafLink, AnswersOnOldConnectionsAreSeenWhileLinksAreLost) {
+  LeafLink link;
+  loseLinks(link);
+  EXPECT_FALSE(link.answersArrive(Start));
+  link.onAnswer(Start + 50ms);
+  EXPECT_TRUE(link.answersArrive(Start + 100ms));
+  EXPECT_TRUE(link.lost());
+  EXPECT_FALSE(link.answersArrive(Start + 1s));
+}
+
 TEST(LeafLink, ConnectionsThatFallSilentRaiseASuspicion) {
   LeafLink link;
   link.onAnswer(Start);
