Bound the log lines that outsiders can cause

Found by reading: a message between hosts that is refused wrote a log line each, and so did each answer of a leaf that names a limit once and not the next time, so that whoever reaches the hosts' listener could fill the log. Both kinds now pass a support::LogRateLimiter, as the lines on requests do.

--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -50,15 +50,6 @@
       leaves.end());
 }
 
-void logRateLimit(const Leaf &leaf, const char *foundBy) {
-  const auto limit = leaf.rateLimit().limit();
-  support::LogLine line("leaf_rate_limit");
-  line.with("leaf", leaf.entry().Id).with("service", leaf.entry().Service);
-  if (limit)
-    line.with("limit", *limit);
-  line.with("limited", limit ? 1 : 0).with("found_by", foundBy);
-}
-
 /// Whether a request can be sent to the leaf now.
 bool acceptsNow(const Leaf &leaf, core::TimePoint now) {
   return leaf.acceptsRequests() && leaf.available() &&
@@ -165,6 +156,17 @@
     DemandsByRun[leaf.run()] = {leaf.demands(), now};
 }
 
+void LeafDirectory::logRateLimit(const Leaf &leaf, const char *foundBy) {
+  if (!DemandLog.allowLine(SteadyClock::now()))
+    return;
+  const auto limit = leaf.rateLimit().limit();
+  support::LogLine line("leaf_rate_limit");
+  line.with("leaf", leaf.entry().Id).with("service", leaf.entry().Service);
+  if (limit)
+    line.with("limit", *limit);
+  line.with("limited", limit ? 1 : 0).with("found_by", foundBy);
+}
+
 void LeafDirectory::markLeaving(Leaf &leaf) {
   const core::LeafRun run = leaf.run();
   leaf.retire();
@@ -200,11 +202,13 @@
 }
 
 void LeafDirectory::pauseLeaf(Leaf &leaf, core::Duration wait) {
-  leaf.pause(SteadyClock::now(), wait, draw());
-  support::LogLine("leaf_paused")
-      .with("leaf", leaf.entry().Id)
-      .with("service", leaf.entry().Service)
-      .with("wait", std::chrono::ceil<std::chrono::milliseconds>(wait));
+  const auto now = SteadyClock::now();
+  leaf.pause(now, wait, draw());
+  if (DemandLog.allowLine(now))
+    support::LogLine("leaf_paused")
+        .with("leaf", leaf.entry().Id)
+        .with("service", leaf.entry().Service)
+        .with("wait", std::chrono::ceil<std::chrono::milliseconds>(wait));
 }
 
 void LeafDirectory::applyRateLimit(Leaf &leaf,
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -22,6 +22,7 @@
 #include "savorytrestle/core/RelayPolicy.h"
 #include "savorytrestle/core/ServingConfig.h"
 #include "savorytrestle/core/SharedRetryBudget.h"
+#include "support/LogRateLimiter.h"
 
 namespace savorytrestle::leaf {
 
@@ -235,6 +236,7 @@
   };
 
   void keepDemands(const Leaf &leaf);
+  void logRateLimit(const Leaf &leaf, const char *foundBy);
   std::vector<std::string> idsWithPrefix(const std::string &prefix) const;
   core::LeafDistance distanceTo(const std::string &failureDomain) const;
   void updateShares();
@@ -252,6 +254,8 @@
   core::DepartedLeaves Departed;
   /// What runs without an entry have asked; an entry may only have lapsed.
   std::map<core::LeafRun, KeptDemands> DemandsByRun;
+  /// For lines on what leaves ask in their answers.
+  support::LogRateLimiter DemandLog;
   core::LeafLink Link;
   std::shared_ptr<AnswerMemory> Memory =
       std::make_shared<AnswerMemory>(AnswerLimits{});
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -79,9 +79,10 @@
   if (!relay && !report)
     return PeerFeed->handle(target, std::move(respond));
   if (!isHost(from)) {
-    support::LogLine("host_request_refused")
-        .with("from", from.to_string())
-        .with("why", "no host has the address");
+    if (RefusalLog.allowLine(SteadyClock::now()))
+      support::LogLine("host_request_refused")
+          .with("from", from.to_string())
+          .with("why", "no host has the address");
     respond(entry::errorAnswer(http::status::service_unavailable,
                                "sender has no entry as a host"));
     return nullptr;
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -28,6 +28,7 @@
 #include "registry/LeafFeed.h"
 #include "registry/RateLimitNotices.h"
 #include "serve/PlatformHostConfig.h"
+#include "support/LogRateLimiter.h"
 #include "support/Metrics.h"
 
 namespace savorytrestle::serve {
@@ -98,6 +99,7 @@
   std::shared_ptr<registry::HostFeed> Hosts;
   std::shared_ptr<registry::HostPresence> Presence;
   std::set<boost::asio::ip::address> HostIps;
+  support::LogRateLimiter RefusalLog;
   std::unique_ptr<registry::DepartureNotices> Departures;
   std::unique_ptr<registry::RateLimitNotices> RateLimits;
   entry::RequestRouter Router;
--- a/tests/process-relay.cpp
+++ b/tests/process-relay.cpp
@@ -1,4 +1,5 @@
 #include "NodeDeployment.h"
+#include "support/LogRateLimiter.h"
 #include "support/SocketOptions.h"
 
 #include <csignal>
@@ -128,4 +129,22 @@
   EXPECT_TRUE(logged(*RelayHost, "event=host_request_refused"));
 }
 
+/// Guards against a flood of refused messages that fills the log.
+TEST_F(RelayTest, RefusedMessagesOfOneSecondTakeABoundedNumberOfLogLines) {
+  constexpr int Messages = 1000;
+  const auto before = std::chrono::steady_clock::now();
+  for (int i = 0; i < Messages; ++i)
+    sendForgedRelay(RelayHost->PeerAddress, "r" + std::to_string(i));
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(
+      std::chrono::steady_clock::now() - before);
+  const std::string log = RelayHost->log();
+  std::int64_t lines = 0;
+  for (auto at = log.find("event=host_request_refused");
+       at != std::string::npos;
+       at = log.find("event=host_request_refused", at + 1))
+    ++lines;
+  EXPECT_LE(lines,
+            support::LogRateLimiter::LinesPerSecond * (seconds.count() + 1));
+}
+
 } // namespace
