Split choice of leaves and relay requests from their large files

leaf::Service, the choice of a leaf (leaf::chooseLeaf and what refusals ask of it) and the requests between hosts (entry::RelayRequest) get files of their own: LeafDirectory.cpp 551 to 465 lines, RequestRouter.cpp 419 to 357.

--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -1,7 +1,6 @@
 #include "entry/RequestRouter.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include <absl/strings/numbers.h>
@@ -9,7 +8,9 @@
 #include <absl/strings/str_split.h>
 
 #include "entry/Answers.h"
+#include "entry/RelayRequest.h"
 #include "entry/RequestRun.h"
+#include "leaf/LeafChoice.h"
 #include "savorytrestle/core/HedgePolicy.h"
 #include "support/BeastStringView.h"
 #include "support/Log.h"
@@ -17,7 +18,6 @@
 namespace savorytrestle::entry {
 
 namespace http = boost::beast::http;
-using leaf::RelayMaxLeavesHeader;
 using leaf::RelayShardsHeader;
 using leaf::RelayVersionHeader;
 using std::chrono::milliseconds;
@@ -63,54 +63,16 @@
 
 } // namespace
 
-std::shared_ptr<const core::RouteRule>
-RequestRouter::routeForRelay(const core::RouteRule &route,
-                             const CallerRequest &request) {
-  const auto shards = request.find(RelayShardsHeader);
-  const auto maxLeaves = request.find(RelayMaxLeavesHeader);
-  if (shards == request.end() && maxLeaves == request.end())
-    return nullptr;
-  auto derived = std::make_shared<core::RouteRule>(route);
-  if (shards != request.end())
-    keepShards(*derived, support::toStringView(shards->value()));
-  int most = 0;
-  if (maxLeaves != request.end() &&
-      absl::SimpleAtoi(absl::string_view(maxLeaves->value().data(),
-                                         maxLeaves->value().size()),
-                       &most))
-    derived->MaxLeaves = std::clamp(most, 1, route.MaxLeaves);
-  return derived;
-}
-
-void RequestRouter::keepShards(core::RouteRule &route,
-                               std::string_view indices) {
-  const auto all = std::exchange(route.Shards, {});
-  // The relaying host checks the share of all shards that answered.
-  route.MinShardShare = 0;
-  std::set<std::size_t> named;
-  for (const auto text : absl::StrSplit(std::string(indices), ',')) {
-    std::size_t i = 0;
-    if (absl::SimpleAtoi(text, &i) && i < all.size() && named.insert(i).second)
-      route.Shards.push_back(all[i]);
-  }
-}
-
 RequestRouter::RequestRouter(boost::asio::io_context &io,
                              leaf::LeafDirectory &leaves,
                              support::Metrics &metrics,
                              support::HeaderNames names)
     : Io(io), Leaves(leaves), Recorder(metrics), Names(std::move(names)) {}
 
-bool RequestRouter::isRelay(const CallerRequest &request) {
-  return request.find(RelayVersionHeader) != request.end();
-}
-
 CancelHandler RequestRouter::handle(CallerRequest request,
                                     AnswerHandler respond) {
   // Only hosts may send them: they lift the least share of the shards.
-  request.erase(RelayVersionHeader);
-  request.erase(RelayShardsHeader);
-  request.erase(RelayMaxLeavesHeader);
+  removeRelayHeaders(request);
   return start(std::move(request), std::move(respond), false);
 }
 
@@ -227,11 +189,11 @@
       !relayed && Leaves.link().lost() && Leaves.reachablePeers() != nullptr;
   if (!forwards && !enoughServicesReachable(rule, services, draw)) {
     const auto deadline = SteadyClock::now() + timeLimit(request, rule);
-    refuse(
-        request, route,
-        {http::status::service_unavailable, "too few leaves are reachable",
-         Leaves.retryAfter(rule, {services.begin(), services.end()}, deadline)},
-        respond);
+    refuse(request, route,
+           {http::status::service_unavailable, "too few leaves are reachable",
+            leaf::retryAfter(rule, {services.begin(), services.end()}, deadline,
+                             Leaves.draw())},
+           respond);
     return nullptr;
   }
   const auto context =
@@ -309,12 +271,10 @@
   const milliseconds timeout = timeLimit(request, route);
   std::string id(support::toStringView(request[Names.RequestId]));
   // The objective includes the time that a relay spends between the hosts.
-  const bool relayed = request.find(RelayVersionHeader) != request.end();
+  const bool relayed = isRelay(request);
   const auto arrived = relayed ? start - RelayRoundTrip : start;
   removeHopByHopHeaders(request);
-  request.erase(RelayVersionHeader);
-  request.erase(RelayShardsHeader);
-  request.erase(RelayMaxLeavesHeader);
+  removeRelayHeaders(request);
   request.version(11);
   request.prepare_payload();
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
@@ -323,28 +283,6 @@
       relayed, false, draw});
 }
 
-std::shared_ptr<const leaf::CallContext>
-RequestRouter::makeRelayContext(const leaf::CallContext &direct,
-                                const std::vector<std::size_t> &shards,
-                                int maxLeaves) const {
-  auto route = std::make_shared<core::RouteRule>(direct.Route);
-  // The other host hedges and retries; doing so here too would double the load.
-  route->Idempotent = false;
-  route->MaxLeaves = 1;
-  leaf::LeafRequest request = direct.Request;
-  request.set(RelayVersionHeader, std::to_string(direct.Config->Version));
-  if (!shards.empty())
-    request.set(RelayShardsHeader, absl::StrJoin(shards, ","));
-  if (maxLeaves < direct.Route.MaxLeaves)
-    request.set(RelayMaxLeavesHeader, std::to_string(maxLeaves));
-  const core::RouteRule &rule = *route;
-  return std::make_shared<const leaf::CallContext>(leaf::CallContext{
-      Leaves, Names, direct.Config, rule, std::move(route), std::move(request),
-      direct.RequestId, direct.Fingerprint,
-      rule.sharded() ? Names.PartSignatures : Names.LeafSignature, direct.Start,
-      direct.Deadline, false, true});
-}
-
 const core::RelayPlan &
 RequestRouter::relayPlanFor(const core::RouteRule &route) {
   CachedRelayPlan &cached = RelayPlans[route.Name];
@@ -406,13 +344,13 @@
     double draw) {
   std::vector<const leaf::Service *> unreachable;
   for (const leaf::Service *service : services)
-    if (!Leaves.reachable(*service, draw))
+    if (!leaf::reachable(*service, draw))
       unreachable.push_back(service);
   const std::size_t needed = route.sharded() ? core::minShards(route) : 1;
   if (services.size() - unreachable.size() >= needed)
     return true;
   for (const leaf::Service *service : unreachable)
-    Leaves.onDrawLost(*service);
+    leaf::recordDrawLost(*service);
   return false;
 }
 
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -49,7 +49,7 @@
 
   /// @brief Starts a request that another host sent for one of its callers. It
   /// may cover some of the shards only.
-  /// @param request a request for which @ref isRelay holds
+  /// @param request a request for which @ref entry::isRelay holds
   /// @param respond called with the answer, before the return or later; 503
   /// states that the request has not been started
   /// @return see @ref handle
@@ -68,9 +68,6 @@
   /// @brief Number of requests that were forwarded to other hosts.
   std::uint64_t forwardCount() const { return Recorder.forwardCount(); }
 
-  /// @brief Whether a request claims to come from another host.
-  static bool isRelay(const CallerRequest &request);
-
 private:
   static constexpr std::size_t MinRunsToPrune = 64;
 
@@ -90,14 +87,6 @@
 
   CancelHandler start(CallerRequest request, AnswerHandler respond,
                       bool relayed);
-  /// Copies a route with the bounds that a relay names.
-  /// @return null if it names none
-  static std::shared_ptr<const core::RouteRule>
-  routeForRelay(const core::RouteRule &route, const CallerRequest &request);
-  /// Leaves out the shards of a route that a relay doesn't name.
-  /// @param indices indices of the shards, separated by commas; others are
-  /// skipped, and those that are named again
-  static void keepShards(core::RouteRule &route, std::string_view indices);
   /// Returns why a request can't be started; nothing if it can.
   std::optional<Refusal> findRefusal(const CallerRequest &request,
                                      const core::RouteRule *route,
@@ -113,9 +102,6 @@
                                    int leavesLeft,
                                    std::vector<const leaf::Service *> tried);
   std::shared_ptr<const leaf::CallContext>
-  makeRelayContext(const leaf::CallContext &direct,
-                   const std::vector<std::size_t> &shards, int maxLeaves) const;
-  std::shared_ptr<const leaf::CallContext>
   makeContext(CallerRequest request, const core::Fingerprint &fingerprint,
               const core::RouteRule &route,
               std::shared_ptr<const core::RouteRule> derivedRoute,
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_split.h>
 
 #include "entry/Answers.h"
+#include "leaf/LeafChoice.h"
 #include "leaf/LeavingLeaves.h"
 #include "savorytrestle/core/TopRecords.h"
 #include "support/BeastStringView.h"
@@ -328,8 +329,8 @@
     if (relay.Call)
       services.insert(services.end(), relay.Services.begin(),
                       relay.Services.end());
-  return Context->Leaves.retryAfter(Context->Route, services,
-                                    Context->Deadline);
+  return leaf::retryAfter(Context->Route, services, Context->Deadline,
+                          Context->Leaves.draw());
 }
 
 bool RequestRun::anyLeafMayHaveRun() const {
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -4,8 +4,7 @@
 #include <iterator>
 #include <set>
 
-#include "savorytrestle/core/HedgePolicy.h"
-#include "savorytrestle/core/RefusalPolicy.h"
+#include "leaf/LeafChoice.h"
 #include "support/Log.h"
 #include "support/SocketOptions.h"
 
@@ -26,10 +25,6 @@
 /// The rest is reserved for hosts that aren't in the list yet.
 constexpr double OwnDomainShare = 0.5;
 constexpr double OtherDomainShare = 0.35;
-/// Random factor on costs, so that hosts don't all choose the same one of
-/// several leaves with nearly the same cost.
-constexpr double CostJitter = 0.2;
-
 /// Longest time for which a leaf's demands are kept without an entry, and most
 /// leaves of which they are.
 constexpr std::chrono::minutes MaxDemandAge{10};
@@ -50,13 +45,6 @@
       leaves.end());
 }
 
-/// Whether a request can be sent to the leaf now.
-bool acceptsNow(const Leaf &leaf, core::TimePoint now) {
-  return leaf.acceptsRequests() && leaf.available() &&
-         leaf.hasFreeConnection() && !leaf.score().inBackoff(now) &&
-         leaf.silence().allowsRequest(now);
-}
-
 } // namespace
 
 LeafDirectory::LeafDirectory(boost::asio::io_context &io, HostLocation location,
@@ -443,85 +431,6 @@
       std::max(HostCount, nearHosts)));
 }
 
-std::shared_ptr<Leaf>
-LeafDirectory::chooseLeaf(const Service &service, core::Duration expected,
-                          std::vector<std::shared_ptr<Leaf>> tried,
-                          double draw) {
-  const auto now = SteadyClock::now();
-  std::uniform_real_distribution<double> jitter(1, 1 + CostJitter);
-  for (;;) {
-    std::shared_ptr<Leaf> best;
-    double bestCost = 0;
-    for (const auto &leaf : service.Leaves) {
-      if (!acceptsNow(*leaf, now) ||
-          std::find(tried.begin(), tried.end(), leaf) != tried.end())
-        continue;
-      const double cost =
-          jitter(Random) *
-          static_cast<double>(leaf->score().cost(now, expected).count());
-      if (!best || cost < bestCost) {
-        best = leaf;
-        bestCost = cost;
-      }
-    }
-    if (!best)
-      return nullptr;
-    const double chance = best->rateLimit().sendChance(now);
-    if (draw < chance)
-      return best;
-    // What is left of the draw stays uniform for the next leaf.
-    draw -= chance;
-    best->rateLimit().onDrawLost(now);
-    tried.push_back(std::move(best));
-  }
-}
-
-bool LeafDirectory::reachable(const Service &service, double draw) const {
-  const auto now = SteadyClock::now();
-  for (const auto &leaf : service.Leaves)
-    if (acceptsNow(*leaf, now)) {
-      draw -= leaf->rateLimit().sendChance(now);
-      if (draw < 0)
-        return true;
-    }
-  return false;
-}
-
-void LeafDirectory::onDrawLost(const Service &service) {
-  const auto now = SteadyClock::now();
-  for (const auto &leaf : service.Leaves)
-    if (acceptsNow(*leaf, now))
-      leaf->rateLimit().onDrawLost(now);
-}
-
-core::TimePoint LeafDirectory::availableAt(const Service &service,
-                                           core::TimePoint now) const {
-  auto earliest = core::TimePoint::max();
-  for (const auto &leaf : service.Leaves) {
-    // The end of a backoff after a failed connection promises nothing.
-    if (acceptsNow(*leaf, now))
-      earliest = std::min(earliest, leaf->rateLimit().nextSend(now));
-    else if (leaf->acceptsRequests() && leaf->silence().end() > now)
-      earliest = std::min(earliest, leaf->silence().end());
-  }
-  return earliest;
-}
-
-std::chrono::milliseconds
-LeafDirectory::retryAfter(const core::RouteRule &route,
-                          const std::vector<const Service *> &services,
-                          core::TimePoint deadline) {
-  const auto now = SteadyClock::now();
-  std::vector<core::TimePoint> availability;
-  availability.reserve(services.size());
-  for (const Service *service : services)
-    availability.push_back(availableAt(*service, now));
-  const std::size_t needed = route.sharded() ? core::minShards(route) : 1;
-  return core::retryAfter(route, now,
-                          core::enoughAvailableAt(availability, needed),
-                          deadline, draw());
-}
-
 core::LeafDistance
 LeafDirectory::distanceTo(const std::string &failureDomain) const {
   if (failureDomain == Location.FailureDomain)
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -17,11 +17,10 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "leaf/Leaf.h"
+#include "leaf/Service.h"
 #include "savorytrestle/core/LeafLink.h"
 #include "savorytrestle/core/RelayPolicy.h"
 #include "savorytrestle/core/ServingConfig.h"
-#include "savorytrestle/core/SharedRetryBudget.h"
 #include "support/LogRateLimiter.h"
 
 namespace savorytrestle::leaf {
@@ -33,20 +32,6 @@
   std::map<std::string, std::string> Regions;
 };
 
-/// @brief One service: its leaves, and the state that its requests share.
-struct Service {
-  std::string Name;
-  std::vector<std::shared_ptr<Leaf>> Leaves;
-  core::SharedRetryBudget RetryBudget;
-  /// When each failure domain was last seen with a leaf.
-  std::map<std::string, core::TimePoint> DomainLastSeen;
-  /// Expected latency of each route's requests, by the route's name.
-  std::map<std::string, core::ExpectedLatency, std::less<>> Latencies;
-  /// Connections that each leaf accepts from all hosts; 0 if unset, in which
-  /// case the default of Leaf holds.
-  int MaxConnections = 0;
-};
-
 /// @brief Limits of leaves in requests a second, by the run of the leaf.
 using RateLimits = std::map<core::LeafRun, double>;
 
@@ -190,45 +175,12 @@
   /// @param hostsByDomain number of hosts in each failure domain
   void setHostCounts(std::map<std::string, std::size_t> hostsByDomain);
 
-  /// @brief Chooses the leaf for a request: the one of least cost that accepts
-  /// requests, has a free connection and wasn't tried before.
-  /// @param service the request's service
-  /// @param expected expected latency of the request
-  /// @param tried leaves that the request was sent to before
-  /// @param draw uniform random number in [0, 1), for leaves with a rate limit
-  /// @return the leaf, or null if there is none; O(leaves of the service), in
-  /// its square while leaves are at their limit
-  std::shared_ptr<Leaf> chooseLeaf(const Service &service,
-                                   core::Duration expected,
-                                   std::vector<std::shared_ptr<Leaf>> tried,
-                                   double draw);
-
-  /// @brief Whether a request can be sent to any leaf of the service now.
-  /// @param draw see @ref chooseLeaf
-  bool reachable(const Service &service, double draw) const;
-
-  /// @brief Records that a request which needs a service was refused, since its
-  /// draw lost at all leaves of the service.
-  void onDrawLost(const Service &service);
-
-  /// @brief When a request can be sent to a leaf of the service.
-  /// @return now, or the end of the first leaf's silence; TimePoint::max() if
-  /// no leaf has named a time. O(leaves of the service)
-  core::TimePoint availableAt(const Service &service,
-                              core::TimePoint now) const;
-
-  /// @brief Wait that the refusal of a request states.
-  /// @param route the request's route
-  /// @param services the services that it needs, or enough of them
-  /// @param deadline end of the caller's time
-  std::chrono::milliseconds
-  retryAfter(const core::RouteRule &route,
-             const std::vector<const Service *> &services,
-             core::TimePoint deadline);
-
   /// @brief Returns a uniform random number in [0, 1).
   double draw();
 
+  /// @brief Source of random numbers.
+  std::minstd_rand &random() { return Random; }
+
 private:
   struct KeptDemands {
     LeafDemands Demands;
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
+#include "leaf/LeafChoice.h"
 #include "savorytrestle/core/Decimal.h"
 #include "support/BeastStringView.h"
 
@@ -67,7 +68,8 @@
   const auto expected = latencyEstimate().get();
   const double draw =
       cause == Cause::First ? Context->Draw : Context->Leaves.draw();
-  auto to = Context->Leaves.chooseLeaf(TargetService, expected, Tried, draw);
+  auto to = chooseLeaf(TargetService, expected, Tried, draw,
+                       Context->Leaves.random());
   if (!to || (extra && !TargetService.RetryBudget.trySpend(now)))
     return false;
   auto connection = to->acquireConnection();
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 
 #include "entry/Answers.h"
+#include "entry/RelayRequest.h"
 #include "platform/Headers.h"
 #include "support/BeastStringView.h"
 #include "support/Log.h"
@@ -52,7 +53,7 @@
   // Hosts of earlier versions send relays to the callers' listener.
   CallerContext->OnRequestFrom = [this](auto request, const auto &from,
                                         auto respond) {
-    return entry::RequestRouter::isRelay(request) && isHost(from)
+    return entry::isRelay(request) && isHost(from)
                ? Router.handleRelay(std::move(request), std::move(respond))
                : Router.handle(std::move(request), std::move(respond));
   };
@@ -73,7 +74,7 @@
                                 const boost::asio::ip::address &from,
                                 entry::AnswerHandler respond) {
   const auto target = support::toStringView(request.target());
-  const bool relay = entry::RequestRouter::isRelay(request);
+  const bool relay = entry::isRelay(request);
   const bool report = registry::LeafExchange::isReport(target);
   // A host that starts reads the feed before it has an entry.
   if (!relay && !report)
--- a/tests/unit-leaf-directory.cpp
+++ b/tests/unit-leaf-directory.cpp
@@ -1,5 +1,7 @@
 #include "leaf/LeafDirectory.h"
 
+#include "leaf/LeafChoice.h"
+
 #include <gtest/gtest.h>
 
 using namespace savorytrestle;
@@ -58,17 +60,17 @@
   core::LeafEntry run = entry("i-1", "a");
   run.StartedAt = 1700000000000;
   leaves.putLeaf(run);
-  EXPECT_TRUE(leaves.reachable(service, 0));
+  EXPECT_TRUE(leaf::reachable(service, 0));
   leaves.pauseLeaf(*service.Leaves.front(), 1min);
   leaves.applyRateLimit(*service.Leaves.front(), 20);
   leaves.removeLeaf("i-1");
   leaves.putLeaf(run);
-  EXPECT_FALSE(leaves.reachable(service, 0));
+  EXPECT_FALSE(leaf::reachable(service, 0));
   EXPECT_EQ(leaves.limitedLeafCount(), 1U);
   // Another run of the leaf has said nothing.
   run.StartedAt += 1;
   leaves.putLeaf(run);
-  EXPECT_TRUE(leaves.reachable(service, 0));
+  EXPECT_TRUE(leaf::reachable(service, 0));
   EXPECT_EQ(leaves.limitedLeafCount(), 0U);
 }
 
