Count a broken run as a crash only if the host's links work

Found by the soak's new fault (the links of one host to all leaves fail together): when they were reset, three requests of the same content were enough for a quarantine: that host answered 429 to them for 10 minutes after the links were back, and the records it wrote made all other hosts refuse them too. A broken run now counts on its host at once, but for good and for other hosts only after a second in which a leaf has answered, or in which no other request's runs broke; runs that break while all links are lost prove nothing.

Failed before: QuarantineTest.RequestsAreServedOnceLinksThatBrokeAreBack (429 at both hosts).

--- a/include/savorytrestle/core/LeafLink.h
+++ b/include/savorytrestle/core/LeafLink.h
@@ -55,6 +55,9 @@
   /// while no new one can be established.
   bool answersArrive(TimePoint now) const;
 
+  /// @brief When a leaf answered last; TimePoint{} if none has.
+  TimePoint lastAnswer() const { return LastAnswer; }
+
 private:
   using Suspects = std::map<std::string, TimePoint>;
 
--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -1,5 +1,7 @@
 #include "entry/CrashTracker.h"
 
+#include <algorithm>
+
 #include "support/BeastStringView.h"
 #include "support/Log.h"
 
@@ -15,6 +17,10 @@
 /// host, after which a request is refused. A harmless request that meets
 /// failing leaves each time is far rarer at three than at two.
 constexpr std::size_t MaxBrokenRuns = 3;
+/// Time in which an answer of a leaf, or a break of other requests, decides
+/// about a broken run. Longer than it takes to find that all links are lost.
+constexpr std::chrono::milliseconds ProofPeriod{1000};
+constexpr std::size_t MaxUnproven = 1024;
 
 core::QuarantineSettings quarantineSettings() {
   core::QuarantineSettings settings;
@@ -33,37 +39,86 @@
                                request.body());
 }
 
-CrashTracker::CrashTracker() : Quarantine(quarantineSettings()) {}
+CrashTracker::CrashTracker(const core::LeafLink &link)
+    : Link(link), Quarantine(quarantineSettings()) {}
 
 std::optional<std::chrono::milliseconds>
 CrashTracker::quarantinedFor(const core::Fingerprint &fingerprint,
                              TimePoint now) {
+  settle(now);
   const auto verdict =
       Quarantine.check(fingerprint, core::steadyTimeAsWallTime(now));
-  if (verdict.Permission != core::RunPermission::Refused)
-    return std::nullopt;
-  return verdict.RetryAfter;
+  if (verdict.Permission == core::RunPermission::Refused)
+    return verdict.RetryAfter;
+  if (countUnproven(fingerprint) >= MaxBrokenRuns)
+    return ProofPeriod;
+  return std::nullopt;
+}
+
+std::size_t
+CrashTracker::countUnproven(const core::Fingerprint &fingerprint) const {
+  return static_cast<std::size_t>(
+      std::count_if(Unproven.begin(), Unproven.end(), [&](const auto &it) {
+        return it.Fingerprint == fingerprint;
+      }));
 }
 
 void CrashTracker::onRunEnd(const RunOutcome &outcome, TimePoint now) {
-  const auto at = core::steadyTimeAsWallTime(now);
-  std::vector<QuarantineRecord> records;
+  settle(now);
   if (outcome.Answered) {
-    records = Quarantine.onSuccess("", outcome.Fingerprint, at);
-  } else if (outcome.ConnectionBroke) {
-    // The crash id is derived from the request id, so that a run counts once,
-    // however many hosts and leaves took part in it.
-    records.push_back({outcome.Fingerprint, QuarantineEvent::Crash,
-                       core::makeCrashId(outcome.RequestId, 0), at});
-    Quarantine.merge(records, at);
-    if (LogBudget.allowLine(now))
-      support::LogLine("leaf_broke")
-          .with("request", outcome.RequestId)
-          .with("fingerprint", outcome.Fingerprint.High)
-          .with("refused_from_now",
-                quarantinedFor(outcome.Fingerprint, now) ? 1 : 0);
+    std::erase_if(Unproven, [&](const auto &it) {
+      return it.Fingerprint == outcome.Fingerprint;
+    });
+    const auto records = Quarantine.onSuccess("", outcome.Fingerprint,
+                                              core::steadyTimeAsWallTime(now));
+    if (!records.empty() && SendRecords)
+      SendRecords(records);
+  } else if (outcome.ConnectionBroke && !Link.lost()) {
+    addBrokenRun(outcome, now);
+  }
+}
+
+void CrashTracker::addBrokenRun(const RunOutcome &outcome, TimePoint now) {
+  // The crash id is derived from the request id, so that a run counts once,
+  // however many hosts and leaves took part in it.
+  BrokenRun run{outcome.Fingerprint, core::makeCrashId(outcome.RequestId, 0),
+                now};
+  if (Unproven.size() >= MaxUnproven ||
+      std::any_of(Unproven.begin(), Unproven.end(),
+                  [&](const auto &it) { return it.Crash == run.Crash; }))
+    return;
+  for (BrokenRun &other : Unproven)
+    if (other.Fingerprint != run.Fingerprint)
+      other.OthersBroke = run.OthersBroke = true;
+  Unproven.push_back(run);
+  if (LogBudget.allowLine(now))
+    support::LogLine("leaf_broke")
+        .with("request", outcome.RequestId)
+        .with("fingerprint", outcome.Fingerprint.High)
+        .with("refused_from_now",
+              quarantinedFor(outcome.Fingerprint, now) ? 1 : 0);
+}
+
+void CrashTracker::settle(TimePoint now) {
+  std::vector<QuarantineRecord> records;
+  std::size_t forgotten = 0;
+  while (!Unproven.empty() && now - Unproven.front().At >= ProofPeriod) {
+    const BrokenRun run = Unproven.front();
+    Unproven.pop_front();
+    if (!run.OthersBroke || Link.lastAnswer() > run.At)
+      records.push_back({run.Fingerprint, QuarantineEvent::Crash, run.Crash,
+                         core::steadyTimeAsWallTime(run.At)});
+    else
+      ++forgotten;
   }
-  if (!records.empty() && SendRecords)
+  if (forgotten > 0)
+    support::LogLine("leaf_breaks_forgotten")
+        .with("runs", forgotten)
+        .with("why", "no leaf has answered since");
+  if (records.empty())
+    return;
+  Quarantine.merge(records, core::steadyTimeAsWallTime(now));
+  if (SendRecords)
     SendRecords(records);
 }
 
--- a/src/entry/CrashTracker.h
+++ b/src/entry/CrashTracker.h
@@ -6,6 +6,7 @@
 
 #include <utility>
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 
 #include "entry/CallerSession.h"
 #include "savorytrestle/core/CrashQuarantine.h"
+#include "savorytrestle/core/LeafLink.h"
 #include "support/LogRateLimiter.h"
 
 namespace savorytrestle::entry {
@@ -34,13 +36,20 @@
 
 /// @brief Counts runs without an answer in which a leaf's connection broke, and
 /// quarantines their requests. Not thread-safe: used on the data thread only.
+///
+/// A run counts on this host at once, and for good and on other hosts only once
+/// it has proved to be no fault of this host's links: they break the runs of
+/// several requests, and leaves answer none.
 class CrashTracker {
 public:
   /// @brief Sends records to the other hosts.
   using RecordsHandler =
       std::function<void(const std::vector<core::QuarantineRecord> &records)>;
 
-  CrashTracker();
+  /// @brief Creates a tracker without records.
+  /// @param link evidence on this host's links to leaves; must outlive the
+  /// tracker
+  explicit CrashTracker(const core::LeafLink &link);
 
   /// @brief Sets the handler that sends records to the other hosts.
   void onRecords(RecordsHandler handler) { SendRecords = std::move(handler); }
@@ -55,11 +64,33 @@
   /// @brief Records how a run ended.
   void onRunEnd(const RunOutcome &outcome, core::TimePoint now);
 
+  /// @brief Counts broken runs that have proved to be crashes, and forgets
+  /// those that prove nothing. Call several times a second.
+  void settle(core::TimePoint now);
+
+  /// @brief This host's links to all leaves are lost: forgets broken runs that
+  /// aren't proved to be crashes.
+  void onLeavesLost() { Unproven.clear(); }
+
   /// @brief Merges records of another host; merging them again has no effect.
   void merge(const std::vector<core::QuarantineRecord> &records,
              core::TimePoint now);
 
 private:
+  struct BrokenRun {
+    core::Fingerprint Fingerprint;
+    core::CrashId Crash;
+    core::TimePoint At;
+    /// Whether a run of another request broke at about the same time.
+    bool OthersBroke = false;
+  };
+
+  void addBrokenRun(const RunOutcome &outcome, core::TimePoint now);
+  std::size_t countUnproven(const core::Fingerprint &fingerprint) const;
+
+  const core::LeafLink &Link;
+  /// Oldest first.
+  std::deque<BrokenRun> Unproven;
   core::CrashQuarantine Quarantine;
   RecordsHandler SendRecords;
   support::LogRateLimiter LogBudget;
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -29,6 +29,7 @@
 /// than the relaying host.
 constexpr milliseconds ConfigRetryAfter{300};
 
+constexpr milliseconds SettleInterval{250};
 /// Most relays that this host handles at a time.
 constexpr std::size_t MaxRelaysInHand = 512;
 /// Assumed round trip between hosts of a region, including waits for the CPU.
@@ -67,7 +68,20 @@
                              leaf::LeafDirectory &leaves,
                              support::Metrics &metrics,
                              support::HeaderNames names)
-    : Io(io), Leaves(leaves), Recorder(metrics), Names(std::move(names)) {}
+    : Io(io), Leaves(leaves), Recorder(metrics), Tracker(leaves.link()),
+      SettleTimer(io), Names(std::move(names)) {
+  scheduleSettle();
+}
+
+void RequestRouter::scheduleSettle() {
+  SettleTimer.expires_after(SettleInterval);
+  SettleTimer.async_wait([this](const boost::system::error_code &ec) {
+    if (ec)
+      return;
+    Tracker.settle(SteadyClock::now());
+    scheduleSettle();
+  });
+}
 
 CancelHandler RequestRouter::handle(CallerRequest request,
                                     AnswerHandler respond) {
@@ -110,6 +124,7 @@
 }
 
 void RequestRouter::onLeavesLost() {
+  Tracker.onLeavesLost();
   Leaves.closeIdleConnections();
   const auto runs = Runs;
   for (const auto &weak : runs)
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "entry/CallerSession.h"
 #include "entry/CrashTracker.h"
@@ -93,6 +94,7 @@
                                      const core::Fingerprint &fingerprint);
   /// Returns why this host takes no relays; nothing if it does.
   std::optional<Refusal> findRelayRefusal() const;
+  void scheduleSettle();
   std::shared_ptr<RequestRun>
   makeRun(std::shared_ptr<const leaf::CallContext> context,
           AnswerHandler respond);
@@ -128,6 +130,7 @@
   leaf::LeafDirectory &Leaves;
   RequestRecorder Recorder;
   CrashTracker Tracker;
+  boost::asio::steady_timer SettleTimer;
   support::HeaderNames Names;
   std::shared_ptr<const core::ServingConfig> Config;
   /// Rotation over the targets of each traffic split, by the route's name.
--- a/tests/process-quarantine.cpp
+++ b/tests/process-quarantine.cpp
@@ -49,6 +49,8 @@
     if (head.find("/read/deadly") != std::string::npos) {
       ++Crashes;
       answer.Reset = true;
+    } else if (LinksReset) {
+      answer.Reset = true;
     } else {
       answer.Bytes = leafAnswer("fine", "Savorytrestle-Server-Stamp: s\r\n");
     }
@@ -70,6 +72,8 @@
   NodeProcess *FirstHost = nullptr;
   NodeProcess *SecondHost = nullptr;
   int Crashes = 0;
+  /// Whether all connections are reset, as by a fault of the network.
+  bool LinksReset = false;
   int SentRequests = 0;
 };
 
@@ -89,6 +93,29 @@
   EXPECT_EQ(crashes(), before);
 }
 
+/// Guards against requests that all hosts refuse since one host's links broke.
+TEST_F(QuarantineTest, RequestsAreServedOnceLinksThatBrokeAreBack) {
+  const auto setLinksReset = [&](bool reset) {
+    Cluster.runOnStandInThread([&] {
+      LinksReset = reset;
+      return 0;
+    });
+  };
+  setLinksReset(true);
+  for (int i = 0; i < 5; ++i)
+    for (const char *path : {"/read/usual", "/read/other"})
+      sendRequest(*FirstHost, path);
+  // As long as an exchange of records takes.
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  setLinksReset(false);
+  for (const NodeProcess *host : {FirstHost, SecondHost})
+    EXPECT_TRUE(eventually([&] {
+      const int status = sendRequest(*host, "/read/usual");
+      EXPECT_NE(status, TooManyRequests);
+      return status == 200;
+    }));
+}
+
 TEST_F(QuarantineTest, OtherRequestsAreServedDuringAQuarantine) {
   for (int i = 0; i < 5; ++i) {
     sendRequest(*FirstHost, "/read/deadly");
