Cut one host off from all leaves in the soak, and let leaves name limits

One host reads a copy of the store in which leaves have the addresses of links of its own (soak::CutHost); these refuse new connections, are cut or reset together. Leaves may name a limit of requests a second. Sockets of the links are closed on exec: hosts that were started again inherited listeners and connections, so that refusals and resets didn't show.

--- a/soak/FaultyLink.h
+++ b/soak/FaultyLink.h
@@ -6,6 +6,8 @@
 
 #include <utility>
 
+#include <fcntl.h>
+
 #include <array>
 #include <list>
 #include <memory>
@@ -26,8 +28,16 @@
   HoldsToClient,     ///< bytes from the server are held until the fault ends
   HoldsBoth,         ///< as in a network partition
   ResetsConnections, ///< connections are reset at their first byte
+  RefusesNew,        ///< new connections are refused, open ones live on
+  Cut,               ///< new connections are refused, bytes are held
 };
 
+/// @brief Keeps a socket from host processes that are started later, which
+/// would hold its port and connection.
+template <typename S> void closeOnExec(S &socket) {
+  fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
+}
+
 /// @brief One direction of a connection.
 class LinkDirection : public std::enable_shared_from_this<LinkDirection> {
 public:
@@ -57,7 +67,8 @@
   void forward(std::size_t n) {
     if (Fault == LinkFault::ResetsConnections)
       return resetBoth();
-    const bool held = Fault == HoldingFault || Fault == LinkFault::HoldsBoth;
+    const bool held = Fault == HoldingFault || Fault == LinkFault::HoldsBoth ||
+                      Fault == LinkFault::Cut;
     if (!held && Fault != LinkFault::Delays)
       return write(n);
     Timer.expires_after(held ? HoldPollInterval : AddedDelay);
@@ -103,17 +114,30 @@
 public:
   using Endpoint = boost::asio::ip::tcp::endpoint;
 
-  FaultyLink(boost::asio::io_context &io, Endpoint server)
-      : Io(io), Acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}),
-        Server(std::move(server)) {
+  /// @param port port to listen on; 0 for any. A link that refuses connections
+  /// for a time needs one below the ephemeral range.
+  FaultyLink(boost::asio::io_context &io, Endpoint server, int port = 0)
+      : Io(io), Acceptor(io, {boost::asio::ip::address_v4::loopback(),
+                              static_cast<unsigned short>(port)}),
+        Own(Acceptor.local_endpoint()), Server(std::move(server)) {
+    closeOnExec(Acceptor);
     accept();
   }
 
   std::string address() const {
-    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(Own.port());
   }
 
-  void setFault(LinkFault fault) { Fault = fault; }
+  void setFault(LinkFault fault) {
+    Fault = fault;
+    if (fault == LinkFault::RefusesNew || fault == LinkFault::Cut) {
+      Acceptor.close();
+    } else if (!Acceptor.is_open()) {
+      Acceptor = boost::asio::ip::tcp::acceptor(Io, Own);
+      closeOnExec(Acceptor);
+      accept();
+    }
+  }
 
 private:
   using SocketPtr = std::shared_ptr<boost::asio::ip::tcp::socket>;
@@ -124,6 +148,7 @@
                           [this, client](const boost::system::error_code &ec) {
                             if (ec)
                               return;
+                            closeOnExec(*client);
                             open(client);
                             accept();
                           });
@@ -135,6 +160,7 @@
         Server, [this, client, server](const boost::system::error_code &ec) {
           if (ec)
             return;
+          closeOnExec(*server);
           std::make_shared<LinkDirection>(Io, client, server, Fault,
                                           LinkFault::HoldsToServer)
               ->readNext();
@@ -146,6 +172,7 @@
 
   boost::asio::io_context &Io;
   boost::asio::ip::tcp::acceptor Acceptor;
+  const Endpoint Own;
   Endpoint Server;
   LinkFault Fault = LinkFault::None;
 };
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -13,6 +13,7 @@
 #include <absl/strings/str_split.h>
 
 #include "BudgetCheck.h"
+#include "CutHost.h"
 #include "FaultyLink.h"
 #include "NodeDeployment.h"
 #include "WriteLog.h"
@@ -57,6 +58,7 @@
     linkToLeaves();
     for (int i = 0; i < nodes; ++i)
       Cluster.addNode(true, i % 2 == 0 ? "a" : "b", linkToStore());
+    Cut = std::make_unique<soak::CutHost>(Cluster, Config);
     Paused.resize(Cluster.Nodes.size());
   }
 
@@ -122,16 +124,33 @@
     });
   }
 
+  /// Cuts one host off from all leaves, in one of several ways, or ends it.
+  void cutOrReconnect() {
+    static constexpr soak::LinkFault Faults[] = {
+        soak::LinkFault::None, soak::LinkFault::RefusesNew,
+        soak::LinkFault::Cut, soak::LinkFault::ResetsConnections};
+    const auto fault = Faults[Random() % std::size(Faults)];
+    Cluster.runOnStandInThread([&] {
+      Cut->setFault(fault);
+      return 0;
+    });
+  }
+
   void putNextConfig() {
     Version += 1 + static_cast<int>(Random() % 3);
-    Cluster.putConfig(
-        tests::testConfig(Version, ShardSets[Random() % ShardSets.size()]));
+    Config = tests::testConfig(Version, ShardSets[Random() % ShardSets.size()]);
+    Cluster.putConfig(Config);
+    if (Cut)
+      Cluster.runOnStandInThread([&] {
+        Cut->putConfig(Config);
+        return 0;
+      });
   }
 
   void injectFault() {
     const std::size_t n = Random() % Cluster.Nodes.size();
     NodeProcess &node = *Cluster.Nodes[n];
-    switch (Random() % 12) {
+    switch (Random() % 14) {
     case 0:
       Paused[n] = false;
       node.Child.kill();
@@ -154,6 +173,9 @@
     case 9:
     case 10:
       return injectLinkFault();
+    case 11:
+    case 12:
+      return cutOrReconnect();
     default:
       return removeOrRestoreLeafEntries();
     }
@@ -177,7 +199,7 @@
 
   void changeLeafConduct() {
     tests::LeafBehavior conduct;
-    switch (Random() % 5) {
+    switch (Random() % 6) {
     case 0:
       conduct.Shed = true;
       break;
@@ -190,6 +212,9 @@
     case 3:
       conduct.ExecutionTime = 300ms;
       break;
+    case 4:
+      conduct.RateLimit = "10";
+      break;
     default:
       break;
     }
@@ -210,6 +235,7 @@
           Cluster.Store->remove(leaf->key());
         else
           Cluster.Store->put(leaf->key(), leaf->entry());
+      removes ? Cut->removeLeaves() : Cut->putLeaves();
       Cluster.Store->compact();
       return 0;
     });
@@ -300,6 +326,8 @@
       Cluster.Store->setFault(StoreFault::None);
       for (const auto &link : Links)
         link->setFault(soak::LinkFault::None);
+      Cut->setFault(soak::LinkFault::None);
+      Cut->putLeaves();
       for (const auto &leaf : Cluster.Leaves) {
         leaf->Behavior = {};
         Cluster.Store->put(leaf->key(), leaf->entry());
@@ -325,11 +353,15 @@
   /// Checks that a draining leaf receives no requests after DrainBound.
   void checkDrain() {
     tests::PlatformLeaf *leaf = nullptr;
+    std::size_t index = 0;
     Cluster.runOnStandInThread([&] {
-      for (const auto &it : Cluster.Leaves)
-        if (it->Service == "plain")
-          leaf = it.get();
+      for (std::size_t i = 0; i < Cluster.Leaves.size(); ++i)
+        if (Cluster.Leaves[i]->Service == "plain") {
+          leaf = Cluster.Leaves[i].get();
+          index = i;
+        }
       Cluster.Store->put(leaf->key(), leaf->entry(true));
+      Cut->putLeaf(index, true);
       return 0;
     });
     const auto drained = std::chrono::steady_clock::now() + DrainBound;
@@ -412,6 +444,8 @@
   std::vector<bool> Paused;
   /// Must outlive the connections that they forward.
   std::vector<std::unique_ptr<soak::FaultyLink>> Links;
+  nlohmann::json Config;
+  std::unique_ptr<soak::CutHost> Cut;
   soak::WriteLog Writes;
   soak::SendTimes WritesSent;
   soak::SendTimes SearchesSent;
--- a/tests/NodeDeployment.h
+++ b/tests/NodeDeployment.h
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -132,9 +133,11 @@
   /// @param failureDomain its failure domain
   /// @param store address under which it connects to the store; empty for
   /// @ref StoreAddress
+  /// @param seeds peer addresses to start from; the first hosts if not given
   NodeProcess &addNode(bool waitReady = true,
                        const std::string &failureDomain = "a",
-                       const std::string &store = "") {
+                       const std::string &store = "",
+                       const std::optional<std::string> &seeds = {}) {
     auto node = std::make_unique<NodeProcess>();
     node->Id = "node-" + std::to_string(Nodes.size());
     node->CallerAddress = "127.0.0.1:" + std::to_string(nonEphemeralPort());
@@ -151,7 +154,7 @@
         << "\n  readiness: " << node->ReadinessAddress
         << "\n  peers: " << node->PeerAddress
         << "\n  metrics: " << node->MetricsAddress << "\nseeds: ["
-        << seedPeers() << "]"
+        << seeds.value_or(seedPeers()) << "]"
         << "\nplatform:\n  store: " << (store.empty() ? StoreAddress : store)
         << "\nbounds: {stop_grace: 4 s, retry_ratio: 0.2, "
         << "retry_extra: 54, retry_window: 10 s}\n";
