Tell other hosts that a leaf's limit has ended

Cause: when a host stopped publishing a limit, nothing told whether the limit had ended or that host had started again, so a host that had once read it published it on. A host that finds a published limit ended now says so in its entry (limits_ended); those that haven't read the limit in the last seconds drop it and no longer publish it.

--- a/src/registry/HostEntry.cpp
+++ b/src/registry/HostEntry.cpp
@@ -71,6 +71,11 @@
     limit["per_second"] = perSecond;
     object["limits"].push_back(std::move(limit));
   }
+  for (const core::LeafRun &run : entry.EndedRateLimits) {
+    if (object["limits_ended"].size() >= MaxRateLimits)
+      break;
+    object["limits_ended"].push_back(encodeRun(run));
+  }
   if (entry.LeavesLost)
     object["leaves_lost"] = true;
   return object.dump();
@@ -90,6 +95,9 @@
       if (const double rate = limit.at("per_second").get<double>();
           rate >= 0 && entry.RateLimits.size() < MaxRateLimits)
         entry.RateLimits.emplace(decodeRun(limit), rate);
+    for (const json &run : object.value("limits_ended", json::array()))
+      if (entry.EndedRateLimits.size() < MaxRateLimits)
+        entry.EndedRateLimits.insert(decodeRun(run));
     entry.LeavesLost = object.value("leaves_lost", false);
     return entry;
   });
--- a/src/registry/HostEntry.h
+++ b/src/registry/HostEntry.h
@@ -6,6 +6,7 @@
 /// records, the leaves that it found leaving and those with a rate limit.
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,9 @@
   /// Requests a second that leaves take from all hosts, as they named them to
   /// it.
   std::map<core::LeafRun, double> RateLimits{};
+  /// Leaves whose limit has ended, as their answers to it show, while hosts
+  /// still published it.
+  std::set<core::LeafRun> EndedRateLimits{};
   /// Whether it reaches no leaf and takes no relays.
   bool LeavesLost = false;
 };
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -101,9 +101,10 @@
   scheduleWrite();
 }
 
-void HostPresence::setRateLimits(
-    const std::map<core::LeafRun, double> &limits) {
+void HostPresence::setRateLimits(const std::map<core::LeafRun, double> &limits,
+                                 const std::set<core::LeafRun> &ended) {
   Entry.RateLimits = limits;
+  Entry.EndedRateLimits = ended;
   scheduleWrite();
 }
 
--- a/src/registry/HostPresence.h
+++ b/src/registry/HostPresence.h
@@ -43,7 +43,10 @@
   void addLeavingLeaves(const std::vector<core::LeafRun> &runs);
 
   /// @brief Replaces the limits in the entry, which is written soon after.
-  void setRateLimits(const std::map<core::LeafRun, double> &limits);
+  /// @param limits see HostEntry::RateLimits
+  /// @param ended see HostEntry::EndedRateLimits
+  void setRateLimits(const std::map<core::LeafRun, double> &limits,
+                     const std::set<core::LeafRun> &ended);
 
   /// @brief Sets whether this host reaches no leaf; the entry is written soon
   /// after.
--- a/src/registry/RateLimitNotices.cpp
+++ b/src/registry/RateLimitNotices.cpp
@@ -1,5 +1,6 @@
 #include "registry/RateLimitNotices.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace savorytrestle::registry {
@@ -28,47 +29,75 @@
 
 std::optional<double>
 RateLimitNotices::publishedByOthers(const core::LeafRun &run) const {
-  for (const auto &[host, limits] : ByHost)
-    if (const auto it = limits.find(run); it != limits.end())
+  for (const auto &[host, said] : ByHost)
+    if (const auto it = said.Limits.find(run); it != said.Limits.end())
       return it->second;
   return std::nullopt;
 }
 
+bool RateLimitNotices::endedByOthers(const core::LeafRun &run) const {
+  return std::any_of(ByHost.begin(), ByHost.end(), [&](const auto &it) {
+    return it.second.Ended.contains(run);
+  });
+}
+
 void RateLimitNotices::onPublished(const std::string &host,
-                                   const leaf::RateLimits &limits) {
-  const auto before = std::exchange(ByHost[host], limits);
-  for (const auto &[run, limit] : limits)
-    if (const auto it = before.find(run);
-        it == before.end() || it->second != limit)
-      Leaves.applyPublishedRateLimit(run, limit);
-  for (const auto &[run, limit] : before) {
-    if (publishedByOthers(run))
+                                   const PublishedRateLimits &said) {
+  const auto before = std::exchange(ByHost[host], said);
+  const PublishedRateLimits ownBefore = Own;
+  for (const auto &[run, limit] : said.Limits) {
+    const auto it = before.Limits.find(run);
+    if (it != before.Limits.end() && it->second == limit)
+      continue;
+    Own.Ended.erase(run);
+    Leaves.applyPublishedRateLimit(run, limit);
+  }
+  for (const core::LeafRun &run : said.Ended) {
+    if (before.Ended.contains(run))
+      continue;
+    Leaves.applyPublishedRateLimit(run, std::nullopt);
+    // Unless this host has read the limit in an answer since.
+    if (!Leaves.observedRateLimit(run))
+      Own.Limits.erase(run);
+  }
+  for (const auto &[run, limit] : before.Limits) {
+    if (publishedByOthers(run) || endedByOthers(run))
       continue;
-    // Ended, or the host that published it has started again.
+    // The host that published it has started again.
     if (Leaves.observedRateLimit(run))
       Pending->add(run, Leaves.draw());
     else
       Leaves.applyPublishedRateLimit(run, std::nullopt);
   }
+  publishChange(ownBefore);
 }
 
 void RateLimitNotices::publish(const std::vector<core::LeafRun> &due) {
-  const leaf::RateLimits before = Own;
+  const PublishedRateLimits before = Own;
   for (const core::LeafRun &run : due) {
     const auto limit = Leaves.observedRateLimit(run);
-    const auto it = Own.find(run);
+    const auto others = publishedByOthers(run);
     if (!limit) {
-      Own.erase(run);
+      const bool published = Own.Limits.erase(run) > 0 || others;
+      if (published && !endedByOthers(run))
+        Own.Ended.insert(run);
       continue;
     }
-    const auto others = publishedByOthers(run);
-    if (it != Own.end() ? !isClose(it->second, *limit)
-                        : !others || !isClose(*others, *limit))
-      Own[run] = *limit;
+    Own.Ended.erase(run);
+    const auto it = Own.Limits.find(run);
+    if (it != Own.Limits.end() ? !isClose(it->second, *limit)
+                               : !others || !isClose(*others, *limit))
+      Own.Limits[run] = *limit;
   }
   // The runs of leaves that are gone.
-  std::erase_if(Own,
+  std::erase_if(Own.Limits,
                 [this](const auto &it) { return !Leaves.runOf(it.first.Id); });
+  std::erase_if(Own.Ended,
+                [this](const auto &run) { return !Leaves.runOf(run.Id); });
+  publishChange(before);
+}
+
+void RateLimitNotices::publishChange(const PublishedRateLimits &before) {
   if (Own != before)
     OnPublish(Own);
 }
--- a/src/registry/RateLimitNotices.h
+++ b/src/registry/RateLimitNotices.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "leaf/LeafDirectory.h"
@@ -17,17 +18,26 @@
 
 namespace savorytrestle::registry {
 
-/// @brief Publishes each limit through one host, in most cases, for as long as
-/// that host knows the limit.
+/// @brief What one host's entry says of rate limits.
+struct PublishedRateLimits {
+  /// Limits, in requests a second.
+  leaf::RateLimits Limits;
+  /// Leaves that don't name the limit any more which others publish.
+  std::set<core::LeafRun> Ended;
+
+  bool operator==(const PublishedRateLimits &) const = default;
+};
+
+/// @brief Publishes each limit, and its end, through one host in most cases.
 class RateLimitNotices {
 public:
-  using PublishHandler = std::function<void(const leaf::RateLimits &)>;
+  using PublishHandler = std::function<void(const PublishedRateLimits &)>;
 
   /// @brief Makes notices.
   /// @param io runs its timer
   /// @param leaves the leaves
-  /// @param onPublish called with all limits that this host publishes, after
-  /// each change
+  /// @param onPublish called with all that this host publishes, after each
+  /// change
   RateLimitNotices(boost::asio::io_context &io, leaf::LeafDirectory &leaves,
                    PublishHandler onPublish);
 
@@ -37,21 +47,24 @@
   /// @brief An answer to this host changed a leaf's limit.
   void onObserved(const core::LeafRun &run);
 
-  /// @brief Another host's entry holds these limits and no others.
+  /// @brief Another host's entry says this and no more.
   /// @param host its id
-  /// @param limits limits, in requests a second
-  void onPublished(const std::string &host, const leaf::RateLimits &limits);
+  /// @param said what it says
+  void onPublished(const std::string &host, const PublishedRateLimits &said);
 
 private:
   /// The limit that another host publishes, if any.
   std::optional<double> publishedByOthers(const core::LeafRun &run) const;
+  bool endedByOthers(const core::LeafRun &run) const;
   void publish(const std::vector<core::LeafRun> &due);
+  /// Publishes what differs from what was published before.
+  void publishChange(const PublishedRateLimits &before);
 
   leaf::LeafDirectory &Leaves;
   PublishHandler OnPublish;
   std::shared_ptr<PendingNotices> Pending;
-  leaf::RateLimits Own;
-  std::map<std::string, leaf::RateLimits> ByHost;
+  PublishedRateLimits Own;
+  std::map<std::string, PublishedRateLimits> ByHost;
 };
 
 } // namespace savorytrestle::registry
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -158,7 +158,8 @@
         Router.crashTracker().merge(entry.QuarantineRecords,
                                     SteadyClock::now());
         Departures->onPublished(entry.LeavingLeaves);
-        RateLimits->onPublished(entry.Id, entry.RateLimits);
+        RateLimits->onPublished(entry.Id,
+                                {entry.RateLimits, entry.EndedRateLimits});
       });
   startNotices();
   PeerFeed = std::make_shared<registry::FeedServer>(Io, Mirror);
@@ -198,8 +199,9 @@
   Leaves.onLeaving(
       [this](const core::LeafRun &run) { Departures->onLeaving(run); });
   RateLimits = std::make_unique<registry::RateLimitNotices>(
-      Io, Leaves,
-      [this](const auto &limits) { Presence->setRateLimits(limits); });
+      Io, Leaves, [this](const registry::PublishedRateLimits &own) {
+        Presence->setRateLimits(own.Limits, own.Ended);
+      });
   Leaves.onRateLimit(
       [this](const core::LeafRun &run) { RateLimits->onObserved(run); });
   Prober = std::make_shared<leaf::LeafProber>(Io, Leaves, [this](bool lost) {
--- a/tests/process-leaf-rate-limit.cpp
+++ b/tests/process-leaf-rate-limit.cpp
@@ -131,6 +131,32 @@
   }));
 }
 
+/// Guards against a limit that comes back from hosts which read it long ago.
+TEST_F(LeafRateLimitTest, AHostThatSendsNothingLearnsThatALimitHasEnded) {
+  nameLimit("5");
+  press(500ms);
+  const auto limited = [](const NodeProcess &host) {
+    return NodeDeployment::get(host.MetricsAddress, "/metrics", {})
+               .Body.find("savorytrestle_limited_leaves 1") !=
+           std::string::npos;
+  };
+  for (const NodeProcess *host : Hosts)
+    ASSERT_TRUE(eventually([&] {
+      press(100ms);
+      return limited(*host);
+    }));
+  std::this_thread::sleep_for(4s);
+  nameLimit("");
+  for (int i = 0; i < 40; ++i)
+    NodeDeployment::sendRequest(*Hosts[0], "/read/x",
+                                "ended" + std::to_string(++LastRequest));
+  for (const NodeProcess *host : Hosts)
+    EXPECT_TRUE(eventually([&] { return !limited(*host); })) << host->Id;
+  std::this_thread::sleep_for(3s);
+  for (const NodeProcess *host : Hosts)
+    EXPECT_FALSE(limited(*host)) << host->Id;
+}
+
 TEST_F(LeafRateLimitTest, ValuesThatAreNoRateAreIgnored) {
   for (const char *limit : {"a few", "-1", "1e999", "nan", "inf", ""}) {
     nameLimit(limit);
--- a/tests/unit-departed-leaves.cpp
+++ b/tests/unit-departed-leaves.cpp
@@ -76,12 +76,14 @@
 TEST(HostEntry, CarriesRateLimitsAndLostLeaves) {
   registry::HostEntry entry{"h-1", "a", "1.2.3.4:5", ""};
   entry.RateLimits = {{DepartedRun, 32.5}};
+  entry.EndedRateLimits = {DepartedRun};
   entry.LeavesLost = true;
   const auto now = core::WallTime(5s);
   const auto read = registry::decodeHostEntry(
       "h-1", registry::encodeHostEntry(entry, now), now);
   ASSERT_TRUE(read);
   EXPECT_EQ(read->RateLimits, entry.RateLimits);
+  EXPECT_EQ(read->EndedRateLimits, entry.EndedRateLimits);
   EXPECT_TRUE(read->LeavesLost);
 }
 
