--- a/include/savorytrestle/core/CrashQuarantine.h
+++ b/include/savorytrestle/core/CrashQuarantine.h
@@ -98,6 +98,11 @@
   /// @return the decision; O(leaves with unproven requests or broken attempts)
   QuarantineVerdict check(const Fingerprint &fingerprint, WallTime now);
 
+  /// @brief Number of crashes that are recorded for a request. O(log n).
+  /// @param fingerprint its fingerprint
+  /// @param now current time
+  std::size_t crashCount(const Fingerprint &fingerprint, WallTime now);
+
   /// @brief Whether a request may run on a leaf beside the unproven requests
   /// that this host already runs there: a suspect shares a leaf with no other
   /// unproven request.
--- a/src/core/CrashQuarantine.cpp
+++ b/src/core/CrashQuarantine.cpp
@@ -50,6 +50,15 @@
           {}};
 }
 
+std::size_t CrashQuarantine::crashCount(const Fingerprint &fingerprint,
+                                        WallTime now) {
+  const auto it = Histories.find(fingerprint);
+  if (it == Histories.end())
+    return 0;
+  dropExpired(it->second, now);
+  return it->second.Crashes.size();
+}
+
 bool CrashQuarantine::isSuspect(const Fingerprint &fingerprint, WallTime now) {
   return check(fingerprint, now).Permission == RunPermission::Suspect;
 }
--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -46,11 +46,12 @@
 CrashTracker::quarantinedFor(const core::Fingerprint &fingerprint,
                              TimePoint now) {
   settle(now);
-  const auto verdict =
-      Quarantine.check(fingerprint, core::steadyTimeAsWallTime(now));
+  const auto at = core::steadyTimeAsWallTime(now);
+  const auto verdict = Quarantine.check(fingerprint, at);
   if (verdict.Permission == core::RunPermission::Refused)
     return verdict.RetryAfter;
-  if (countUnproven(fingerprint) >= MaxBrokenRuns)
+  if (Quarantine.crashCount(fingerprint, at) + countUnproven(fingerprint) >=
+      MaxBrokenRuns)
     return ProofPeriod;
   return std::nullopt;
 }
--- a/tests/unit-crash-tracker.cpp
+++ b/tests/unit-crash-tracker.cpp
@@ -62,6 +62,16 @@
   EXPECT_EQ(SentRecords.size(), 3U);
 }
 
+/// Guards against a request that crashes further leaves while a run is judged.
+TEST_F(CrashTrackerTest, ProvedAndUnprovenRunsCountTogether) {
+  endBroken("r1");
+  endBroken("r2");
+  prove();
+  EXPECT_FALSE(refused());
+  endBroken("r3");
+  EXPECT_TRUE(refused());
+}
+
 /// Guards against requests that all hosts refuse since one host's links broke.
 TEST_F(CrashTrackerTest,
        RunsOfSeveralRequestsThatBreakWithoutAnAnswerAreNoCrashes) {
