--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -126,9 +126,9 @@
 
   /// Cuts one host off from all leaves, in one of several ways, or ends it.
   void cutOrReconnect() {
-    static constexpr soak::LinkFault Faults[] = {
-        soak::LinkFault::None, soak::LinkFault::RefusesNew,
-        soak::LinkFault::Cut, soak::LinkFault::ResetsConnections};
+    static constexpr soak::LinkFault Faults[] = {soak::LinkFault::None,
+                                                 soak::LinkFault::RefusesNew,
+                                                 soak::LinkFault::Cut};
     const auto fault = Faults[Random() % std::size(Faults)];
     Cluster.runOnStandInThread([&] {
       Cut->setFault(fault);
@@ -276,6 +276,8 @@
 
   void checkSearch(const std::string &id, const support::HttpReply &reply) {
     std::set<std::string> services;
+    if (reply.Headers.count("savorytrestle-part-stamps") == 0)
+      return Violations.add(id + ": reply names no parts: " + reply.Body);
     const std::vector<std::string> stamps =
         absl::StrSplit(reply.Headers.at("savorytrestle-part-stamps"), ", ");
     const std::string ending = "-" + id;
--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -17,9 +17,12 @@
 /// host, after which a request is refused. A harmless request that meets
 /// failing leaves each time is far rarer at three than at two.
 constexpr std::size_t MaxBrokenRuns = 3;
-/// Time in which an answer of a leaf, or a break of other requests, decides
-/// about a broken run. Longer than it takes to find that all links are lost.
+/// Time after which it is decided about a broken run. Longer than it takes to
+/// find that all links are lost.
 constexpr std::chrono::milliseconds ProofPeriod{1000};
+/// Time from a break within which answers, before and after it, show that the
+/// links worked.
+constexpr std::chrono::milliseconds AnswerDistance{200};
 constexpr std::size_t MaxUnproven = 1024;
 
 core::QuarantineSettings quarantineSettings() {
@@ -88,6 +91,7 @@
       std::any_of(Unproven.begin(), Unproven.end(),
                   [&](const auto &it) { return it.Crash == run.Crash; }))
     return;
+  run.AnsweredBefore = now - Link.lastAnswer() <= AnswerDistance;
   for (BrokenRun &other : Unproven)
     if (other.Fingerprint != run.Fingerprint)
       other.OthersBroke = run.OthersBroke = true;
@@ -103,10 +107,13 @@
 void CrashTracker::settle(TimePoint now) {
   std::vector<QuarantineRecord> records;
   std::size_t forgotten = 0;
+  for (BrokenRun &run : Unproven)
+    if (now - run.At <= AnswerDistance && Link.lastAnswer() > run.At)
+      run.AnsweredAfter = true;
   while (!Unproven.empty() && now - Unproven.front().At >= ProofPeriod) {
     const BrokenRun run = Unproven.front();
     Unproven.pop_front();
-    if (!run.OthersBroke || Link.lastAnswer() > run.At)
+    if (!run.OthersBroke || (run.AnsweredBefore && run.AnsweredAfter))
       records.push_back({run.Fingerprint, QuarantineEvent::Crash, run.Crash,
                          core::steadyTimeAsWallTime(run.At)});
     else
@@ -115,7 +122,7 @@
   if (forgotten > 0)
     support::LogLine("leaf_breaks_forgotten")
         .with("runs", forgotten)
-        .with("why", "no leaf has answered since");
+        .with("why", "no leaf answered meanwhile");
   if (records.empty())
     return;
   Quarantine.merge(records, core::steadyTimeAsWallTime(now));
--- a/src/entry/CrashTracker.h
+++ b/src/entry/CrashTracker.h
@@ -38,8 +38,8 @@
 /// quarantines their requests. Not thread-safe: used on the data thread only.
 ///
 /// A run counts on this host at once, and for good and on other hosts only once
-/// it has proved to be no fault of this host's links: they break the runs of
-/// several requests, and leaves answer none.
+/// it has proved to be no fault of this host's links: these break the runs of
+/// several requests, and no leaf answers meanwhile.
 class CrashTracker {
 public:
   /// @brief Sends records to the other hosts.
@@ -51,6 +51,8 @@
   /// tracker
   explicit CrashTracker(const core::LeafLink &link);
 
+  static constexpr std::chrono::milliseconds SettleInterval{100};
+
   /// @brief Sets the handler that sends records to the other hosts.
   void onRecords(RecordsHandler handler) { SendRecords = std::move(handler); }
 
@@ -65,7 +67,7 @@
   void onRunEnd(const RunOutcome &outcome, core::TimePoint now);
 
   /// @brief Counts broken runs that have proved to be crashes, and forgets
-  /// those that prove nothing. Call several times a second.
+  /// those that prove nothing. Call every @ref SettleInterval.
   void settle(core::TimePoint now);
 
   /// @brief This host's links to all leaves are lost: forgets broken runs that
@@ -81,6 +83,9 @@
     core::Fingerprint Fingerprint;
     core::CrashId Crash;
     core::TimePoint At;
+    /// Whether a leaf answered just before, and just after it.
+    bool AnsweredBefore = false;
+    bool AnsweredAfter = false;
     /// Whether a run of another request broke at about the same time.
     bool OthersBroke = false;
   };
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -29,7 +29,6 @@
 /// than the relaying host.
 constexpr milliseconds ConfigRetryAfter{300};
 
-constexpr milliseconds SettleInterval{250};
 /// Most relays that this host handles at a time.
 constexpr std::size_t MaxRelaysInHand = 512;
 /// Assumed round trip between hosts of a region, including waits for the CPU.
@@ -74,7 +73,7 @@
 }
 
 void RequestRouter::scheduleSettle() {
-  SettleTimer.expires_after(SettleInterval);
+  SettleTimer.expires_after(CrashTracker::SettleInterval);
   SettleTimer.async_wait([this](const boost::system::error_code &ec) {
     if (ec)
       return;
