--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -13,9 +13,9 @@
 
 #include "CostSeries.h"
 #include "backend/LeafProtocol.h"
-#include "savorytrestle/core/FairAdmission.h"
 #include "savorytrestle/core/LeafPool.h"
 #include "savorytrestle/core/TailAwareSearch.h"
+#include "savorytrestle/core/admission/FairAdmission.h"
 
 ABSL_FLAG(int, rounds, 5, "measurement rounds of each point");
 ABSL_FLAG(std::string, only, "",
--- a/include/savorytrestle/core/LeafPool.h
+++ b/include/savorytrestle/core/LeafPool.h
@@ -13,10 +13,10 @@
 #include <string_view>
 #include <vector>
 
-#include "savorytrestle/core/ConnectionShare.h"
 #include "savorytrestle/core/LeafHealth.h"
 #include "savorytrestle/core/LeafSelector.h"
 #include "savorytrestle/core/RouteSettings.h"
+#include "savorytrestle/core/rates/ConnectionShare.h"
 
 namespace savorytrestle::core {
 
--- a/include/savorytrestle/core/FairAdmission.h
+++ b/include/savorytrestle/core/admission/FairAdmission.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_CORE_FAIR_ADMISSION_H
-#define SAVORYTRESTLE_CORE_FAIR_ADMISSION_H
+#ifndef SAVORYTRESTLE_CORE_ADMISSION_FAIR_ADMISSION_H
+#define SAVORYTRESTLE_CORE_ADMISSION_FAIR_ADMISSION_H
 
 /// @file
 /// @brief Shares a host's capacity for concurrent searches between workspaces.
--- a/include/savorytrestle/core/RefusalPolicy.h
+++ b/include/savorytrestle/core/admission/RefusalPolicy.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_CORE_REFUSAL_POLICY_H
-#define SAVORYTRESTLE_CORE_REFUSAL_POLICY_H
+#ifndef SAVORYTRESTLE_CORE_ADMISSION_REFUSAL_POLICY_H
+#define SAVORYTRESTLE_CORE_ADMISSION_REFUSAL_POLICY_H
 
 /// @file
 /// @brief Time after which a caller that was refused may retry, for services
--- a/include/savorytrestle/core/LeafReports.h
+++ b/include/savorytrestle/core/balance/LeafReports.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_CORE_LEAF_REPORTS_H
-#define SAVORYTRESTLE_CORE_LEAF_REPORTS_H
+#ifndef SAVORYTRESTLE_CORE_BALANCE_LEAF_REPORTS_H
+#define SAVORYTRESTLE_CORE_BALANCE_LEAF_REPORTS_H
 
 /// @file
 /// @brief Merges what the hosts of a failure domain see of the leaves. Each of
--- a/include/savorytrestle/core/LeafScore.h
+++ b/include/savorytrestle/core/balance/LeafScore.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_CORE_LEAF_SCORE_H
-#define SAVORYTRESTLE_CORE_LEAF_SCORE_H
+#ifndef SAVORYTRESTLE_CORE_BALANCE_LEAF_SCORE_H
+#define SAVORYTRESTLE_CORE_BALANCE_LEAF_SCORE_H
 
 /// @file
 /// @brief Cost of sending a request to a leaf, estimated from this host's own
@@ -11,8 +11,8 @@
 #include <map>
 #include <optional>
 
-#include "savorytrestle/core/LeafReports.h"
 #include "savorytrestle/core/Time.h"
+#include "savorytrestle/core/balance/LeafReports.h"
 
 namespace savorytrestle::core {
 
--- a/include/savorytrestle/core/Placement.h
+++ b/include/savorytrestle/core/placement/Placement.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_CORE_PLACEMENT_H
-#define SAVORYTRESTLE_CORE_PLACEMENT_H
+#ifndef SAVORYTRESTLE_CORE_PLACEMENT_PLACEMENT_H
+#define SAVORYTRESTLE_CORE_PLACEMENT_PLACEMENT_H
 
 /// @file
 /// @brief Placement: which host slots connect to which part of a service.
@@ -26,7 +26,7 @@
 #include <string>
 #include <vector>
 
-#include "savorytrestle/core/ConnectionShare.h"
+#include "savorytrestle/core/rates/ConnectionShare.h"
 
 namespace savorytrestle::core {
 
--- a/include/savorytrestle/core/RelayPolicy.h
+++ b/include/savorytrestle/core/placement/RelayPolicy.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_CORE_RELAY_POLICY_H
-#define SAVORYTRESTLE_CORE_RELAY_POLICY_H
+#ifndef SAVORYTRESTLE_CORE_PLACEMENT_RELAY_POLICY_H
+#define SAVORYTRESTLE_CORE_PLACEMENT_RELAY_POLICY_H
 
 /// @file
 /// @brief Which shards of a request are queried through a host of another
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "savorytrestle/core/LeafScore.h"
+#include "savorytrestle/core/balance/LeafScore.h"
 
 namespace savorytrestle::core {
 
--- a/include/savorytrestle/core/ConnectionShare.h
+++ b/include/savorytrestle/core/rates/ConnectionShare.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_CORE_CONNECTION_SHARE_H
-#define SAVORYTRESTLE_CORE_CONNECTION_SHARE_H
+#ifndef SAVORYTRESTLE_CORE_RATES_CONNECTION_SHARE_H
+#define SAVORYTRESTLE_CORE_RATES_CONNECTION_SHARE_H
 
 /// @file
 /// @brief A host's share of a leaf's connections, computed without coordination
--- a/include/savorytrestle/core/LeafRateLimit.h
+++ b/include/savorytrestle/core/rates/LeafRateLimit.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_CORE_LEAF_RATE_LIMIT_H
-#define SAVORYTRESTLE_CORE_LEAF_RATE_LIMIT_H
+#ifndef SAVORYTRESTLE_CORE_RATES_LEAF_RATE_LIMIT_H
+#define SAVORYTRESTLE_CORE_RATES_LEAF_RATE_LIMIT_H
 
 /// @file
 /// @brief Rate that a leaf in need names in its answers, for the requests of
--- a/include/savorytrestle/core/SharedRetryBudget.h
+++ b/include/savorytrestle/core/rates/SharedRetryBudget.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYTRESTLE_CORE_SHARED_RETRY_BUDGET_H
-#define SAVORYTRESTLE_CORE_SHARED_RETRY_BUDGET_H
+#ifndef SAVORYTRESTLE_CORE_RATES_SHARED_RETRY_BUDGET_H
+#define SAVORYTRESTLE_CORE_RATES_SHARED_RETRY_BUDGET_H
 
 /// @file
 /// @brief One host's allowance of the extra requests that all hosts together
--- a/soak/BudgetCheck.h
+++ b/soak/BudgetCheck.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "WriteLog.h"
-#include "savorytrestle/core/SharedRetryBudget.h"
+#include "savorytrestle/core/rates/SharedRetryBudget.h"
 #include "standins/PlatformLeaf.h"
 
 namespace savorytrestle::soak {
--- a/src/core/FairAdmission.cpp
+++ b/src/core/admission/FairAdmission.cpp
@@ -1,4 +1,4 @@
-#include "savorytrestle/core/FairAdmission.h"
+#include "savorytrestle/core/admission/FairAdmission.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/RefusalPolicy.cpp
+++ b/src/core/admission/RefusalPolicy.cpp
@@ -1,4 +1,4 @@
-#include "savorytrestle/core/RefusalPolicy.h"
+#include "savorytrestle/core/admission/RefusalPolicy.h"
 
 #include <algorithm>
 
--- a/src/core/LeafReports.cpp
+++ b/src/core/balance/LeafReports.cpp
@@ -1,4 +1,4 @@
-#include "savorytrestle/core/LeafReports.h"
+#include "savorytrestle/core/balance/LeafReports.h"
 
 #include <algorithm>
 #include <numeric>
--- a/src/core/LeafScore.cpp
+++ b/src/core/balance/LeafScore.cpp
@@ -1,4 +1,4 @@
-#include "savorytrestle/core/LeafScore.h"
+#include "savorytrestle/core/balance/LeafScore.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/RelayPolicy.cpp
+++ b/src/core/placement/RelayPolicy.cpp
@@ -1,4 +1,4 @@
-#include "savorytrestle/core/RelayPolicy.h"
+#include "savorytrestle/core/placement/RelayPolicy.h"
 
 namespace savorytrestle::core {
 
--- a/src/core/ConnectionShare.cpp
+++ b/src/core/rates/ConnectionShare.cpp
@@ -1,4 +1,4 @@
-#include "savorytrestle/core/ConnectionShare.h"
+#include "savorytrestle/core/rates/ConnectionShare.h"
 
 #include <utility>
 
--- a/src/core/SharedRetryBudget.cpp
+++ b/src/core/rates/SharedRetryBudget.cpp
@@ -1,4 +1,4 @@
-#include "savorytrestle/core/SharedRetryBudget.h"
+#include "savorytrestle/core/rates/SharedRetryBudget.h"
 
 #include <algorithm>
 
--- a/src/leaf/Leaf.h
+++ b/src/leaf/Leaf.h
@@ -13,9 +13,9 @@
 #include "leaf/LeafConnection.h"
 #include "savorytrestle/core/DepartedLeaves.h"
 #include "savorytrestle/core/LeafEntry.h"
-#include "savorytrestle/core/LeafRateLimit.h"
-#include "savorytrestle/core/LeafScore.h"
 #include "savorytrestle/core/LeafSilence.h"
+#include "savorytrestle/core/balance/LeafScore.h"
+#include "savorytrestle/core/rates/LeafRateLimit.h"
 
 namespace savorytrestle::leaf {
 
--- a/src/leaf/LeafChoice.cpp
+++ b/src/leaf/LeafChoice.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "savorytrestle/core/HedgePolicy.h"
-#include "savorytrestle/core/RefusalPolicy.h"
+#include "savorytrestle/core/admission/RefusalPolicy.h"
 
 namespace savorytrestle::leaf {
 
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -19,8 +19,8 @@
 
 #include "leaf/Service.h"
 #include "savorytrestle/core/LeafLink.h"
-#include "savorytrestle/core/RelayPolicy.h"
 #include "savorytrestle/core/ServingConfig.h"
+#include "savorytrestle/core/placement/RelayPolicy.h"
 #include "support/LogRateLimiter.h"
 
 namespace savorytrestle::leaf {
--- a/src/leaf/Service.h
+++ b/src/leaf/Service.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "leaf/Leaf.h"
-#include "savorytrestle/core/SharedRetryBudget.h"
+#include "savorytrestle/core/rates/SharedRetryBudget.h"
 
 namespace savorytrestle::leaf {
 
--- a/src/registry/LeafExchange.h
+++ b/src/registry/LeafExchange.h
@@ -15,7 +15,7 @@
 
 #include "entry/CallerSession.h"
 #include "leaf/LeafDirectory.h"
-#include "savorytrestle/core/LeafReports.h"
+#include "savorytrestle/core/balance/LeafReports.h"
 #include "store/StoreConnection.h"
 
 namespace savorytrestle::registry {
--- a/src/serve/SearchRunner.h
+++ b/src/serve/SearchRunner.h
@@ -11,7 +11,7 @@
 
 #include "backend/LeafEngine.h"
 #include "caller/CallerApi.h"
-#include "savorytrestle/core/FairAdmission.h"
+#include "savorytrestle/core/admission/FairAdmission.h"
 #include "serve/PendingAnswer.h"
 
 namespace savorytrestle::serve {
--- a/tests/unit-leaf-rate-limit.cpp
+++ b/tests/unit-leaf-rate-limit.cpp
@@ -1,4 +1,4 @@
-#include "savorytrestle/core/LeafRateLimit.h"
+#include "savorytrestle/core/rates/LeafRateLimit.h"
 
 #include <algorithm>
 #include <random>
--- a/tests/unit-leaf-reports.cpp
+++ b/tests/unit-leaf-reports.cpp
@@ -1,6 +1,6 @@
 #include "savorytrestle/core/FeedPolicy.h"
-#include "savorytrestle/core/LeafReports.h"
-#include "savorytrestle/core/LeafScore.h"
+#include "savorytrestle/core/balance/LeafReports.h"
+#include "savorytrestle/core/balance/LeafScore.h"
 
 #include <random>
 #include <vector>
--- a/tests/unit-leaf-silence.cpp
+++ b/tests/unit-leaf-silence.cpp
@@ -1,5 +1,5 @@
 #include "savorytrestle/core/LeafSilence.h"
-#include "savorytrestle/core/RefusalPolicy.h"
+#include "savorytrestle/core/admission/RefusalPolicy.h"
 
 #include <random>
 #include <vector>
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -1,4 +1,4 @@
-#include "savorytrestle/core/Placement.h"
+#include "savorytrestle/core/placement/Placement.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/tests/unit-serving-policies.cpp
+++ b/tests/unit-serving-policies.cpp
@@ -1,10 +1,10 @@
 #include "savorytrestle/core/HedgePolicy.h"
-#include "savorytrestle/core/LeafScore.h"
-#include "savorytrestle/core/RelayPolicy.h"
 #include "savorytrestle/core/RemovalGracePeriod.h"
-#include "savorytrestle/core/SharedRetryBudget.h"
 #include "savorytrestle/core/TopRecords.h"
 #include "savorytrestle/core/WeightedRoundRobin.h"
+#include "savorytrestle/core/balance/LeafScore.h"
+#include "savorytrestle/core/placement/RelayPolicy.h"
+#include "savorytrestle/core/rates/SharedRetryBudget.h"
 
 #include <algorithm>
 #include <deque>
