--- a/include/savorytrestle/core/ServingConfig.h
+++ b/include/savorytrestle/core/ServingConfig.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +45,10 @@
   std::size_t TopRecords = 0;
   /// Smallest fraction of the shards that a successful answer covers, 0 to 1.
   double MinShardShare = 1;
+  /// Whether requests need no key.
+  bool Public = false;
+  /// Regions in which requests may be served; empty for all.
+  std::vector<std::string> AllowedRegions;
 
   /// @brief Whether a request goes to every shard.
   bool sharded() const { return !Shards.empty(); }
@@ -54,6 +59,26 @@
   std::string Name;
   /// Connections that one leaf accepts from all callers together.
   int MaxConnections = 0;
+  /// Time after its start for which a leaf is cold.
+  std::chrono::milliseconds WarmUp{0};
+  /// Requests a second that a cold leaf takes from all hosts together; 0 if
+  /// there is no bound.
+  double WarmUpPerSecond = 0;
+};
+
+/// @brief One workspace: the holder of keys, and what its requests may use.
+struct WorkspaceRule {
+  std::string Name;
+  /// Keys that its callers present.
+  std::vector<std::string> ApiKeys;
+  /// Rank of its requests in place of the route's, 0 is the highest.
+  std::optional<int> Priority;
+  /// Requests a second over all hosts together; 0 if there is no limit.
+  double RatePerSecond = 0;
+  /// Requests beyond the rate that may be saved up.
+  double Burst = 0;
+  /// Regions in which its requests may be served; empty for all.
+  std::vector<std::string> AllowedRegions;
 };
 
 /// @brief Limits on connections and requests of callers.
@@ -70,6 +95,8 @@
   std::uint64_t Version = 0;
   std::vector<RouteRule> Routes;
   std::vector<ServiceRule> Services;
+  /// The workspaces. If set, requests need a key unless their route is public.
+  std::optional<std::vector<WorkspaceRule>> Workspaces;
   CallerLimits Limits;
 
   /// @brief Builds the lookup; to be called once, after all fields are set.
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -49,6 +49,8 @@
   /// leaves with a rate limit. All shards of a request share it: a part of them
   /// is of no use.
   double Draw = 0;
+  /// Workspace of the caller, in Config; null if there is none.
+  const core::WorkspaceRule *Workspace = nullptr;
 };
 
 /// @brief How a call to a service ended.
