Authenticate callers by workspace keys and keep requests in their home regions

Change: core::KeyRing finds the workspace by an HMAC of the key; entry::findWorkspace refuses with 401; leaves get the workspace's name, never the key; relays name the workspace. core::HomeRegions bounds the choice of leaves, hosts for relays and forwards. Hosts of earlier versions get no requests with such a bound.

--- a/src/entry/RelayRequest.cpp
+++ b/src/entry/RelayRequest.cpp
@@ -17,6 +17,7 @@
 using leaf::RelayMaxLeavesHeader;
 using leaf::RelayShardsHeader;
 using leaf::RelayVersionHeader;
+using leaf::RelayWorkspaceHeader;
 
 namespace {
 
@@ -45,6 +46,7 @@
   request.erase(RelayVersionHeader);
   request.erase(RelayShardsHeader);
   request.erase(RelayMaxLeavesHeader);
+  request.erase(RelayWorkspaceHeader);
 }
 
 std::shared_ptr<const core::RouteRule>
@@ -78,12 +80,15 @@
     request.set(RelayShardsHeader, absl::StrJoin(shards, ","));
   if (maxLeaves < direct.Route.MaxLeaves)
     request.set(RelayMaxLeavesHeader, std::to_string(maxLeaves));
+  if (direct.Workspace != nullptr)
+    request.set(RelayWorkspaceHeader, direct.Workspace->Name);
   const core::RouteRule &rule = *route;
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
       direct.Leaves, direct.Names, direct.Config, rule, std::move(route),
       std::move(request), direct.RequestId, direct.Fingerprint,
       rule.sharded() ? direct.Names.PartSignatures : direct.Names.LeafSignature,
-      direct.Start, direct.Deadline, false, true});
+      direct.Start, direct.Deadline, false, true, 0, direct.Workspace,
+      direct.Homes});
 }
 
 } // namespace savorytrestle::entry
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -72,6 +72,12 @@
   scheduleSettle();
 }
 
+void RequestRouter::setConfig(
+    std::shared_ptr<const core::ServingConfig> config) {
+  Config = std::move(config);
+  Keys = core::KeyRing(Secret, *Config);
+}
+
 void RequestRouter::scheduleSettle() {
   SettleTimer.expires_after(CrashTracker::SettleInterval);
   SettleTimer.async_wait([this](const boost::system::error_code &ec) {
@@ -107,7 +113,7 @@
       true);
 }
 
-std::optional<RequestRouter::Refusal> RequestRouter::findRelayRefusal() const {
+std::optional<Refusal> RequestRouter::findRelayRefusal() const {
   const char *why = nullptr;
   if (RefusesRelays)
     why = "stopping";
@@ -159,7 +165,7 @@
                            const std::vector<leaf::Service *> &services,
                            int leavesLeft,
                            std::vector<const leaf::Service *> tried) {
-  leaf::Service *const hosts = Leaves.reachablePeers(tried);
+  leaf::Service *const hosts = Leaves.reachablePeers(direct.Homes, tried);
   if (hosts == nullptr)
     return std::nullopt;
   tried.push_back(hosts);
@@ -187,6 +193,11 @@
     refuse(request, route, *refusal, respond);
     return nullptr;
   }
+  const auto identity = findWorkspace(request, *Config, Keys, relayed);
+  if (!identity && !route->Public) {
+    refuse(request, route, identity.error(), respond);
+    return nullptr;
+  }
   const auto relayRoute = relayed ? routeForRelay(*route, request) : nullptr;
   const core::RouteRule &rule = relayRoute ? *relayRoute : *route;
   if (relayed && request.find(RelayShardsHeader) != request.end() &&
@@ -197,35 +208,38 @@
            respond);
     return nullptr;
   }
+  const core::WorkspaceRule *const workspace = identity.value_or(nullptr);
+  const core::HomeRegions homes(rule, workspace);
   const auto services = selectServices(rule);
   const double draw = Leaves.draw();
-  const bool forwards =
-      !relayed && Leaves.link().lost() && Leaves.reachablePeers() != nullptr;
-  if (!forwards && !enoughServicesReachable(rule, services, draw)) {
+  const bool forwards = !relayed && Leaves.link().lost() &&
+                        Leaves.reachablePeers(homes) != nullptr;
+  if (!forwards && !enoughServicesReachable(rule, services, draw, homes)) {
     const auto deadline = SteadyClock::now() + timeLimit(request, rule);
     refuse(request, route,
            {http::status::service_unavailable, "too few leaves are reachable",
             leaf::retryAfter(rule, {services.begin(), services.end()}, deadline,
-                             Leaves.draw())},
+                             Leaves.draw(), homes)},
            respond);
     return nullptr;
   }
-  const auto context =
-      makeContext(std::move(request), fingerprint, rule, relayRoute, draw);
+  const auto context = makeContext(std::move(request), fingerprint, rule,
+                                   relayRoute, draw, workspace, homes);
   const auto run = makeRun(context, std::move(respond));
   std::optional<Relay> forward;
   if (forwards)
     forward = makeForward(*context, services, rule.MaxLeaves, {});
   if (forward)
     run->start({}, {std::move(*forward)});
-  else if (const auto &plan = relayPlanFor(*route); plan.empty() || relayed)
+  else if (const auto &plan = relayPlanFor(*route);
+           plan.empty() || relayed || !isHome(homes))
     run->start(services);
   else
     startRelayed(*run, *context, plan, services);
   return [run] { run->cancel(); };
 }
 
-std::optional<RequestRouter::Refusal>
+std::optional<Refusal>
 RequestRouter::findRefusal(const CallerRequest &request,
                            const core::RouteRule *route,
                            const core::Fingerprint &fingerprint) {
@@ -277,10 +291,13 @@
   return route.Timeout;
 }
 
-std::shared_ptr<const leaf::CallContext> RequestRouter::makeContext(
-    CallerRequest request, const core::Fingerprint &fingerprint,
-    const core::RouteRule &route,
-    std::shared_ptr<const core::RouteRule> derivedRoute, double draw) const {
+std::shared_ptr<const leaf::CallContext>
+RequestRouter::makeContext(CallerRequest request,
+                           const core::Fingerprint &fingerprint,
+                           const core::RouteRule &route,
+                           std::shared_ptr<const core::RouteRule> derivedRoute,
+                           double draw, const core::WorkspaceRule *workspace,
+                           const core::HomeRegions &homes) const {
   const auto start = SteadyClock::now();
   const milliseconds timeout = timeLimit(request, route);
   std::string id(support::toStringView(request[Names.RequestId]));
@@ -289,12 +306,13 @@
   const auto arrived = relayed ? start - RelayRoundTrip : start;
   removeHopByHopHeaders(request);
   removeRelayHeaders(request);
+  setWorkspaceHeaders(request, Names, *Config, workspace);
   request.version(11);
   request.prepare_payload();
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
       Leaves, Names, Config, route, std::move(derivedRoute), std::move(request),
       std::move(id), fingerprint, Names.LeafSignature, arrived, start + timeout,
-      relayed, false, draw});
+      relayed, false, draw, workspace, homes});
 }
 
 const core::RelayPlan &
@@ -355,16 +373,16 @@
 
 bool RequestRouter::enoughServicesReachable(
     const core::RouteRule &route, const std::vector<leaf::Service *> &services,
-    double draw) {
+    double draw, const core::HomeRegions &homes) {
   std::vector<const leaf::Service *> unreachable;
   for (const leaf::Service *service : services)
-    if (!leaf::reachable(*service, draw))
+    if (!leaf::reachable(*service, draw, homes))
       unreachable.push_back(service);
   const std::size_t needed = route.sharded() ? core::minShards(route) : 1;
   if (services.size() - unreachable.size() >= needed)
     return true;
   for (const leaf::Service *service : unreachable)
-    leaf::recordDrawLost(*service);
+    leaf::recordDrawLost(*service, homes);
   return false;
 }
 
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "entry/CallerIdentity.h"
 #include "entry/CallerSession.h"
 #include "entry/CrashTracker.h"
 #include "entry/RequestRecorder.h"
@@ -35,9 +36,7 @@
                 support::Metrics &metrics, support::HeaderNames names);
 
   /// @brief Replaces the configuration in force.
-  void setConfig(std::shared_ptr<const core::ServingConfig> config) {
-    Config = std::move(config);
-  }
+  void setConfig(std::shared_ptr<const core::ServingConfig> config);
 
   /// @brief Tracker of the requests that crash leaves, on this and other hosts.
   CrashTracker &crashTracker() { return Tracker; }
@@ -78,13 +77,6 @@
     std::uint64_t Version = 0;
     core::RelayPlan Plan;
   };
-  struct Refusal {
-    boost::beast::http::status Status;
-    std::string Reason;
-    std::optional<std::chrono::milliseconds> RetryAfter;
-    /// Why this host takes no relays, if that is the reason.
-    const char *RelayRefused = nullptr;
-  };
 
   CancelHandler start(CallerRequest request, AnswerHandler respond,
                       bool relayed);
@@ -106,8 +98,9 @@
   std::shared_ptr<const leaf::CallContext>
   makeContext(CallerRequest request, const core::Fingerprint &fingerprint,
               const core::RouteRule &route,
-              std::shared_ptr<const core::RouteRule> derivedRoute,
-              double draw) const;
+              std::shared_ptr<const core::RouteRule> derivedRoute, double draw,
+              const core::WorkspaceRule *workspace,
+              const core::HomeRegions &homes) const;
   /// Returns which shards of a route are requested through other hosts.
   const core::RelayPlan &relayPlanFor(const core::RouteRule &route);
   /// Starts a sharded request, part of which other hosts execute.
@@ -116,10 +109,14 @@
                     const std::vector<leaf::Service *> &services);
   /// Returns the services of all shards, or the next target of a traffic split.
   std::vector<leaf::Service *> selectServices(const core::RouteRule &route);
+  /// Whether this host may execute relays of a request.
+  bool isHome(const core::HomeRegions &homes) const {
+    return homes.allows(Leaves.regionOf(Leaves.failureDomain()));
+  }
   /// Whether a request with a draw can be sent to enough of its services.
   bool enoughServicesReachable(const core::RouteRule &route,
                                const std::vector<leaf::Service *> &services,
-                               double draw);
+                               double draw, const core::HomeRegions &homes);
   /// End of the time that a request has, from its arrival.
   std::chrono::milliseconds timeLimit(const CallerRequest &request,
                                       const core::RouteRule &route) const;
@@ -132,7 +129,10 @@
   CrashTracker Tracker;
   boost::asio::steady_timer SettleTimer;
   support::HeaderNames Names;
+  const core::KeyRingSecret Secret = makeKeyRingSecret();
   std::shared_ptr<const core::ServingConfig> Config;
+  /// The keys of Config.
+  core::KeyRing Keys;
   /// Rotation over the targets of each traffic split, by the route's name.
   std::map<std::string, core::WeightedRoundRobin> SplitTurns;
   /// Requests of callers in progress, and ended ones until the next pruning.
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -158,7 +158,7 @@
 
 void RequestRun::onLeavesLost() {
   if (Finished || !MakeForward || Calls.empty() ||
-      Context->Leaves.reachablePeers() == nullptr)
+      Context->Leaves.reachablePeers(Context->Homes) == nullptr)
     return;
   const auto now = SteadyClock::now();
   std::vector<leaf::Service *> services;
@@ -202,8 +202,11 @@
 }
 
 const ServiceCall &RequestRun::plainCall() const {
-  return Relays.empty() || !Relays.front().Call ? *Calls.front()
-                                                : *Relays.front().Call;
+  // A relay that was reclaimed has no call; a later forward may have replaced
+  // the calls that this host made in its place.
+  const auto it = std::find_if(Relays.begin(), Relays.end(),
+                               [](const Relay &relay) { return relay.Call; });
+  return it == Relays.end() ? *Calls.front() : *it->Call;
 }
 
 void RequestRun::advancePlain(TimePoint now) {
@@ -330,7 +333,7 @@
       services.insert(services.end(), relay.Services.begin(),
                       relay.Services.end());
   return leaf::retryAfter(Context->Route, services, Context->Deadline,
-                          Context->Leaves.draw());
+                          Context->Leaves.draw(), Context->Homes);
 }
 
 bool RequestRun::anyLeafMayHaveRun() const {
--- a/src/leaf/Leaf.cpp
+++ b/src/leaf/Leaf.cpp
@@ -21,9 +21,11 @@
 
 Leaf::Leaf(boost::asio::io_context &io, core::LeafEntry entry,
            const boost::asio::ip::tcp::endpoint &address,
-           core::LeafDistance distance, std::shared_ptr<AnswerMemory> memory)
+           core::LeafDistance distance, std::shared_ptr<AnswerMemory> memory,
+           std::string region)
     : Io(io), Entry(std::move(entry)), Address(address),
-      Score(distance, Entry.Slots), Memory(std::move(memory)) {
+      Region(std::move(region)), Score(distance, Entry.Slots),
+      Memory(std::move(memory)) {
   update(Entry);
 }
 
--- a/src/leaf/Leaf.h
+++ b/src/leaf/Leaf.h
@@ -36,13 +36,19 @@
   /// @param address the entry's address, parsed
   /// @param distance its distance from this host
   /// @param memory bounds of answers, shared by all leaves
+  /// @param region its region; empty if unknown
   Leaf(boost::asio::io_context &io, core::LeafEntry entry,
        const boost::asio::ip::tcp::endpoint &address,
-       core::LeafDistance distance, std::shared_ptr<AnswerMemory> memory);
+       core::LeafDistance distance, std::shared_ptr<AnswerMemory> memory,
+       std::string region = {});
 
   const core::LeafEntry &entry() const { return Entry; }
   const boost::asio::ip::tcp::endpoint &address() const { return Address; }
 
+  /// @brief Region of its failure domain; empty if unknown.
+  const std::string &region() const { return Region; }
+  void setRegion(std::string region) { Region = std::move(region); }
+
   /// @brief Replaces the entry by a newer one of the same process.
   void update(core::LeafEntry entry);
 
@@ -117,6 +123,7 @@
   boost::asio::io_context &Io;
   core::LeafEntry Entry;
   boost::asio::ip::tcp::endpoint Address;
+  std::string Region;
   core::LeafScore Score;
   std::shared_ptr<AnswerMemory> Memory;
   LeafDemands Demands;
--- a/src/leaf/LeafChoice.cpp
+++ b/src/leaf/LeafChoice.cpp
@@ -27,14 +27,15 @@
 std::shared_ptr<Leaf> chooseLeaf(const Service &service,
                                  core::Duration expected,
                                  std::vector<std::shared_ptr<Leaf>> tried,
-                                 double draw, std::minstd_rand &random) {
+                                 double draw, std::minstd_rand &random,
+                                 const core::HomeRegions &homes) {
   const auto now = SteadyClock::now();
   std::uniform_real_distribution<double> jitter(1, 1 + CostJitter);
   for (;;) {
     std::shared_ptr<Leaf> best;
     double bestCost = 0;
     for (const auto &leaf : service.Leaves) {
-      if (!acceptsNow(*leaf, now) ||
+      if (!acceptsNow(*leaf, now) || !homes.allows(leaf->region()) ||
           std::find(tried.begin(), tried.end(), leaf) != tried.end())
         continue;
       const double cost =
@@ -57,10 +58,11 @@
   }
 }
 
-bool reachable(const Service &service, double draw) {
+bool reachable(const Service &service, double draw,
+               const core::HomeRegions &homes) {
   const auto now = SteadyClock::now();
   for (const auto &leaf : service.Leaves)
-    if (acceptsNow(*leaf, now)) {
+    if (acceptsNow(*leaf, now) && homes.allows(leaf->region())) {
       draw -= leaf->rateLimit().sendChance(now);
       if (draw < 0)
         return true;
@@ -68,16 +70,19 @@
   return false;
 }
 
-void recordDrawLost(const Service &service) {
+void recordDrawLost(const Service &service, const core::HomeRegions &homes) {
   const auto now = SteadyClock::now();
   for (const auto &leaf : service.Leaves)
-    if (acceptsNow(*leaf, now))
+    if (acceptsNow(*leaf, now) && homes.allows(leaf->region()))
       leaf->rateLimit().onDrawLost(now);
 }
 
-core::TimePoint availableAt(const Service &service, core::TimePoint now) {
+core::TimePoint availableAt(const Service &service, core::TimePoint now,
+                            const core::HomeRegions &homes) {
   auto earliest = core::TimePoint::max();
   for (const auto &leaf : service.Leaves) {
+    if (!homes.allows(leaf->region()))
+      continue;
     // The end of a backoff after a failed connection promises nothing.
     if (acceptsNow(*leaf, now))
       earliest = std::min(earliest, leaf->rateLimit().nextSend(now));
@@ -87,15 +92,14 @@
   return earliest;
 }
 
-std::chrono::milliseconds
-retryAfter(const core::RouteRule &route,
-           const std::vector<const Service *> &services,
-           core::TimePoint deadline, double draw) {
+std::chrono::milliseconds retryAfter(
+    const core::RouteRule &route, const std::vector<const Service *> &services,
+    core::TimePoint deadline, double draw, const core::HomeRegions &homes) {
   const auto now = SteadyClock::now();
   std::vector<core::TimePoint> availability;
   availability.reserve(services.size());
   for (const Service *service : services)
-    availability.push_back(availableAt(*service, now));
+    availability.push_back(availableAt(*service, now, homes));
   const std::size_t needed = route.sharded() ? core::minShards(route) : 1;
   return core::retryAfter(route, now,
                           core::enoughAvailableAt(availability, needed),
--- a/src/leaf/LeafChoice.h
+++ b/src/leaf/LeafChoice.h
@@ -11,6 +11,7 @@
 
 #include "leaf/Service.h"
 #include "savorytrestle/core/ServingConfig.h"
+#include "savorytrestle/core/placement/HomeRegions.h"
 
 namespace savorytrestle::leaf {
 
@@ -25,35 +26,41 @@
 /// @param tried leaves that the request was sent to before
 /// @param draw uniform random number in [0, 1), for leaves with a rate limit
 /// @param random spreads the choice over leaves of nearly the same cost
+/// @param homes regions in which the request may be served
 /// @return the leaf, or null if there is none; O(leaves of the service), in its
 /// square while leaves are at their limit
 std::shared_ptr<Leaf> chooseLeaf(const Service &service,
                                  core::Duration expected,
                                  std::vector<std::shared_ptr<Leaf>> tried,
-                                 double draw, std::minstd_rand &random);
+                                 double draw, std::minstd_rand &random,
+                                 const core::HomeRegions &homes = {});
 
 /// @brief Whether a request can be sent to any leaf of the service now.
 /// @param draw see @ref chooseLeaf
-bool reachable(const Service &service, double draw);
+/// @param homes see @ref chooseLeaf
+bool reachable(const Service &service, double draw,
+               const core::HomeRegions &homes = {});
 
 /// @brief Records that a request which needs a service was refused, since its
 /// draw lost at all leaves of the service.
-void recordDrawLost(const Service &service);
+void recordDrawLost(const Service &service,
+                    const core::HomeRegions &homes = {});
 
 /// @brief When a request can be sent to a leaf of the service.
 /// @return now, or the end of the first leaf's silence; TimePoint::max() if no
 /// leaf has named a time. O(leaves of the service)
-core::TimePoint availableAt(const Service &service, core::TimePoint now);
+core::TimePoint availableAt(const Service &service, core::TimePoint now,
+                            const core::HomeRegions &homes = {});
 
 /// @brief Wait that the refusal of a request states.
 /// @param route the request's route
 /// @param services the services that it needs, or enough of them
 /// @param deadline end of the caller's time
 /// @param draw uniform random number in [0, 1), which spreads the callers
-std::chrono::milliseconds
-retryAfter(const core::RouteRule &route,
-           const std::vector<const Service *> &services,
-           core::TimePoint deadline, double draw);
+/// @param homes see @ref chooseLeaf
+std::chrono::milliseconds retryAfter(
+    const core::RouteRule &route, const std::vector<const Service *> &services,
+    core::TimePoint deadline, double draw, const core::HomeRegions &homes = {});
 
 } // namespace savorytrestle::leaf
 
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -104,7 +104,8 @@
     return;
   }
   auto leaf = std::make_shared<Leaf>(Io, entry, address,
-                                     distanceTo(entry.FailureDomain), Memory);
+                                     distanceTo(entry.FailureDomain), Memory,
+                                     regionOf(entry.FailureDomain));
   if (Departed.contains(run))
     leaf->retire();
   if (const auto it = DemandsByRun.find(run); it != DemandsByRun.end()) {
@@ -323,7 +324,8 @@
 }
 
 Service *
-LeafDirectory::reachablePeers(const std::vector<const Service *> &tried) {
+LeafDirectory::reachablePeers(const core::HomeRegions &homes,
+                              const std::vector<const Service *> &tried) {
   const auto now = SteadyClock::now();
   std::vector<Service *> peers;
   std::vector<core::ForwardDomain> domains;
@@ -335,7 +337,8 @@
     hosts.Distance = distanceTo(domain);
     hosts.WithoutLeaves = domain == Location.FailureDomain ? 1 : 0;
     for (const auto &host : service->Leaves) {
-      hosts.Available += acceptsNow(*host, now) ? 1 : 0;
+      hosts.Available +=
+          acceptsNow(*host, now) && homes.allows(host->region()) ? 1 : 0;
       hosts.WithoutLeaves += host->available() ? 0 : 1;
     }
     hosts.Tried =
@@ -354,17 +357,21 @@
 }
 
 void LeafDirectory::setPeers(const std::vector<core::LeafEntry> &hosts,
-                             const std::set<std::string> &withoutLeaves) {
+                             const std::set<std::string> &withoutLeaves,
+                             const std::set<std::string> &withoutHomes) {
   std::set<std::string> present;
   for (core::LeafEntry host : hosts) {
     host.Service = peersOf(host.FailureDomain).Name;
     host.Slots = PeerConnections;
     const bool available = withoutLeaves.count(host.Id) == 0;
+    const bool keepsHomes = withoutHomes.count(host.Id) == 0;
     host.Id = PeerServicePrefix + host.Id;
     present.insert(host.Id);
     putLeaf(host);
     if (const auto it = ById.find(host.Id); it != ById.end())
       it->second->setAvailable(available);
+    if (const auto it = ById.find(host.Id); it != ById.end())
+      it->second->setRegion(keepsHomes ? regionOf(host.FailureDomain) : "");
   }
   for (const std::string &id : idsWithPrefix(PeerServicePrefix))
     if (present.count(id) == 0)
@@ -431,6 +438,11 @@
       std::max(HostCount, nearHosts)));
 }
 
+std::string LeafDirectory::regionOf(const std::string &failureDomain) const {
+  const auto it = Location.Regions.find(failureDomain);
+  return it == Location.Regions.end() ? "" : it->second;
+}
+
 core::LeafDistance
 LeafDirectory::distanceTo(const std::string &failureDomain) const {
   if (failureDomain == Location.FailureDomain)
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -20,6 +20,7 @@
 #include "leaf/Service.h"
 #include "savorytrestle/core/LeafLink.h"
 #include "savorytrestle/core/ServingConfig.h"
+#include "savorytrestle/core/placement/HomeRegions.h"
 #include "savorytrestle/core/placement/RelayPolicy.h"
 #include "support/LogRateLimiter.h"
 
@@ -145,17 +146,22 @@
   /// service for each failure domain.
   /// @param hosts the hosts
   /// @param withoutLeaves ids of those that reach no leaf
+  /// @param withoutHomes ids of those that don't keep requests in their homes;
+  /// they get none with such a restriction
   void setPeers(const std::vector<core::LeafEntry> &hosts,
-                const std::set<std::string> &withoutLeaves);
+                const std::set<std::string> &withoutLeaves,
+                const std::set<std::string> &withoutHomes = {});
 
   /// @brief The service that holds the other hosts of a failure domain.
   Service &peersOf(const std::string &failureDomain);
 
   /// @brief The hosts of one failure domain, of which at least one can be sent
   /// requests, see @ref core::chooseForwardDomain.
+  /// @param homes regions in which the request may be served
   /// @param tried domains to use only if there is no other
   /// @return null if no host can. O(hosts)
-  Service *reachablePeers(const std::vector<const Service *> &tried = {});
+  Service *reachablePeers(const core::HomeRegions &homes = {},
+                          const std::vector<const Service *> &tried = {});
 
   /// @brief Closes the connections to leaves that carry no request.
   void closeIdleConnections();
@@ -167,6 +173,9 @@
   /// @brief Number that grows with each change of the leaves.
   std::uint64_t generation() const { return Generation; }
 
+  /// @brief Region of a failure domain; empty if unknown.
+  std::string regionOf(const std::string &failureDomain) const;
+
   /// @brief This host's failure domain.
   const std::string &failureDomain() const { return Location.FailureDomain; }
 
--- a/src/leaf/RelayHeaders.h
+++ b/src/leaf/RelayHeaders.h
@@ -25,6 +25,10 @@
 /// @brief Marks an answer to a relay as that of a leaf, whatever its status.
 inline constexpr const char *RelayLeafAnswerHeader = "Relay-Leaf-Answer";
 
+/// @brief Name of the caller's workspace, which the relaying host has found by
+/// the caller's key.
+inline constexpr const char *RelayWorkspaceHeader = "Relay-Workspace";
+
 } // namespace savorytrestle::leaf
 
 #endif
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -69,7 +69,7 @@
   const double draw =
       cause == Cause::First ? Context->Draw : Context->Leaves.draw();
   auto to = chooseLeaf(TargetService, expected, Tried, draw,
-                       Context->Leaves.random());
+                       Context->Leaves.random(), Context->Homes);
   if (!to || (extra && !TargetService.RetryBudget.trySpend(now)))
     return false;
   auto connection = to->acquireConnection();
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -17,6 +17,7 @@
 #include "leaf/RelayHeaders.h"
 #include "savorytrestle/core/Fingerprint.h"
 #include "savorytrestle/core/HedgePolicy.h"
+#include "savorytrestle/core/placement/HomeRegions.h"
 #include "support/HeaderNames.h"
 
 namespace savorytrestle::leaf {
@@ -51,6 +52,8 @@
   double Draw = 0;
   /// Workspace of the caller, in Config; null if there is none.
   const core::WorkspaceRule *Workspace = nullptr;
+  /// Regions in which the request may be served.
+  core::HomeRegions Homes{};
 };
 
 /// @brief How a call to a service ended.
--- a/src/registry/HostEntry.cpp
+++ b/src/registry/HostEntry.cpp
@@ -76,6 +76,8 @@
       break;
     object["limits_ended"].push_back(encodeRun(run));
   }
+  if (entry.KeepsHomes)
+    object["homes"] = true;
   if (entry.LeavesLost)
     object["leaves_lost"] = true;
   return object.dump();
@@ -99,6 +101,7 @@
       if (entry.EndedRateLimits.size() < MaxRateLimits)
         entry.EndedRateLimits.insert(decodeRun(run));
     entry.LeavesLost = object.value("leaves_lost", false);
+    entry.KeepsHomes = object.value("homes", false);
     return entry;
   });
 }
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -220,6 +220,7 @@
   HostIps.clear();
   std::vector<core::LeafEntry> peers;
   std::set<std::string> withoutLeaves;
+  std::set<std::string> withoutHomes;
   for (const registry::HostEntry &host : hosts.LiveHosts) {
     for (const std::string &text : {host.CallerAddress, host.PeerAddress})
       if (Endpoint address; support::parseEndpoint(text, address))
@@ -233,9 +234,11 @@
       peers.push_back(std::move(peer));
       if (host.LeavesLost)
         withoutLeaves.insert(host.Id);
+      if (!host.KeepsHomes)
+        withoutHomes.insert(host.Id);
     }
   }
-  Leaves.setPeers(peers, withoutLeaves);
+  Leaves.setPeers(peers, withoutLeaves, withoutHomes);
   HostAddresses others;
   for (const registry::HostEntry &host : hosts.LiveHosts)
     if (Endpoint address; support::parseEndpoint(host.PeerAddress, address)) {
--- a/src/support/HeaderNames.h
+++ b/src/support/HeaderNames.h
@@ -33,6 +33,8 @@
   std::string PartSignatures;
   /// Number of shards that an answer leaves out.
   std::string MissingShards;
+  /// Name of the caller's workspace, for leaves.
+  std::string Workspace;
 };
 
 } // namespace savorytrestle::support
