--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -85,7 +85,12 @@
 
 ServiceCall::EndHandler RequestRun::relayEndHandler(std::size_t i) {
   return [self = shared_from_this(), i](const ServiceCall &call) {
-    self->Relays[i].Signatures = signaturesOf(*self->Context, call);
+    Relay &relay = self->Relays[i];
+    relay.Signatures = signaturesOf(*self->Context, call);
+    // An answer with more shards than were asked for would hide that others
+    // are missing.
+    if (relay.Signatures.size() > relay.Services.size())
+      relay.Signatures.clear();
     if (call.end() == CallEnd::Answered)
       for (const core::LeafRun &run : leaf::parseLeavingLeaves(
                support::toStringView(call.answer()[leaf::LeavingLeavesHeader])))
