--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -189,12 +189,8 @@
       Config ? Config->findRoute(hostNameOf(request), pathOf(request))
              : nullptr;
   const auto fingerprint = fingerprintOf(request);
-  if (const auto refusal = findRefusal(request, route, fingerprint)) {
-    refuse(request, route, *refusal, respond);
-    return nullptr;
-  }
-  const auto identity = findWorkspace(request, *Config, Keys, relayed);
-  if (!identity && !route->Public) {
+  const auto identity = check(request, route, fingerprint, relayed);
+  if (!identity) {
     refuse(request, route, identity.error(), respond);
     return nullptr;
   }
@@ -208,11 +204,12 @@
            respond);
     return nullptr;
   }
-  const core::WorkspaceRule *const workspace = identity.value_or(nullptr);
+  const core::WorkspaceRule *const workspace = *identity;
   const core::HomeRegions homes(rule, workspace);
   const auto services = selectServices(rule);
   const double draw = Leaves.draw();
-  const bool forwards = !relayed && Leaves.link().lost() &&
+  // Another host has no services for the route either, if this one has none.
+  const bool forwards = !relayed && !services.empty() && Leaves.link().lost() &&
                         Leaves.reachablePeers(homes) != nullptr;
   if (!forwards && !enoughServicesReachable(rule, services, draw, homes)) {
     const auto deadline = SteadyClock::now() + timeLimit(request, rule);
@@ -240,9 +237,8 @@
 }
 
 std::optional<Refusal>
-RequestRouter::findRefusal(const CallerRequest &request,
-                           const core::RouteRule *route,
-                           const core::Fingerprint &fingerprint) {
+RequestRouter::findConfigRefusal(const CallerRequest &request,
+                                 const core::RouteRule *route) const {
   if (!Config)
     return Refusal{http::status::service_unavailable,
                    "no configuration loaded yet", ConfigRetryAfter};
@@ -256,14 +252,29 @@
                    "configuration version of the relaying host is not in force "
                    "on this host",
                    ConfigRetryAfter};
+  return std::nullopt;
+}
+
+tl::expected<const core::WorkspaceRule *, Refusal>
+RequestRouter::check(const CallerRequest &request, const core::RouteRule *route,
+                     const core::Fingerprint &fingerprint, bool relayed) {
+  if (const auto refusal = findConfigRefusal(request, route))
+    return tl::unexpected(*refusal);
+  auto identity = findWorkspace(request, *route, *Config, Keys, relayed);
+  if (!identity) {
+    UnauthorizedCount +=
+        identity.error().Status == http::status::unauthorized ? 1 : 0;
+    return identity;
+  }
   if (request.find(Names.RequestId) == request.end())
-    return Refusal{http::status::bad_request, "request id header is missing",
-                   std::nullopt};
+    return tl::unexpected(Refusal{http::status::bad_request,
+                                  "request id header is missing",
+                                  std::nullopt});
   if (const auto wait = Tracker.quarantinedFor(fingerprint, SteadyClock::now()))
-    return Refusal{
+    return tl::unexpected(Refusal{
         http::status::too_many_requests,
-        "request is quarantined: leaf connections broke while it ran", *wait};
-  return std::nullopt;
+        "request is quarantined: leaf connections broke while it ran", *wait});
+  return identity;
 }
 
 void RequestRouter::refuse(const CallerRequest &request,
@@ -306,7 +317,7 @@
   const auto arrived = relayed ? start - RelayRoundTrip : start;
   removeHopByHopHeaders(request);
   removeRelayHeaders(request);
-  setWorkspaceHeaders(request, Names, *Config, workspace);
+  setWorkspaceHeaders(request, Names, *Config, Keys, workspace);
   request.version(11);
   request.prepare_payload();
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -68,6 +68,12 @@
   /// @brief Number of requests that were forwarded to other hosts.
   std::uint64_t forwardCount() const { return Recorder.forwardCount(); }
 
+  /// @brief Number of requests that were refused with 401.
+  std::uint64_t unauthorizedCount() const { return UnauthorizedCount; }
+
+  /// @brief Number of keys in force.
+  std::size_t keyCount() const { return Keys.size(); }
+
 private:
   static constexpr std::size_t MinRunsToPrune = 64;
 
@@ -80,10 +86,15 @@
 
   CancelHandler start(CallerRequest request, AnswerHandler respond,
                       bool relayed);
-  /// Returns why a request can't be started; nothing if it can.
-  std::optional<Refusal> findRefusal(const CallerRequest &request,
-                                     const core::RouteRule *route,
-                                     const core::Fingerprint &fingerprint);
+  /// Returns why the configuration doesn't allow to handle a request: there is
+  /// none, or no route, or the relaying host has another version.
+  std::optional<Refusal> findConfigRefusal(const CallerRequest &request,
+                                           const core::RouteRule *route) const;
+  /// Authenticates a request and checks whether it may be started.
+  /// @return its workspace, see @ref entry::findWorkspace
+  tl::expected<const core::WorkspaceRule *, Refusal>
+  check(const CallerRequest &request, const core::RouteRule *route,
+        const core::Fingerprint &fingerprint, bool relayed);
   /// Returns why this host takes no relays; nothing if it does.
   std::optional<Refusal> findRelayRefusal() const;
   void scheduleSettle();
@@ -140,6 +151,7 @@
   std::size_t PruneRunsAt = MinRunsToPrune;
   std::shared_ptr<std::size_t> RelaysInHand = std::make_shared<std::size_t>(0);
   bool RefusesRelays = false;
+  std::uint64_t UnauthorizedCount = 0;
   /// Relay plan of each sharded route, by the route's name.
   std::map<std::string, CachedRelayPlan> RelayPlans;
 };
--- a/src/registry/ConfigFeed.cpp
+++ b/src/registry/ConfigFeed.cpp
@@ -44,11 +44,15 @@
   if (Current && config->Version <= before)
     return;
   Current = std::make_shared<const core::ServingConfig>(std::move(*config));
-  support::LogLine("config_in_force")
-      .with("version", Current->Version)
-      .with("before", before)
-      .with("revision", item.ModRevision)
-      .with("routes", Current->Routes.size());
+  {
+    support::LogLine line("config_in_force");
+    line.with("version", Current->Version)
+        .with("before", before)
+        .with("revision", item.ModRevision)
+        .with("routes", Current->Routes.size());
+    if (Current->Workspaces)
+      line.with("workspaces", Current->Workspaces->size());
+  }
   OnConfig(Current);
 }
 
--- a/src/registry/HostEntry.cpp
+++ b/src/registry/HostEntry.cpp
@@ -76,8 +76,8 @@
       break;
     object["limits_ended"].push_back(encodeRun(run));
   }
-  if (entry.KeepsHomes)
-    object["homes"] = true;
+  if (entry.KeepsWorkspaces)
+    object["workspaces"] = true;
   if (entry.LeavesLost)
     object["leaves_lost"] = true;
   return object.dump();
@@ -101,7 +101,7 @@
       if (entry.EndedRateLimits.size() < MaxRateLimits)
         entry.EndedRateLimits.insert(decodeRun(run));
     entry.LeavesLost = object.value("leaves_lost", false);
-    entry.KeepsHomes = object.value("homes", false);
+    entry.KeepsWorkspaces = object.value("workspaces", false);
     return entry;
   });
 }
--- a/src/registry/HostEntry.h
+++ b/src/registry/HostEntry.h
@@ -38,9 +38,10 @@
   std::set<core::LeafRun> EndedRateLimits{};
   /// Whether it reaches no leaf and takes no relays.
   bool LeavesLost = false;
-  /// Whether it keeps requests in the regions of their route and workspace;
-  /// hosts of earlier versions don't.
-  bool KeepsHomes = true;
+  /// Whether it serves the requests of a workspace as its own, and keeps them
+  /// in the regions of their route and workspace; hosts of earlier versions
+  /// don't.
+  bool KeepsWorkspaces = true;
 };
 
 /// @brief Encodes a host's item. Records are stored with their age instead of
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -145,6 +145,9 @@
   Configs = std::make_shared<registry::ConfigFeed>([this](const auto &config) {
     Leaves.applyConfig(*config);
     Router.setConfig(config);
+    if (const bool workspaces = config->Workspaces.has_value();
+        std::exchange(HasWorkspaces, workspaces) != workspaces)
+      setPeers();
     CallerContext->Limits = config->Limits;
     PeerContext->Limits.MaxHeaderBytes =
         config->Limits.MaxHeaderBytes + RelayHeaderBytes;
@@ -212,33 +215,41 @@
   Prober->start();
 }
 
+void PlatformHost::setPeers() {
+  std::vector<core::LeafEntry> peers;
+  std::set<std::string> withoutLeaves;
+  std::set<std::string> withoutHomes;
+  for (const registry::HostEntry &host : KnownHosts.LiveHosts) {
+    // A host of an earlier version would serve a workspace's request without
+    // its quota and regions.
+    if (host.Id == Config.Id || (HasWorkspaces && !host.KeepsWorkspaces))
+      continue;
+    core::LeafEntry peer;
+    peer.Id = host.Id;
+    peer.Address =
+        host.PeerAddress.empty() ? host.CallerAddress : host.PeerAddress;
+    peer.FailureDomain = host.FailureDomain;
+    peers.push_back(std::move(peer));
+    if (host.LeavesLost)
+      withoutLeaves.insert(host.Id);
+    if (!host.KeepsWorkspaces)
+      withoutHomes.insert(host.Id);
+  }
+  Leaves.setPeers(peers, withoutLeaves, withoutHomes);
+}
+
 void PlatformHost::applyHosts(const registry::KnownHosts &hosts) {
+  KnownHosts = hosts;
   Leaves.setHostCounts(hosts.CountByDomain);
   Departures->setHostCount(hosts.LiveHosts.size());
   RateLimits->setHostCount(hosts.LiveHosts.size());
   Presence->setHostCount(hosts.LiveHosts.size());
   HostIps.clear();
-  std::vector<core::LeafEntry> peers;
-  std::set<std::string> withoutLeaves;
-  std::set<std::string> withoutHomes;
-  for (const registry::HostEntry &host : hosts.LiveHosts) {
+  for (const registry::HostEntry &host : hosts.LiveHosts)
     for (const std::string &text : {host.CallerAddress, host.PeerAddress})
       if (Endpoint address; support::parseEndpoint(text, address))
         HostIps.insert(address.address());
-    if (host.Id != Config.Id) {
-      core::LeafEntry peer;
-      peer.Id = host.Id;
-      peer.Address =
-          host.PeerAddress.empty() ? host.CallerAddress : host.PeerAddress;
-      peer.FailureDomain = host.FailureDomain;
-      peers.push_back(std::move(peer));
-      if (host.LeavesLost)
-        withoutLeaves.insert(host.Id);
-      if (!host.KeepsHomes)
-        withoutHomes.insert(host.Id);
-    }
-  }
-  Leaves.setPeers(peers, withoutLeaves, withoutHomes);
+  setPeers();
   HostAddresses others;
   for (const registry::HostEntry &host : hosts.LiveHosts)
     if (Endpoint address; support::parseEndpoint(host.PeerAddress, address)) {
@@ -312,6 +323,12 @@
   HostMetrics.setGauge("savorytrestle_requests_forwarded",
                        "Requests sent to another host for want of leaves.",
                        static_cast<double>(Router.forwardCount()));
+  HostMetrics.setGauge("savorytrestle_requests_unauthorized",
+                       "Requests refused for want of a known key.",
+                       static_cast<double>(Router.unauthorizedCount()));
+  HostMetrics.setGauge("savorytrestle_workspace_keys",
+                       "Keys of all workspaces in force.",
+                       static_cast<double>(Router.keyCount()));
   HostMetrics.setGauge("savorytrestle_limited_leaves",
                        "Leaves that name a limit of requests a second.",
                        static_cast<double>(Leaves.limitedLeafCount()));
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -56,6 +56,8 @@
   /// Starts what tells other hosts of leaves, and of this host's links to them.
   void startNotices();
   void applyHosts(const registry::KnownHosts &hosts);
+  /// Sets the hosts to which requests may be sent.
+  void setPeers();
   /// Live hosts with a listener for other hosts, this one included.
   struct HostAddresses {
     std::vector<core::FeedHost> Hosts;
@@ -99,6 +101,9 @@
   std::shared_ptr<registry::HostFeed> Hosts;
   std::shared_ptr<registry::HostPresence> Presence;
   std::set<boost::asio::ip::address> HostIps;
+  registry::KnownHosts KnownHosts;
+  /// Whether the configuration in force has workspaces.
+  bool HasWorkspaces = false;
   support::LogRateLimiter RefusalLog;
   std::unique_ptr<registry::DepartureNotices> Departures;
   std::unique_ptr<registry::RateLimitNotices> RateLimits;
--- a/tests/standins/PlatformLeaf.h
+++ b/tests/standins/PlatformLeaf.h
@@ -80,6 +80,8 @@
   struct Arrival {
     std::chrono::steady_clock::time_point At;
     std::string RequestId;
+    /// In the order in which they came, names as sent.
+    std::vector<std::pair<std::string, std::string>> Headers;
   };
 
   LeafBehavior Behavior;
@@ -105,7 +107,10 @@
     const std::string id = text(request["Savorytrestle-Request-Id"]);
     const std::string expected =
         text(request["Savorytrestle-Expected-Instance"]);
-    Arrivals.push_back({std::chrono::steady_clock::now(), id});
+    Arrivals.push_back({std::chrono::steady_clock::now(), id, {}});
+    for (const auto &field : request)
+      Arrivals.back().Headers.emplace_back(text(field.name_string()),
+                                           text(field.value()));
     if (!expected.empty() && expected != Id)
       return refuse(421, respond);
     if (Behavior.Shed || !Behavior.RetryAfter.empty())
--- a/tests/unit-leaf-directory.cpp
+++ b/tests/unit-leaf-directory.cpp
@@ -83,7 +83,8 @@
   }
 
   std::string choose(const std::vector<const leaf::Service *> &tried = {}) {
-    const leaf::Service *const peers = Leaves.reachablePeers(tried);
+    const leaf::Service *const peers =
+        Leaves.reachablePeers(core::HomeRegions(), tried);
     return peers ? peers->Name : "";
   }
 
