Keep the ports of a test process from other ones that run beside it

Cause: nonEphemeralPort() only checked that nobody listened on a port. The port of a host that was down, or of any of two test processes with close ids, could be given to the other: a host could then not listen again, and a caller could get the answer of another deployment. Change: the UDP port of the same number is held until the process ends. OtherHostsLeaveTheLeafToo names the requests that came to the leaf and prints the hosts' logs if it fails; it is as strict as before.

--- a/tests/NodeDeployment.h
+++ b/tests/NodeDeployment.h
@@ -18,7 +18,10 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
 
 #include "ProcessHarness.h"
@@ -28,21 +31,36 @@
 
 namespace savorytrestle::tests {
 
+/// @brief Reserves a port for this process, whether a host listens there or is
+/// down for a while, by holding the UDP port of the same number.
+/// @return nothing if another process has reserved it or listens on it
+inline std::optional<boost::asio::ip::udp::socket>
+reservePort(boost::asio::io_context &io, int port) {
+  const auto loopback = boost::asio::ip::address_v4::loopback();
+  const auto number = static_cast<unsigned short>(port);
+  boost::asio::ip::udp::socket reservation(io, boost::asio::ip::udp::v4());
+  // Hosts must not inherit it and outlive this process with it.
+  fcntl(reservation.native_handle(), F_SETFD, FD_CLOEXEC);
+  boost::asio::ip::tcp::acceptor acceptor(io, boost::asio::ip::tcp::v4());
+  boost::system::error_code ec;
+  reservation.bind({loopback, number}, ec);
+  if (!ec)
+    acceptor.bind({loopback, number}, ec);
+  return ec ? std::nullopt : std::optional(std::move(reservation));
+}
+
 /// @brief A free port below the ephemeral range, so that no outgoing connection
-/// takes it while its host is restarted.
+/// takes it while its host is restarted, nor another test process.
 inline int nonEphemeralPort() {
   static int next = 10000 + getpid() * 37 % 20000;
-  boost::asio::io_context io;
+  static boost::asio::io_context io;
+  static std::vector<boost::asio::ip::udp::socket> reservations;
   for (;;) {
     next = next >= 31000 ? 10000 : next + 1;
-    boost::asio::ip::tcp::acceptor acceptor(io);
-    boost::system::error_code ec;
-    acceptor.open(boost::asio::ip::tcp::v4(), ec);
-    acceptor.bind({boost::asio::ip::address_v4::loopback(),
-                   static_cast<unsigned short>(next)},
-                  ec);
-    if (!ec)
+    if (auto reservation = reservePort(io, next)) {
+      reservations.push_back(std::move(*reservation));
       return next;
+    }
   }
 }
 
--- a/tests/process-leaf-notices.cpp
+++ b/tests/process-leaf-notices.cpp
@@ -38,6 +38,16 @@
     return onStandIns([&] { return leaf.Arrivals.size(); });
   }
 
+  /// Ids of the requests that came to a leaf, in their order.
+  std::vector<std::string> arrivedIds(PlatformLeaf &leaf) {
+    return onStandIns([&] {
+      std::vector<std::string> ids;
+      for (const auto &arrival : leaf.Arrivals)
+        ids.push_back(arrival.RequestId);
+      return ids;
+    });
+  }
+
   /// Sends a request that may be repeated; returns its answer.
   CallerReply read(const NodeProcess &host,
                    std::chrono::milliseconds deadline = 5s) {
@@ -123,7 +133,9 @@
   ASSERT_TRUE(logged(other, "event=leaf_leaving leaf=i-near"));
   for (int i = 0; i < 10; ++i)
     EXPECT_EQ(read(other).Status, 200);
-  EXPECT_EQ(arrivals(*Near), 1U);
+  EXPECT_EQ(arrivedIds(*Near), std::vector<std::string>{"r1"})
+      << Host->log() << "other host:\n"
+      << other.log();
 }
 
 TEST_F(LeafNoticeTest, RequestsAreRefusedAtOnceWhenAllLeavesAreLeaving) {
