Share workspace rates between hosts and charge callers' requests

The floor is divided by at least one host more than is known: at two hosts a quarter more did not cover a third one.

--- a/src/core/rates/RateBook.cpp
+++ b/src/core/rates/RateBook.cpp
@@ -15,9 +15,10 @@
 /// Part of the slack that is lent as bucket size, so that a workspace with a
 /// burst below one request can have whole requests at several hosts.
 constexpr double LentSlackPart = 0.5;
-/// The floor is divided by more than the known hosts, so that hosts which
-/// haven't read of new ones spend no more than the whole together with them.
-constexpr double FloorHostMargin = 1.25;
+/// The floor is divided by a quarter more than the known hosts, and one more at
+/// least, so that hosts which haven't read of new ones spend no more than the
+/// whole together with them.
+constexpr double FloorHostMargin = 0.25;
 /// After its start a host doesn't know all others yet.
 constexpr milliseconds FloorDelay{5000};
 /// The entries of a fleet that starts arrive within this time, before callers.
@@ -109,9 +110,9 @@
 }
 
 void RateBook::updateFloor(Workspace &it, TimePoint now) {
-  const double hosts =
-      FloorHostMargin *
+  const auto known =
       static_cast<double>(std::max<std::size_t>(1, KnownHosts));
+  const double hosts = known + std::max(1.0, FloorHostMargin * known);
   it.Borrowed.setFloor(FloorInUse ? FloorPart * Bound.Overage / hosts : 0, now);
 }
 
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -76,6 +76,8 @@
     std::shared_ptr<const core::ServingConfig> config) {
   Config = std::move(config);
   Keys = core::KeyRing(Secret, *Config);
+  if (Quotas)
+    Quotas->setConfig(*Config);
 }
 
 void RequestRouter::scheduleSettle() {
@@ -183,11 +185,15 @@
                .Tried = std::move(tried)};
 }
 
+const core::RouteRule *
+RequestRouter::routeOf(const CallerRequest &request) const {
+  return Config ? Config->findRoute(hostNameOf(request), pathOf(request))
+                : nullptr;
+}
+
 CancelHandler RequestRouter::start(CallerRequest request, AnswerHandler respond,
-                                   bool relayed) {
-  const core::RouteRule *route =
-      Config ? Config->findRoute(hostNameOf(request), pathOf(request))
-             : nullptr;
+                                   bool relayed, QuotaGate::ChargePtr charge) {
+  const core::RouteRule *const route = routeOf(request);
   const auto fingerprint = fingerprintOf(request);
   if (const auto refusal = findRefusal(request, route, fingerprint)) {
     refuse(request, route, *refusal, respond);
@@ -198,6 +204,28 @@
     refuse(request, route, identity.error(), respond);
     return nullptr;
   }
+  const core::WorkspaceRule *const workspace = identity.value_or(nullptr);
+  // The caller's host has charged a relay. A key may have moved to another
+  // workspace while its request waited.
+  if (!relayed && workspace != nullptr && Quotas &&
+      Quotas->limited(workspace->Name) &&
+      !(charge && charge->workspace() == workspace->Name)) {
+    charge = Quotas->tryCharge(workspace->Name);
+    if (!charge)
+      return waitForCredit(std::move(request), *route, workspace->Name,
+                           std::move(respond));
+  }
+  return startChecked(std::move(request), fingerprint, *route, workspace,
+                      std::move(respond), relayed, std::move(charge));
+}
+
+CancelHandler RequestRouter::startChecked(CallerRequest request,
+                                          const core::Fingerprint &fingerprint,
+                                          const core::RouteRule &checked,
+                                          const core::WorkspaceRule *workspace,
+                                          AnswerHandler respond, bool relayed,
+                                          QuotaGate::ChargePtr charge) {
+  const core::RouteRule *const route = &checked;
   const auto relayRoute = relayed ? routeForRelay(*route, request) : nullptr;
   const core::RouteRule &rule = relayRoute ? *relayRoute : *route;
   if (relayed && request.find(RelayShardsHeader) != request.end() &&
@@ -208,7 +236,6 @@
            respond);
     return nullptr;
   }
-  const core::WorkspaceRule *const workspace = identity.value_or(nullptr);
   const core::HomeRegions homes(rule, workspace);
   const auto services = selectServices(rule);
   const double draw = Leaves.draw();
@@ -226,6 +253,7 @@
   const auto context = makeContext(std::move(request), fingerprint, rule,
                                    relayRoute, draw, workspace, homes);
   const auto run = makeRun(context, std::move(respond));
+  run->setCharge(std::move(charge));
   std::optional<Relay> forward;
   if (forwards)
     forward = makeForward(*context, services, rule.MaxLeaves, {});
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -16,6 +16,7 @@
 #include "entry/CallerIdentity.h"
 #include "entry/CallerSession.h"
 #include "entry/CrashTracker.h"
+#include "entry/QuotaGate.h"
 #include "entry/RequestRecorder.h"
 #include "entry/RequestRun.h"
 #include "leaf/LeafDirectory.h"
@@ -38,6 +39,12 @@
   /// @brief Replaces the configuration in force.
   void setConfig(std::shared_ptr<const core::ServingConfig> config);
 
+  /// @brief Sets the gate that charges requests to their workspaces' limits;
+  /// without one there are no limits.
+  void setQuotaGate(std::shared_ptr<QuotaGate> gate) {
+    Quotas = std::move(gate);
+  }
+
   /// @brief Tracker of the requests that crash leaves, on this and other hosts.
   CrashTracker &crashTracker() { return Tracker; }
 
@@ -78,8 +85,27 @@
     core::RelayPlan Plan;
   };
 
+  /// Checks a request against the configuration in force and starts it.
+  /// @param charge its credit, if it has been charged already
   CancelHandler start(CallerRequest request, AnswerHandler respond,
-                      bool relayed);
+                      bool relayed, QuotaGate::ChargePtr charge = nullptr);
+  /// Starts a request once there is credit, or refuses it.
+  CancelHandler waitForCredit(CallerRequest request,
+                              const core::RouteRule &route,
+                              const std::string &workspace,
+                              AnswerHandler respond);
+  void refuseOverRate(const CallerRequest &request,
+                      const std::string &workspace,
+                      const AnswerHandler &respond);
+  /// Starts a request that has been checked.
+  CancelHandler startChecked(CallerRequest request,
+                             const core::Fingerprint &fingerprint,
+                             const core::RouteRule &route,
+                             const core::WorkspaceRule *workspace,
+                             AnswerHandler respond, bool relayed,
+                             QuotaGate::ChargePtr charge);
+  /// Returns the route of a request, or null.
+  const core::RouteRule *routeOf(const CallerRequest &request) const;
   /// Returns why a request can't be started; nothing if it can.
   std::optional<Refusal> findRefusal(const CallerRequest &request,
                                      const core::RouteRule *route,
@@ -133,6 +159,7 @@
   std::shared_ptr<const core::ServingConfig> Config;
   /// The keys of Config.
   core::KeyRing Keys;
+  std::shared_ptr<QuotaGate> Quotas;
   /// Rotation over the targets of each traffic split, by the route's name.
   std::map<std::string, core::WeightedRoundRobin> SplitTurns;
   /// Requests of callers in progress, and ended ones until the next pruning.
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -344,9 +344,16 @@
          });
 }
 
+void RequestRun::endCharge() {
+  if (Charge && anyLeafMayHaveRun())
+    Charge->onRun();
+  Charge.reset();
+}
+
 void RequestRun::finish(CallerAnswer answer, const char *outcome) {
   Finished = true;
   Timer.cancel();
+  endCharge();
   cancelCalls();
   recordOutcome(answer.result_int(), outcome);
   if (Context->FromHost)
@@ -369,6 +376,7 @@
     return;
   Finished = true;
   Timer.cancel();
+  endCharge();
   cancelCalls();
   recordOutcome(0, "caller_left");
   OnAnswer = nullptr;
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -16,6 +16,7 @@
 
 #include "entry/CallerSession.h"
 #include "entry/CrashTracker.h"
+#include "entry/QuotaGate.h"
 #include "entry/RequestRecorder.h"
 #include "leaf/ServiceCall.h"
 #include "savorytrestle/core/HedgePolicy.h"
@@ -76,6 +77,9 @@
     MakeForward = std::move(factory);
   }
 
+  /// @brief Holds the request's credit until its end.
+  void setCharge(QuotaGate::ChargePtr charge) { Charge = std::move(charge); }
+
   /// @brief This host has no links to leaves: forwards the calls that are still
   /// unanswered, if they may be sent again. May be called repeatedly.
   void onLeavesLost();
@@ -117,6 +121,8 @@
   /// Names the leaves that are leaving in the answer to another host.
   void addLeavingLeaves(CallerAnswer &answer) const;
   bool anyLeafMayHaveRun() const;
+  /// Returns the request's credit if it ran nowhere.
+  void endCharge();
   void runDueActions(core::TimePoint now);
   void cancelCalls();
   void armTimer();
@@ -126,6 +132,7 @@
   CrashTracker &Tracker;
   AnswerHandler OnAnswer;
   ForwardFactory MakeForward;
+  QuotaGate::ChargePtr Charge;
   boost::asio::steady_timer Timer;
   std::vector<ServiceCallPtr> Calls;
   std::vector<Relay> Relays;
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -76,8 +76,9 @@
   const auto target = support::toStringView(request.target());
   const bool relay = entry::isRelay(request);
   const bool report = registry::LeafExchange::isReport(target);
+  const bool rates = registry::RateExchange::isRates(target);
   // A host that starts reads the feed before it has an entry.
-  if (!relay && !report)
+  if (!relay && !report && !rates)
     return PeerFeed->handle(target, std::move(respond));
   if (!isHost(from)) {
     if (RefusalLog.allowLine(SteadyClock::now()))
@@ -90,7 +91,10 @@
   }
   if (relay)
     return Router.handleRelay(std::move(request), std::move(respond));
-  respond(Exchange->handle(request.body()));
+  if (rates)
+    respond(Rates->handle(request.body()));
+  else
+    respond(Exchange->handle(request.body()));
   return nullptr;
 }
 
@@ -165,6 +169,11 @@
   PeerFeed = std::make_shared<registry::FeedServer>(Io, Mirror);
   Exchange = std::make_shared<registry::LeafExchange>(Io, Leaves, Config.Id);
   Exchange->start();
+  Quotas = std::make_shared<entry::QuotaGate>(Io, Config.Id, Config.Quotas);
+  Router.setQuotaGate(Quotas);
+  Rates = std::make_shared<registry::RateExchange>(
+      Io, Quotas, [this] { return Presence->confirmedUntil(); });
+  Rates->start();
   // Starts the leaf feed first, so that the leaves of a configuration's
   // services are known when it comes into force.
   LeafEntries->start(*Mirror);
@@ -246,9 +255,20 @@
       others.ById[host.Id] = address;
     }
   setCollectors(others);
+  setRateHosts(hosts, others);
   Mirror->setPlan(planMirror(others));
 }
 
+void PlatformHost::setRateHosts(const registry::KnownHosts &hosts,
+                                const HostAddresses &others) {
+  const bool hasOldEntry =
+      others.ById.count(Config.Id) > 0 && !Presence->published();
+  const auto how = Config.FleetStarts ? core::LenderStart::Fleet
+                   : hasOldEntry      ? core::LenderStart::Restart
+                                      : core::LenderStart::Join;
+  Rates->setHosts(others.ById, hosts.EverSeen, how);
+}
+
 registry::MirrorPlan
 PlatformHost::planMirror(const HostAddresses &others) const {
   const auto plan = core::planFeed({Config.Id, Config.FailureDomain},
@@ -318,6 +338,7 @@
   HostMetrics.setGauge("savorytrestle_log_lines_dropped",
                        "Log lines dropped for want of a reader.",
                        static_cast<double>(support::droppedLogLines()));
+  Quotas->writeMetrics(HostMetrics);
   return entry::textAnswer(http::status::ok, HostMetrics.text());
 }
 
@@ -378,6 +399,8 @@
   StopDeadline = SteadyClock::now() + Config.StopGrace - ExitReserve;
   CallerContext->Draining = true;
   PeerContext->Draining = true;
+  // Others take over what this host owns once its entry is gone.
+  Rates->stopLending();
   Presence->stop();
   support::LogLine("stop")
       .with("host", Config.Id)
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -26,6 +26,7 @@
 #include "registry/HostPresence.h"
 #include "registry/LeafExchange.h"
 #include "registry/LeafFeed.h"
+#include "registry/RateExchange.h"
 #include "registry/RateLimitNotices.h"
 #include "serve/PlatformHostConfig.h"
 #include "support/LogRateLimiter.h"
@@ -65,6 +66,9 @@
   bool isHost(const boost::asio::ip::address &address) const {
     return HostIps.count(address) > 0;
   }
+  /// Sets the hosts with which rates of workspaces are shared.
+  void setRateHosts(const registry::KnownHosts &hosts,
+                    const HostAddresses &others);
   registry::MirrorPlan planMirror(const HostAddresses &others) const;
   /// Sets the hosts with which reports on leaves are exchanged.
   void setCollectors(const HostAddresses &others);
@@ -94,6 +98,8 @@
   std::shared_ptr<registry::StoreMirror> Mirror;
   std::shared_ptr<registry::FeedServer> PeerFeed;
   std::shared_ptr<registry::LeafExchange> Exchange;
+  std::shared_ptr<entry::QuotaGate> Quotas;
+  std::shared_ptr<registry::RateExchange> Rates;
   std::shared_ptr<registry::ConfigFeed> Configs;
   std::shared_ptr<registry::LeafFeed> LeafEntries;
   std::shared_ptr<registry::HostFeed> Hosts;
--- a/src/serve/PlatformHostConfig.cpp
+++ b/src/serve/PlatformHostConfig.cpp
@@ -37,6 +37,12 @@
       bounds.decimal("retry_extra", config.RetryExtraPerWindow, 0, 1e6);
   config.RetryWindow = bounds.duration("retry_window", config.RetryWindow,
                                        milliseconds(100), minutes(60));
+  config.Quotas.Window = bounds.duration("quota_window", config.Quotas.Window,
+                                         milliseconds(1000), minutes(10));
+  config.Quotas.Overage =
+      bounds.decimal("quota_overage", config.Quotas.Overage, 0, 10);
+  config.Quotas.Slack =
+      bounds.decimal("quota_slack", config.Quotas.Slack, 0, 1e6);
   config.Answers.MaxAnswer = static_cast<std::size_t>(bounds.integer(
       "answer_bytes", static_cast<std::int64_t>(config.Answers.MaxAnswer),
       16 << 10, 256 << 20));
--- a/src/serve/PlatformHostConfig.h
+++ b/src/serve/PlatformHostConfig.h
@@ -13,6 +13,7 @@
 #include "savorytrestle/core/Error.h"
 
 #include "leaf/AnswerMemory.h"
+#include "savorytrestle/core/rates/RateMessage.h"
 
 namespace savorytrestle::serve {
 
@@ -49,6 +50,8 @@
   /// Extra requests allowed beyond the ratio in each window, over all hosts.
   double RetryExtraPerWindow = 50;
   std::chrono::milliseconds RetryWindow{10000};
+  /// Bound on the requests of a workspace with a limit, over all hosts.
+  core::RateBound Quotas{std::chrono::milliseconds(5000), 0.1, 20};
   /// Largest answer of a leaf, and all unfinished ones together, in bytes.
   leaf::AnswerLimits Answers;
 };
--- a/src/support/Metrics.cpp
+++ b/src/support/Metrics.cpp
@@ -64,6 +64,25 @@
       value);
 }
 
+void Metrics::setWorkspaceGauges(const std::string &name,
+                                 const std::string &help,
+                                 const std::map<std::string, double> &values) {
+  const std::lock_guard lock(WorkspaceGaugesMutex);
+  auto &gauges = WorkspaceGauges[name];
+  if (gauges.empty() && values.empty())
+    return;
+  auto &family =
+      prometheus::BuildGauge().Name(name).Help(help).Register(Registry);
+  for (prometheus::Gauge *gauge : gauges)
+    family.Remove(gauge);
+  gauges.clear();
+  for (const auto &[workspace, value] : values) {
+    auto &gauge = family.Add({{"workspace", workspace}});
+    gauge.Set(value);
+    gauges.push_back(&gauge);
+  }
+}
+
 std::string Metrics::text() const {
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
--- a/src/support/Metrics.h
+++ b/src/support/Metrics.h
@@ -5,8 +5,11 @@
 /// @brief The process's metrics, stored with prometheus-cpp.
 
 #include <chrono>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <vector>
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -51,6 +54,13 @@
   /// @param value its value
   void setGauge(const std::string &name, const std::string &help, double value);
 
+  /// @brief Sets gauges with the label "workspace".
+  /// @param name their name
+  /// @param help their help text
+  /// @param values value of each workspace; gauges of others are removed
+  void setWorkspaceGauges(const std::string &name, const std::string &help,
+                          const std::map<std::string, double> &values);
+
   /// @brief All metrics in the Prometheus text format.
   /// @return the text
   std::string text() const;
@@ -63,6 +73,9 @@
   prometheus::Family<prometheus::Counter> &ShardsAnswered;
   prometheus::Family<prometheus::Counter> &Attempts;
   prometheus::Family<prometheus::Counter> &ExtraAttempts;
+  std::mutex WorkspaceGaugesMutex;
+  /// Gauges of the last call, by name.
+  std::map<std::string, std::vector<prometheus::Gauge *>> WorkspaceGauges;
 };
 
 } // namespace savorytrestle::support
--- a/tests/NodeDeployment.h
+++ b/tests/NodeDeployment.h
@@ -155,6 +155,7 @@
         << "\n  peers: " << node->PeerAddress
         << "\n  metrics: " << node->MetricsAddress << "\nseeds: ["
         << seeds.value_or(seedPeers()) << "]"
+        << (FleetStarts ? "\nstart: fleet" : "")
         << "\nplatform:\n  store: " << (store.empty() ? StoreAddress : store)
         << "\nbounds: {stop_grace: 4 s, retry_ratio: 0.2, "
         << "retry_extra: 54, retry_window: 10 s}\n";
@@ -225,6 +226,8 @@
   std::filesystem::path Folder;
   std::string StoreAddress;
   bool StoreOpen = false;
+  /// Whether nodes are added as the hosts of a fleet that starts together.
+  bool FleetStarts = false;
   std::unique_ptr<MetadataStore> Store;
   std::vector<std::unique_ptr<PlatformLeaf>> Leaves;
   std::vector<std::unique_ptr<NodeProcess>> Nodes;
