Give back the credit that a smaller loan has no room for

Cause: the first request of a workspace at a host asks all three lenders, and what it returned a second later was dropped. At 0.5 requests a second four hosts used up the whole bucket with four requests, and the fourth was refused. Change: requests to lenders carry the returned credit; the first ones ask for one request's credit. A new loan gets its end before the ledger is cleared of ended ones.

--- a/include/savorytrestle/core/rates/RateMessage.h
+++ b/include/savorytrestle/core/rates/RateMessage.h
@@ -49,6 +49,8 @@
   double Size = 0;
   /// Credit that it needs at once.
   double Credit = 0;
+  /// Credit that it gives back.
+  double Returned = 0;
 };
 
 /// @brief A lender's reply for one workspace.
--- a/src/core/rates/BorrowedCredit.cpp
+++ b/src/core/rates/BorrowedCredit.cpp
@@ -163,8 +163,11 @@
   slot.AskedAt = now;
   slot.Rate = std::min(slot.Rate, need.Rate / Quota.Rate);
   slot.Size = std::min(slot.Size, need.Size / Quota.Size);
+  const double before = Bucket.credit(now);
   applyGrants(now);
   RateAsk ask;
+  // At a small rate, credit that no longer fits would be missed elsewhere.
+  ask.Returned = before - Bucket.credit(now);
   ask.HoldsRate = slot.Rate;
   ask.HoldsSize = slot.Size;
   ask.Rate = need.Rate;
@@ -205,10 +208,11 @@
                    left.Size >= 1 ? left.Size : 0};
     if (need.Rate > 0)
       need.Size = std::max(need.Size, std::min(1.0, Quota.Size));
+    // Each of the lenders asked at once may bring the credit that is missing.
+    const double credit = none ? std::max(1.0, static_cast<double>(waiting))
+                               : std::max(0.0, target - inHand);
     if (isDue(slot, urgent, need.Size > 0, now))
-      asks.emplace_back(
-          slot.Lender,
-          makeAsk(slot, need, std::max(0.0, target - inHand), now));
+      asks.emplace_back(slot.Lender, makeAsk(slot, need, credit, now));
     // The first request of a workspace asks all lenders at once, since any of
     // them may be unreachable and the caller waits only shortly.
     if (none)
--- a/src/core/rates/LentShare.cpp
+++ b/src/core/rates/LentShare.cpp
@@ -87,6 +87,10 @@
   loan.Size = std::min(loan.Size, ask.HoldsSize);
   loan.WantedRate = std::min(1.0, ask.Rate / Quota.Rate);
   loan.WantedSize = std::min(1.0, ask.Size / Quota.Size);
+  if (mayLend)
+    loan.Until = now + RateLease + RateLeaseMargin;
+  updateUnlent(now);
+  Unlent.add(ask.Returned, now);
   if (!mayLend)
     return grant;
   grant.Lends = true;
@@ -104,7 +108,6 @@
     grant.Rate = 0;
   loan.Rate = std::max(loan.Rate, grant.Rate);
   loan.Size = std::max(loan.Size, grant.Size);
-  loan.Until = now + RateLease + RateLeaseMargin;
   if (grant.Size <= 0)
     return grant;
   const double credit = Unlent.credit(now);
--- a/src/core/rates/RateBook.cpp
+++ b/src/core/rates/RateBook.cpp
@@ -110,8 +110,7 @@
 }
 
 void RateBook::updateFloor(Workspace &it, TimePoint now) {
-  const auto known =
-      static_cast<double>(std::max<std::size_t>(1, KnownHosts));
+  const auto known = static_cast<double>(std::max<std::size_t>(1, KnownHosts));
   const double hosts = known + std::max(1.0, FloorHostMargin * known);
   it.Borrowed.setFloor(FloorInUse ? FloorPart * Bound.Overage / hosts : 0, now);
 }
--- a/src/registry/RateExchange.cpp
+++ b/src/registry/RateExchange.cpp
@@ -48,7 +48,7 @@
   json rows = json::array();
   for (const core::RateAsk &it : asks.Asks)
     rows.push_back({it.Workspace, it.HoldsRate, it.HoldsSize, it.Rate, it.Size,
-                    it.Credit});
+                    it.Credit, it.Returned});
   return json{{"host", asks.Borrower},
               {"sequence", asks.Sequence},
               {"asks", std::move(rows)}}
@@ -69,7 +69,8 @@
                            readNumber(row.at(2), 1),
                            readNumber(row.at(3), MaxRequests),
                            readNumber(row.at(4), 2 * MaxRequests),
-                           readNumber(row.at(5), 2 * MaxRequests)});
+                           readNumber(row.at(5), 2 * MaxRequests),
+                           readNumber(row.at(6), 2 * MaxRequests)});
     return asks;
   });
 }
--- a/tests/process-rates.cpp
+++ b/tests/process-rates.cpp
@@ -141,12 +141,12 @@
        {"", "{", "[]", R"({"host":"h","sequence":1})",
         R"({"host":"","sequence":1,"asks":[]})",
         R"({"host":"h","sequence":"1","asks":[]})",
-        R"({"host":"h","sequence":1,"asks":[["large",2,0,1,1,1]]})",
-        R"({"host":"h","sequence":1,"asks":[["large",0,0,-1,1,1]]})",
-        R"({"host":"h","sequence":1,"asks":[["large",0,0,1e99,1,1]]})",
+        R"({"host":"h","sequence":1,"asks":[["large",2,0,1,1,1,0]]})",
+        R"({"host":"h","sequence":1,"asks":[["large",0,0,-1,1,1,0]]})",
+        R"({"host":"h","sequence":1,"asks":[["large",0,0,1e99,1,1,0]]})",
         R"({"host":"h","sequence":1,"asks":[["large",0,0]]})"})
     EXPECT_EQ(post(body), 400) << body;
-  EXPECT_EQ(post(R"({"host":"h","sequence":1,"asks":[["none",0,0,1,1,1]]})"),
+  EXPECT_EQ(post(R"({"host":"h","sequence":1,"asks":[["none",0,0,1,1,1,0]]})"),
             200);
 }
 
--- a/tests/unit-rates.cpp
+++ b/tests/unit-rates.cpp
@@ -187,7 +187,7 @@
   LentShare lent;
   lent.setQuota({100, 100}, now);
   lent.setOwned(0.5, 0s, now);
-  const RateAsk ask{"w", 0, 0, 30, 30, 5};
+  const RateAsk ask{"w", 0, 0, 30, 30, 5, 0};
   BorrowedCredit borrower;
   borrower.setQuota({100, 100}, now);
   borrower.setLenders({"lender"});
@@ -198,7 +198,7 @@
   EXPECT_DOUBLE_EQ(grant.Rate, 0.3);
   borrower.onGrant("lender", grant, now - 1s, now);
   EXPECT_EQ(borrower.trySpend(1, now), CreditSource::Grant);
-  EXPECT_FALSE(lent.grant("h", 1, {"w", 0, 0, 1, 1, 0}, true, now).Lends);
+  EXPECT_FALSE(lent.grant("h", 1, {"w", 0, 0, 1, 1, 0, 0}, true, now).Lends);
   EXPECT_DOUBLE_EQ(lent.lent(now), 0.3);
   EXPECT_EQ(borrower.trySpend(1, now + 3s), CreditSource::None);
   EXPECT_GT(lent.lent(now + RateLease), 0);
