Keep the shares of a traffic split over many hosts and over forwards

Cause: each host began its round robin with the same part, so that 300 requests over 122 hosts, two or three each, went to the parts of small weight far too seldom; a host that got a forward assigned it to a part of its own turn, which may be another one than that of the caller's host.

--- a/include/savorytrestle/core/WeightedRoundRobin.h
+++ b/include/savorytrestle/core/WeightedRoundRobin.h
@@ -16,10 +16,15 @@
 public:
   /// @brief Chooses the part for the next request. O(parts).
   /// @param weights of the parts; a change of their number resets the state
+  /// @param start uniform random number in [0, 1), which selects the position
+  /// after a reset. Hosts that all start with the same part would send it far
+  /// more than its share, as each of many hosts gets few requests.
   /// @return index of the part; 0 when no weight is positive
-  std::size_t next(const std::vector<double> &weights);
+  std::size_t next(const std::vector<double> &weights, double start = 0);
 
 private:
+  std::size_t advance(const std::vector<double> &weights);
+
   std::vector<double> Credits;
 };
 
--- a/src/entry/RelayRequest.cpp
+++ b/src/entry/RelayRequest.cpp
@@ -15,6 +15,7 @@
 namespace savorytrestle::entry {
 
 using leaf::RelayMaxLeavesHeader;
+using leaf::RelayPartHeader;
 using leaf::RelayShardsHeader;
 using leaf::RelayVersionHeader;
 using leaf::RelayWorkspaceHeader;
@@ -47,15 +48,24 @@
   request.erase(RelayShardsHeader);
   request.erase(RelayMaxLeavesHeader);
   request.erase(RelayWorkspaceHeader);
+  request.erase(RelayPartHeader);
 }
 
 std::shared_ptr<const core::RouteRule>
 routeForRelay(const core::RouteRule &route, const CallerRequest &request) {
   const auto shards = request.find(RelayShardsHeader);
   const auto maxLeaves = request.find(RelayMaxLeavesHeader);
-  if (shards == request.end() && maxLeaves == request.end())
+  const auto part = request.find(RelayPartHeader);
+  if (shards == request.end() && maxLeaves == request.end() &&
+      part == request.end())
     return nullptr;
   auto derived = std::make_shared<core::RouteRule>(route);
+  if (std::size_t i = 0;
+      part != request.end() &&
+      absl::SimpleAtoi(
+          absl::string_view(part->value().data(), part->value().size()), &i) &&
+      i < route.Targets.size())
+    derived->Targets = {route.Targets[i]};
   if (shards != request.end())
     keepShards(*derived, support::toStringView(shards->value()));
   int most = 0;
@@ -69,7 +79,8 @@
 
 std::shared_ptr<const leaf::CallContext>
 makeRelayContext(const leaf::CallContext &direct,
-                 const std::vector<std::size_t> &shards, int maxLeaves) {
+                 const std::vector<std::size_t> &shards, int maxLeaves,
+                 std::optional<std::size_t> part) {
   auto route = std::make_shared<core::RouteRule>(direct.Route);
   // The other host hedges and retries; doing so here too would double the load.
   route->Idempotent = false;
@@ -80,6 +91,8 @@
     request.set(RelayShardsHeader, absl::StrJoin(shards, ","));
   if (maxLeaves < direct.Route.MaxLeaves)
     request.set(RelayMaxLeavesHeader, std::to_string(maxLeaves));
+  if (part)
+    request.set(RelayPartHeader, std::to_string(*part));
   if (direct.Workspace != nullptr)
     request.set(RelayWorkspaceHeader, direct.Workspace->Name);
   const core::RouteRule &rule = *route;
--- a/src/entry/RelayRequest.h
+++ b/src/entry/RelayRequest.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "entry/CallerSession.h"
@@ -30,9 +31,11 @@
 /// @param direct the request as this host would send it to leaves
 /// @param shards indices of the shards that it covers; empty for a plain route
 /// @param maxLeaves leaves of each service that it may be sent to
+/// @param part index of the part of a split route that it was assigned to
 std::shared_ptr<const leaf::CallContext>
 makeRelayContext(const leaf::CallContext &direct,
-                 const std::vector<std::size_t> &shards, int maxLeaves);
+                 const std::vector<std::size_t> &shards, int maxLeaves,
+                 std::optional<std::size_t> part = {});
 
 } // namespace savorytrestle::entry
 
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -45,6 +45,20 @@
   return target.substr(0, target.find('?'));
 }
 
+/// Index of the part of a split route that a request was assigned to.
+std::optional<std::size_t>
+partOf(const core::RouteRule &route,
+       const std::vector<leaf::Service *> &services) {
+  if (route.sharded() || route.Targets.size() < 2 || services.size() != 1)
+    return std::nullopt;
+  const auto it = std::find_if(
+      route.Targets.begin(), route.Targets.end(),
+      [&](const auto &part) { return part.Service == services[0]->Name; });
+  if (it == route.Targets.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(it - route.Targets.begin());
+}
+
 /// Removes the hop-by-hop headers, which concern only the caller's connection.
 void removeHopByHopHeaders(leaf::LeafRequest &request) {
   // The Connection header lists further hop-by-hop headers.
@@ -175,7 +189,8 @@
     if (const auto it = std::find(names.begin(), names.end(), service->Name);
         it != names.end())
       shards.push_back(static_cast<std::size_t>(it - names.begin()));
-  return Relay{.Context = makeRelayContext(direct, shards, leavesLeft),
+  return Relay{.Context = makeRelayContext(direct, shards, leavesLeft,
+                                           partOf(direct.Route, services)),
                .Hosts = hosts,
                .Services = services,
                .IsForward = true,
@@ -363,10 +378,16 @@
     services.push_back(&Leaves.service(shard));
   if (route.sharded() || route.Targets.empty())
     return services;
+  // A forward names its part; another turn would move the request.
+  if (route.Targets.size() == 1) {
+    services.push_back(&Leaves.service(route.Targets.front().Service));
+    return services;
+  }
   std::vector<double> weights;
   for (const core::WeightedService &target : route.Targets)
     weights.push_back(target.Weight);
-  const std::size_t target = SplitTurns[route.Name].next(weights);
+  const std::size_t target =
+      SplitTurns[route.Name].next(weights, Leaves.draw());
   services.push_back(&Leaves.service(route.Targets[target].Service));
   return services;
 }
--- a/src/leaf/RelayHeaders.h
+++ b/src/leaf/RelayHeaders.h
@@ -25,6 +25,9 @@
 /// @brief Marks an answer to a relay as that of a leaf, whatever its status.
 inline constexpr const char *RelayLeafAnswerHeader = "Relay-Leaf-Answer";
 
+/// @brief Index of the part of a split route that the request was assigned to.
+inline constexpr const char *RelayPartHeader = "Relay-Part";
+
 /// @brief Name of the caller's workspace, which the relaying host has found by
 /// the caller's key.
 inline constexpr const char *RelayWorkspaceHeader = "Relay-Workspace";
--- a/tests/unit-serving-policies.cpp
+++ b/tests/unit-serving-policies.cpp
@@ -221,6 +221,20 @@
   EXPECT_EQ(taken[3], 0);
 }
 
+/// Guards against hosts that all send their first requests to the same part:
+/// each of 122 hosts gets two or three of 300 requests.
+TEST(WeightedRoundRobin, SharesHoldOverManyHostsWithFewRequestsEach) {
+  const std::vector<double> weights{0.8, 0.15, 0.05};
+  std::vector<double> taken(weights.size());
+  std::vector<WeightedRoundRobin> hosts(122);
+  for (std::size_t n = 0; n < 300; ++n) {
+    const std::size_t host = n % hosts.size();
+    ++taken[hosts[host].next(weights, (static_cast<double>(host) + 0.5) / 122)];
+  }
+  for (std::size_t i = 0; i < weights.size(); ++i)
+    EXPECT_NEAR(taken[i] / 300, weights[i], 0.05) << i;
+}
+
 TEST(RelayPolicy, ShardsOfAnotherDomainAreRelayedThroughItsHosts) {
   ShardDomains shards(12);
   for (std::size_t i = 0; i < 6; ++i)
