Evacuate failure domains and bound the requests to cold leaves

Cause: op/evacuate and warmupPerS were not read; requests went on to leaves of evacuated domains, and cold leaves got any number of requests. Change: registry::EvacuationFeed and LeafDirectory::setEvacuated stop all new attempts to leaves there; the mirror keeps evacuations that an older copy of the store lacks, also over later lists of its era. core::ColdLeaf bounds what this host sends to a cold leaf, by a fixed share of a rate below the bound. Settings bounds.evacuation, .warmup_overage, .warmup_slack; metrics savorytrestle_evacuated_domains and _cold_leaves. A leaf whose entry names another domain changes its region (home regions).

--- a/include/savorytrestle/core/LeafEntry.h
+++ b/include/savorytrestle/core/LeafEntry.h
@@ -27,6 +27,10 @@
   /// Start time in milliseconds since 1970, 0 if the entry has none;
   /// distinguishes two runs under the same identity.
   std::int64_t StartedAt = 0;
+  /// Whether the entry states WarmUpLeft.
+  bool StatesWarmUp = true;
+  /// Revision of the store at which it was written; 0 if unknown.
+  std::int64_t Revision = 0;
 };
 
 } // namespace savorytrestle::core
--- a/include/savorytrestle/core/rates/LeafRateLimit.h
+++ b/include/savorytrestle/core/rates/LeafRateLimit.h
@@ -25,6 +25,13 @@
 /// of hosts would be several times the limit.
 class LeafRateLimit {
 public:
+  /// @brief Makes a limit that saves up chances for two seconds.
+  LeafRateLimit() = default;
+
+  /// @brief Makes a limit.
+  /// @param chanceSaving time over which unused chances are saved up
+  explicit LeafRateLimit(Duration chanceSaving) : ChanceSaving(chanceSaving) {}
+
   /// @brief Sets the limit. O(1).
   /// @param perSecond requests a second from all hosts together; nothing if
   /// there is no limit
@@ -75,6 +82,7 @@
   double capacity() const;
   double savedRequests(TimePoint now) const;
 
+  Duration ChanceSaving = std::chrono::seconds(2);
   std::optional<double> Limit;
   double Share = 1;
   /// Requests saved up at SavedAt.
--- a/src/core/rates/LeafRateLimit.cpp
+++ b/src/core/rates/LeafRateLimit.cpp
@@ -9,9 +9,8 @@
 using Seconds = std::chrono::duration<double>;
 
 constexpr std::chrono::seconds UsePeriod{4};
-/// Time over which unused requests are saved up, whole ones and chances.
+/// Time over which unused whole requests are saved up.
 constexpr Seconds SavingTime{1};
-constexpr Seconds ChanceSavingTime{2};
 /// Lowest rate of all hosts together: without any request nobody would learn
 /// that a limit of zero has ended.
 constexpr double MinRate = 0.1;
@@ -39,7 +38,7 @@
 }
 
 double LeafRateLimit::capacity() const {
-  return sendsByLot() ? std::min(1.0, ownRate() * ChanceSavingTime.count())
+  return sendsByLot() ? std::min(1.0, ownRate() * Seconds(ChanceSaving).count())
                       : ownRate() * SavingTime.count();
 }
 
--- a/src/leaf/Leaf.cpp
+++ b/src/leaf/Leaf.cpp
@@ -27,17 +27,51 @@
       Region(std::move(region)), Score(distance, Entry.Slots),
       Memory(std::move(memory)) {
   update(Entry);
+  recordWarmUp();
 }
 
 void Leaf::update(core::LeafEntry entry) {
+  // A list repeats entries that were read before, whose times have passed.
+  const bool isNew = entry.Revision == 0 || entry.Revision != Entry.Revision;
   Entry = std::move(entry);
   Score.setWarmUpEnd(SteadyClock::now() + Entry.WarmUpLeft);
+  if (isNew)
+    recordWarmUp();
   if (Entry.Draining)
     retire();
 }
 
 void Leaf::retire() {
   Retired = true;
+  cancelUnsent();
+}
+
+void Leaf::recordWarmUp() {
+  const auto now = SteadyClock::now();
+  if (Entry.StatesWarmUp)
+    return Demands.Cold.onStated(now + Entry.WarmUpLeft);
+  if (Entry.StartedAt == 0)
+    return;
+  // Without a statement, the time since the start is all that is known. The
+  // clocks of hosts and leaves may differ: a later start counts as one just
+  // now.
+  const auto sinceStart = std::chrono::system_clock::now().time_since_epoch() -
+                          std::chrono::milliseconds(Entry.StartedAt);
+  Demands.Cold.onUnknownSince(
+      now - std::max(core::Duration::zero(),
+                     std::chrono::duration_cast<core::Duration>(sinceStart)));
+}
+
+bool Leaf::setEvacuated(bool evacuated, core::TimePoint now) {
+  if (evacuated == Evacuated)
+    return false;
+  Evacuated = evacuated;
+  if (!evacuated)
+    Demands.Cold.onUnknownSince(now);
+  return true;
+}
+
+void Leaf::cancelUnsent() {
   closeIdleConnections();
   cancelConnecting();
 }
@@ -96,7 +130,7 @@
 void Leaf::releaseConnection(std::shared_ptr<LeafConnection> connection) {
   if (!connection->ready())
     return;
-  if (Retired)
+  if (!acceptsRequests())
     return connection->close();
   Idle.push_back(std::move(connection));
 }
--- a/src/leaf/Leaf.h
+++ b/src/leaf/Leaf.h
@@ -7,6 +7,7 @@
 
 #include <utility>
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include "savorytrestle/core/LeafEntry.h"
 #include "savorytrestle/core/LeafSilence.h"
 #include "savorytrestle/core/balance/LeafScore.h"
+#include "savorytrestle/core/placement/ColdLeaf.h"
 #include "savorytrestle/core/rates/LeafRateLimit.h"
 
 namespace savorytrestle::leaf {
@@ -25,6 +27,8 @@
   core::LeafSilence Silence;
   /// Rate of requests that it takes from all hosts together.
   core::LeafRateLimit RateLimit;
+  /// Bound on the requests to it while it is cold.
+  core::ColdLeaf Cold;
 };
 
 /// @brief One process of a leaf; a restart of the leaf makes a new object.
@@ -72,7 +76,19 @@
   void closeIdleConnections();
 
   /// @brief Whether new requests may be sent to the leaf.
-  bool acceptsRequests() const { return !Retired; }
+  bool acceptsRequests() const { return !Retired && !Evacuated; }
+
+  /// @brief Whether the run is leaving or has left.
+  bool retired() const { return Retired; }
+
+  /// @brief Sets whether the leaf's failure domain is evacuated. While it is,
+  /// the leaf gets no new requests; afterwards it counts as cold.
+  /// @return whether that has changed
+  bool setEvacuated(bool evacuated, core::TimePoint now);
+
+  /// @brief Closes idle connections and cancels the requests that wait for a
+  /// connection. Their handlers may send them to other leaves at once.
+  void cancelUnsent();
 
   /// @brief Sets whether requests may be sent for now, for hosts that say that
   /// they take none.
@@ -102,6 +118,35 @@
   core::LeafRateLimit &rateLimit() { return Demands.RateLimit; }
   const core::LeafRateLimit &rateLimit() const { return Demands.RateLimit; }
 
+  /// @brief Bound on the requests to the leaf while it is cold.
+  core::ColdLeaf &cold() { return Demands.Cold; }
+  const core::ColdLeaf &cold() const { return Demands.Cold; }
+
+  /// @brief Probability with which a request may be sent now, by the smaller of
+  /// the rate limit and the bound of a cold leaf. O(1).
+  double sendChance(core::TimePoint now) const {
+    return std::min(Demands.RateLimit.sendChance(now),
+                    Demands.Cold.sendChance(now));
+  }
+
+  /// @brief Records that a request is sent, for both limits. O(1).
+  void onSend(core::TimePoint now) {
+    Demands.RateLimit.onSend(now);
+    Demands.Cold.onSend(now);
+  }
+
+  /// @brief Records that a request lost the draw against @ref sendChance. O(1).
+  void onDrawLost(core::TimePoint now) {
+    Demands.RateLimit.onDrawLost(now);
+    Demands.Cold.onDrawLost(now);
+  }
+
+  /// @brief When both limits allow the next request. O(1).
+  core::TimePoint nextSend(core::TimePoint now) const {
+    return std::max(Demands.RateLimit.nextSend(now),
+                    Demands.Cold.nextSend(now));
+  }
+
   /// @brief What the leaf has asked of this host.
   const LeafDemands &demands() const { return Demands; }
 
@@ -111,6 +156,7 @@
     Demands = demands;
     // The test, if any, ended with the earlier entry.
     Demands.Silence.onTestLost();
+    recordWarmUp();
   }
 
   /// @brief This host's score of the leaf.
@@ -119,6 +165,8 @@
 
 private:
   void cancelConnecting();
+  /// Records what the entry says of the leaf's warm-up.
+  void recordWarmUp();
 
   boost::asio::io_context &Io;
   core::LeafEntry Entry;
@@ -133,6 +181,7 @@
   std::size_t ConnectionCount = 0;
   std::size_t MaxConnections = 4;
   bool Retired = false;
+  bool Evacuated = false;
   bool Available = true;
 };
 
--- a/src/leaf/LeafChoice.cpp
+++ b/src/leaf/LeafChoice.cpp
@@ -48,12 +48,12 @@
     }
     if (!best)
       return nullptr;
-    const double chance = best->rateLimit().sendChance(now);
+    const double chance = best->sendChance(now);
     if (draw < chance)
       return best;
     // What is left of the draw stays uniform for the next leaf.
     draw -= chance;
-    best->rateLimit().onDrawLost(now);
+    best->onDrawLost(now);
     tried.push_back(std::move(best));
   }
 }
@@ -63,7 +63,7 @@
   const auto now = SteadyClock::now();
   for (const auto &leaf : service.Leaves)
     if (acceptsNow(*leaf, now) && homes.allows(leaf->region())) {
-      draw -= leaf->rateLimit().sendChance(now);
+      draw -= leaf->sendChance(now);
       if (draw < 0)
         return true;
     }
@@ -74,7 +74,7 @@
   const auto now = SteadyClock::now();
   for (const auto &leaf : service.Leaves)
     if (acceptsNow(*leaf, now) && homes.allows(leaf->region()))
-      leaf->rateLimit().onDrawLost(now);
+      leaf->onDrawLost(now);
 }
 
 core::TimePoint availableAt(const Service &service, core::TimePoint now,
@@ -85,7 +85,7 @@
       continue;
     // The end of a backoff after a failed connection promises nothing.
     if (acceptsNow(*leaf, now))
-      earliest = std::min(earliest, leaf->rateLimit().nextSend(now));
+      earliest = std::min(earliest, leaf->nextSend(now));
     else if (leaf->acceptsRequests() && leaf->silence().end() > now)
       earliest = std::min(earliest, leaf->silence().end());
   }
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t AssumedOwnDomainHosts = 3;
 /// Time within which hosts that start together have registered in the store.
 constexpr std::chrono::milliseconds JointStartPeriod{2500};
+/// Time after which the list also holds the hosts whose entries had lapsed and
+/// are written again, as after an outage of the store.
+constexpr std::chrono::milliseconds HostListPeriod{5000};
 /// Shares of a leaf's connections and of its rate limit for the hosts of its
 /// failure domain, which send it most of its requests, and for all other hosts.
 /// The rest is reserved for hosts that aren't in the list yet.
@@ -33,8 +36,6 @@
 /// it in the store.
 constexpr std::chrono::milliseconds PublishDelay{3000};
 
-/// Prefix of services that hold other hosts; configured names can't have it.
-const std::string PeerServicePrefix = "/hosts/";
 /// Connections to each other host; a leaf's limits don't apply to hosts.
 constexpr int PeerConnections = 32;
 
@@ -74,9 +75,11 @@
 }
 
 void LeafDirectory::applyConfig(const core::ServingConfig &config) {
+  ServiceRules = config.Services;
   for (const core::ServiceRule &rule : config.Services) {
     Service &known = service(rule.Name);
     known.MaxConnections = rule.MaxConnections;
+    setColdRule(known, rule);
     for (const auto &leaf : known.Leaves)
       setShares(known, *leaf);
   }
@@ -92,6 +95,7 @@
     if (known.Address == entry.Address && known.Service == entry.Service &&
         known.StartedAt == entry.StartedAt) {
       it->second->update(entry);
+      applyDomain(*it->second);
       return;
     }
     removeLeaf(entry.Id);
@@ -104,8 +108,8 @@
     return;
   }
   auto leaf = std::make_shared<Leaf>(Io, entry, address,
-                                     distanceTo(entry.FailureDomain), Memory,
-                                     regionOf(entry.FailureDomain));
+                                     distanceTo(entry.FailureDomain), Memory);
+  applyDomain(*leaf);
   if (Departed.contains(run))
     leaf->retire();
   if (const auto it = DemandsByRun.find(run); it != DemandsByRun.end()) {
@@ -139,8 +143,9 @@
   std::erase_if(DemandsByRun, [now](const auto &it) {
     return now - it.second.RemovedAt > MaxDemandAge;
   });
-  const bool asked =
-      leaf.silence().end() > now || leaf.rateLimit().limit().has_value();
+  const bool asked = leaf.silence().end() > now ||
+                     leaf.rateLimit().limit().has_value() ||
+                     leaf.cold().isBound(now);
   if (asked && DemandsByRun.size() < MaxKeptDemands)
     DemandsByRun[leaf.run()] = {leaf.demands(), now};
 }
@@ -253,7 +258,7 @@
 LeafDirectory::sampleAddresses(std::size_t count) {
   std::vector<boost::asio::ip::tcp::endpoint> all;
   for (const auto &[id, leaf] : ById)
-    if (!id.starts_with(PeerServicePrefix) && leaf->acceptsRequests())
+    if (!id.starts_with(PeerServicePrefix) && !leaf->retired())
       all.push_back(leaf->address());
   std::vector<boost::asio::ip::tcp::endpoint> sample;
   std::sample(all.begin(), all.end(), std::back_inserter(sample), count,
@@ -291,7 +296,7 @@
 
 bool LeafDirectory::acceptsRequests(const std::string &id) const {
   const auto it = ById.find(id);
-  return it != ById.end() && it->second->acceptsRequests();
+  return it != ById.end() && !it->second->retired();
 }
 
 std::optional<core::LeafRun> LeafDirectory::runOf(const std::string &id) const {
@@ -404,10 +409,14 @@
   HostCount = std::max(HostCount, OwnDomainHostCount);
   // Hosts that start together aren't all listed yet; too small a number would
   // give each host too large a share.
-  if (SteadyClock::now() - StartTime < JointStartPeriod) {
+  const bool jointStart = SteadyClock::now() - StartTime < JointStartPeriod;
+  if (jointStart) {
     HostCount = std::max(HostCount, AssumedHosts);
     OwnDomainHostCount = std::max(OwnDomainHostCount, AssumedOwnDomainHosts);
-    JointStartTimer.expires_at(StartTime + JointStartPeriod);
+  }
+  if (!knowsHosts()) {
+    JointStartTimer.expires_at(
+        StartTime + (jointStart ? JointStartPeriod : HostListPeriod));
     JointStartTimer.async_wait([this](const boost::system::error_code &ec) {
       if (!ec)
         updateShares();
@@ -438,6 +447,11 @@
       std::max(HostCount, nearHosts)));
 }
 
+bool LeafDirectory::knowsHosts() const {
+  return !HostsByDomain.empty() &&
+         SteadyClock::now() - StartTime >= HostListPeriod;
+}
+
 std::string LeafDirectory::regionOf(const std::string &failureDomain) const {
   const auto it = Location.Regions.find(failureDomain);
   return it == Location.Regions.end() ? "" : it->second;
@@ -469,6 +483,8 @@
     return leaf.setMaxConnections(PeerConnections);
   const double share = hostShare(leaf);
   leaf.rateLimit().setShare(share);
+  leaf.cold().setShare(core::coldLeafShare(share, knowsHosts()));
+  leaf.cold().setRule(service.Cold, SteadyClock::now());
   if (service.MaxConnections > 0)
     leaf.setMaxConnections(
         std::max<std::size_t>(1, std::size_t(share * service.MaxConnections)));
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -20,6 +20,8 @@
 #include "leaf/Service.h"
 #include "savorytrestle/core/LeafLink.h"
 #include "savorytrestle/core/ServingConfig.h"
+#include "savorytrestle/core/placement/ColdLeaf.h"
+#include "savorytrestle/core/placement/Evacuations.h"
 #include "savorytrestle/core/placement/HomeRegions.h"
 #include "savorytrestle/core/placement/RelayPolicy.h"
 #include "support/LogRateLimiter.h"
@@ -33,6 +35,10 @@
   std::map<std::string, std::string> Regions;
 };
 
+/// @brief Prefix of services that hold other hosts; configured names can't have
+/// it.
+inline const std::string PeerServicePrefix = "/hosts/";
+
 /// @brief Limits of leaves in requests a second, by the run of the leaf.
 using RateLimits = std::map<core::LeafRun, double>;
 
@@ -49,6 +55,23 @@
   /// @brief Replaces the limit of retries and hedges.
   void setBudgetRule(const core::RetryBudgetRule &rule);
 
+  /// @brief Replaces the bounds on requests to cold leaves; takes effect for
+  /// services whose rate is configured. O(leaves)
+  void setColdBounds(const core::ColdBounds &bounds);
+
+  /// @brief Starts or ends the evacuation of a failure domain: leaves there get
+  /// no new requests meanwhile. Hosts there are not concerned. O(leaves)
+  /// @param domain the domain, which may be unknown
+  void setEvacuated(const std::string &domain, bool evacuated);
+
+  /// @brief Number of evacuated domains that have a region or a leaf.
+  /// O(leaves)
+  std::size_t evacuatedDomainCount() const;
+
+  /// @brief Number of leaves that get fewer requests since they are or may be
+  /// cold. O(leaves)
+  std::size_t coldLeafCount() const;
+
   /// @brief Replaces the limits on answers of leaves.
   void setAnswerLimits(const AnswerLimits &limits) {
     Memory->setLimits(limits);
@@ -133,7 +156,7 @@
   void applyReport(const std::string &id, const core::LeafReport &report,
                    core::TimePoint at);
 
-  /// @brief Whether a leaf has an entry and new requests may be sent to it.
+  /// @brief Whether a leaf has an entry and isn't leaving, evacuated or not.
   bool acceptsRequests(const std::string &id) const;
 
   /// @brief The run of a leaf's process that has an entry, if any.
@@ -205,6 +228,12 @@
   double hostShare(const Leaf &leaf) const;
   void setShares(const Service &service, Leaf &leaf) const;
   void setBudgetShare(Service &service) const;
+  void setColdRule(Service &service, const core::ServiceRule &rule) const;
+  /// Applies the region and the evacuation of the leaf's failure domain.
+  void applyDomain(Leaf &leaf) const;
+  bool isKnownDomain(const std::string &domain) const;
+  /// Whether the list of hosts holds all hosts that started with this one.
+  bool knowsHosts() const;
 
   boost::asio::io_context &Io;
   boost::asio::steady_timer JointStartTimer;
@@ -213,6 +242,9 @@
   std::map<std::string, std::unique_ptr<Service>> Services;
   std::map<std::string, std::shared_ptr<Leaf>> ById;
   core::DepartedLeaves Departed;
+  core::Evacuations Evacuated;
+  core::ColdBounds Bounds;
+  std::vector<core::ServiceRule> ServiceRules;
   /// What runs without an entry have asked; an entry may only have lapsed.
   std::map<core::LeafRun, KeptDemands> DemandsByRun;
   /// For lines on what leaves ask in their answers.
--- a/src/leaf/Service.h
+++ b/src/leaf/Service.h
@@ -27,6 +27,8 @@
   /// Connections that each leaf accepts from all hosts; 0 if unset, in which
   /// case the default of Leaf holds.
   int MaxConnections = 0;
+  /// Bound on the requests to cold leaves.
+  core::ColdLeafRule Cold;
 };
 
 } // namespace savorytrestle::leaf
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -75,7 +75,7 @@
   auto connection = to->acquireConnection();
   if (!connection)
     return false;
-  to->rateLimit().onSend(now);
+  to->onSend(now);
   Tried.push_back(to);
   ++AttemptCount;
   ++PossibleExecutions;
--- a/src/registry/LeafFeed.cpp
+++ b/src/registry/LeafFeed.cpp
@@ -102,7 +102,7 @@
   Withheld.erase(id);
   if (item.Removed)
     return Removals->onRemoved(id);
-  const auto entry = platform::decodeLeafEntry(id, item.Value);
+  auto entry = platform::decodeLeafEntry(id, item.Value);
   if (!entry) {
     support::LogLine("leaf_entry_skipped")
         .with("leaf", id)
@@ -110,6 +110,7 @@
         .with("why", entry.error().Message);
     return Removals->onRemoved(id);
   }
+  entry->Revision = static_cast<std::int64_t>(item.ModRevision);
   Removals->onPut(id);
   Leaves.putLeaf(*entry);
   support::LogLine("leaf_entry")
--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -404,8 +404,8 @@
 
 void StoreMirror::replaceItems(std::vector<StoredItem> items,
                                store::Position at) {
-  if (Known.At != 0 && at.StoreEra > Known.StoreEra)
-    restoreHeldItems(items, at.At);
+  if (Known.At != 0)
+    restoreHeldItems(items, at.At, at.StoreEra > Known.StoreEra);
   Items.clear();
   for (const StoredItem &item : items)
     Items[item.Key] = item;
@@ -422,18 +422,23 @@
 }
 
 void StoreMirror::restoreHeldItems(std::vector<StoredItem> &listed,
-                                   store::Revision atRevision) const {
+                                   store::Revision atRevision, bool newEra) {
   for (const auto &[prefix, handlers] : Subscriptions) {
     if (!handlers.KeepsHeld)
       continue;
     for (auto it = Items.lower_bound(prefix);
          it != Items.end() && it->first.starts_with(prefix); ++it) {
+      // Later lists of the same era are complete but for items that the store
+      // has lost.
+      if (!newEra && HeldKeys.count(it->first) == 0)
+        continue;
       const auto same = std::find_if(
           listed.begin(), listed.end(),
           [&](const StoredItem &item) { return item.Key == it->first; });
       if (!handlers.KeepsHeld(it->second,
                               same == listed.end() ? nullptr : &*same))
         continue;
+      HeldKeys.insert(it->first);
       StoredItem kept = it->second;
       kept.ModRevision = atRevision;
       if (same == listed.end())
@@ -482,6 +487,7 @@
       StoredItem kept = item;
       kept.ModRevision = Known.At;
       applyChanges({kept}, Known.At);
+      HeldKeys.insert(kept.Key);
     }
   }
 }
@@ -499,6 +505,7 @@
 
 void StoreMirror::applyChange(const StoredItem &item) {
   LastChangeRevision = std::max(LastChangeRevision, item.ModRevision);
+  HeldKeys.erase(item.Key);
   if (!item.Removed) {
     Items[item.Key] = item;
     return;
--- a/src/registry/StoreMirror.h
+++ b/src/registry/StoreMirror.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -133,8 +134,9 @@
   void askHostsForHeldItems();
   void onHeldItems(const std::string &prefix, const Reply &reply);
   /// Puts back held items that stay in place of those of an older copy.
+  /// @param newEra whether the list is the first of a new era
   void restoreHeldItems(std::vector<store::StoredItem> &listed,
-                        store::Revision atRevision) const;
+                        store::Revision atRevision, bool newEra);
   void onSourceSuccess(const SourcePtr &source, std::chrono::milliseconds age);
   void onSourceFailure(const SourcePtr &source, unsigned status,
                        const std::string &why);
@@ -162,6 +164,9 @@
   bool PendingIsLongPoll = false;
 
   std::map<std::string, store::StoredItem> Items;
+  /// Keys of items that no list of the new era had and that stay in Items until
+  /// the key is written or removed.
+  std::set<std::string> HeldKeys;
   /// Removals that other hosts may not have received yet, newest last.
   std::deque<store::StoredItem> Removals;
   /// Removals up to this revision are no longer in Removals.
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -50,6 +50,7 @@
       StatusContext(std::make_shared<entry::SessionContext>()),
       PeerContext(std::make_shared<entry::SessionContext>()) {
   Leaves.setAnswerLimits(Config.Answers);
+  Leaves.setColdBounds(Config.Cold);
   // Hosts of earlier versions send relays to the callers' listener.
   CallerContext->OnRequestFrom = [this](auto request, const auto &from,
                                         auto respond) {
@@ -141,7 +142,9 @@
 
 void PlatformHost::startFeeds(const Endpoint &store) {
   Mirror = std::make_shared<registry::StoreMirror>(
-      Io, store, core::FeedTiming(Config.ConfigApplyTime), Eras);
+      Io, store,
+      core::FeedTiming(std::min(Config.ConfigApplyTime, Config.EvacuationTime)),
+      Eras);
   Configs = std::make_shared<registry::ConfigFeed>([this](const auto &config) {
     Leaves.applyConfig(*config);
     Router.setConfig(config);
@@ -152,6 +155,10 @@
         std::max(config->Limits.MaxBodyBytes, MinPeerBodyBytes);
   });
   LeafEntries = std::make_shared<registry::LeafFeed>(Io, Leaves);
+  Evacuations = std::make_shared<registry::EvacuationFeed>(
+      [this](const std::string &domain, bool evacuated) {
+        Leaves.setEvacuated(domain, evacuated);
+      });
   Hosts = std::make_shared<registry::HostFeed>(
       Io, Config.Id, [this](const auto &hosts) { applyHosts(hosts); },
       [this](const registry::HostEntry &entry) {
@@ -166,7 +173,9 @@
   Exchange = std::make_shared<registry::LeafExchange>(Io, Leaves, Config.Id);
   Exchange->start();
   // Starts the leaf feed first, so that the leaves of a configuration's
-  // services are known when it comes into force.
+  // services are known when it comes into force, and before it that of
+  // evacuations, so that none of their leaves gets a request.
+  Evacuations->start(*Mirror);
   LeafEntries->start(*Mirror);
   Configs->start(*Mirror);
   Hosts->start(*Mirror);
@@ -315,6 +324,12 @@
   HostMetrics.setGauge("savorytrestle_limited_leaves",
                        "Leaves that name a limit of requests a second.",
                        static_cast<double>(Leaves.limitedLeafCount()));
+  HostMetrics.setGauge("savorytrestle_evacuated_domains",
+                       "Evacuated failure domains, whose leaves get nothing.",
+                       static_cast<double>(Leaves.evacuatedDomainCount()));
+  HostMetrics.setGauge("savorytrestle_cold_leaves",
+                       "Leaves with fewer requests as they may be cold.",
+                       static_cast<double>(Leaves.coldLeafCount()));
   HostMetrics.setGauge("savorytrestle_log_lines_dropped",
                        "Log lines dropped for want of a reader.",
                        static_cast<double>(support::droppedLogLines()));
@@ -350,8 +365,10 @@
   Config.RetryExtraPerWindow = config->RetryExtraPerWindow;
   Config.RetryWindow = config->RetryWindow;
   Config.Answers = config->Answers;
+  Config.Cold = config->Cold;
   Leaves.setBudgetRule(retryBudgetRule(Config));
   Leaves.setAnswerLimits(Config.Answers);
+  Leaves.setColdBounds(Config.Cold);
   support::LogLine("reload")
       .with("host", Config.Id)
       .with("retry_extra", Config.RetryExtraPerWindow)
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -21,6 +21,7 @@
 #include "leaf/LeafProber.h"
 #include "registry/ConfigFeed.h"
 #include "registry/DepartureNotices.h"
+#include "registry/EvacuationFeed.h"
 #include "registry/FeedServer.h"
 #include "registry/HostFeed.h"
 #include "registry/HostPresence.h"
@@ -96,6 +97,7 @@
   std::shared_ptr<registry::LeafExchange> Exchange;
   std::shared_ptr<registry::ConfigFeed> Configs;
   std::shared_ptr<registry::LeafFeed> LeafEntries;
+  std::shared_ptr<registry::EvacuationFeed> Evacuations;
   std::shared_ptr<registry::HostFeed> Hosts;
   std::shared_ptr<registry::HostPresence> Presence;
   std::set<boost::asio::ip::address> HostIps;
--- a/src/serve/PlatformHostConfig.cpp
+++ b/src/serve/PlatformHostConfig.cpp
@@ -37,6 +37,11 @@
       bounds.decimal("retry_extra", config.RetryExtraPerWindow, 0, 1e6);
   config.RetryWindow = bounds.duration("retry_window", config.RetryWindow,
                                        milliseconds(100), minutes(60));
+  config.EvacuationTime = bounds.duration("evacuation", config.EvacuationTime,
+                                          milliseconds(500), minutes(10));
+  config.Cold.Overage =
+      bounds.decimal("warmup_overage", config.Cold.Overage, 0, 100);
+  config.Cold.Slack = bounds.decimal("warmup_slack", config.Cold.Slack, 0, 1e6);
   config.Answers.MaxAnswer = static_cast<std::size_t>(bounds.integer(
       "answer_bytes", static_cast<std::int64_t>(config.Answers.MaxAnswer),
       16 << 10, 256 << 20));
--- a/src/serve/PlatformHostConfig.h
+++ b/src/serve/PlatformHostConfig.h
@@ -13,6 +13,7 @@
 #include "savorytrestle/core/Error.h"
 
 #include "leaf/AnswerMemory.h"
+#include "savorytrestle/core/placement/ColdLeaf.h"
 
 namespace savorytrestle::serve {
 
@@ -49,6 +50,11 @@
   /// Extra requests allowed beyond the ratio in each window, over all hosts.
   double RetryExtraPerWindow = 50;
   std::chrono::milliseconds RetryWindow{10000};
+  /// Time within which an accepted evacuation must be in force; the longest one
+  /// if the platform names none.
+  std::chrono::milliseconds EvacuationTime = std::chrono::minutes(10);
+  /// Bounds on the requests of all hosts to a cold leaf.
+  core::ColdBounds Cold;
   /// Largest answer of a leaf, and all unfinished ones together, in bytes.
   leaf::AnswerLimits Answers;
 };
