--- a/src/serve/PlatformHostConfig.cpp
+++ b/src/serve/PlatformHostConfig.cpp
@@ -43,6 +43,11 @@
       bounds.decimal("quota_overage", config.Quotas.Overage, 0, 10);
   config.Quotas.Slack =
       bounds.decimal("quota_slack", config.Quotas.Slack, 0, 1e6);
+  config.EvacuationTime = bounds.duration("evacuation", config.EvacuationTime,
+                                          milliseconds(500), minutes(10));
+  config.Cold.Overage =
+      bounds.decimal("warmup_overage", config.Cold.Overage, 0, 100);
+  config.Cold.Slack = bounds.decimal("warmup_slack", config.Cold.Slack, 0, 1e6);
   config.Answers.MaxAnswer = static_cast<std::size_t>(bounds.integer(
       "answer_bytes", static_cast<std::int64_t>(config.Answers.MaxAnswer),
       16 << 10, 256 << 20));
--- a/src/serve/PlatformHostConfig.h
+++ b/src/serve/PlatformHostConfig.h
@@ -13,6 +13,7 @@
 #include "savorytrestle/core/Error.h"
 
 #include "leaf/AnswerMemory.h"
+#include "savorytrestle/core/placement/ColdLeaf.h"
 #include "savorytrestle/core/rates/RateMessage.h"
 
 namespace savorytrestle::serve {
@@ -52,6 +53,11 @@
   std::chrono::milliseconds RetryWindow{10000};
   /// Bound on the requests of a workspace with a limit, over all hosts.
   core::RateBound Quotas{std::chrono::milliseconds(5000), 0.1, 20};
+  /// Time within which an accepted evacuation must be in force; the longest one
+  /// if the platform names none.
+  std::chrono::milliseconds EvacuationTime = std::chrono::minutes(10);
+  /// Bounds on the requests of all hosts to a cold leaf.
+  core::ColdBounds Cold;
   /// Largest answer of a leaf, and all unfinished ones together, in bytes.
   leaf::AnswerLimits Answers;
 };
