Hand over the credit for which a lender has no room left

Cause: size lent without credit cut the credit at the lender; workspaces of less than one request a second lost most of theirs with the first loans. Change: a grant carries that credit; a further lender is not asked for a missing rate below 0.5 requests a second. RatesTest.RequestsBelowTheLimitAreServed still fails on the small workspace.

--- a/src/core/rates/BorrowedCredit.cpp
+++ b/src/core/rates/BorrowedCredit.cpp
@@ -21,6 +21,9 @@
 constexpr double CreditSeconds = 0.7;
 /// A single caller's requests often come in pairs.
 constexpr double MinSize = 2;
+/// A missing rate below this is not asked of a further lender, where the loan's
+/// size of a whole request would be missed by other hosts.
+constexpr double MinRate = 0.5;
 /// Grants are kept for a while without requests, so that an occasional caller
 /// doesn't wait each time.
 constexpr milliseconds Linger{10000};
@@ -204,8 +207,13 @@
   for (Slot &slot : Slots) {
     if (!slot.Current)
       continue;
-    RateQuota need{left.Rate > all.Rate / 20 ? left.Rate : 0,
+    RateQuota need{left.Rate > std::max(all.Rate / 20, MinRate) ? left.Rate : 0,
                    left.Size >= 1 ? left.Size : 0};
+    if (none)
+      need = all;
+    // The others may have credit that the lenders before them lack.
+    if (need.Size <= 0 && waiting > 0)
+      need.Size = std::min(1.0, Quota.Size);
     if (need.Rate > 0)
       need.Size = std::max(need.Size, std::min(1.0, Quota.Size));
     // Each of the lenders asked at once may bring the credit that is missing.
--- a/src/core/rates/LentShare.cpp
+++ b/src/core/rates/LentShare.cpp
@@ -115,7 +115,10 @@
   const double most =
       scarce ? std::max(1.0, credit * loan.WantedRate / all.WantedRate)
              : credit;
-  grant.Credit = Unlent.take(std::min(ask.Credit, most), now);
+  // Credit for which no room is left here goes along with the room.
+  const double excess =
+      credit - std::max(0.0, owned - totals().Size) * Quota.Size;
+  grant.Credit = Unlent.take(std::max(std::min(ask.Credit, most), excess), now);
   updateUnlent(now);
   return grant;
 }
