--- a/src/entry/RequestRouterQuota.cpp
+++ b/src/entry/RequestRouterQuota.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 /// Longest wait for credit, in itself and as a part of the route's objective.
-constexpr milliseconds MaxCreditWait{60};
-constexpr int CreditWaitDivisor = 10;
+constexpr milliseconds MaxCreditWait{100};
+constexpr int CreditWaitDivisor = 2;
 
 } // namespace
 
