--- a/src/core/placement/ColdLeaf.cpp
+++ b/src/core/placement/ColdLeaf.cpp
@@ -9,7 +9,7 @@
 
 /// Standard deviations of the number of requests in a second, which is close to
 /// a Poisson distribution, between its mean and the bound. At 4, a bound of 20
-/// is exceeded in 6 of 100,000 seconds in which all hosts spend all that they
+/// is exceeded in 7 of 100,000 seconds in which all hosts spend all that they
 /// have saved up, and in less than one of a billion others.
 constexpr double Deviations = 4;
 /// Hosts save up a second's chances: at worst two seconds' fall into one.
