--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -204,8 +204,7 @@
            respond);
     return nullptr;
   }
-  const core::WorkspaceRule *const workspace = *identity;
-  const core::HomeRegions homes(rule, workspace);
+  const core::HomeRegions homes(rule, *identity);
   const auto services = selectServices(rule);
   const double draw = Leaves.draw();
   // Another host has no services for the route either, if this one has none.
@@ -221,12 +220,11 @@
     return nullptr;
   }
   const auto context = makeContext(std::move(request), fingerprint, rule,
-                                   relayRoute, draw, workspace, homes);
+                                   relayRoute, draw, *identity, homes);
   const auto run = makeRun(context, std::move(respond));
-  std::optional<Relay> forward;
-  if (forwards)
-    forward = makeForward(*context, services, rule.MaxLeaves, {});
-  if (forward)
+  if (auto forward = forwards
+                         ? makeForward(*context, services, rule.MaxLeaves, {})
+                         : std::nullopt)
     run->start({}, {std::move(*forward)});
   else if (const auto &plan = relayPlanFor(*route);
            plan.empty() || relayed || !isHome(homes))
