--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -266,10 +266,9 @@
                                    relayRoute, draw, workspace, homes);
   const auto run = makeRun(context, std::move(respond));
   run->setCharge(std::move(charge));
-  std::optional<Relay> forward;
-  if (forwards)
-    forward = makeForward(*context, services, rule.MaxLeaves, {});
-  if (forward)
+  if (auto forward = forwards
+                         ? makeForward(*context, services, rule.MaxLeaves, {})
+                         : std::nullopt)
     run->start({}, {std::move(*forward)});
   else if (const auto &plan = relayPlanFor(*route);
            plan.empty() || relayed || !isHome(homes))
