Estimate the present load of leaves from old reports

Cause: with many hosts, each took reports that were seconds old, and shared slowness that the other hosts had long reacted to, for the present state: leaves were overloaded in turns. A fourth figure in the load header made the whole header ignored. Change: core/balance/LoadEstimate: reported requests fade into the mean that other hosts have at the service's leaves; slowness counts less the more requests they have sent since. LeafScore::cost takes that mean. The fourth figure is read, weighted by its age, and the slowness that it explains isn't counted twice.

--- a/include/savorytrestle/core/balance/LeafScore.h
+++ b/include/savorytrestle/core/balance/LeafScore.h
@@ -13,6 +13,7 @@
 
 #include "savorytrestle/core/Time.h"
 #include "savorytrestle/core/balance/LeafReports.h"
+#include "savorytrestle/core/balance/LoadEstimate.h"
 
 namespace savorytrestle::core {
 
@@ -23,16 +24,6 @@
   Remote,     ///< another region
 };
 
-/// @brief Load that a leaf reported with a reply.
-struct ReportedLoad {
-  /// Requests that it executes.
-  int Running = 0;
-  /// Requests that wait for a slot.
-  int Waiting = 0;
-  /// Requests that it can execute concurrently.
-  int Slots = 0;
-};
-
 /// @brief Moving average of the time that requests of one route take at the
 /// leaves of one service.
 class ExpectedLatency {
@@ -119,8 +110,14 @@
   /// plus the expected cost of a failure and of the distance. Lower is better.
   /// @param now current time
   /// @param expected latency of such a request at an average leaf
+  /// @param othersPerSlot see @ref OtherHostsLoad::perSlot; reports lose weight
+  /// with it and with their age
   /// @return the cost; O(1)
-  Duration cost(TimePoint now, Duration expected) const;
+  Duration cost(TimePoint now, Duration expected,
+                double othersPerSlot = 0) const;
+
+  /// @brief Number of requests that this host has sent and that haven't ended.
+  int outstanding() const { return static_cast<int>(Outstanding.size()); }
 
 private:
   struct OutstandingRequest {
@@ -130,10 +127,17 @@
 
   /// Ratio of the leaf's latency to the expected one, from its answers and from
   /// the age of its oldest outstanding request.
-  double slowness(TimePoint now) const;
+  /// @param expected usual latency of a request
+  /// @param othersMean mean number of requests of other hosts
+  double slowness(TimePoint now, Duration expected, double othersMean) const;
   double ownFailureRate(TimePoint now) const;
   double failureRate(TimePoint now) const;
-  double recordedSlowness(TimePoint now) const;
+  double recordedSlowness(TimePoint now, Duration expected,
+                          double othersMean) const;
+  /// Requests at the leaf, as far as they are known or expected.
+  double presentRequests(TimePoint now, Duration expected,
+                         double othersMean) const;
+  double workTime(TimePoint now) const;
   void addSlowness(TimePoint now, double sample);
 
   LeafDistance Distance;
@@ -154,8 +158,10 @@
   int ConsecutiveUnreachable = 0;
   TimePoint BackoffUntil{};
   TimePoint WarmUpEnd{};
-  ReportedLoad Load;
+  /// Requests of other hosts in the last report of the leaf's load.
+  double OthersReported = 0;
   TimePoint LoadReceived{};
+  std::optional<double> WorkTime;
 };
 
 } // namespace savorytrestle::core
--- a/src/core/balance/LeafScore.cpp
+++ b/src/core/balance/LeafScore.cpp
@@ -44,8 +44,6 @@
 /// Cost of round trips and traffic between failure domains and between regions.
 constexpr milliseconds SameRegionCost{15};
 constexpr milliseconds RemoteCost{30};
-/// Age from which a reported load is ignored.
-constexpr milliseconds MaxLoadAge{400};
 /// First and longest pause before an unreachable leaf is tried again.
 constexpr milliseconds InitialBackoff{300};
 constexpr milliseconds MaxBackoff{1200};
@@ -89,9 +87,13 @@
 }
 
 void LeafScore::addSlowness(TimePoint now, double sample) {
+  // The reported work time is part of the cost already. The latency also
+  // contains time that doesn't depend on it, so that it only explains slowness.
+  const double unexplained =
+      std::max(std::min(sample, 1.0), sample / workTime(now));
   Slowness = 1 + decayed(Slowness - 1, SlownessUpdated, now, SlownessDecayTime);
   Slowness +=
-      SlownessWeight * (std::clamp(sample, 0.1, MaxSlowness) - Slowness);
+      SlownessWeight * (std::clamp(unexplained, 0.1, MaxSlowness) - Slowness);
   SlownessUpdated = now;
   ReportedSlowness += std::clamp(sample, 0.1, MaxSlowness);
   ++ReportedSamples;
@@ -113,8 +115,10 @@
 }
 
 void LeafScore::onLoadReport(TimePoint now, const ReportedLoad &load) {
-  Load = load;
+  OthersReported = std::max(0.0, static_cast<double>(load.Running) +
+                                     load.Waiting - outstanding());
   LoadReceived = now;
+  WorkTime = load.WorkTime;
   if (load.Slots > 0)
     Slots = load.Slots;
 }
@@ -149,15 +153,20 @@
   SharedAt = at;
 }
 
-double LeafScore::recordedSlowness(TimePoint now) const {
-  if (SharedAt > SlownessUpdated + OwnSamplePreference)
-    return 1 + decayed(std::max(0.0, SharedReport.Slowness - 1), SharedAt, now,
-                       SlownessDecayTime);
-  return 1 + decayed(Slowness - 1, SlownessUpdated, now, SlownessDecayTime);
+double LeafScore::recordedSlowness(TimePoint now, Duration expected,
+                                   double othersMean) const {
+  const bool shared = SharedAt > SlownessUpdated + OwnSamplePreference;
+  const double observed =
+      shared ? std::max(1.0, SharedReport.Slowness) : Slowness;
+  const TimePoint at = shared ? SharedAt : SlownessUpdated;
+  return discountedSlowness(
+      1 + decayed(observed - 1, at, now, SlownessDecayTime), now - at, expected,
+      othersMean);
 }
 
-double LeafScore::slowness(TimePoint now) const {
-  const double recorded = recordedSlowness(now);
+double LeafScore::slowness(TimePoint now, Duration expected,
+                           double othersMean) const {
+  const double recorded = recordedSlowness(now, expected, othersMean);
   if (Outstanding.empty())
     return recorded;
   const OutstandingRequest &oldest = Outstanding.begin()->second;
@@ -165,6 +174,17 @@
   return age > NormalLatencyRatio ? std::max(recorded, age) : recorded;
 }
 
+double LeafScore::presentRequests(TimePoint now, Duration expected,
+                                  double othersMean) const {
+  const double kept =
+      LoadReceived == TimePoint{} ? 0 : keptShare(now - LoadReceived, expected);
+  return outstanding() + presentLoad(OthersReported, othersMean, kept);
+}
+
+double LeafScore::workTime(TimePoint now) const {
+  return WorkTime ? presentWorkTime(*WorkTime, now - LoadReceived) : 1;
+}
+
 double LeafScore::ownFailureRate(TimePoint now) const {
   return decayed(FailureRate, FailureRateUpdated, now, FailureDecayTime);
 }
@@ -176,17 +196,13 @@
   return ownFailureRate(now);
 }
 
-Duration LeafScore::cost(TimePoint now, Duration expected) const {
-  double factor = slowness(now);
+Duration LeafScore::cost(TimePoint now, Duration expected,
+                         double othersPerSlot) const {
+  const double othersMean = othersPerSlot * Slots;
+  double factor = slowness(now, expected, othersMean) * workTime(now);
   if (now < WarmUpEnd)
     factor *= WarmUpSlowness;
-  const bool fresh =
-      LoadReceived != TimePoint{} && now - LoadReceived < MaxLoadAge;
-  const double ownRequests = static_cast<double>(Outstanding.size());
-  const double busy =
-      fresh ? std::max(ownRequests, static_cast<double>(Load.Running)) +
-                  Load.Waiting
-            : ownRequests;
+  const double busy = presentRequests(now, expected, othersMean);
   // Requests wait only when all slots are in use, but a leaf slows down as it
   // fills.
   factor *= 1 + std::max(0.0, busy - Slots + 1) / Slots + 0.2 * busy / Slots;
--- a/src/leaf/LeafChoice.cpp
+++ b/src/leaf/LeafChoice.cpp
@@ -40,7 +40,10 @@
         continue;
       const double cost =
           jitter(random) *
-          static_cast<double>(leaf->score().cost(now, expected).count());
+          static_cast<double>(
+              leaf->score()
+                  .cost(now, expected, service.OthersLoad.perSlot())
+                  .count());
       if (!best || cost < bestCost) {
         best = leaf;
         bestCost = cost;
--- a/src/leaf/Service.h
+++ b/src/leaf/Service.h
@@ -24,6 +24,8 @@
   std::map<std::string, core::TimePoint> DomainLastSeen;
   /// Expected latency of each route's requests, by the route's name.
   std::map<std::string, core::ExpectedLatency, std::less<>> Latencies;
+  /// Load that the other hosts put on the leaves.
+  core::OtherHostsLoad OthersLoad;
   /// Connections that each leaf accepts from all hosts; 0 if unset, in which
   /// case the default of Leaf holds.
   int MaxConnections = 0;
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -3,9 +3,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_split.h>
-
 #include "leaf/LeafChoice.h"
 #include "savorytrestle/core/Decimal.h"
 #include "support/BeastStringView.h"
@@ -236,13 +233,12 @@
   const auto header = answer.find(Context->Names.LeafLoad);
   if (header == answer.end())
     return;
-  const std::vector<std::string> fields =
-      absl::StrSplit(std::string(support::toStringView(header->value())), ',');
-  core::ReportedLoad load;
-  if (fields.size() == 3 && absl::SimpleAtoi(fields[0], &load.Running) &&
-      absl::SimpleAtoi(fields[1], &load.Waiting) &&
-      absl::SimpleAtoi(fields[2], &load.Slots))
-    from.score().onLoadReport(now, load);
+  const auto load =
+      core::parseReportedLoad(support::toStringView(header->value()));
+  if (!load)
+    return;
+  TargetService.OthersLoad.record(*load, from.score().outstanding());
+  from.score().onLoadReport(now, *load);
 }
 
 void ServiceCall::retryOrFinish(CallEnd fallback, std::optional<Cause> cause,
