Explain where a running host would send a request

Cause: operators could not see why a request goes to a leaf, or to none. Change: /explain on the metrics listener answers with the route, regions, relays and, for each service, the leaves in the order of cost with the age of the last report and the reasons for which one gets no request; `savorytrestle explain` prints it as text or JSON. Nothing is sent, drawn or counted. The cost and the latency estimate are shared with chooseLeaf. The load header of a forwarded answer, which is that of a leaf, no longer counts as the load of the host that forwarded it. Failure rates of zero cost no exp().

--- a/include/savorytrestle/core/balance/LeafScore.h
+++ b/include/savorytrestle/core/balance/LeafScore.h
@@ -119,6 +119,17 @@
   /// @brief Number of requests that this host has sent and that haven't ended.
   int outstanding() const { return static_cast<int>(Outstanding.size()); }
 
+  /// @brief Requests at the leaf now, as far as they are known or expected; see
+  /// @ref cost for the parameters. O(1).
+  double presentRequests(TimePoint now, Duration expected,
+                         double othersPerSlot) const;
+
+  /// @brief Requests that the leaf executes concurrently.
+  int slots() const { return Slots; }
+
+  /// @brief When the last load report came; TimePoint{} if there is none.
+  TimePoint loadReportedAt() const { return LoadReceived; }
+
 private:
   struct OutstandingRequest {
     TimePoint SentAt;
@@ -134,9 +145,6 @@
   double failureRate(TimePoint now) const;
   double recordedSlowness(TimePoint now, Duration expected,
                           double othersMean) const;
-  /// Requests at the leaf, as far as they are known or expected.
-  double presentRequests(TimePoint now, Duration expected,
-                         double othersMean) const;
   double workTime(TimePoint now) const;
   void addSlowness(TimePoint now, double sample);
 
--- a/src/core/balance/LeafScore.cpp
+++ b/src/core/balance/LeafScore.cpp
@@ -50,6 +50,8 @@
 
 double decayed(double value, TimePoint since, TimePoint now,
                milliseconds decayTime) {
+  if (value == 0) // most leaves fail no request
+    return 0;
   return value * std::exp(-ratio(now - since, decayTime));
 }
 
@@ -175,10 +177,11 @@
 }
 
 double LeafScore::presentRequests(TimePoint now, Duration expected,
-                                  double othersMean) const {
+                                  double othersPerSlot) const {
   const double kept =
       LoadReceived == TimePoint{} ? 0 : keptShare(now - LoadReceived, expected);
-  return outstanding() + presentLoad(OthersReported, othersMean, kept);
+  return outstanding() +
+         presentLoad(OthersReported, othersPerSlot * Slots, kept);
 }
 
 double LeafScore::workTime(TimePoint now) const {
@@ -198,11 +201,11 @@
 
 Duration LeafScore::cost(TimePoint now, Duration expected,
                          double othersPerSlot) const {
-  const double othersMean = othersPerSlot * Slots;
-  double factor = slowness(now, expected, othersMean) * workTime(now);
+  double factor =
+      slowness(now, expected, othersPerSlot * Slots) * workTime(now);
   if (now < WarmUpEnd)
     factor *= WarmUpSlowness;
-  const double busy = presentRequests(now, expected, othersMean);
+  const double busy = presentRequests(now, expected, othersPerSlot);
   // Requests wait only when all slots are in use, but a leaf slows down as it
   // fills.
   factor *= 1 + std::max(0.0, busy - Slots + 1) / Slots + 0.2 * busy / Slots;
--- a/src/leaf/LeafChoice.cpp
+++ b/src/leaf/LeafChoice.cpp
@@ -15,6 +15,8 @@
 /// Random factor on costs, so that hosts don't all choose the same one of
 /// several leaves with nearly the same cost.
 constexpr double CostJitter = 0.2;
+/// Initial latency estimate of a route, as a share of its objective.
+constexpr double InitialLatencyShare = 0.15;
 
 } // namespace
 
@@ -24,6 +26,23 @@
          leaf.silence().allowsRequest(now);
 }
 
+core::Duration initialLatency(const core::RouteRule &route) {
+  return std::chrono::duration_cast<core::Duration>(route.Objective *
+                                                    InitialLatencyShare);
+}
+
+core::Duration expectedLatency(const Service &service,
+                               const core::RouteRule &route) {
+  const auto it = service.Latencies.find(route.Name);
+  return it == service.Latencies.end() ? initialLatency(route)
+                                       : it->second.get();
+}
+
+core::Duration costOf(const Service &service, const Leaf &leaf,
+                      core::Duration expected, core::TimePoint now) {
+  return leaf.score().cost(now, expected, service.OthersLoad.perSlot());
+}
+
 std::shared_ptr<Leaf> chooseLeaf(const Service &service,
                                  core::Duration expected,
                                  std::vector<std::shared_ptr<Leaf>> tried,
@@ -40,10 +59,7 @@
         continue;
       const double cost =
           jitter(random) *
-          static_cast<double>(
-              leaf->score()
-                  .cost(now, expected, service.OthersLoad.perSlot())
-                  .count());
+          static_cast<double>(costOf(service, *leaf, expected, now).count());
       if (!best || cost < bestCost) {
         best = leaf;
         bestCost = cost;
--- a/src/leaf/LeafChoice.h
+++ b/src/leaf/LeafChoice.h
@@ -19,6 +19,19 @@
 /// limit.
 bool acceptsNow(const Leaf &leaf, core::TimePoint now);
 
+/// @brief Latency of a route's requests at an average leaf of a service before
+/// any of them was answered.
+core::Duration initialLatency(const core::RouteRule &route);
+
+/// @brief Expected latency of a route's requests at an average leaf of a
+/// service.
+core::Duration expectedLatency(const Service &service,
+                               const core::RouteRule &route);
+
+/// @brief Cost of a request at a leaf, without the random factor of the choice.
+core::Duration costOf(const Service &service, const Leaf &leaf,
+                      core::Duration expected, core::TimePoint now);
+
 /// @brief Chooses the leaf for a request: the one of least cost that accepts
 /// requests, has a free connection and wasn't tried before.
 /// @param service the request's service
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -73,6 +73,11 @@
   return *service;
 }
 
+const Service *LeafDirectory::findService(const std::string &name) const {
+  const auto it = Services.find(name);
+  return it == Services.end() ? nullptr : it->second.get();
+}
+
 void LeafDirectory::applyConfig(const core::ServingConfig &config) {
   for (const core::ServiceRule &rule : config.Services) {
     Service &known = service(rule.Name);
@@ -379,13 +384,17 @@
 }
 
 core::ShardDomains
-LeafDirectory::nearbyDomains(const std::vector<std::string> &shards) {
+LeafDirectory::nearbyDomains(const std::vector<std::string> &shards) const {
   core::ShardDomains near(shards.size());
-  for (std::size_t i = 0; i < shards.size(); ++i)
-    for (const auto &leaf : service(shards[i]).Leaves)
+  for (std::size_t i = 0; i < shards.size(); ++i) {
+    const Service *const shard = findService(shards[i]);
+    if (shard == nullptr)
+      continue;
+    for (const auto &leaf : shard->Leaves)
       if (leaf->acceptsRequests() &&
           distanceTo(leaf->entry().FailureDomain) != core::LeafDistance::Remote)
         near[i].insert(leaf->entry().FailureDomain);
+  }
   return near;
 }
 
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -58,6 +58,9 @@
   /// reference stays valid.
   Service &service(const std::string &name);
 
+  /// @brief Returns the service of a name; null if there is none yet.
+  const Service *findService(const std::string &name) const;
+
   /// @brief Applies the services' limits of a configuration.
   void applyConfig(const core::ServingConfig &config);
 
@@ -168,7 +171,8 @@
 
   /// @brief For each shard, the failure domains of this host's region with a
   /// leaf of it that accepts requests. O(leaves of the shards).
-  core::ShardDomains nearbyDomains(const std::vector<std::string> &shards);
+  core::ShardDomains
+  nearbyDomains(const std::vector<std::string> &shards) const;
 
   /// @brief Number that grows with each change of the leaves.
   std::uint64_t generation() const { return Generation; }
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-/// Initial latency estimate of a route, as a share of its objective.
-constexpr double InitialLatencyShare = 0.15;
 /// Limit of one call's attempts, including those whose connection fails.
 constexpr int MaxAttempts = 5;
 /// HTTP status of a leaf that isn't the one that the request names.
@@ -39,10 +37,8 @@
   const auto it = TargetService.Latencies.find(route.Name);
   if (it != TargetService.Latencies.end())
     return it->second;
-  const auto prior = std::chrono::duration_cast<core::Duration>(
-      route.Objective * InitialLatencyShare);
   return TargetService.Latencies
-      .emplace(route.Name, core::ExpectedLatency(prior))
+      .emplace(route.Name, core::ExpectedLatency(initialLatency(route)))
       .first->second;
 }
 
@@ -230,6 +226,9 @@
 
 void ServiceCall::recordLoad(Leaf &from, const LeafAnswer &answer,
                              TimePoint now) {
+  // The answer to a forward carries the load of the leaf, not of the host.
+  if (Context->ToHost)
+    return;
   const auto header = answer.find(Context->Names.LeafLoad);
   if (header == answer.end())
     return;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
+#include <iostream>
 #include <optional>
 #include <string>
 #include <vector>
@@ -13,6 +14,7 @@
 #include <absl/flags/usage_config.h>
 
 #include "bench/Bench.h"
+#include "operators/ExplainCommand.h"
 #include "operators/SettingsCommand.h"
 #include "serve/Host.h"
 #include "serve/PlatformHost.h"
@@ -31,7 +33,14 @@
           "the same keys is a conflict");
 ABSL_FLAG(std::string, operator_name, "",
           "settings: name of the operator for the audit trail");
-ABSL_FLAG(bool, json, false, "settings, bench: prints JSON");
+ABSL_FLAG(bool, json, false, "settings, explain, bench: prints JSON");
+ABSL_FLAG(std::string, status, "",
+          "explain: metrics listener (listen.metrics) of the host");
+ABSL_FLAG(std::string, request_host, "", "explain: host name of the request");
+ABSL_FLAG(std::string, request_path, "", "explain: path of the request");
+ABSL_FLAG(int, deadline_ms, 0,
+          "explain: time that the caller has; 0 for the route's");
+ABSL_FLAG(std::string, workspace, "", "explain: workspace of the request");
 ABSL_FLAG(std::string, bench_case, "all", "bench: one case, or all");
 ABSL_FLAG(std::string, deployment, "all", "bench: one deployment, or all");
 ABSL_FLAG(std::string, service, "all", "bench: one service, or all");
@@ -55,6 +64,10 @@
     "  check-node --config=FILE  checks a platform host's YAML file and exits\n"
     "  settings ARGUMENTS    reads and changes the settings; \"settings "
     "help\"\n"
+    "  explain --status=HOST --request_host=NAME --request_path=PATH\n"
+    "                        states where a running host would send a request "
+    "now,\n"
+    "                        and why, without sending it\n"
     "  bench                 compares the search policy with the baseline on "
     "a\n"
     "                        virtual clock\n"
@@ -135,6 +148,17 @@
   return operators::runSettings(arguments, options);
 }
 
+int runExplain() {
+  operators::ExplainOptions options;
+  options.Status = absl::GetFlag(FLAGS_status);
+  options.Host = absl::GetFlag(FLAGS_request_host);
+  options.Path = absl::GetFlag(FLAGS_request_path);
+  options.DeadlineMs = absl::GetFlag(FLAGS_deadline_ms);
+  options.Workspace = absl::GetFlag(FLAGS_workspace);
+  options.Json = absl::GetFlag(FLAGS_json);
+  return operators::runExplain(options, std::cout, std::cerr);
+}
+
 int runBench() {
   bench::BenchOptions options;
   options.Case = absl::GetFlag(FLAGS_bench_case);
@@ -162,6 +186,8 @@
   }
   if (command == "settings")
     return runSettings({arguments.begin() + 1, arguments.end()});
+  if (command == "explain")
+    return runExplain();
   if (command == "bench")
     return runBench();
   const std::vector<std::string> withConfig{"serve", "check", "node",
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -5,6 +5,7 @@
 
 #include "entry/Answers.h"
 #include "entry/RelayRequest.h"
+#include "entry/RequestExplanation.h"
 #include "platform/Headers.h"
 #include "support/BeastStringView.h"
 #include "support/Log.h"
@@ -59,6 +60,11 @@
   };
   StatusContext->OnRequest = [this](const entry::CallerRequest &request,
                                     const entry::AnswerHandler &respond) {
+    const std::string_view target = support::toStringView(request.target());
+    if (entry::isExplain(target)) {
+      respond(entry::answerExplain(Configs->current().get(), Leaves, target));
+      return entry::CancelHandler();
+    }
     const bool isReadinessCheck = request.target() == platform::ReadinessPath;
     respond(isReadinessCheck ? readiness() : metrics());
     return entry::CancelHandler();
