--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -6,6 +6,7 @@
 #include "entry/Answers.h"
 #include "entry/RelayRequest.h"
 #include "entry/RequestExplanation.h"
+#include "leaf/LoadSummary.h"
 #include "platform/Headers.h"
 #include "support/BeastStringView.h"
 #include "support/Log.h"
@@ -324,6 +325,21 @@
   HostMetrics.setGauge("savorytrestle_log_lines_dropped",
                        "Log lines dropped for want of a reader.",
                        static_cast<double>(support::droppedLogLines()));
+  if (config) {
+    const auto load = leaf::summarizeLoad(Leaves, *config, SteadyClock::now());
+    HostMetrics.setGauge("savorytrestle_other_hosts_load_per_slot",
+                         "Requests of other hosts for each slot of the leaves, "
+                         "as estimated from load reports.",
+                         load.OthersPerSlot);
+    HostMetrics.setGauge(
+        "savorytrestle_leaf_report_age_seconds",
+        "Mean age of the last load report of the leaves that sent one.",
+        std::chrono::duration<double>(load.MeanReportAge).count());
+    HostMetrics.setGauge("savorytrestle_leaves_without_load_report",
+                         "Leaves that have not reported their load to this "
+                         "host.",
+                         static_cast<double>(load.Unreported));
+  }
   return entry::textAnswer(http::status::ok, HostMetrics.text());
 }
 
--- a/tests/process-explain.cpp
+++ b/tests/process-explain.cpp
@@ -21,6 +21,9 @@
     return text.substr(0, text.find("savorytrestle_config_version"));
   };
   const auto before = counts();
+  EXPECT_NE(NodeDeployment::get(node.MetricsAddress, "/metrics", {})
+                .Body.find("savorytrestle_leaves_without_load_report 1"),
+            std::string::npos);
   const auto reply = NodeDeployment::get(
       node.MetricsAddress, "/explain?host=a.example&path=%2Fread%2Fx", {});
   ASSERT_EQ(reply.Status, 200);
