Explain slowness by the queue that the same answer reports, not by the age of the sample

Cause: excess slowness was discounted by what other hosts may have sent since. Change: an answer's latency is divided by 1 + waiting / slots of the load in that answer; what is left is the leaf's own.

--- a/include/savorytrestle/core/balance/LeafScore.h
+++ b/include/savorytrestle/core/balance/LeafScore.h
@@ -138,13 +138,12 @@
 
   /// Ratio of the leaf's latency to the expected one, from its answers and from
   /// the age of its oldest outstanding request.
-  /// @param expected usual latency of a request
-  /// @param othersMean mean number of requests of other hosts
-  double slowness(TimePoint now, Duration expected, double othersMean) const;
+  double slowness(TimePoint now) const;
   double ownFailureRate(TimePoint now) const;
   double failureRate(TimePoint now) const;
-  double recordedSlowness(TimePoint now, Duration expected,
-                          double othersMean) const;
+  double recordedSlowness(TimePoint now) const;
+  /// Part of an answer's latency that queueing explains, as a multiple.
+  double queueFactor(TimePoint now) const;
   double workTime(TimePoint now) const;
   void addSlowness(TimePoint now, double sample);
 
@@ -170,6 +169,8 @@
   double OthersReported = 0;
   TimePoint LoadReceived{};
   std::optional<double> WorkTime;
+  /// Waiting requests for each slot in that report.
+  double QueuedPerSlot = 0;
 };
 
 } // namespace savorytrestle::core
--- a/include/savorytrestle/core/balance/LoadEstimate.h
+++ b/include/savorytrestle/core/balance/LoadEstimate.h
@@ -64,19 +64,6 @@
   return reported * kept + mean * (1 - kept);
 }
 
-/// @brief Discounts the observed slowness of a leaf by the requests that other
-/// hosts have sent to it since: it may have been caused by queueing, which they
-/// have changed. Slowness that is far larger than the load explains remains, so
-/// that paused and broken leaves are avoided no matter how many hosts there
-/// are. O(1).
-/// @param slowness observed ratio of the latency to the usual one
-/// @param age age of the observation
-/// @param expected usual latency of a request
-/// @param mean mean number of requests of other hosts at such a leaf
-/// @return the slowness to expect now; the observed one without other hosts
-double discountedSlowness(double slowness, Duration age, Duration expected,
-                          double mean);
-
 /// @brief Work time to expect at a leaf now. It changes many times a second, so
 /// that a report counts for a few hundred milliseconds.
 /// @param reported the reported multiple of the usual time
--- a/src/core/balance/LeafScore.cpp
+++ b/src/core/balance/LeafScore.cpp
@@ -89,15 +89,18 @@
 }
 
 void LeafScore::addSlowness(TimePoint now, double sample) {
-  // The reported work time is part of the cost already. The latency also
-  // contains time that doesn't depend on it, so that it only explains slowness.
-  const double unexplained =
-      std::max(std::min(sample, 1.0), sample / workTime(now));
+  // The reported work time and the queue are part of the cost already. The
+  // latency also contains time that doesn't depend on them, so that they only
+  // explain slowness.
+  const double unexplained = std::max(
+      std::min(sample, 1.0), sample / (workTime(now) * queueFactor(now)));
   Slowness = 1 + decayed(Slowness - 1, SlownessUpdated, now, SlownessDecayTime);
   Slowness +=
       SlownessWeight * (std::clamp(unexplained, 0.1, MaxSlowness) - Slowness);
   SlownessUpdated = now;
-  ReportedSlowness += std::clamp(sample, 0.1, MaxSlowness);
+  ReportedSlowness +=
+      std::clamp(std::max(std::min(sample, 1.0), sample / queueFactor(now)),
+                 0.1, MaxSlowness);
   ++ReportedSamples;
 }
 
@@ -121,6 +124,8 @@
                                      load.Waiting - outstanding());
   LoadReceived = now;
   WorkTime = load.WorkTime;
+  QueuedPerSlot =
+      load.Slots > 0 ? static_cast<double>(load.Waiting) / load.Slots : 0;
   if (load.Slots > 0)
     Slots = load.Slots;
 }
@@ -155,20 +160,16 @@
   SharedAt = at;
 }
 
-double LeafScore::recordedSlowness(TimePoint now, Duration expected,
-                                   double othersMean) const {
+double LeafScore::recordedSlowness(TimePoint now) const {
   const bool shared = SharedAt > SlownessUpdated + OwnSamplePreference;
   const double observed =
       shared ? std::max(1.0, SharedReport.Slowness) : Slowness;
-  const TimePoint at = shared ? SharedAt : SlownessUpdated;
-  return discountedSlowness(
-      1 + decayed(observed - 1, at, now, SlownessDecayTime), now - at, expected,
-      othersMean);
+  return 1 + decayed(observed - 1, shared ? SharedAt : SlownessUpdated, now,
+                     SlownessDecayTime);
 }
 
-double LeafScore::slowness(TimePoint now, Duration expected,
-                           double othersMean) const {
-  const double recorded = recordedSlowness(now, expected, othersMean);
+double LeafScore::slowness(TimePoint now) const {
+  const double recorded = recordedSlowness(now);
   if (Outstanding.empty())
     return recorded;
   const OutstandingRequest &oldest = Outstanding.begin()->second;
@@ -184,6 +185,10 @@
          presentLoad(OthersReported, othersPerSlot * Slots, kept);
 }
 
+double LeafScore::queueFactor(TimePoint now) const {
+  return now == LoadReceived ? 1 + QueuedPerSlot : 1;
+}
+
 double LeafScore::workTime(TimePoint now) const {
   return WorkTime ? presentWorkTime(*WorkTime, now - LoadReceived) : 1;
 }
@@ -201,8 +206,7 @@
 
 Duration LeafScore::cost(TimePoint now, Duration expected,
                          double othersPerSlot) const {
-  double factor =
-      slowness(now, expected, othersPerSlot * Slots) * workTime(now);
+  double factor = slowness(now) * workTime(now);
   if (now < WarmUpEnd)
     factor *= WarmUpSlowness;
   const double busy = presentRequests(now, expected, othersPerSlot);
--- a/src/core/balance/LoadEstimate.cpp
+++ b/src/core/balance/LoadEstimate.cpp
@@ -15,10 +15,6 @@
 
 /// Weight of a new report in the mean load; the first ones count alike.
 constexpr double MeanWeight = 0.1;
-/// Requests of other hosts per unit of excess slowness that halve the excess.
-/// In trials at 60 and 200 hosts, 1 raised the 99th percentile by 10 to 30 in
-/// 100 where a leaf stays slow; at 7 hosts, 3.3 raised the mean by 5 to 15.
-constexpr double RequestsPerExcess = 2;
 /// Time in which a reported work time decays to about a third (1 / e). Machines
 /// keep a speed for about half a second.
 constexpr milliseconds WorkTimeDecay{300};
@@ -84,16 +80,6 @@
   return std::exp(-ratio(age, expected));
 }
 
-double discountedSlowness(double slowness, Duration age, Duration expected,
-                          double mean) {
-  const double excess = slowness - 1;
-  if (excess <= 0)
-    return slowness;
-  // The others send as many requests in the usual latency as they have there.
-  const double sent = mean * ratio(age, expected);
-  return 1 + excess * excess / (excess + sent / RequestsPerExcess);
-}
-
 double presentWorkTime(double reported, Duration age) {
   return 1 + (reported - 1) * std::exp(-ratio(age, WorkTimeDecay));
 }
