--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -5,6 +5,8 @@
 
 #include "entry/Answers.h"
 #include "entry/RelayRequest.h"
+#include "entry/RequestExplanation.h"
+#include "leaf/LoadSummary.h"
 #include "platform/Headers.h"
 #include "support/BeastStringView.h"
 #include "support/Log.h"
@@ -60,6 +62,11 @@
   };
   StatusContext->OnRequest = [this](const entry::CallerRequest &request,
                                     const entry::AnswerHandler &respond) {
+    const std::string_view target = support::toStringView(request.target());
+    if (entry::isExplain(target)) {
+      respond(entry::answerExplain(Configs->current().get(), Leaves, target));
+      return entry::CancelHandler();
+    }
     const bool isReadinessCheck = request.target() == platform::ReadinessPath;
     respond(isReadinessCheck ? readiness() : metrics());
     return entry::CancelHandler();
@@ -371,6 +378,21 @@
                        "Log lines dropped for want of a reader.",
                        static_cast<double>(support::droppedLogLines()));
   Quotas->writeMetrics(HostMetrics);
+  if (config) {
+    const auto load = leaf::summarizeLoad(Leaves, *config, SteadyClock::now());
+    HostMetrics.setGauge("savorytrestle_other_hosts_load_per_slot",
+                         "Requests of other hosts for each slot of the leaves, "
+                         "as estimated from load reports.",
+                         load.OthersPerSlot);
+    HostMetrics.setGauge(
+        "savorytrestle_leaf_report_age_seconds",
+        "Mean age of the last load report of the leaves that sent one.",
+        std::chrono::duration<double>(load.MeanReportAge).count());
+    HostMetrics.setGauge("savorytrestle_leaves_without_load_report",
+                         "Leaves that have not reported their load to this "
+                         "host.",
+                         static_cast<double>(load.Unreported));
+  }
   return entry::textAnswer(http::status::ok, HostMetrics.text());
 }
 
