--- a/src/entry/RequestExplanation.cpp
+++ b/src/entry/RequestExplanation.cpp
@@ -42,7 +42,9 @@
   json reasons = json::array();
   if (!homes.allows(leaf.region()))
     reasons.push_back("region");
-  if (!leaf.acceptsRequests())
+  if (leaf.evacuated())
+    reasons.push_back("evacuated");
+  else if (!leaf.acceptsRequests())
     reasons.push_back("leaving");
   if (!leaf.available())
     reasons.push_back("unavailable");
@@ -54,6 +56,8 @@
     reasons.push_back("connections");
   if (leaf.rateLimit().sendChance(now) <= 0)
     reasons.push_back("rate_limit");
+  else if (leaf.sendChance(now) <= 0)
+    reasons.push_back("cold");
   // Further conditions of the choice, without a name of their own here.
   if (reasons.empty() && !leaf::acceptsNow(leaf, now))
     reasons.push_back("other");
@@ -75,7 +79,7 @@
       {"own_requests", score.outstanding()},
       {"slots", score.slots()},
       {"room", std::max(0.0, score.slots() - requests)},
-      {"send_chance", leaf.rateLimit().sendChance(now)},
+      {"send_chance", leaf.sendChance(now)},
       {"excluded", exclusions(leaf, homes, now)}};
   if (const auto at = score.loadReportedAt(); at != core::TimePoint{})
     row["report_age_ms"] = toMilliseconds(now - at);
--- a/src/leaf/Leaf.h
+++ b/src/leaf/Leaf.h
@@ -78,6 +78,9 @@
   /// @brief Whether new requests may be sent to the leaf.
   bool acceptsRequests() const { return !Retired && !Evacuated; }
 
+  /// @brief Whether the leaf's failure domain is evacuated.
+  bool evacuated() const { return Evacuated; }
+
   /// @brief Whether the run is leaving or has left.
   bool retired() const { return Retired; }
 
