Keep workspace limits by controllers that hosts report to, in place of loans

Cause: nearly all workspaces send through every host, so that a host sees most of them less than once a second. Change: hosts admit at once and report within 100 ms to the workspace's first live controller; it keeps a token bucket over all hosts, which may be overdrawn, and names the share to admit.

--- a/include/savorytrestle/core/rates/RateBook.h
+++ b/include/savorytrestle/core/rates/RateBook.h
@@ -2,160 +2,111 @@
 #define SAVORYTRESTLE_CORE_RATES_RATE_BOOK_H
 
 /// @file
-/// @brief Everything that one host lends and borrows of workspaces' limits.
+/// @brief The limits of all workspaces on one host, as a follower and as a
+/// controller.
 
 #include <cstdint>
-#include <functional>
 #include <map>
-#include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "savorytrestle/core/rates/BorrowedCredit.h"
-#include "savorytrestle/core/rates/LentShare.h"
+#include "savorytrestle/core/Time.h"
+#include "savorytrestle/core/rates/RateController.h"
+#include "savorytrestle/core/rates/RateFollower.h"
+#include "savorytrestle/core/rates/RateMessage.h"
 
 namespace savorytrestle::core {
 
-/// @brief How a process starts, which sets when it may lend first.
-enum class LenderStart {
-  /// With all other hosts: nobody can have lent anything yet.
-  Fleet,
-  /// An earlier process of this host is still in the host list.
-  Restart,
-  /// The host is new to the host list.
-  Join,
-};
-
 /// @brief State of one workspace for operators.
-struct RateReport {
+struct RateState {
   std::string Workspace;
   std::uint64_t Admitted = 0;
-  /// Refused since no grant held, or since the grants had no credit left.
-  std::uint64_t RefusedNoGrant = 0;
-  std::uint64_t RefusedNoCredit = 0;
-  double Credit = 0;
-  /// Parts of the rate, 0 to 1.
-  double Held = 0;
-  double Lent = 0;
+  std::uint64_t Refused = 0;
+  /// Share that the controller lets this host admit.
+  double AdmitShare = 1;
+  /// Requests saved up, if this host is the controller.
+  std::optional<double> Saved;
+};
+
+/// @brief Reports to one controller.
+struct RateReports {
+  std::string Controller;
+  std::vector<RateReport> Reports;
 };
 
-/// @brief The lender's and the borrower's side of all workspaces on one host.
-/// Times are of a clock that counts suspension.
+/// @brief Everything that one host knows of workspaces' limits. Times are of a
+/// clock that counts suspension.
 class RateBook {
 public:
-  /// Longest time for which a host may lend after the store confirmed its
-  /// entry, and so the longest time for which it may lend by an old host list.
-  static constexpr std::chrono::milliseconds MaxConfirmationAge{15000};
-
-  /// @brief Creates the book of a process that starts now.
-  RateBook(std::string self, const RateBound &bound, TimePoint now);
+  /// @param self id of this host
+  /// @param bound bound that all hosts keep together
+  RateBook(std::string self, const RateBound &bound);
 
-  /// @brief Sets the limits of a configuration.
-  /// @param limits rate and burst of each workspace that has a limit
+  /// @brief Sets the limit of each limited workspace. O(workspaces * hosts)
   void setLimits(const std::map<std::string, RateQuota> &limits, TimePoint now);
 
-  /// @brief Sets the hosts.
-  /// @param hosts ids of the live hosts
-  /// @param known number of all hosts that ever were in the list
-  /// @param start how this process started, for the first call
-  void setHosts(const std::vector<std::string> &hosts, std::size_t known,
-                LenderStart start, TimePoint now);
-
-  /// @brief Sets until when this host may lend.
-  void setLendUntil(TimePoint until) { LendUntil = until; }
+  /// @brief Sets the live hosts. O(workspaces * hosts)
+  /// @param hosts their ids
+  /// @param isFleetStart whether no host can have admitted anything yet
+  void setHosts(const std::vector<std::string> &hosts, bool isFleetStart,
+                TimePoint now);
 
   /// @brief Whether requests of a workspace are limited. O(log workspaces)
   bool limited(std::string_view workspace) const;
 
-  /// @brief Counts a request of a caller and charges it if there is credit.
-  /// @param draw random number in [0, 1)
-  CreditSource charge(const std::string &workspace, double draw, TimePoint now);
+  /// @brief Decides on a request of a caller; see @ref RateFollower::admit.
+  /// Requires @ref limited.
+  bool admit(std::string_view workspace, double draw, TimePoint now);
 
-  /// @brief Charges a request that waited; see @ref charge.
-  CreditSource chargeWaiting(const std::string &workspace, double draw,
-                             TimePoint now);
+  /// @brief An admitted request ran nowhere.
+  void refund(std::string_view workspace);
 
-  /// @brief Returns the credit of a request that ran nowhere.
-  void refund(const std::string &workspace, CreditSource source, TimePoint now);
+  /// @brief When credit is expected; see @ref RateFollower::retryAfter.
+  Duration retryAfter(std::string_view workspace, double draw) const;
 
-  /// @brief A charged request has run, or may have.
-  void settle(const std::string &workspace, CreditSource source);
+  /// @brief Takes the reports that are due. Those to this host are applied at
+  /// once. O(workspaces)
+  std::vector<RateReports> takeReports(TimePoint now);
 
-  /// @brief Whether a request may wait, as a grant may come soon.
-  bool expectsGrant(const std::string &workspace) const;
+  /// @brief Answers another host's reports.
+  std::vector<RateVerdict> record(const std::vector<RateReport> &reports,
+                                  TimePoint now);
 
-  /// @brief Sets the number of requests that wait for credit.
-  void setWaiting(const std::string &workspace, std::size_t waiting);
+  /// @brief Applies a controller's reply.
+  /// @param sent the reports
+  /// @param verdicts the reply; null if there was none
+  void onReply(const RateReports &sent,
+               const std::vector<RateVerdict> *verdicts, TimePoint now);
 
-  /// @brief Records a refusal.
-  /// @return time after which the request may come again
-  Duration refuse(const std::string &workspace, TimePoint now);
+  /// @brief The workspaces with most refusals and requests.
+  std::vector<RateState> states(std::size_t most) const;
 
-  /// @brief Messages to other hosts that are due; requests to this host as a
-  /// lender are served at once. There is one request in flight at most for each
-  /// workspace and lender.
-  std::map<std::string, RateAsks> takeDue(TimePoint now);
+  /// @brief The state of one workspace. Requires @ref limited.
+  RateState state(std::string_view workspace) const;
 
-  /// @brief Applies the reply to a message, once.
-  /// @param grants the grants; null if there was no reply
-  void onReply(std::uint64_t sequence, const std::vector<RateGrant> *grants,
-               TimePoint now);
-
-  /// @brief Answers a message of another host. O(asks * borrowers)
-  std::vector<RateGrant> lend(const RateAsks &asks, TimePoint now);
-
-  /// @brief The state of one workspace; O(borrowers).
-  RateReport report(const std::string &workspace, TimePoint now);
-
-  /// @brief The largest workspaces by requests, those with refusals first.
-  std::vector<RateReport> reports(std::size_t most, TimePoint now);
-
-  /// @brief Time since the newest grant of a workspace, if there was one.
-  std::optional<Duration> grantAge(const std::string &workspace,
-                                   TimePoint now) const;
+  /// @brief Time since the last verdict on a workspace, if there was one.
+  std::optional<Duration> verdictAge(std::string_view workspace,
+                                     TimePoint now) const;
 
 private:
   struct Workspace {
     RateQuota Quota;
-    std::vector<std::string> Lenders;
-    LentShare Lent;
-    BorrowedCredit Borrowed;
-    std::size_t Waiting = 0;
+    RateController Controller;
+    RateFollower Follower;
+    bool Controls = false;
     std::uint64_t Admitted = 0;
-    std::uint64_t RefusedNoGrant = 0;
-    std::uint64_t RefusedNoCredit = 0;
-  };
-  struct Sent {
-    std::string Lender;
-    TimePoint At{};
-    std::vector<std::string> Workspaces;
+    std::uint64_t Refused = 0;
   };
 
-  Workspace *find(std::string_view name);
-  const Workspace *find(std::string_view name) const;
-  void applyHosts(const std::string &name, Workspace &it, Duration wait,
-                  TimePoint now);
-  void updateFloor(Workspace &it, TimePoint now);
-  CreditSource spend(Workspace &it, double draw, TimePoint now);
+  void applyHosts(const std::string &name, Workspace &workspace, TimePoint now);
 
   std::string Self;
   RateBound Bound;
-  TimePoint StartedAt;
   std::vector<std::string> Hosts;
-  std::size_t KnownHosts = 0;
-  bool HostsKnown = false;
-  bool HasLimits = false;
-  bool StartedWithFleet = false;
-  bool FloorInUse = false;
-  /// When all shares that follow from the host list may be lent.
-  TimePoint ListSettledAt{};
-  TimePoint LendUntil = TimePoint::max();
-  std::uint64_t LastSequence = 0;
+  bool FleetStart = false;
   std::map<std::string, Workspace, std::less<>> Workspaces;
-  /// Messages without a reply, by sequence number.
-  std::map<std::uint64_t, Sent> InFlight;
 };
 
 } // namespace savorytrestle::core
--- a/include/savorytrestle/core/rates/RateMessage.h
+++ b/include/savorytrestle/core/rates/RateMessage.h
@@ -2,13 +2,14 @@
 #define SAVORYTRESTLE_CORE_RATES_RATE_MESSAGE_H
 
 /// @file
-/// @brief What borrowers and lenders of a rate limit send each other.
+/// @brief What hosts send each other to keep the limits of workspaces together.
 
 #include <chrono>
-#include <cstdint>
 #include <string>
 #include <vector>
 
+#include "savorytrestle/core/Time.h"
+
 namespace savorytrestle::core {
 
 /// @brief Limit of one workspace over all hosts together.
@@ -16,7 +17,7 @@
   /// Requests a second.
   double Rate = 0;
   /// Requests that may be saved up.
-  double Size = 0;
+  double Burst = 0;
 
   bool operator==(const RateQuota &) const = default;
 };
@@ -30,49 +31,21 @@
   double Slack = 0;
 };
 
-/// @brief Time for which a grant holds, measured by the borrower from when it
-/// asked.
-inline constexpr std::chrono::milliseconds RateLease{4000};
-/// Time by which a lender lets a grant end later than the borrower, for clocks
-/// that differ in speed.
-inline constexpr std::chrono::milliseconds RateLeaseMargin{100};
-
-/// @brief What a borrower asks of a lender for one workspace.
-struct RateAsk {
+/// @brief Requests of one workspace at one host since its last report.
+struct RateReport {
   std::string Workspace;
-  /// Parts of the rate and the size, 0 to 1, that the borrower holds of this
-  /// lender from now on, whatever it was granted before.
-  double HoldsRate = 0;
-  double HoldsSize = 0;
-  /// Rate and size that it needs of this lender, in requests.
-  double Rate = 0;
-  double Size = 0;
-  /// Credit that it needs at once.
-  double Credit = 0;
-  /// Credit that it gives back.
-  double Returned = 0;
+  /// Requests of callers, admitted or not.
+  double Arrived = 0;
+  double Admitted = 0;
 };
 
-/// @brief A lender's reply for one workspace.
-struct RateGrant {
+/// @brief What a controller lets each host admit of one workspace.
+struct RateVerdict {
   std::string Workspace;
-  /// Parts of the rate and the size, 0 to 1. They are parts so that a change
-  /// of the limit takes effect at each host with its configuration.
-  double Rate = 0;
-  double Size = 0;
-  /// Credit handed over, in requests.
-  double Credit = 0;
-  /// Whether the host may lend. If not, the last grant runs to its end.
-  bool Lends = false;
-};
-
-/// @brief Everything that a borrower asks of one lender at a time.
-struct RateAsks {
-  std::string Borrower;
-  /// Increases with each message of a borrower's process; a lender ignores
-  /// messages that others have overtaken.
-  std::uint64_t Sequence = 0;
-  std::vector<RateAsk> Asks;
+  /// Probability with which a request is to be admitted, 0 to 1.
+  double AdmitShare = 1;
+  /// Time until the saved-up requests are no longer overdrawn.
+  std::chrono::milliseconds Wait{0};
 };
 
 } // namespace savorytrestle::core
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -207,7 +207,7 @@
 }
 
 CancelHandler RequestRouter::start(CallerRequest request, AnswerHandler respond,
-                                   bool relayed, QuotaGate::ChargePtr charge) {
+                                   bool relayed) {
   const core::RouteRule *const route = routeOf(request);
   const auto fingerprint = fingerprintOf(request);
   const auto identity = check(request, route, fingerprint, relayed);
@@ -216,15 +216,15 @@
     return nullptr;
   }
   const core::WorkspaceRule *const workspace = identity.value_or(nullptr);
-  // The caller's host has charged a relay. A key may have moved to another
-  // workspace while its request waited.
+  // The caller's host has charged a relay.
+  QuotaGate::ChargePtr charge;
   if (!relayed && workspace != nullptr && Quotas &&
-      Quotas->limited(workspace->Name) &&
-      !(charge && charge->workspace() == workspace->Name)) {
+      Quotas->limited(workspace->Name)) {
     charge = Quotas->tryCharge(workspace->Name);
-    if (!charge)
-      return waitForCredit(std::move(request), *route, workspace->Name,
-                           std::move(respond));
+    if (!charge) {
+      refuseOverRate(request, *route, workspace->Name, respond);
+      return nullptr;
+    }
   }
   return startChecked(std::move(request), fingerprint, *route, workspace,
                       std::move(respond), relayed, std::move(charge));
@@ -278,6 +278,18 @@
   return [run] { run->cancel(); };
 }
 
+void RequestRouter::refuseOverRate(const CallerRequest &request,
+                                   const core::RouteRule &route,
+                                   const std::string &workspace,
+                                   const AnswerHandler &respond) {
+  const std::string id(support::toStringView(request[Names.RequestId]));
+  refuse(request, &route,
+         {http::status::too_many_requests,
+          "workspace " + workspace + " is over its rate",
+          Quotas->refuse(workspace, id)},
+         respond);
+}
+
 std::optional<Refusal>
 RequestRouter::findConfigRefusal(const CallerRequest &request,
                                  const core::RouteRule *route) const {
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -92,15 +92,10 @@
   };
 
   /// Checks a request against the configuration in force and starts it.
-  /// @param charge its credit, if it has been charged already
   CancelHandler start(CallerRequest request, AnswerHandler respond,
-                      bool relayed, QuotaGate::ChargePtr charge = nullptr);
-  /// Starts a request once there is credit, or refuses it.
-  CancelHandler waitForCredit(CallerRequest request,
-                              const core::RouteRule &route,
-                              const std::string &workspace,
-                              AnswerHandler respond);
+                      bool relayed);
   void refuseOverRate(const CallerRequest &request,
+                      const core::RouteRule &route,
                       const std::string &workspace,
                       const AnswerHandler &respond);
   /// Starts a request that has been checked.
--- a/src/registry/RateExchange.cpp
+++ b/src/registry/RateExchange.cpp
@@ -1,6 +1,7 @@
 #include "registry/RateExchange.h"
 
 #include <cmath>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -18,16 +19,15 @@
 
 constexpr const char *RatesPath = "/rates";
 constexpr milliseconds FlushInterval{100};
-/// Some times the longest round trip; a host that needs longer is as good as
-/// unreachable for a request that waits.
+/// Some times the longest round trip between hosts.
 constexpr milliseconds ReplyTimeout{300};
 constexpr unsigned StatusOk = 200;
 constexpr std::size_t MaxLinksPerHost = 3;
 /// Bound a message to some tens of kilobytes.
-constexpr std::size_t MaxAsks = 512;
+constexpr std::size_t MaxRows = 512;
 constexpr std::size_t MaxNameBytes = 128;
-/// Highest rate of a configuration.
 constexpr double MaxRequests = 1e6;
+constexpr double MaxWaitMilliseconds = 600000;
 
 /// Reads a number within bounds; throws the JSON library's error otherwise.
 double readNumber(const json &value, double max) {
@@ -44,65 +44,50 @@
   return name;
 }
 
-std::string encodeAsks(const core::RateAsks &asks) {
-  json rows = json::array();
-  for (const core::RateAsk &it : asks.Asks)
-    rows.push_back({it.Workspace, it.HoldsRate, it.HoldsSize, it.Rate, it.Size,
-                    it.Credit, it.Returned});
-  return json{{"host", asks.Borrower},
-              {"sequence", asks.Sequence},
-              {"asks", std::move(rows)}}
-      .dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-core::Result<core::RateAsks> decodeAsks(std::string_view body) {
-  return support::decodeJson<core::RateAsks>(body, [](const json &object) {
-    core::RateAsks asks;
-    asks.Borrower = readName(object.at("host"));
-    asks.Sequence = object.at("sequence").get<std::uint64_t>();
-    const json &rows = object.at("asks");
-    if (!rows.is_array() || rows.size() > MaxAsks)
-      throw json::other_error::create(501, "asks is no list or too long",
+/// Reads the rows of a message.
+template <typename T, typename Read>
+core::Result<std::vector<T>> decodeRows(std::string_view body, const char *key,
+                                        Read read) {
+  return support::decodeJson<std::vector<T>>(body, [&](const json &object) {
+    const json &rows = object.at(key);
+    if (!rows.is_array() || rows.size() > MaxRows)
+      throw json::other_error::create(501, "no list, or a list too long",
                                       nullptr);
+    std::vector<T> all;
     for (const json &row : rows)
-      asks.Asks.push_back({readName(row.at(0)), readNumber(row.at(1), 1),
-                           readNumber(row.at(2), 1),
-                           readNumber(row.at(3), MaxRequests),
-                           readNumber(row.at(4), 2 * MaxRequests),
-                           readNumber(row.at(5), 2 * MaxRequests),
-                           readNumber(row.at(6), 2 * MaxRequests)});
-    return asks;
+      all.push_back(read(row));
+    return all;
   });
 }
 
-core::Result<std::vector<core::RateGrant>> decodeGrants(std::string_view body) {
-  return support::decodeJson<std::vector<core::RateGrant>>(
-      body, [](const json &object) {
-        std::vector<core::RateGrant> grants;
-        for (const json &row : object.at("grants"))
-          grants.push_back({readName(row.at(0)), readNumber(row.at(1), 1),
-                            readNumber(row.at(2), 1),
-                            readNumber(row.at(3), 2 * MaxRequests),
-                            row.at(4).get<bool>()});
-        return grants;
-      });
+std::string encodeRows(const char *key, json rows) {
+  return json{{key, std::move(rows)}}.dump(-1, ' ', false,
+                                           json::error_handler_t::replace);
+}
+
+std::string encodeReports(const std::vector<core::RateReport> &reports) {
+  json rows = json::array();
+  for (const core::RateReport &it : reports)
+    rows.push_back({it.Workspace, it.Arrived, it.Admitted});
+  return encodeRows("reports", std::move(rows));
+}
+
+core::RateReport readReport(const json &row) {
+  return {readName(row.at(0)), readNumber(row.at(1), MaxRequests),
+          readNumber(row.at(2), MaxRequests)};
+}
+
+core::RateVerdict readVerdict(const json &row) {
+  return {readName(row.at(0)), readNumber(row.at(1), 1),
+          milliseconds(static_cast<std::int64_t>(
+              readNumber(row.at(2), MaxWaitMilliseconds)))};
 }
 
 } // namespace
 
 RateExchange::RateExchange(boost::asio::io_context &io,
-                           std::shared_ptr<entry::QuotaGate> gate,
-                           std::function<core::TimePoint()> lendUntil)
-    : Io(io), Timer(io), Gate(std::move(gate)),
-      LendUntil(std::move(lendUntil)) {}
-
-void RateExchange::start() {
-  Gate->onDemand([weak = weak_from_this()] {
-    if (const auto self = weak.lock())
-      self->flush();
-  });
-  scheduleNext();
-}
+                           std::shared_ptr<entry::QuotaGate> gate)
+    : Io(io), Timer(io), Gate(std::move(gate)) {}
 
 void RateExchange::scheduleNext() {
   Timer.expires_after(FlushInterval);
@@ -117,21 +102,15 @@
 }
 
 void RateExchange::setHosts(const std::map<std::string, Endpoint> &hosts,
-                            std::size_t known, core::LenderStart how) {
+                            bool isFleetStart) {
   Hosts = hosts;
   std::vector<std::string> ids;
   for (const auto &[id, address] : hosts)
     ids.push_back(id);
   std::erase_if(Links, [&](const auto &it) { return !Hosts.count(it.first); });
-  Gate->book().setHosts(ids, known, how, support::bootTime());
-}
-
-void RateExchange::updateLendUntil() {
-  Gate->book().setLendUntil(LendingStopped ? core::TimePoint{} : LendUntil());
+  Gate->book().setHosts(ids, isFleetStart, support::bootTime());
 }
 
-void RateExchange::stopLending() { LendingStopped = true; }
-
 bool RateExchange::isRates(std::string_view target) {
   return target == RatesPath;
 }
@@ -139,13 +118,13 @@
 void RateExchange::flush() {
   if (!Gate->hasLimits())
     return;
-  updateLendUntil();
-  for (const auto &[lender, asks] : Gate->book().takeDue(support::bootTime()))
-    send(lender, asks);
+  for (const core::RateReports &it :
+       Gate->book().takeReports(support::bootTime()))
+    send(it);
 }
 
-RateExchange::LinkPtr RateExchange::freeLink(const std::string &lender) {
-  auto &links = Links[lender];
+RateExchange::LinkPtr RateExchange::freeLink(const std::string &host) {
+  auto &links = Links[host];
   for (const LinkPtr &link : links)
     if (!link->Busy)
       return link;
@@ -153,51 +132,47 @@
     return nullptr;
   links.push_back(std::make_shared<Link>());
   links.back()->Connection =
-      std::make_shared<store::StoreConnection>(Io, Hosts.at(lender));
+      std::make_shared<store::StoreConnection>(Io, Hosts.at(host));
   return links.back();
 }
 
-void RateExchange::send(const std::string &lender, const core::RateAsks &asks) {
-  const LinkPtr link = Hosts.count(lender) ? freeLink(lender) : nullptr;
+void RateExchange::send(const core::RateReports &reports) {
+  const LinkPtr link =
+      Hosts.count(reports.Controller) ? freeLink(reports.Controller) : nullptr;
   if (!link) {
-    Gate->book().onReply(asks.Sequence, nullptr, support::bootTime());
+    Gate->book().onReply(reports, nullptr, support::bootTime());
     return;
   }
   link->Busy = true;
   link->Connection->call(
-      {"POST", RatesPath, encodeAsks(asks)}, ReplyTimeout,
-      [weak = weak_from_this(), link,
-       sequence = asks.Sequence](const store::StoreReply &reply) {
+      {"POST", RatesPath, encodeReports(reports.Reports)}, ReplyTimeout,
+      [weak = weak_from_this(), link, reports](const store::StoreReply &reply) {
         link->Busy = false;
-        if (const auto self = weak.lock())
-          self->onReply(sequence, reply);
+        const auto self = weak.lock();
+        if (!self)
+          return;
+        const auto verdicts =
+            reply.Status == StatusOk
+                ? decodeRows<core::RateVerdict>(reply.Body, "verdicts",
+                                                readVerdict)
+                : core::makeError(core::ErrorCode::BadRequest, "");
+        self->Gate->book().onReply(reports, verdicts ? &*verdicts : nullptr,
+                                   support::bootTime());
       });
 }
 
-void RateExchange::onReply(std::uint64_t sequence,
-                           const store::StoreReply &reply) {
-  const auto grants = reply.Status == StatusOk
-                          ? decodeGrants(reply.Body)
-                          : core::makeError(core::ErrorCode::BadRequest, "");
-  Gate->book().onReply(sequence, grants ? &*grants : nullptr,
-                       support::bootTime());
-  Gate->serveWaiting();
-  // The next lender is asked for what this one did not grant.
-  flush();
-}
-
 entry::CallerAnswer RateExchange::handle(std::string_view body) {
-  const auto asks = decodeAsks(body);
-  if (!asks)
-    return entry::errorAnswer(http::status::bad_request, asks.error().Message);
-  updateLendUntil();
+  const auto reports =
+      decodeRows<core::RateReport>(body, "reports", readReport);
+  if (!reports)
+    return entry::errorAnswer(http::status::bad_request,
+                              reports.error().Message);
   json rows = json::array();
-  for (const core::RateGrant &it :
-       Gate->book().lend(*asks, support::bootTime()))
-    rows.push_back({it.Workspace, it.Rate, it.Size, it.Credit, it.Lends});
+  for (const core::RateVerdict &it :
+       Gate->book().record(*reports, support::bootTime()))
+    rows.push_back({it.Workspace, it.AdmitShare, it.Wait.count()});
   return entry::textAnswer(http::status::ok,
-                           json{{"grants", std::move(rows)}}.dump(
-                               -1, ' ', false, json::error_handler_t::replace));
+                           encodeRows("verdicts", std::move(rows)));
 }
 
 } // namespace savorytrestle::registry
--- a/src/registry/RateExchange.h
+++ b/src/registry/RateExchange.h
@@ -2,11 +2,8 @@
 #define SAVORYTRESTLE_REGISTRY_RATE_EXCHANGE_H
 
 /// @file
-/// @brief Lends parts of workspaces' limits to other hosts and borrows them.
+/// @brief Reports requests of limited workspaces to their controllers.
 
-#include <utility>
-
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -21,36 +18,30 @@
 
 namespace savorytrestle::registry {
 
-/// @brief Sends this host's requests for grants to the lenders and answers
-/// those of other hosts. Without a limit it sends nothing.
+/// @brief Sends what this host admitted to the controllers of the workspaces,
+/// and answers as a controller. A host without requests of limited workspaces
+/// sends nothing.
 class RateExchange : public std::enable_shared_from_this<RateExchange> {
 public:
   using Endpoint = boost::asio::ip::tcp::endpoint;
 
   /// @brief Makes an exchange that knows no hosts.
   /// @param io runs its handlers
-  /// @param gate charges the requests
-  /// @param lendUntil returns until when this host may lend, on the clock of
-  /// @ref support::bootTime
+  /// @param gate admits the requests
   RateExchange(boost::asio::io_context &io,
-               std::shared_ptr<entry::QuotaGate> gate,
-               std::function<core::TimePoint()> lendUntil);
+               std::shared_ptr<entry::QuotaGate> gate);
 
-  /// @brief Starts to borrow.
-  void start();
+  /// @brief Starts to report.
+  void start() { scheduleNext(); }
 
   /// @brief Sets the live hosts.
   /// @param hosts addresses of their listeners for hosts, by id, this one's
   /// included
-  /// @param known number of hosts that ever were live
-  /// @param how this process started
-  void setHosts(const std::map<std::string, Endpoint> &hosts, std::size_t known,
-                core::LenderStart how);
-
-  /// @brief Lends nothing from now on, for use in a shutdown.
-  void stopLending();
+  /// @param isFleetStart whether no host can have admitted anything yet
+  void setHosts(const std::map<std::string, Endpoint> &hosts,
+                bool isFleetStart);
 
-  /// @brief Answers another host's request for grants.
+  /// @brief Answers another host's reports.
   /// @param body the message
   entry::CallerAnswer handle(std::string_view body);
 
@@ -65,21 +56,16 @@
   using LinkPtr = std::shared_ptr<Link>;
 
   void scheduleNext();
-  void updateLendUntil();
-  /// Sends all requests that are due.
   void flush();
-  void send(const std::string &lender, const core::RateAsks &asks);
+  void send(const core::RateReports &reports);
   /// Returns a connection without a call, null if all are in use.
-  LinkPtr freeLink(const std::string &lender);
-  void onReply(std::uint64_t sequence, const store::StoreReply &reply);
+  LinkPtr freeLink(const std::string &host);
 
   boost::asio::io_context &Io;
   boost::asio::steady_timer Timer;
   std::shared_ptr<entry::QuotaGate> Gate;
-  std::function<core::TimePoint()> LendUntil;
   std::map<std::string, Endpoint> Hosts;
   std::map<std::string, std::vector<LinkPtr>> Links;
-  bool LendingStopped = false;
 };
 
 } // namespace savorytrestle::registry
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -31,6 +31,10 @@
 /// The settings file is also reloaded when it changes without a SIGHUP.
 constexpr milliseconds FileCheckInterval{5000};
 
+/// The hosts of a fleet that starts have registered, and callers don't come,
+/// within this time.
+constexpr milliseconds FleetStartTime{12000};
+
 /// Headers that a relay adds to a caller's request.
 constexpr std::size_t RelayHeaderBytes = 4096;
 /// Holds the largest report on leaves.
@@ -186,10 +190,9 @@
   PeerFeed = std::make_shared<registry::FeedServer>(Io, Mirror);
   Exchange = std::make_shared<registry::LeafExchange>(Io, Leaves, Config.Id);
   Exchange->start();
-  Quotas = std::make_shared<entry::QuotaGate>(Io, Config.Id, Config.Quotas);
+  Quotas = std::make_shared<entry::QuotaGate>(Config.Id, Config.Quotas);
   Router.setQuotaGate(Quotas);
-  Rates = std::make_shared<registry::RateExchange>(
-      Io, Quotas, [this] { return Presence->confirmedUntil(); });
+  Rates = std::make_shared<registry::RateExchange>(Io, Quotas);
   Rates->start();
   // Starts the leaf feed first, so that the leaves of a configuration's
   // services are known when it comes into force, and before it that of
@@ -282,18 +285,14 @@
       others.ById[host.Id] = address;
     }
   setCollectors(others);
-  setRateHosts(hosts, others);
+  setRateHosts(others);
   Mirror->setPlan(planMirror(others));
 }
 
-void PlatformHost::setRateHosts(const registry::KnownHosts &hosts,
-                                const HostAddresses &others) {
-  const bool hasOldEntry =
-      others.ById.count(Config.Id) > 0 && !Presence->published();
-  const auto how = Config.FleetStarts ? core::LenderStart::Fleet
-                   : hasOldEntry      ? core::LenderStart::Restart
-                                      : core::LenderStart::Join;
-  Rates->setHosts(others.ById, hosts.EverSeen, how);
+void PlatformHost::setRateHosts(const HostAddresses &others) {
+  const bool isFleetStart =
+      Config.FleetStarts && SteadyClock::now() - StartedAt < FleetStartTime;
+  Rates->setHosts(others.ById, isFleetStart);
 }
 
 registry::MirrorPlan
@@ -455,8 +454,6 @@
   StopDeadline = SteadyClock::now() + Config.StopGrace - ExitReserve;
   CallerContext->Draining = true;
   PeerContext->Draining = true;
-  // Others take over what this host owns once its entry is gone.
-  Rates->stopLending();
   Presence->stop();
   support::LogLine("stop")
       .with("host", Config.Id)
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -70,8 +70,7 @@
     return HostIps.count(address) > 0;
   }
   /// Sets the hosts with which rates of workspaces are shared.
-  void setRateHosts(const registry::KnownHosts &hosts,
-                    const HostAddresses &others);
+  void setRateHosts(const HostAddresses &others);
   registry::MirrorPlan planMirror(const HostAddresses &others) const;
   /// Sets the hosts with which reports on leaves are exchanged.
   void setCollectors(const HostAddresses &others);
@@ -124,6 +123,8 @@
   std::shared_ptr<entry::Listener> PeerListener;
   std::shared_ptr<entry::Listener> MetricsListener;
   std::chrono::steady_clock::time_point StopDeadline{};
+  const std::chrono::steady_clock::time_point StartedAt =
+      std::chrono::steady_clock::now();
   bool Stopping = false;
 };
 
