--- a/src/registry/HostFeed.cpp
+++ b/src/registry/HostFeed.cpp
@@ -103,7 +103,6 @@
     ++hosts.CountByDomain[domain];
   for (const auto &[id, host] : LiveHosts)
     hosts.LiveHosts.push_back(host);
-  hosts.EverSeen = DomainByHost.size();
   if (DomainByHost.size() != LoggedCount)
     support::LogLine("hosts_known")
         .with("hosts", DomainByHost.size())
--- a/src/registry/HostFeed.h
+++ b/src/registry/HostFeed.h
@@ -29,8 +29,6 @@
   std::map<std::string, std::size_t> CountByDomain;
   /// Hosts that have an entry now.
   std::vector<HostEntry> LiveHosts;
-  /// Number of hosts that ever had an entry.
-  std::size_t EverSeen = 0;
 };
 
 /// @brief Tracks the hosts and passes on their entries.
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -2,7 +2,6 @@
 
 #include "platform/StoreProtocol.h"
 #include "registry/HostFeed.h"
-#include "support/BootClock.h"
 #include "support/Log.h"
 
 namespace savorytrestle::registry {
@@ -72,7 +71,6 @@
   support::LogLine("host_lease_lost")
       .with("lease", Lease)
       .with("why", "store era");
-  ConfirmedUntil = {};
   // The store may have given the id to another host.
   Lease = store::NoLease;
   const auto spread = RelistSpreadPerHost * HostCount;
@@ -128,8 +126,6 @@
 
 void HostPresence::requestLease() {
   LeaseEra = Eras->current();
-  ConfirmedUntil = {};
-  LeaseAskedAt = support::bootTime();
   Connection->call(
       platform::encodeGrantLease(LeaseTime), ReplyTimeout,
       [self = shared_from_this()](const store::StoreReply &reply) {
@@ -150,7 +146,6 @@
 
 void HostPresence::writeEntry() {
   HasUnsentData = false;
-  Published = true;
   Connection->call(platform::encodeTransaction(
                        {{},
                         {{HostPrefix + Entry.Id,
@@ -160,12 +155,9 @@
                    [self = shared_from_this()](const store::StoreReply &reply) {
                      if (self->replacedLostLease())
                        return;
-                     if (reply.Status == platform::StatusOk) {
-                       // A write doesn't renew the lease.
-                       self->ConfirmedUntil = self->LeaseAskedAt + LeaseTime;
+                     if (reply.Status == platform::StatusOk)
                        return self->scheduleCall(RenewInterval,
                                                  &HostPresence::renewLease);
-                     }
                      self->scheduleCall(RetryInterval,
                                         reply.Status == platform::StatusNotFound
                                             ? &HostPresence::requestLease
@@ -174,16 +166,12 @@
 }
 
 void HostPresence::renewLease() {
-  const auto askedAt = support::bootTime();
   Connection->call(
       platform::encodeRenewLease(Lease), ReplyTimeout,
-      [self = shared_from_this(), askedAt](const store::StoreReply &reply) {
+      [self = shared_from_this()](const store::StoreReply &reply) {
         if (self->replacedLostLease())
           return;
         if (reply.Status == platform::StatusOk) {
-          self->LeaseAskedAt = askedAt;
-          if (self->ConfirmedUntil != core::TimePoint{})
-            self->ConfirmedUntil = askedAt + LeaseTime;
           self->RenewBy = std::chrono::steady_clock::now() + RenewInterval;
           return self->HasUnsentData
                      ? self->writeEntry()
--- a/src/registry/HostPresence.h
+++ b/src/registry/HostPresence.h
@@ -52,13 +52,6 @@
   /// after.
   void setLeavesLost(bool lost);
 
-  /// @brief Until when the store keeps the entry at least, after the last
-  /// confirmed renewal, on the clock of @ref support::bootTime.
-  core::TimePoint confirmedUntil() const { return ConfirmedUntil; }
-
-  /// @brief Whether this process may have written its entry.
-  bool published() const { return Published; }
-
   /// @brief Ends the lease, with which the store deletes the item.
   void stop();
 
@@ -85,10 +78,6 @@
   std::size_t HostCount = 1;
   std::minstd_rand Random{std::random_device{}()};
   core::TimePoint RenewBy{};
-  core::TimePoint ConfirmedUntil{};
-  /// When the lease was granted or renewed last, as seen before the call.
-  core::TimePoint LeaseAskedAt{};
-  bool Published = false;
   /// Whether the entry has data that hasn't been written to the store.
   bool HasUnsentData = false;
   /// Whether no call is in flight and the timer for the next one runs; only
