--- a/tests/unit-leaf-directory.cpp
+++ b/tests/unit-leaf-directory.cpp
@@ -83,7 +83,7 @@
   }
 
   std::string choose(const std::vector<const leaf::Service *> &tried = {}) {
-    const leaf::Service *const peers = Leaves.reachablePeers(tried);
+    const leaf::Service *const peers = Leaves.reachablePeers({}, tried);
     return peers ? peers->Name : "";
   }
 
