Admit requests by the load of the leaves

Cause: a host sent every request on as long as enough services had a leaf that takes requests. Above their capacity all leaves' queues were full, urgent requests waited behind others and were late, and sharded requests failed after part of their work was done.

Change: with the setting admission: load, a request is refused at once if fresh reports show that the queues of all usable leaves are full or that it can't be answered before its deadline; less urgent ranks are held back for a short time and then refused while the wait at the leaves exceeds a tenth of the most urgent objective. Hedges and resends are not sent to services whose queues are all full, and hedges leave a part of the retry budget to resends. Without the setting nothing changes.

--- a/include/savorytrestle/core/balance/LeafScore.h
+++ b/include/savorytrestle/core/balance/LeafScore.h
@@ -12,6 +12,7 @@
 #include <optional>
 
 #include "savorytrestle/core/Time.h"
+#include "savorytrestle/core/admission/LeafRoom.h"
 #include "savorytrestle/core/balance/LeafReports.h"
 
 namespace savorytrestle::core {
@@ -94,6 +95,14 @@
   /// @brief Records the load that the leaf reported. O(1).
   void onLoadReport(TimePoint now, const ReportedLoad &load);
 
+  /// @brief Records the load with which the leaf turned a request away: if all
+  /// its slots were in use, its queue was full. O(1).
+  void onQueueFull(const ReportedLoad &load);
+
+  /// @brief What this host knows about the leaf's load, for admission.
+  /// O(requests since the last report).
+  LeafLoad load(TimePoint now) const;
+
   /// @brief Takes what this host saw of the leaf since the last call, for the
   /// other hosts. O(1).
   /// @param now current time
@@ -156,6 +165,8 @@
   TimePoint WarmUpEnd{};
   ReportedLoad Load;
   TimePoint LoadReceived{};
+  /// Most requests that it queues, as seen when it turned one away.
+  std::optional<int> QueueLimit;
 };
 
 } // namespace savorytrestle::core
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -68,7 +68,7 @@
                              support::Metrics &metrics,
                              support::HeaderNames names)
     : Io(io), Leaves(leaves), Recorder(metrics), Tracker(leaves.link()),
-      SettleTimer(io), Names(std::move(names)) {
+      Admission(io, leaves, metrics), SettleTimer(io), Names(std::move(names)) {
   scheduleSettle();
 }
 
@@ -231,14 +231,29 @@
     forward = makeForward(*context, services, rule.MaxLeaves, {});
   if (forward)
     run->start({}, {std::move(*forward)});
-  else if (const auto &plan = relayPlanFor(*route);
-           plan.empty() || relayed || !isHome(homes))
+  else if (relayed)
     run->start(services);
   else
-    startRelayed(*run, *context, plan, services);
+    Admission.admit(run, context, services, [this, run, context, services] {
+      startAdmitted(run, context, services);
+    });
   return [run] { run->cancel(); };
 }
 
+void RequestRouter::startAdmitted(
+    const std::shared_ptr<RequestRun> &run,
+    const std::shared_ptr<const leaf::CallContext> &context,
+    const std::vector<leaf::Service *> &services) {
+  // Its key, route or regions may have been withdrawn while it was held.
+  if (context->Config != Config)
+    return run->refuse(errorAnswer(http::status::service_unavailable,
+                                   "configuration changed", ConfigRetryAfter));
+  const auto &plan = relayPlanFor(context->Route);
+  if (plan.empty() || !isHome(context->Homes))
+    return run->start(services);
+  startRelayed(*run, *context, plan, services);
+}
+
 std::optional<Refusal>
 RequestRouter::findRefusal(const CallerRequest &request,
                            const core::RouteRule *route,
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -16,6 +16,7 @@
 #include "entry/CallerIdentity.h"
 #include "entry/CallerSession.h"
 #include "entry/CrashTracker.h"
+#include "entry/RequestAdmission.h"
 #include "entry/RequestRecorder.h"
 #include "entry/RequestRun.h"
 #include "leaf/LeafDirectory.h"
@@ -103,6 +104,11 @@
               const core::HomeRegions &homes) const;
   /// Returns which shards of a route are requested through other hosts.
   const core::RelayPlan &relayPlanFor(const core::RouteRule &route);
+  /// Starts a request that has been admitted; by then another configuration may
+  /// be in force.
+  void startAdmitted(const std::shared_ptr<RequestRun> &run,
+                     const std::shared_ptr<const leaf::CallContext> &context,
+                     const std::vector<leaf::Service *> &services);
   /// Starts a sharded request, part of which other hosts execute.
   void startRelayed(RequestRun &run, const leaf::CallContext &context,
                     const core::RelayPlan &plan,
@@ -127,6 +133,7 @@
   leaf::LeafDirectory &Leaves;
   RequestRecorder Recorder;
   CrashTracker Tracker;
+  RequestAdmission Admission;
   boost::asio::steady_timer SettleTimer;
   support::HeaderNames Names;
   const core::KeyRingSecret Secret = makeKeyRingSecret();
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -83,6 +83,12 @@
   /// @brief Cancels the calls to leaves, for use when the caller disconnects.
   void cancel();
 
+  /// @brief Answers a request that has not been started.
+  void refuse(CallerAnswer answer) { finish(std::move(answer), "refused"); }
+
+  /// @brief Whether it has been answered or cancelled.
+  bool finished() const { return Finished; }
+
 private:
   using ServiceCallPtr = std::shared_ptr<leaf::ServiceCall>;
 
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -184,6 +184,10 @@
   /// @param hostsByDomain number of hosts in each failure domain
   void setHostCounts(std::map<std::string, std::size_t> hostsByDomain);
 
+  /// @brief Sets whether requests are admitted by the load of the leaves.
+  void setAdmitsByLoad(bool admits) { AdmitsByLoad = admits; }
+  bool admitsByLoad() const { return AdmitsByLoad; }
+
   /// @brief Returns a uniform random number in [0, 1).
   double draw();
 
@@ -229,6 +233,7 @@
   std::size_t OwnDomainHostCount;
   const core::TimePoint StartTime;
   std::uint64_t Generation = 0;
+  bool AdmitsByLoad = false;
   std::minstd_rand Random;
 };
 
--- a/src/leaf/Service.h
+++ b/src/leaf/Service.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "leaf/Leaf.h"
+#include "savorytrestle/core/admission/WorkTimes.h"
 #include "savorytrestle/core/rates/SharedRetryBudget.h"
 
 namespace savorytrestle::leaf {
@@ -24,6 +25,8 @@
   std::map<std::string, core::TimePoint> DomainLastSeen;
   /// Expected latency of each route's requests, by the route's name.
   std::map<std::string, core::ExpectedLatency, std::less<>> Latencies;
+  /// How long leaves execute requests, for admission.
+  core::WorkTimes Work;
   /// Connections that each leaf accepts from all hosts; 0 if unset, in which
   /// case the default of Leaf holds.
   int MaxConnections = 0;
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_split.h>
 
 #include "leaf/LeafChoice.h"
+#include "leaf/LeafRoom.h"
 #include "savorytrestle/core/Decimal.h"
 #include "support/BeastStringView.h"
 
@@ -63,7 +64,8 @@
   if (AttemptCount >= MaxAttempts || now >= Context->Deadline)
     return false;
   const bool extra = cause == Cause::Hedge || cause == Cause::Resend;
-  if (extra && !TargetService.RetryBudget.canSpend(now))
+  if (extra &&
+      (!TargetService.RetryBudget.canSpend(now) || !admitsExtra(cause, now)))
     return false;
   const auto expected = latencyEstimate().get();
   const double draw =
@@ -90,6 +92,15 @@
   return true;
 }
 
+bool ServiceCall::admitsExtra(Cause cause, TimePoint now) const {
+  if (!Context->Leaves.admitsByLoad())
+    return true;
+  // Late requests leave the last tokens to those that would fail.
+  if (cause == Cause::Hedge && !TargetService.RetryBudget.canHedge(now))
+    return false;
+  return !roomAt(TargetService, now, Context->Homes).Full;
+}
+
 LeafRequest ServiceCall::requestFor(const Leaf &to, TimePoint now) const {
   LeafRequest request = Context->Request;
   const auto left =
@@ -155,7 +166,7 @@
     Reason = "answer of another request, unsigned or encoded";
     return retryOrFinish(CallEnd::OutcomeUnknown, resendCause(), now);
   }
-  recordLoad(from, answer, now);
+  const auto load = recordLoad(from, answer, now);
   from.releaseConnection(attempt.Connection);
   if (answer.find(Context->Names.NotExecuted) != answer.end() ||
       answer.result_int() == Misdirected) {
@@ -165,6 +176,8 @@
              std::to_string(answer.result_int());
     if (answer.result_int() == Misdirected)
       from.retire();
+    else if (load)
+      from.score().onQueueFull(*load);
     from.score().onFailure(now);
     return retryOrFinish(PossibleExecutions > 0 ? CallEnd::OutcomeUnknown
                                                 : CallEnd::Rejected,
@@ -174,6 +187,9 @@
     const auto latency = now - attempt.StartedAt;
     from.score().onAnswer(now, latency, latencyEstimate().get());
     latencyEstimate().record(latency);
+    if (load)
+      TargetService.Work.record(Context->Route.Name, latency, load->Waiting,
+                                load->Slots);
     Answer = std::move(reply.Answer);
     return finish(CallEnd::Answered);
   }
@@ -231,18 +247,22 @@
               answer.end());
 }
 
-void ServiceCall::recordLoad(Leaf &from, const LeafAnswer &answer,
-                             TimePoint now) {
+std::optional<core::ReportedLoad>
+ServiceCall::recordLoad(Leaf &from, const LeafAnswer &answer, TimePoint now) {
   const auto header = answer.find(Context->Names.LeafLoad);
   if (header == answer.end())
-    return;
+    return std::nullopt;
   const std::vector<std::string> fields =
       absl::StrSplit(std::string(support::toStringView(header->value())), ',');
   core::ReportedLoad load;
-  if (fields.size() == 3 && absl::SimpleAtoi(fields[0], &load.Running) &&
-      absl::SimpleAtoi(fields[1], &load.Waiting) &&
-      absl::SimpleAtoi(fields[2], &load.Slots))
-    from.score().onLoadReport(now, load);
+  // A fourth figure states the leaf's speed.
+  if ((fields.size() != 3 && fields.size() != 4) ||
+      !absl::SimpleAtoi(fields[0], &load.Running) ||
+      !absl::SimpleAtoi(fields[1], &load.Waiting) ||
+      !absl::SimpleAtoi(fields[2], &load.Slots))
+    return std::nullopt;
+  from.score().onLoadReport(now, load);
+  return load;
 }
 
 void ServiceCall::retryOrFinish(CallEnd fallback, std::optional<Cause> cause,
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -161,7 +161,10 @@
   /// Whether the answer belongs to this request and, if successful, is signed
   /// and not encoded.
   bool isValidAnswer(const LeafAnswer &answer) const;
-  void recordLoad(Leaf &from, const LeafAnswer &answer, core::TimePoint now);
+  std::optional<core::ReportedLoad>
+  recordLoad(Leaf &from, const LeafAnswer &answer, core::TimePoint now);
+  /// Whether a hedge or resend may be sent by the load of the leaves.
+  bool admitsExtra(Cause cause, core::TimePoint now) const;
   /// Handles what an answer says about its leaf: that it is leaving, wants no
   /// requests for a time, or only so many a second.
   void applyLeafNotices(const Attempt &attempt, const LeafAnswer &answer);
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -50,6 +50,7 @@
       StatusContext(std::make_shared<entry::SessionContext>()),
       PeerContext(std::make_shared<entry::SessionContext>()) {
   Leaves.setAnswerLimits(Config.Answers);
+  Leaves.setAdmitsByLoad(Config.AdmitsByLoad);
   // Hosts of earlier versions send relays to the callers' listener.
   CallerContext->OnRequestFrom = [this](auto request, const auto &from,
                                         auto respond) {
@@ -350,8 +351,10 @@
   Config.RetryExtraPerWindow = config->RetryExtraPerWindow;
   Config.RetryWindow = config->RetryWindow;
   Config.Answers = config->Answers;
+  Config.AdmitsByLoad = config->AdmitsByLoad;
   Leaves.setBudgetRule(retryBudgetRule(Config));
   Leaves.setAnswerLimits(Config.Answers);
+  Leaves.setAdmitsByLoad(Config.AdmitsByLoad);
   support::LogLine("reload")
       .with("host", Config.Id)
       .with("retry_extra", Config.RetryExtraPerWindow)
--- a/src/serve/PlatformHostConfig.cpp
+++ b/src/serve/PlatformHostConfig.cpp
@@ -27,6 +27,7 @@
   platform.reportUnknownKeys();
   config.SeedAddresses = root.addresses("seeds");
   config.FleetStarts = root.oneOf("start", {"host", "fleet"}) == "fleet";
+  config.AdmitsByLoad = root.oneOf("admission", {"off", "load"}) == "load";
   auto bounds = root.map("bounds");
   config.StopGrace = bounds.duration("stop_grace", config.StopGrace,
                                      milliseconds(100), minutes(10));
--- a/src/serve/PlatformHostConfig.h
+++ b/src/serve/PlatformHostConfig.h
@@ -49,6 +49,8 @@
   /// Extra requests allowed beyond the ratio in each window, over all hosts.
   double RetryExtraPerWindow = 50;
   std::chrono::milliseconds RetryWindow{10000};
+  /// Whether requests are admitted by the load of the leaves, or all of them.
+  bool AdmitsByLoad = false;
   /// Largest answer of a leaf, and all unfinished ones together, in bytes.
   leaf::AnswerLimits Answers;
 };
--- a/src/support/Metrics.cpp
+++ b/src/support/Metrics.cpp
@@ -31,7 +31,9 @@
       Attempts(counter(Registry, "savorytrestle_leaf_attempts_total",
                        "Attempts on leaves by result.")),
       ExtraAttempts(counter(Registry, "savorytrestle_extra_attempts_total",
-                            "Hedges, retries and restarts.")) {}
+                            "Hedges, retries and restarts.")),
+      Admission(counter(Registry, "savorytrestle_admission_total",
+                        "Requests held or refused by the leaves' load.")) {}
 
 void Metrics::countRequest(const std::string &workspace,
                            const std::string &route, const std::string &outcome,
@@ -58,6 +60,11 @@
   ExtraAttempts.Add({{"workspace", workspace}}).Increment(count);
 }
 
+void Metrics::countAdmission(const std::string &route,
+                             const std::string &decision) {
+  Admission.Add({{"route", route}, {"decision", decision}}).Increment();
+}
+
 void Metrics::setGauge(const std::string &name, const std::string &help,
                        double value) {
   prometheus::BuildGauge().Name(name).Help(help).Register(Registry).Add({}).Set(
--- a/src/support/Metrics.h
+++ b/src/support/Metrics.h
@@ -45,6 +45,11 @@
   /// @param count number of extra attempts
   void countExtraAttempts(const std::string &workspace, std::uint32_t count);
 
+  /// @brief Counts a decision of the admission by load.
+  /// @param route the request's route
+  /// @param decision "held", or "refused_" and the reason
+  void countAdmission(const std::string &route, const std::string &decision);
+
   /// @brief Sets a gauge without labels.
   /// @param name its name
   /// @param help its help text
@@ -63,6 +68,7 @@
   prometheus::Family<prometheus::Counter> &ShardsAnswered;
   prometheus::Family<prometheus::Counter> &Attempts;
   prometheus::Family<prometheus::Counter> &ExtraAttempts;
+  prometheus::Family<prometheus::Counter> &Admission;
 };
 
 } // namespace savorytrestle::support
