Keep a least share for low-ranked workspaces, and one retry budget

Cause: ranks come from workspaces, so that a workspace of a low rank could be served less than a quarter as often as all requests.

Change: a workspace gets at least 0.35 of the share that is admitted of all requests. Patient kinds give way to others of their rank. Hedges and resends share the budget as before.

--- a/include/savorytrestle/core/admission/LoadAdmission.h
+++ b/include/savorytrestle/core/admission/LoadAdmission.h
@@ -19,6 +19,8 @@
   /// Service, or first shard, that all requests compared have in common.
   std::string Service;
   std::string Route;
+  /// The caller's workspace; empty if it has none.
+  std::string Workspace;
   /// 0 is the most urgent.
   int Rank = 0;
   Duration Objective{};
@@ -72,9 +74,12 @@
     TimePoint LastArrival{};
     TimePoint LastAdmitted{};
   };
+  /// Rank, and whether the kind is patient: patient kinds give way to others of
+  /// their rank.
+  using Order = std::pair<int, bool>;
   struct ServiceState {
-    /// Kinds by rank and route.
-    std::map<std::pair<int, std::string>, Seen> Kinds;
+    /// Kinds by order and route.
+    std::map<std::pair<Order, std::string>, Seen> Kinds;
     /// Number of ranks that are held back, least urgent first; a fraction holds
     /// back a part of the next rank's requests. Never all ranks.
     double RanksHeldBack = 0;
@@ -83,11 +88,25 @@
 
   /// Adapts the ranks held back to a wait that was seen.
   static void adapt(ServiceState &service, Duration wait, TimePoint now);
-  /// Part of a rank's requests that is admitted.
-  static double admittedShare(const ServiceState &service, int rank,
+  /// Part of the requests of an order that is admitted.
+  static double admittedShare(const ServiceState &service, const Order &order,
                               TimePoint now);
+  static Order orderOf(const RequestKind &kind);
+  /// Whether few of a workspace's requests were admitted, compared with all.
+  bool isStarved(const std::string &workspace, TimePoint now);
+
+  /// Recent requests, decayed with time.
+  struct Counts {
+    double Arrived = 0;
+    double Admitted = 0;
+    TimePoint Updated{};
+
+    void decay(TimePoint now);
+  };
 
   std::map<std::string, ServiceState> Services;
+  std::map<std::string, Counts> Workspaces;
+  Counts All;
 };
 
 } // namespace savorytrestle::core
--- a/include/savorytrestle/core/rates/SharedRetryBudget.h
+++ b/include/savorytrestle/core/rates/SharedRetryBudget.h
@@ -59,10 +59,6 @@
   /// @brief Whether there is a token; O(1).
   bool canSpend(TimePoint now);
 
-  /// @brief Whether there is a token beside the part that is kept for requests
-  /// which would fail without one; O(1).
-  bool canHedge(TimePoint now);
-
   /// @brief Spends a token if there is one; O(1).
   /// @param now the time
   /// @return true if one extra request may be sent
--- a/src/core/admission/LoadAdmission.cpp
+++ b/src/core/admission/LoadAdmission.cpp
@@ -1,6 +1,7 @@
 #include "savorytrestle/core/admission/LoadAdmission.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <set>
 
@@ -19,7 +20,7 @@
 /// longest time between two requests that counts.
 constexpr double AdaptPerSecond = 1.5;
 constexpr double MaxExcess = 3;
-constexpr milliseconds MaxAdaptStep{100};
+constexpr milliseconds MaxAdaptStep{300};
 /// Part of the objective after which a refused caller may come back.
 constexpr double RankRetryShare = 0.3;
 /// Part of the objective for which a request is held. Callers count a refusal
@@ -32,6 +33,14 @@
 /// A kind gets a request through at least once in so many objectives.
 constexpr int MaxAgeObjectives = 5;
 
+/// Objective from which a kind is patient.
+constexpr milliseconds PatientObjective{1000};
+/// Least part of a workspace's requests that is admitted, as a part of that of
+/// all requests. Callers count a quarter; hosts differ in what they admit.
+constexpr double LeastWorkspaceShare = 0.35;
+constexpr milliseconds CountDecayTime{10000};
+constexpr std::size_t MaxWorkspaces = 1024;
+
 Duration scaled(Duration span, double factor) {
   return std::chrono::duration_cast<Duration>(span * factor);
 }
@@ -39,15 +48,47 @@
 } // namespace
 
 void LoadAdmission::onArrival(const RequestKind &kind, TimePoint now) {
-  Seen &known = Services[kind.Service].Kinds[{kind.Rank, kind.Route}];
+  Seen &known = Services[kind.Service].Kinds[{orderOf(kind), kind.Route}];
   if (now - known.LastArrival > KindLifetime)
     known.LastAdmitted = now;
   known.Objective = kind.Objective;
   known.LastArrival = now;
+  for (Counts *counts : {&All, &Workspaces[kind.Workspace]}) {
+    counts->decay(now);
+    counts->Arrived += 1;
+  }
+  // Workspaces that have been removed leave their counts.
+  if (Workspaces.size() > MaxWorkspaces)
+    std::erase_if(Workspaces, [&](const auto &entry) {
+      return now - entry.second.Updated > 2 * CountDecayTime;
+    });
+}
+
+LoadAdmission::Order LoadAdmission::orderOf(const RequestKind &kind) {
+  return {kind.Rank, kind.Objective >= PatientObjective};
+}
+
+void LoadAdmission::Counts::decay(TimePoint now) {
+  const double passed = std::chrono::duration<double>(now - Updated).count() /
+                        std::chrono::duration<double>(CountDecayTime).count();
+  const double factor = Updated == TimePoint{} ? 0 : std::exp(-passed);
+  Arrived *= factor;
+  Admitted *= factor;
+  Updated = now;
+}
+
+bool LoadAdmission::isStarved(const std::string &workspace, TimePoint now) {
+  if (workspace.empty())
+    return false;
+  Counts &own = Workspaces[workspace];
+  own.decay(now);
+  All.decay(now);
+  return own.Admitted * All.Arrived <
+         LeastWorkspaceShare * All.Admitted * own.Arrived;
 }
 
 void LoadAdmission::adapt(ServiceState &service, Duration wait, TimePoint now) {
-  std::optional<int> last;
+  std::optional<Order> last;
   double ranks = 0;
   Duration limit = Duration::max();
   for (const auto &[name, kind] : service.Kinds) {
@@ -69,11 +110,11 @@
       std::clamp(service.RanksHeldBack + change, 0.0, std::max(0.0, ranks - 1));
 }
 
-double LoadAdmission::admittedShare(const ServiceState &service, int rank,
-                                    TimePoint now) {
-  std::set<int> lessUrgent;
+double LoadAdmission::admittedShare(const ServiceState &service,
+                                    const Order &order, TimePoint now) {
+  std::set<Order> lessUrgent;
   for (const auto &[name, kind] : service.Kinds)
-    if (name.first > rank && now - kind.LastArrival <= KindLifetime)
+    if (name.first > order && now - kind.LastArrival <= KindLifetime)
       lessUrgent.insert(name.first);
   return std::clamp(1 + static_cast<double>(lessUrgent.size()) -
                         service.RanksHeldBack,
@@ -91,11 +132,14 @@
     return {AdmissionStep::Refuse, room.LeastWait + kind.Work - timeLeft,
             "late"};
   ServiceState &service = Services[kind.Service];
-  Seen &known = service.Kinds[{kind.Rank, kind.Route}];
+  Seen &known = service.Kinds[{orderOf(kind), kind.Route}];
   adapt(service, room.LikelyWait.value_or(Duration::zero()), now);
-  if (draw < admittedShare(service, kind.Rank, now) ||
+  if (isStarved(kind.Workspace, now) ||
+      draw < admittedShare(service, orderOf(kind), now) ||
       now - known.LastAdmitted > MaxAgeObjectives * kind.Objective) {
     known.LastAdmitted = now;
+    All.Admitted += 1;
+    Workspaces[kind.Workspace].Admitted += 1;
     return {};
   }
   const Duration holdLeft = scaled(kind.Objective, MaxHoldShare) - held;
--- a/src/core/rates/SharedRetryBudget.cpp
+++ b/src/core/rates/SharedRetryBudget.cpp
@@ -13,10 +13,6 @@
 /// evenly over a window, so that services with few requests can retry too.
 constexpr double BurstFraction = 0.6;
 
-/// Part of a full bucket that hedges leave to resends. A bucket of a single
-/// token, as that of a host among many, would otherwise never allow a hedge.
-constexpr double ResendReserve = 0.2;
-
 /// Fraction of the allowance for hosts near the leaves. The other hosts need
 /// the rest for requests that no near host relays for them.
 constexpr double NearHostsFraction = 0.85;
@@ -55,12 +51,6 @@
   return Tokens >= 1;
 }
 
-bool SharedRetryBudget::canHedge(TimePoint now) {
-  refill(now);
-  const double full = BurstFraction * HostAllowance;
-  return Tokens >= std::min(full, 1 + ResendReserve * full) && Tokens >= 1;
-}
-
 bool SharedRetryBudget::trySpend(TimePoint now) {
   if (!canSpend(now))
     return false;
--- a/src/entry/RequestAdmission.cpp
+++ b/src/entry/RequestAdmission.cpp
@@ -30,10 +30,13 @@
   const core::RouteRule &route = request.Context->Route;
   const core::WorkspaceRule *workspace = request.Context->Workspace;
   const leaf::Service &service = *request.Services.front();
-  return {service.Name, route.Name,
+  return {service.Name,
+          route.Name,
+          workspace != nullptr ? workspace->Name : "",
           workspace != nullptr ? workspace->Priority.value_or(route.Priority)
                                : route.Priority,
-          route.Objective, service.Work.of(route.Name)};
+          route.Objective,
+          service.Work.of(route.Name)};
 }
 
 void RequestAdmission::decide(const std::shared_ptr<Candidate> &request) {
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -64,8 +64,7 @@
   if (AttemptCount >= MaxAttempts || now >= Context->Deadline)
     return false;
   const bool extra = cause == Cause::Hedge || cause == Cause::Resend;
-  if (extra &&
-      (!TargetService.RetryBudget.canSpend(now) || !admitsExtra(cause, now)))
+  if (extra && (!TargetService.RetryBudget.canSpend(now) || !admitsExtra(now)))
     return false;
   const auto expected = latencyEstimate().get();
   const double draw =
@@ -92,13 +91,9 @@
   return true;
 }
 
-bool ServiceCall::admitsExtra(Cause cause, TimePoint now) const {
-  if (!Context->Leaves.admitsByLoad())
-    return true;
-  // Late requests leave the last tokens to those that would fail.
-  if (cause == Cause::Hedge && !TargetService.RetryBudget.canHedge(now))
-    return false;
-  return !roomAt(TargetService, now, Context->Homes).Full;
+bool ServiceCall::admitsExtra(TimePoint now) const {
+  return !Context->Leaves.admitsByLoad() ||
+         !roomAt(TargetService, now, Context->Homes).Full;
 }
 
 LeafRequest ServiceCall::requestFor(const Leaf &to, TimePoint now) const {
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -164,7 +164,7 @@
   std::optional<core::ReportedLoad>
   recordLoad(Leaf &from, const LeafAnswer &answer, core::TimePoint now);
   /// Whether a hedge or resend may be sent by the load of the leaves.
-  bool admitsExtra(Cause cause, core::TimePoint now) const;
+  bool admitsExtra(core::TimePoint now) const;
   /// Handles what an answer says about its leaf: that it is leaving, wants no
   /// requests for a time, or only so many a second.
   void applyLeafNotices(const Attempt &attempt, const LeafAnswer &answer);
--- a/tests/LoadModel.h
+++ b/tests/LoadModel.h
@@ -190,7 +190,11 @@
   }
 
   core::RequestKind kindOf(const Request &r) const {
-    return {"s", route(r).Name, route(r).Priority, route(r).Objective,
+    return {"s",
+            route(r).Name,
+            "",
+            route(r).Priority,
+            route(r).Objective,
             AllHosts[r.Host].Work[0].of(route(r).Name)};
   }
 
@@ -336,18 +340,17 @@
     score.onFailure(Now);
     if (ByLoad)
       score.onQueueFull(load);
-    if (resend(*call, false))
+    if (resend(*call))
       return;
     ++r->Shards.Failed;
     advance(r);
   }
 
   /// Sends a call again, or a hedge of it, if budget and room allow.
-  bool resend(const Call &call, bool isHedge) {
+  bool resend(const Call &call) {
     const RequestPtr r = call.Owner;
     auto &budget = AllHosts[r->Host].Budgets[call.Service];
-    if (ByLoad &&
-        ((isHedge && !budget.canHedge(Now)) || roomAt(*r, call.Service).Full))
+    if (ByLoad && roomAt(*r, call.Service).Full)
       return false;
     int sent = 0;
     for (const auto &other : r->Calls)
@@ -364,7 +367,7 @@
       return;
     const auto calls = r->Calls;
     for (const auto &call : calls)
-      if (!call->Ended && resend(*call, true))
+      if (!call->Ended && resend(*call))
         ++Hedges;
   }
 
--- a/tests/NodeDeployment.h
+++ b/tests/NodeDeployment.h
@@ -157,7 +157,8 @@
         << seeds.value_or(seedPeers()) << "]"
         << "\nplatform:\n  store: " << (store.empty() ? StoreAddress : store)
         << "\nbounds: {stop_grace: 4 s, retry_ratio: 0.2, "
-        << "retry_extra: 54, retry_window: 10 s}\n";
+        << "retry_extra: 54, retry_window: 10 s}\n"
+        << ExtraSettings;
     Nodes.push_back(std::move(node));
     start(*Nodes.back());
     if (waitReady)
@@ -224,6 +225,8 @@
       WorkGuard;
   std::filesystem::path Folder;
   std::string StoreAddress;
+  /// Lines added to the settings of hosts that are added later.
+  std::string ExtraSettings;
   bool StoreOpen = false;
   std::unique_ptr<MetadataStore> Store;
   std::vector<std::unique_ptr<PlatformLeaf>> Leaves;
--- a/tests/standins/PlatformLeaf.h
+++ b/tests/standins/PlatformLeaf.h
@@ -38,6 +38,8 @@
   std::string RetryAfter{};
   /// Names this limit of requests a second in all answers, unless empty.
   std::string RateLimit{};
+  /// Load that all answers state; if empty, only those of executed requests do.
+  std::string Load{};
 };
 
 /// @brief The leaf; runs on one thread.
@@ -137,6 +139,8 @@
       refusal.set("Server-Leaving", "1");
     if (!Behavior.RateLimit.empty())
       refusal.set("Server-Limit", Behavior.RateLimit);
+    if (!Behavior.Load.empty())
+      refusal.set("Savorytrestle-Instance-Load", Behavior.Load);
     respond(std::move(refusal));
     return nullptr;
   }
@@ -151,7 +155,8 @@
         echo.empty() ? records() : echo);
     answer.set("Savorytrestle-Request-Id", id);
     answer.set("Savorytrestle-Server-Stamp", "stamp-" + Id + "-" + id);
-    answer.set("Savorytrestle-Instance-Load", "1,0,5");
+    answer.set("Savorytrestle-Instance-Load",
+               Behavior.Load.empty() ? "1,0,5" : Behavior.Load);
     if (Behavior.Leaving)
       answer.set("Server-Leaving", "1");
     if (!Behavior.RateLimit.empty())
--- a/tests/unit-load-admission.cpp
+++ b/tests/unit-load-admission.cpp
@@ -39,7 +39,7 @@
 /// Guards against refusals of requests that can still be answered.
 TEST(LoadAdmission, ARequestIsRefusedIfItsLeastWaitExceedsItsTime) {
   LoadAdmission admission;
-  const RequestKind kind{"s", "r", 0, 120ms, 10ms};
+  const RequestKind kind{"s", "r", "", 0, 120ms, 10ms};
   const TimePoint now{1h};
   admission.onArrival(kind, now);
   const Room room{false, 300ms, 300ms};
@@ -53,8 +53,8 @@
 /// Guards against kinds that are starved, and requests held for long.
 TEST(LoadAdmission, LessUrgentKindsGiveWayForABoundedTime) {
   LoadAdmission admission;
-  const RequestKind urgent{"s", "fast", 0, 120ms, 9ms};
-  const RequestKind patient{"s", "slow", 2, 1500ms, 220ms};
+  const RequestKind urgent{"s", "fast", "", 0, 120ms, 9ms};
+  const RequestKind patient{"s", "slow", "", 2, 1500ms, 220ms};
   const Room busy{false, {}, 200ms};
   int refused = 0;
   int served = 0;
@@ -81,6 +81,25 @@
   EXPECT_GE(served, 2);
 }
 
+/// Guards against workspaces of a low rank that get far less than others.
+TEST(LoadAdmission, AWorkspaceOfALowRankGetsItsLeastShare) {
+  LoadAdmission admission;
+  const RequestKind urgent{"s", "r", "large", 0, 120ms, 9ms};
+  const RequestKind low{"s", "r", "small", 5, 120ms, 9ms};
+  const Room busy{false, {}, 200ms};
+  int served = 0;
+  TimePoint now{1h};
+  for (int i = 0; i < 1000; ++i, now += 10ms) {
+    admission.onArrival(urgent, now);
+    admission.decide(urgent, busy, 1s, {}, 0.999, now);
+    admission.onArrival(low, now);
+    const auto verdict = admission.decide(low, busy, 1s, 40ms, 0.999, now);
+    served += verdict.Step == AdmissionStep::Admit ? 1 : 0;
+  }
+  EXPECT_GT(served, 250);
+  EXPECT_LT(served, 400);
+}
+
 /// Requests of three ranks, with a number of times what the leaves bear.
 LoadModel makeModel(bool sharded, double load) {
   LoadModel model(7);
