Let the objectives of the least urgent kinds hold back nobody

Cause: the wait limit of a service followed the shortest objective of all kinds, also of those that give way to all others.

--- a/src/core/admission/LoadAdmission.cpp
+++ b/src/core/admission/LoadAdmission.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
+#include <iterator>
 #include <set>
 
 namespace savorytrestle::core {
@@ -88,16 +88,21 @@
 }
 
 void LoadAdmission::adapt(ServiceState &service, Duration wait, TimePoint now) {
-  std::optional<Order> last;
-  double ranks = 0;
-  Duration limit = Duration::max();
+  // The objectives of the least urgent kinds don't count: they give way to none
+  // that is less urgent.
+  std::map<Order, Duration> limits;
   for (const auto &[name, kind] : service.Kinds) {
     if (now - kind.LastArrival > KindLifetime)
       continue;
-    ranks += last != name.first ? 1 : 0;
-    last = name.first;
-    limit = std::min(limit, scaled(kind.Objective, UrgentWaitShare));
+    const Duration own = scaled(kind.Objective, UrgentWaitShare);
+    const auto [it, added] = limits.emplace(name.first, own);
+    it->second = std::min(it->second, own);
   }
+  Duration limit = Duration::max();
+  for (auto it = limits.begin();
+       it != limits.end() && std::next(it) != limits.end(); ++it)
+    limit = std::min(limit, it->second);
+  const auto ranks = static_cast<double>(limits.size());
   const std::chrono::duration<double> passed =
       std::min<Duration>(now - service.Updated, MaxAdaptStep);
   service.Updated = now;
