--- a/tests/LoadModel.h
+++ b/tests/LoadModel.h
@@ -2,20 +2,14 @@
 #define SAVORYTRESTLE_TESTS_LOAD_MODEL_H
 
 /// @file
-/// @brief Simulates callers, hosts and the leaves of one sharded or plain route
-/// family in virtual time, with the decisions of core.
+/// @brief Simulates callers, hosts and leaves, with the decisions of core.
 
 #include <deque>
-#include <functional>
-#include <map>
 #include <memory>
-#include <optional>
 #include <random>
-#include <set>
-#include <string>
-#include <utility>
 #include <vector>
 
+#include "LoadModelParts.h"
 #include "savorytrestle/core/HedgePolicy.h"
 #include "savorytrestle/core/admission/LoadAdmission.h"
 #include "savorytrestle/core/admission/RefusalPolicy.h"
@@ -25,38 +19,15 @@
 
 namespace savorytrestle::load {
 
-using core::Duration;
-using core::TimePoint;
-using namespace std::chrono_literals;
-
-/// @brief One kind of requests.
-struct Kind {
-  core::RouteRule Route;
-  Duration Work{};
-  double PerSecond = 0;
-};
-
-/// @brief What callers of one kind got.
-struct Outcome {
-  int Sent = 0, InTime = 0, RetriedInTime = 0, Late = 0, Refused = 0,
-      Failed = 0, HeldLong = 0;
-  double share(int count) const { return count / std::max(1.0, double(Sent)); }
-  /// Answered at all.
-  double served() const { return share(InTime + RetriedInTime + Late); }
-};
-
-class LoadModel {
+/// @brief The simulation.
+class LoadModel : private EventQueue {
 public:
-  int Hosts = 12;
-  int Services = 36;
-  int LeavesPerService = 3;
+  int Hosts = 12, Services = 36, LeavesPerService = 3;
   bool ByLoad = false;
   std::vector<Kind> Kinds;
   std::vector<Outcome> Outcomes;
-  /// Earlier requests aren't counted: no policy knows of an overload before the
-  /// queues have filled.
+  /// Earlier requests aren't counted, since queues have to fill first.
   Duration CountedFrom = 1s;
-  /// Answered or failed attempts of leaves beyond those needed.
   int Rejections = 0, Hedges = 0;
 
   explicit LoadModel(std::uint64_t seed) : Random(seed) {}
@@ -66,18 +37,11 @@
     End = Now + time;
     for (std::size_t k = 0; k < Kinds.size(); ++k)
       scheduleArrival(k);
-    while (!Events.empty()) {
-      const auto first = Events.begin();
-      Now = first->first;
-      const auto action = std::move(first->second);
-      Events.erase(first);
-      action();
-    }
+    runEvents();
   }
 
 private:
-  static constexpr int Slots = 4;
-  static constexpr int QueueLimit = 24;
+  static constexpr int Slots = 4, QueueLimit = 24;
   static constexpr Duration OneWay = 1ms;
 
   struct Caller {
@@ -120,16 +84,12 @@
   };
   using RequestPtr = std::shared_ptr<Request>;
   using CallPtr = std::shared_ptr<Call>;
-
   Outcome &outcomeOf(const Caller &caller) {
     return caller.Start.time_since_epoch() < CountedFrom
                ? NotCounted
                : Outcomes[caller.Kind];
   }
   double draw() { return std::uniform_real_distribution<double>()(Random); }
-  void at(Duration wait, std::function<void()> action) {
-    Events.emplace(Now + wait, std::move(action));
-  }
   const core::RouteRule &route(const Request &r) const {
     return Kinds[r.From.Kind].Route;
   }
@@ -289,13 +249,7 @@
         double(Kinds[call->Owner->From.Kind].Work.count()) * leaf.Speed;
     // Work varies between half and one and a half of its mean.
     Duration work(Duration::rep(mean * (0.5 + draw())));
-    const auto sincePause =
-        (Now.time_since_epoch() + leaf.PausePhase) % Duration(7500ms);
-    if (sincePause < 300ms)
-      work += 300ms - sincePause;
-    else if (sincePause + work > 7500ms)
-      work += 300ms;
-    at(work, [this, call] {
+    at(withPause(work, Now, leaf.PausePhase), [this, call] {
       if (call->Ended)
         return;
       release(call);
@@ -410,7 +364,6 @@
     for (const auto &call : calls)
       end(call);
     Outcome &outcome = outcomeOf(r.From);
-    const auto objective = route(r).Objective;
     if (!answered) {
       if (!r.Ran)
         return refuse(r, core::retryAfter(route(r), Now, TimePoint::max(),
@@ -418,7 +371,7 @@
       ++outcome.Failed;
       return;
     }
-    if (Now - r.Start <= objective)
+    if (Now - r.Start <= route(r).Objective)
       ++(r.From.Attempts == 0 ? outcome.InTime : outcome.RetriedInTime);
     else
       ++outcome.Late;
@@ -435,9 +388,7 @@
   }
 
   std::mt19937_64 Random;
-  TimePoint Now{};
   TimePoint End{};
-  std::multimap<TimePoint, std::function<void()>> Events;
   std::vector<Leaf> Leaves;
   std::vector<Host> AllHosts;
   Outcome NotCounted;
