--- a/include/savorytrestle/core/balance/LeafScore.h
+++ b/include/savorytrestle/core/balance/LeafScore.h
@@ -12,6 +12,7 @@
 #include <optional>
 
 #include "savorytrestle/core/Time.h"
+#include "savorytrestle/core/admission/LeafRoom.h"
 #include "savorytrestle/core/balance/LeafReports.h"
 #include "savorytrestle/core/balance/LoadEstimate.h"
 
@@ -85,6 +86,14 @@
   /// @brief Records the load that the leaf reported. O(1).
   void onLoadReport(TimePoint now, const ReportedLoad &load);
 
+  /// @brief Records the load with which the leaf turned a request away: if all
+  /// its slots were in use, its queue was full. O(1).
+  void onQueueFull(const ReportedLoad &load);
+
+  /// @brief What this host knows about the leaf's load, for admission.
+  /// O(requests since the last report).
+  LeafLoad load(TimePoint now) const;
+
   /// @brief Takes what this host saw of the leaf since the last call, for the
   /// other hosts. O(1).
   /// @param now current time
@@ -168,9 +177,9 @@
   /// Requests of other hosts in the last report of the leaf's load.
   double OthersReported = 0;
   TimePoint LoadReceived{};
-  std::optional<double> WorkTime;
-  /// Waiting requests for each slot in that report.
-  double QueuedPerSlot = 0;
+  ReportedLoad Load;
+  /// Most requests that it queues, as seen when it turned one away.
+  std::optional<int> QueueLimit;
 };
 
 } // namespace savorytrestle::core
--- a/src/core/balance/LeafScore.cpp
+++ b/src/core/balance/LeafScore.cpp
@@ -123,9 +123,7 @@
   OthersReported = std::max(0.0, static_cast<double>(load.Running) +
                                      load.Waiting - outstanding());
   LoadReceived = now;
-  WorkTime = load.WorkTime;
-  QueuedPerSlot =
-      load.Slots > 0 ? static_cast<double>(load.Waiting) / load.Slots : 0;
+  Load = load;
   if (load.Slots > 0)
     Slots = load.Slots;
 }
@@ -186,11 +184,14 @@
 }
 
 double LeafScore::queueFactor(TimePoint now) const {
-  return now == LoadReceived ? 1 + QueuedPerSlot : 1;
+  if (now != LoadReceived || Load.Slots <= 0)
+    return 1;
+  return 1 + static_cast<double>(Load.Waiting) / Load.Slots;
 }
 
 double LeafScore::workTime(TimePoint now) const {
-  return WorkTime ? presentWorkTime(*WorkTime, now - LoadReceived) : 1;
+  return Load.WorkTime ? presentWorkTime(*Load.WorkTime, now - LoadReceived)
+                       : 1;
 }
 
 double LeafScore::ownFailureRate(TimePoint now) const {
--- a/src/leaf/Service.h
+++ b/src/leaf/Service.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "leaf/Leaf.h"
+#include "savorytrestle/core/admission/WorkTimes.h"
 #include "savorytrestle/core/rates/SharedRetryBudget.h"
 
 namespace savorytrestle::leaf {
@@ -26,6 +27,8 @@
   std::map<std::string, core::ExpectedLatency, std::less<>> Latencies;
   /// Load that the other hosts put on the leaves.
   core::OtherHostsLoad OthersLoad;
+  /// How long leaves execute requests, for admission.
+  core::WorkTimes Work;
   /// Connections that each leaf accepts from all hosts; 0 if unset, in which
   /// case the default of Leaf holds.
   int MaxConnections = 0;
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "leaf/LeafChoice.h"
+#include "leaf/LeafRoom.h"
 #include "savorytrestle/core/Decimal.h"
 #include "support/BeastStringView.h"
 
@@ -56,7 +57,7 @@
   if (AttemptCount >= MaxAttempts || now >= Context->Deadline)
     return false;
   const bool extra = cause == Cause::Hedge || cause == Cause::Resend;
-  if (extra && !TargetService.RetryBudget.canSpend(now))
+  if (extra && (!TargetService.RetryBudget.canSpend(now) || !admitsExtra(now)))
     return false;
   const auto expected = latencyEstimate().get();
   const double draw =
@@ -83,6 +84,11 @@
   return true;
 }
 
+bool ServiceCall::admitsExtra(TimePoint now) const {
+  return !Context->Leaves.admitsByLoad() ||
+         !roomAt(TargetService, now, Context->Homes).Full;
+}
+
 LeafRequest ServiceCall::requestFor(const Leaf &to, TimePoint now) const {
   LeafRequest request = Context->Request;
   const auto left =
@@ -148,7 +154,7 @@
     Reason = "answer of another request, unsigned or encoded";
     return retryOrFinish(CallEnd::OutcomeUnknown, resendCause(), now);
   }
-  recordLoad(from, answer, now);
+  const auto load = recordLoad(from, answer, now);
   from.releaseConnection(attempt.Connection);
   if (answer.find(Context->Names.NotExecuted) != answer.end() ||
       answer.result_int() == Misdirected) {
@@ -158,6 +164,8 @@
              std::to_string(answer.result_int());
     if (answer.result_int() == Misdirected)
       from.retire();
+    else if (load)
+      from.score().onQueueFull(*load);
     from.score().onFailure(now);
     return retryOrFinish(PossibleExecutions > 0 ? CallEnd::OutcomeUnknown
                                                 : CallEnd::Rejected,
@@ -167,6 +175,9 @@
     const auto latency = now - attempt.StartedAt;
     from.score().onAnswer(now, latency, latencyEstimate().get());
     latencyEstimate().record(latency);
+    if (load)
+      TargetService.Work.record(Context->Route.Name, latency, load->Waiting,
+                                load->Slots);
     Answer = std::move(reply.Answer);
     return finish(CallEnd::Answered);
   }
@@ -224,20 +235,21 @@
               answer.end());
 }
 
-void ServiceCall::recordLoad(Leaf &from, const LeafAnswer &answer,
-                             TimePoint now) {
+std::optional<core::ReportedLoad>
+ServiceCall::recordLoad(Leaf &from, const LeafAnswer &answer, TimePoint now) {
   // The answer to a forward carries the load of the leaf, not of the host.
   if (Context->ToHost)
-    return;
+    return std::nullopt;
   const auto header = answer.find(Context->Names.LeafLoad);
   if (header == answer.end())
-    return;
+    return std::nullopt;
   const auto load =
       core::parseReportedLoad(support::toStringView(header->value()));
   if (!load)
-    return;
+    return std::nullopt;
   TargetService.OthersLoad.record(*load, from.score().outstanding());
   from.score().onLoadReport(now, *load);
+  return load;
 }
 
 void ServiceCall::retryOrFinish(CallEnd fallback, std::optional<Cause> cause,
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -57,6 +57,7 @@
       PeerContext(std::make_shared<entry::SessionContext>()) {
   Leaves.setAnswerLimits(Config.Answers);
   Leaves.setColdBounds(Config.Cold);
+  Leaves.setAdmitsByLoad(Config.AdmitsByLoad);
   // Hosts of earlier versions send relays to the callers' listener.
   CallerContext->OnRequestFrom = [this](auto request, const auto &from,
                                         auto respond) {
@@ -428,6 +429,8 @@
   Leaves.setBudgetRule(retryBudgetRule(Config));
   Leaves.setAnswerLimits(Config.Answers);
   Leaves.setColdBounds(Config.Cold);
+  Config.AdmitsByLoad = config->AdmitsByLoad;
+  Leaves.setAdmitsByLoad(Config.AdmitsByLoad);
   support::LogLine("reload")
       .with("host", Config.Id)
       .with("retry_extra", Config.RetryExtraPerWindow)
--- a/src/serve/PlatformHostConfig.h
+++ b/src/serve/PlatformHostConfig.h
@@ -58,6 +58,8 @@
   std::chrono::milliseconds EvacuationTime = std::chrono::minutes(10);
   /// Bounds on the requests of all hosts to a cold leaf.
   core::ColdBounds Cold;
+  /// Whether requests are admitted by the load of the leaves, or all of them.
+  bool AdmitsByLoad = false;
   /// Largest answer of a leaf, and all unfinished ones together, in bytes.
   leaf::AnswerLimits Answers;
 };
--- a/src/support/Metrics.h
+++ b/src/support/Metrics.h
@@ -48,6 +48,11 @@
   /// @param count number of extra attempts
   void countExtraAttempts(const std::string &workspace, std::uint32_t count);
 
+  /// @brief Counts a decision of the admission by load.
+  /// @param route the request's route
+  /// @param decision "held", or "refused_" and the reason
+  void countAdmission(const std::string &route, const std::string &decision);
+
   /// @brief Sets a gauge without labels.
   /// @param name its name
   /// @param help its help text
@@ -76,6 +81,7 @@
   std::mutex WorkspaceGaugesMutex;
   /// Gauges of the last call, by name.
   std::map<std::string, std::vector<prometheus::Gauge *>> WorkspaceGauges;
+  prometheus::Family<prometheus::Counter> &Admission;
 };
 
 } // namespace savorytrestle::support
--- a/tests/NodeDeployment.h
+++ b/tests/NodeDeployment.h
@@ -177,7 +177,9 @@
         << "\nplatform:\n  store: " << (store.empty() ? StoreAddress : store)
         << "\nbounds: {stop_grace: 4 s, retry_ratio: 0.2, "
         << "retry_extra: 54, retry_window: 10 s, "
-        << "warmup_overage: 1.5, warmup_slack: 5, evacuation: 5 s}\n";
+        << "warmup_overage: 1.5, warmup_slack: 5, evacuation: 5 s}
+           "
+        << ExtraSettings;
     Nodes.push_back(std::move(node));
     start(*Nodes.back());
     if (waitReady)
@@ -244,6 +246,8 @@
       WorkGuard;
   std::filesystem::path Folder;
   std::string StoreAddress;
+  /// Lines added to the settings of hosts that are added later.
+  std::string ExtraSettings;
   bool StoreOpen = false;
   /// Whether nodes are added as the hosts of a fleet that starts together.
   bool FleetStarts = false;
