--- a/tests/NodeDeployment.h
+++ b/tests/NodeDeployment.h
@@ -177,8 +177,7 @@
         << "\nplatform:\n  store: " << (store.empty() ? StoreAddress : store)
         << "\nbounds: {stop_grace: 4 s, retry_ratio: 0.2, "
         << "retry_extra: 54, retry_window: 10 s, "
-        << "warmup_overage: 1.5, warmup_slack: 5, evacuation: 5 s}
-           "
+        << "warmup_overage: 1.5, warmup_slack: 5, evacuation: 5 s}\n"
         << ExtraSettings;
     Nodes.push_back(std::move(node));
     start(*Nodes.back());
