--- a/src/core/rates/RateBook.cpp
+++ b/src/core/rates/RateBook.cpp
@@ -92,6 +92,7 @@
         due[controller].push_back(std::move(*report));
     }
   std::vector<RateReports> messages;
+  messages.reserve(due.size());
   for (auto &[controller, reports] : due)
     messages.push_back({controller, std::move(reports)});
   return messages;
--- a/src/entry/CallerIdentity.cpp
+++ b/src/entry/CallerIdentity.cpp
@@ -95,7 +95,7 @@
   if (const auto it = request.find(leaf::RelayWorkspaceHeader);
       relayed && it != request.end())
     return findByName(config, support::toStringView(it->value()));
-  const auto identity = findByKey(request, keys);
+  auto identity = findByKey(request, keys);
   // A public route ignores what does not identify a workspace.
   if (!identity && route.Public)
     return nullptr;
--- a/src/registry/RateExchange.cpp
+++ b/src/registry/RateExchange.cpp
@@ -128,6 +128,7 @@
                             bool isFleetStart) {
   Hosts = hosts;
   std::vector<std::string> ids;
+  ids.reserve(hosts.size());
   for (const auto &[id, address] : hosts)
     ids.push_back(id);
   std::erase_if(Links, [&](const auto &it) { return !Hosts.count(it.first); });
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -191,10 +191,7 @@
   PeerFeed = std::make_shared<registry::FeedServer>(Io, Mirror);
   Exchange = std::make_shared<registry::LeafExchange>(Io, Leaves, Config.Id);
   Exchange->start();
-  Quotas = std::make_shared<entry::QuotaGate>(Config.Id, Config.Quotas);
-  Router.setQuotaGate(Quotas);
-  Rates = std::make_shared<registry::RateExchange>(Io, Config.Id, Quotas);
-  Rates->start();
+  startQuotas();
   // Starts the leaf feed first, so that the leaves of a configuration's
   // services are known when it comes into force, and before it that of
   // evacuations, so that none of their leaves gets a request.
@@ -290,6 +287,13 @@
   Mirror->setPlan(planMirror(others));
 }
 
+void PlatformHost::startQuotas() {
+  Quotas = std::make_shared<entry::QuotaGate>(Config.Id, Config.Quotas);
+  Router.setQuotaGate(Quotas);
+  Rates = std::make_shared<registry::RateExchange>(Io, Config.Id, Quotas);
+  Rates->start();
+}
+
 void PlatformHost::setRateHosts(const HostAddresses &others) {
   const bool isFleetStart =
       Config.FleetStarts && SteadyClock::now() - StartedAt < FleetStartTime;
--- a/tests/LoadModel.h
+++ b/tests/LoadModel.h
@@ -174,6 +174,7 @@
     core::AdmissionVerdict verdict;
     if (ByLoad) {
       std::vector<core::Room> rooms;
+      rooms.reserve(Services);
       for (int s = 0; s < Services; ++s)
         rooms.push_back(roomAt(*r, std::size_t(s)));
       const auto needed = route(*r).sharded() ? core::minShards(route(*r)) : 1;
--- a/tests/process-keys.cpp
+++ b/tests/process-keys.cpp
@@ -64,6 +64,7 @@
 
   static std::vector<std::string> shards() {
     std::vector<std::string> names;
+    names.reserve(Shards);
     for (int i = 0; i < Shards; ++i)
       names.push_back("t" + std::to_string(i));
     return names;
--- a/tests/process-rates.cpp
+++ b/tests/process-rates.cpp
@@ -61,6 +61,7 @@
              std::chrono::milliseconds interval) {
     const auto end = SteadyClock::now() + time;
     std::vector<std::thread> callers;
+    callers.reserve(hosts.size());
     for (const NodeProcess *host : hosts)
       callers.emplace_back([this, host, end, interval] {
         while (SteadyClock::now() < end) {
