Let a controller that starts serve workspaces with small limits

Cause: the reserve of 0.35 was taken of the burst and the slack together, and a controller that starts has nothing saved up: a workspace of 0.5 requests a second was refused for 6 s after its controller had started. Change: the reserve is of the burst alone, and a controller starts with half of the slack. Result: RateController.ASmallWorkspaceIsServedByANewController; the bound holds at 3 to 200 hosts in RateFleetTest.

--- a/src/core/rates/RateController.cpp
+++ b/src/core/rates/RateController.cpp
@@ -17,9 +17,11 @@
 constexpr Seconds DemandTime{0.5};
 /// Time in which the requests saved up may be spent, and a debt is repaid.
 constexpr Seconds SpendTime{1};
-/// Part of the capacity that is kept for requests admitted before their host
+/// Part of the burst that is kept for requests admitted before their host
 /// learns that the limit is reached.
 constexpr double Reserve = 0.35;
+/// Part of the slack with which a controller starts.
+constexpr double InitialSlackPart = 0.5;
 /// Relative fall of the share, and time while it is below 1, after which all
 /// hosts are told.
 constexpr double NoticeStep = 0.25;
@@ -53,9 +55,9 @@
 
 void RateController::setQuota(const RateQuota &quota, double slack,
                               TimePoint now) {
+  Slack = slack;
   advance(now);
   Quota = quota;
-  Slack = slack;
   Saved = std::min(Saved, capacity());
 }
 
@@ -66,8 +68,12 @@
 }
 
 void RateController::advance(TimePoint now) {
-  if (At == TimePoint{})
+  // The slack covers the requests of a workspace with a small limit, whose
+  // demand is above its rate at each request.
+  if (At == TimePoint{}) {
     At = now;
+    Saved = std::max(Saved, InitialSlackPart * Slack);
+  }
   const Seconds passed = std::max(now - At, Duration::zero());
   At = std::max(At, now);
   Saved = std::min(capacity(), Saved + Share * Quota.Rate * passed.count());
@@ -79,12 +85,11 @@
   const double rate = Share * Quota.Rate;
   Saved = std::max(Saved - report.Admitted, -MaxDebt.count() * rate - Slack);
   Demand += report.Arrived / DemandTime.count();
-  const double spendable = Saved - Reserve * capacity();
+  const double spendable = std::max(0.0, Saved - Reserve * Share * Quota.Burst);
   RateVerdict verdict{report.Workspace};
   if (Saved < 0)
     verdict.AdmitShare = 0;
-  else if (const double allowed =
-               std::max(0.0, rate + spendable / SpendTime.count());
+  else if (const double allowed = rate + spendable / SpendTime.count();
            Demand > allowed)
     verdict.AdmitShare = allowed / Demand;
   if (Saved < 1 && rate > 0)
--- a/tests/unit-rates.cpp
+++ b/tests/unit-rates.cpp
@@ -203,6 +203,16 @@
 INSTANTIATE_TEST_SUITE_P(Hosts, RateFleetTest,
                          ::testing::Values(3, 7, 58, 200));
 
+// Guards against seconds of refusals for a small workspace whose controller has
+// just started.
+TEST(RateController, ASmallWorkspaceIsServedByANewController) {
+  const TimePoint begin = TimePoint{} + 1h;
+  RateController controller;
+  controller.setQuota({0.5, 0.5}, 10, begin);
+  EXPECT_DOUBLE_EQ(controller.record({"w", 1, 1}, begin).AdmitShare, 1);
+  EXPECT_DOUBLE_EQ(controller.record({"w", 1, 1}, begin + 2s).AdmitShare, 1);
+}
+
 // Guards against a bucket that stays full when the limit falls.
 TEST(RateController, ALowerLimitTakesEffectAtOnce) {
   const TimePoint begin = TimePoint{} + 1h;
