--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -200,16 +200,7 @@
   Configs->start(*Mirror);
   Hosts->start(*Mirror);
   PeerFeed->start();
-  // Each host asks one seed first, so that the seeds share the others.
-  auto seeds = seedEndpoints();
-  const bool isSeed = seeds.size() < Config.SeedAddresses.size();
-  if (!seeds.empty())
-    std::rotate(seeds.begin(),
-                seeds.begin() +
-                    static_cast<long>(std::hash<std::string>()(Config.Id) %
-                                      seeds.size()),
-                seeds.end());
-  Mirror->setSeeds(std::move(seeds), isSeed || !Config.FleetStarts);
+  setSeeds();
   Mirror->start();
   Presence = std::make_shared<registry::HostPresence>(
       Io, store,
@@ -287,6 +278,19 @@
   Mirror->setPlan(planMirror(others));
 }
 
+void PlatformHost::setSeeds() {
+  // Each host asks one seed first, so that the seeds share the others.
+  auto seeds = seedEndpoints();
+  const bool isSeed = seeds.size() < Config.SeedAddresses.size();
+  if (!seeds.empty())
+    std::rotate(seeds.begin(),
+                seeds.begin() +
+                    static_cast<long>(std::hash<std::string>()(Config.Id) %
+                                      seeds.size()),
+                seeds.end());
+  Mirror->setSeeds(std::move(seeds), isSeed || !Config.FleetStarts);
+}
+
 void PlatformHost::startQuotas() {
   Quotas = std::make_shared<entry::QuotaGate>(Config.Id, Config.Quotas);
   Router.setQuotaGate(Quotas);
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -57,6 +57,8 @@
   void startFeeds(const boost::asio::ip::tcp::endpoint &store);
   /// Starts what tells other hosts of leaves, and of this host's links to them.
   void startNotices();
+  /// Tells the mirror which seeds it may ask.
+  void setSeeds();
   /// Starts what keeps the limits of workspaces.
   void startQuotas();
   void applyHosts(const registry::KnownHosts &hosts);
