--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -230,8 +230,11 @@
       : Log(recordFile), Program(std::move(program)),
         Guard(boost::asio::make_work_guard(Io)), StorePort(freePort()),
         Platform(Io, StorePort) {
-    char folder[] = "/tmp/savorytrestle-review-XXXXXX";
-    Folder = mkdtemp(folder);
+    Folder =
+        (std::filesystem::temp_directory_path() / "savorytrestle-review-XXXXXX")
+            .string();
+    if (mkdtemp(Folder.data()) == nullptr)
+      std::exit(CouldNotRun);
     secondsNow();
     Thread = std::thread([this] { Io.run(); });
   }
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -15,6 +15,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
@@ -34,6 +35,9 @@
 using Respond = std::function<void(std::optional<Response>)>;
 using Handler = std::function<void(const Request &, Respond)>;
 
+/// Field of a response that is sent as these bytes and nothing else.
+constexpr const char *RawBytes = "x-raw-bytes";
+
 inline std::string text(boost::beast::string_view view) {
   return {view.data(), view.size()};
 }
@@ -91,6 +95,8 @@
       Socket.close(ignored);
       return;
     }
+    if (const auto raw = response->find(RawBytes); raw != response->end())
+      return sendRaw(text(raw->value()));
     const bool keep = Parser->get().keep_alive();
     Answer.emplace(std::move(*response));
     Answer->keep_alive(keep);
@@ -103,8 +109,19 @@
         });
   }
 
+  void sendRaw(std::string bytes) {
+    Raw = std::move(bytes);
+    boost::asio::async_write(
+        Socket, boost::asio::buffer(Raw),
+        [self = shared_from_this()](error_code ec, std::size_t) {
+          if (!ec)
+            self->read();
+        });
+  }
+
   tcp::socket Socket;
   Handler OnRequest;
+  std::string Raw;
   boost::beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
   std::optional<Response> Answer;
