--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -121,6 +121,9 @@
     return response;
   }
 
+  /// @brief Ends the leaf's process without a word.
+  void crash() { Listener.crash(); }
+
   const std::string Id;
   const std::string Service;
   const std::string Zone;
@@ -257,10 +260,27 @@
 
   Leaf &addLeaf(const std::string &id, const std::string &service,
                 const std::string &zone) {
-    return *onStandIns([&] {
-      Leaves.push_back(std::make_unique<Leaf>(Io, id, service, zone, Log));
-      Platform.put(Leaves.back()->key(), Leaves.back()->entry());
-      return Leaves.back().get();
+    return *onStandIns([&] { return &startLeaf(id, service, zone); });
+  }
+
+  /// @brief Like @ref addLeaf, on the stand-ins' thread.
+  Leaf &startLeaf(const std::string &id, const std::string &service,
+                  const std::string &zone) {
+    Leaves.push_back(std::make_unique<Leaf>(Io, id, service, zone, Log));
+    Platform.put(Leaves.back()->key(), Leaves.back()->entry());
+    return *Leaves.back();
+  }
+
+  /// @brief Removes a leaf's entry, as the store does for its silence; on the
+  /// stand-ins' thread.
+  void removeEntry(const Leaf &leaf) { Platform.remove(leaf.key()); }
+
+  /// @brief Calls a function on the stand-ins' thread after some time.
+  void after(milliseconds time, std::function<void()> f) {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(Io, time);
+    timer->async_wait([timer, call = std::move(f)](error_code ec) {
+      if (!ec)
+        call();
     });
   }
 
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -20,6 +21,7 @@
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
 #include <sys/time.h>
+#include <unistd.h>
 
 namespace review {
 
@@ -88,6 +90,13 @@
                      });
   }
 
+  /// @brief Ends the connection with a reset.
+  void reset() {
+    error_code ignored;
+    Socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    Socket.close(ignored);
+  }
+
 private:
   void answer(std::optional<Response> response) {
     if (!response) {
@@ -135,7 +144,15 @@
     accept();
   }
 
-  int port() const { return Acceptor.local_endpoint().port(); }
+  /// @brief Stops to listen and resets all connections, as if the process had
+  /// ended.
+  void crash() {
+    error_code ignored;
+    Acceptor.close(ignored);
+    for (const auto &weak : std::exchange(Sessions, {}))
+      if (const auto session = weak.lock())
+        session->reset();
+  }
 
 private:
   void accept() {
@@ -143,13 +160,18 @@
       if (ec)
         return;
       socket.set_option(tcp::no_delay(true), ec);
-      std::make_shared<Session>(std::move(socket), OnRequest)->read();
+      const auto session =
+          std::make_shared<Session>(std::move(socket), OnRequest);
+      std::erase_if(Sessions, [](const auto &it) { return it.expired(); });
+      Sessions.push_back(session);
+      session->read();
       accept();
     });
   }
 
   tcp::acceptor Acceptor;
   Handler OnRequest;
+  std::vector<std::weak_ptr<Session>> Sessions;
 };
 
 /// @brief What a client got; status 0 if the connection ended without an
