Log which broken runs count as crashes, which are cleared, and count refusals

The log could not tell apart whether runs of requests that crash leaves are dropped, cleared by answers or forgotten with a host: leaf_breaks_forgotten and crashes_heard name no request. No decision changes.

--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -1,6 +1,7 @@
 #include "entry/CrashTracker.h"
 
 #include <algorithm>
+#include <set>
 
 #include "support/BeastStringView.h"
 #include "support/Log.h"
@@ -73,8 +74,15 @@
     std::erase_if(Unproven, [&](const auto &it) {
       return it.Fingerprint == outcome.Fingerprint;
     });
+    const auto known = Quarantine.crashCount(outcome.Fingerprint,
+                                             core::steadyTimeAsWallTime(now));
     const auto records = Quarantine.onSuccess("", outcome.Fingerprint,
                                               core::steadyTimeAsWallTime(now));
+    if (known > 0 && LogBudget.allowLine(now))
+      support::LogLine("crash_runs_cleared")
+          .with("fingerprint", outcome.Fingerprint.High)
+          .with("request", outcome.RequestId)
+          .with("runs", known);
     if (!records.empty() && SendRecords)
       SendRecords(records);
   } else if (outcome.ConnectionBroke && !Link.lost()) {
@@ -118,6 +126,16 @@
                          core::steadyTimeAsWallTime(run.At)});
     else
       ++forgotten;
+    if (LogBudget.allowLine(now))
+      support::LogLine("crash_run")
+          .with("fingerprint", run.Fingerprint.High)
+          .with("run", run.Crash)
+          .with("counted", records.empty() || records.back().Crash != run.Crash
+                               ? 0
+                               : 1)
+          .with("others_broke", run.OthersBroke ? 1 : 0)
+          .with("answered_before", run.AnsweredBefore ? 1 : 0)
+          .with("answered_after", run.AnsweredAfter ? 1 : 0);
   }
   if (forgotten > 0)
     support::LogLine("leaf_breaks_forgotten")
@@ -135,7 +153,15 @@
   if (records.empty())
     return;
   support::LogLine("crashes_heard").with("records", records.size());
-  Quarantine.merge(records, core::steadyTimeAsWallTime(now));
+  const auto at = core::steadyTimeAsWallTime(now);
+  Quarantine.merge(records, at);
+  std::set<core::Fingerprint> named;
+  for (const QuarantineRecord &record : records)
+    if (named.insert(record.RequestFingerprint).second &&
+        LogBudget.allowLine(now))
+      support::LogLine("crash_runs_known")
+          .with("fingerprint", record.RequestFingerprint.High)
+          .with("runs", Quarantine.crashCount(record.RequestFingerprint, at));
 }
 
 } // namespace savorytrestle::entry
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -339,10 +339,13 @@
     return tl::unexpected(Refusal{http::status::bad_request,
                                   "request id header is missing",
                                   std::nullopt});
-  if (const auto wait = Tracker.quarantinedFor(fingerprint, SteadyClock::now()))
+  if (const auto wait =
+          Tracker.quarantinedFor(fingerprint, SteadyClock::now())) {
+    ++QuarantinedCount;
     return tl::unexpected(Refusal{
         http::status::too_many_requests,
         "request is quarantined: leaf connections broke while it ran", *wait});
+  }
   return identity;
 }
 
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -79,6 +79,9 @@
   /// @brief Number of requests that were refused with 401.
   std::uint64_t unauthorizedCount() const { return UnauthorizedCount; }
 
+  /// @brief Number of requests that were refused since they crash leaves.
+  std::uint64_t quarantinedCount() const { return QuarantinedCount; }
+
   /// @brief Number of keys in force.
   std::size_t keyCount() const { return Keys.size(); }
 
@@ -181,6 +184,7 @@
   std::shared_ptr<std::size_t> RelaysInHand = std::make_shared<std::size_t>(0);
   bool RefusesRelays = false;
   std::uint64_t UnauthorizedCount = 0;
+  std::uint64_t QuarantinedCount = 0;
   /// Relay plan of each sharded route, by the route's name.
   std::map<std::string, CachedRelayPlan> RelayPlans;
 };
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -370,6 +370,9 @@
   HostMetrics.setGauge("savorytrestle_requests_unauthorized",
                        "Requests refused for want of a known key.",
                        static_cast<double>(Router.unauthorizedCount()));
+  HostMetrics.setGauge("savorytrestle_requests_quarantined",
+                       "Requests refused since they crash leaves.",
+                       static_cast<double>(Router.quarantinedCount()));
   HostMetrics.setGauge("savorytrestle_workspace_keys",
                        "Keys of all workspaces in force.",
                        static_cast<double>(Router.keyCount()));
