--- /dev/null
+++ b/tests/process-crash-requests.cpp
@@ -0,0 +1,157 @@
+#include "CrashableLeaves.h"
+
+#include <atomic>
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+using namespace savorytrestle;
+using namespace savorytrestle::tests;
+using namespace std::chrono_literals;
+using savorytrestle::testing::eventually;
+
+namespace {
+
+/// Shards, leaves and hosts of laurentides-trestle, whose callers also send
+/// requests that end each leaf which begins to run them.
+class CrashRequestsTest : public ::testing::Test {
+protected:
+  static constexpr int Shards = 10;
+  static constexpr int Hosts = 7;
+
+  void SetUp() override {
+    std::vector<std::string> shards;
+    for (int i = 0; i < Shards; ++i)
+      shards.push_back("s" + std::to_string(i));
+    for (const std::string &shard : shards)
+      Leaves.add(shard, 3);
+    Leaves.add("plain", 19);
+    Cluster.putConfig(testConfig(3, shards));
+    for (int i = 0; i < Hosts; ++i)
+      Cluster.addNode(false, std::string(1, "abc"[i % 3]));
+    for (const auto &node : Cluster.Nodes)
+      ASSERT_TRUE(eventually([&] { return NodeDeployment::ready(*node); }));
+  }
+
+  ~CrashRequestsTest() override {
+    stopCallers();
+    // Ends the thread that runs the leaves before they are destroyed.
+    Cluster.stop();
+  }
+
+  void stopCallers() {
+    Stopped = true;
+    for (std::thread &thread : std::exchange(Threads, {}))
+      thread.join();
+  }
+
+  /// Sends a request again and again, to one host after the other.
+  void repeat(const std::string &path, std::chrono::milliseconds pause) {
+    Paths.push_back(path);
+    Threads.emplace_back([this, path, pause, first = Paths.size()] {
+      for (std::size_t n = first; !Stopped; ++n) {
+        // Not in a fixed order, so that none meets the same hosts each time.
+        const std::size_t host = n * n % Cluster.Nodes.size();
+        Deadly.send(*Cluster.Nodes[host], host, path);
+        std::this_thread::sleep_for(pause);
+      }
+    });
+  }
+
+  /// Sends harmless requests to all hosts, each with a path of its own.
+  void sendHarmless(std::chrono::milliseconds pause) {
+    for (int i = 0; i < 2; ++i)
+      Threads.emplace_back([this, i, pause] {
+        for (std::size_t n = 0; !Stopped; ++n) {
+          const auto &host = *Cluster.Nodes[n % Cluster.Nodes.size()];
+          const std::string id = std::to_string(i) + "-" + std::to_string(n);
+          const int status =
+              NodeDeployment::sendRequest(
+                  host, (n % 4 == 0 ? "/read/" : "/search/") + id, "h" + id, 1s)
+                  .Status;
+          ++Harmless;
+          Refused += status == 429 ? 1 : 0;
+          std::this_thread::sleep_for(pause);
+        }
+      });
+  }
+
+  /// Stops and starts all hosts one after the other, as an upgrade does.
+  void restartInTurn() {
+    for (std::size_t i = 0; i < Cluster.Nodes.size(); ++i) {
+      NodeProcess &node = *Cluster.Nodes[i];
+      Deadly.startDisturbance(i);
+      node.Child.signal(SIGTERM);
+      node.Child.wait();
+      Cluster.start(node);
+      eventually([&] { return NodeDeployment::ready(node); });
+      Deadly.endDisturbance(i);
+    }
+  }
+
+  void expectFewLateRetries() {
+    stopCallers();
+    const auto runs = Leaves.deadlyRuns();
+    for (const std::string &path : Paths) {
+      EXPECT_GE(
+          std::count_if(runs.begin(), runs.end(),
+                        [&](const auto &run) { return run.Path == path; }),
+          3);
+      EXPECT_LE(Deadly.lateRetries(runs, path), DeadlyCallers::AllowedRetries)
+          << path << " of " << runs.size() << " runs that ended a leaf";
+    }
+    EXPECT_EQ(Refused, 0) << "of " << Harmless << " harmless requests";
+  }
+
+  NodeDeployment Cluster;
+  CrashableLeaves Leaves{Cluster};
+  DeadlyCallers Deadly;
+  std::vector<std::string> Paths;
+  std::vector<std::thread> Threads;
+  std::atomic<bool> Stopped{false};
+  std::atomic<int> Harmless{0};
+  std::atomic<int> Refused{0};
+};
+
+TEST_F(CrashRequestsTest, OneReadIsRefusedByAllHosts) {
+  sendHarmless(40ms);
+  repeat("/read/deadly", 700ms);
+  std::this_thread::sleep_for(14s);
+  expectFewLateRetries();
+}
+
+TEST_F(CrashRequestsTest, OneSearchIsRefusedByAllHosts) {
+  sendHarmless(40ms);
+  repeat("/search/deadly", 700ms);
+  std::this_thread::sleep_for(14s);
+  expectFewLateRetries();
+}
+
+TEST_F(CrashRequestsTest, OneReadIsRefusedWhileLeavesLoseAnswers) {
+  sendHarmless(40ms);
+  Leaves.setResetShare(0.08);
+  repeat("/read/deadly", 700ms);
+  std::this_thread::sleep_for(14s);
+  expectFewLateRetries();
+}
+
+TEST_F(CrashRequestsTest, SeveralAtOnceAreRefusedByAllHosts) {
+  sendHarmless(40ms);
+  for (const char *path : {"/read/deadly-1", "/read/deadly-2", "/read/deadly-3",
+                           "/search/deadly-4", "/search/deadly-5"})
+    repeat(path, 900ms);
+  std::this_thread::sleep_for(14s);
+  expectFewLateRetries();
+}
+
+TEST_F(CrashRequestsTest, StaysRefusedOnceAllHostsHaveBeenRestartedInTurn) {
+  sendHarmless(40ms);
+  repeat("/read/deadly-1", 700ms);
+  repeat("/search/deadly-2", 700ms);
+  std::this_thread::sleep_for(6s);
+  restartInTurn();
+  std::this_thread::sleep_for(DeadlyCallers::StabilityWindow + 8s);
+  expectFewLateRetries();
+}
+
+} // namespace
--- a/tests/standins/RawLeaf.h
+++ b/tests/standins/RawLeaf.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/io_context.hpp>
@@ -28,6 +29,8 @@
   bool Close = false;
   /// Closes it with a reset.
   bool Reset = false;
+  /// Ends the leaf, see @ref RawLeaf::crash.
+  bool Crash = false;
 };
 
 /// @brief A complete HTTP answer of a leaf.
@@ -61,6 +64,16 @@
   /// Connections that the peer closed or that failed on reading.
   int ended() const { return EndedConnections; }
 
+  /// @brief Stops listening and resets all connections, as the end of the
+  /// leaf's process does.
+  void crash() {
+    boost::system::error_code ignored; // it may have crashed already
+    Acceptor.close(ignored);
+    for (const auto &weak : std::exchange(Sessions, {}))
+      if (const auto session = weak.lock())
+        reset(*session);
+  }
+
 private:
   struct Session {
     explicit Session(boost::asio::ip::tcp::socket socket)
@@ -78,7 +91,10 @@
       if (ec)
         return;
       ++Connections;
-      read(std::make_shared<Session>(std::move(socket)));
+      const auto session = std::make_shared<Session>(std::move(socket));
+      std::erase_if(Sessions, [](const auto &it) { return it.expired(); });
+      Sessions.push_back(session);
+      read(session);
       accept();
     });
   }
@@ -101,7 +117,16 @@
         });
   }
 
+  static void reset(Session &session) {
+    boost::system::error_code ignored; // the peer may have closed it
+    session.Socket.set_option(boost::asio::socket_base::linger(true, 0),
+                              ignored);
+    session.Socket.close(ignored);
+  }
+
   void answer(const SessionPtr &session, const RawAnswer &raw) {
+    if (raw.Crash)
+      return crash();
     session->Timer.expires_after(raw.Delay);
     session->Timer.async_wait(
         [this, session, raw](const boost::system::error_code &) {
@@ -117,9 +142,8 @@
           if (ec)
             return;
           if (raw.Reset)
-            session->Socket.set_option(
-                boost::asio::socket_base::linger(true, 0));
-          if (raw.Close || raw.Reset)
+            reset(*session);
+          else if (raw.Close)
             session->Socket.close();
           else
             read(session);
@@ -128,6 +152,7 @@
 
   boost::asio::ip::tcp::acceptor Acceptor;
   RequestHandler Handler;
+  std::vector<std::weak_ptr<Session>> Sessions;
   int Requests = 0;
   int Connections = 0;
   int EndedConnections = 0;
