Count a broken run as a crash if the leaf has ended, not by other requests

Callers saw: of several requests that crash leaves none was ever refused; each attempt ended two leaves (or one or two of each shard) and with them the work of other callers, which ended with 502.

Cause: a broken run counted only if no other request's run broke within a second, or leaves answered the host within 200 ms before and after it, and never while the host took itself for cut off from the leaves. Several such requests mark each other, and their leaves' ends look like lost links.

Now the leaf itself is asked: a connection to it is refused, or its entry goes or is replaced within 6 s (leaf::LeafEndings). Other requests and answers play no part. A break whose leaf goes on counts for nothing, so a fault of the links and leaves that only reset connections quarantine nothing. Leaves that fail together fall into one round, however many runs of a request they end; three runs in three rounds quarantine it (core::CrashLedger), and an answer clears the runs of its own service only.

RawLeaf closes its socket on exec: hosts had inherited it, so that a port went on accepting after its leaf had ended.

--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -1,37 +1,51 @@
 #include "entry/CrashTracker.h"
 
 #include <algorithm>
-#include <set>
+#include <map>
 
 #include "support/BeastStringView.h"
 #include "support/Log.h"
 
 namespace savorytrestle::entry {
 
+using core::FatalRun;
 using core::QuarantineEvent;
 using core::QuarantineRecord;
 using core::TimePoint;
+using leaf::LeafSign;
 
 namespace {
 
-/// Runs with broken connections, without an answered run in between on any
-/// host, after which a request is refused. A harmless request that meets
-/// failing leaves each time is far rarer at three than at two.
-constexpr std::size_t MaxBrokenRuns = 3;
-/// Time after which it is decided about a broken run. Longer than it takes to
-/// find that all links are lost.
-constexpr std::chrono::milliseconds ProofPeriod{1000};
-/// Time from a break within which answers, before and after it, show that the
-/// links worked.
-constexpr std::chrono::milliseconds AnswerDistance{200};
-constexpr std::size_t MaxUnproven = 1024;
-
-core::QuarantineSettings quarantineSettings() {
-  core::QuarantineSettings settings;
-  settings.QuarantineAfterCrashes = MaxBrokenRuns;
-  // Known good fingerprints matter only for canaries, which aren't used here.
-  settings.MaxKnownGood = 0;
-  return settings;
+constexpr std::size_t MaxUnproven = 4096;
+/// Keeps the entries of hosts small.
+constexpr std::size_t MaxRecords = 96;
+constexpr std::size_t MaxAnswers = 32;
+
+/// Whether a refused connection shows that the leaf has ended, and not that
+/// this host's links are lost. In a later round the leaf had taken the request
+/// after others broke, so that the links worked.
+bool refusalCounts(const RunBreak &it, bool linksLost) {
+  return !linksLost || it.Round > 1;
+}
+
+/// What a break shows at once.
+bool looksEnded(const RunBreak &it, bool linksLost) {
+  const auto sign = it.Leaf->Sign;
+  return sign == LeafSign::Ended || sign == LeafSign::Pending ||
+         (sign == LeafSign::Refuses && refusalCounts(it, linksLost));
+}
+
+FatalRun fatalRun(const RunOutcome &outcome, std::uint64_t id) {
+  return {outcome.Fingerprint, id, UINT32_MAX, 0, {}};
+}
+
+void addBreak(FatalRun &run, const RunBreak &it) {
+  run.FirstRound = std::min(run.FirstRound, it.Round);
+  run.LastRound = std::max(run.LastRound, it.Round);
+  auto &services = run.Services;
+  if (services.size() < FatalRun::MaxServices &&
+      std::find(services.begin(), services.end(), it.Service) == services.end())
+    services.push_back(it.Service);
 }
 
 } // namespace
@@ -43,125 +57,192 @@
                                request.body());
 }
 
-CrashTracker::CrashTracker(const core::LeafLink &link)
-    : Link(link), Quarantine(quarantineSettings()) {}
+CrashTracker::CrashTracker(const core::LeafLink &link) : Link(link) {}
 
 std::optional<std::chrono::milliseconds>
 CrashTracker::quarantinedFor(const core::Fingerprint &fingerprint,
                              TimePoint now) {
   settle(now);
-  const auto at = core::steadyTimeAsWallTime(now);
-  const auto verdict = Quarantine.check(fingerprint, at);
-  if (verdict.Permission == core::RunPermission::Refused)
-    return verdict.RetryAfter;
-  if (Quarantine.crashCount(fingerprint, at) + countUnproven(fingerprint) >=
-      MaxBrokenRuns)
-    return ProofPeriod;
-  return std::nullopt;
+  auto wait = Ledger.quarantinedFor(fingerprint, now);
+  if (!wait && !Unproven.empty() &&
+      Ledger.quarantinedFor(fingerprint, now, likelyFatal(fingerprint)))
+    wait = ProofPeriod;
+  return wait;
 }
 
-std::size_t
-CrashTracker::countUnproven(const core::Fingerprint &fingerprint) const {
-  return static_cast<std::size_t>(
-      std::count_if(Unproven.begin(), Unproven.end(), [&](const auto &it) {
-        return it.Fingerprint == fingerprint;
-      }));
+std::vector<FatalRun>
+CrashTracker::likelyFatal(const core::Fingerprint &fingerprint) const {
+  std::vector<FatalRun> runs;
+  for (const BrokenRun &broken : Unproven) {
+    if (broken.Outcome.Fingerprint != fingerprint)
+      continue;
+    FatalRun run = fatalRun(broken.Outcome, broken.Id);
+    for (const RunBreak &it : broken.Outcome.Breaks)
+      if (looksEnded(it, broken.LinksLost || Link.lost()))
+        addBreak(run, it);
+    if (run.LastRound > 0)
+      runs.push_back(std::move(run));
+  }
+  return runs;
 }
 
-void CrashTracker::onRunEnd(const RunOutcome &outcome, TimePoint now) {
-  settle(now);
-  if (outcome.Answered) {
-    std::erase_if(Unproven, [&](const auto &it) {
-      return it.Fingerprint == outcome.Fingerprint;
-    });
-    const auto known = Quarantine.crashCount(outcome.Fingerprint,
-                                             core::steadyTimeAsWallTime(now));
-    const auto records = Quarantine.onSuccess("", outcome.Fingerprint,
-                                              core::steadyTimeAsWallTime(now));
-    if (known > 0 && LogBudget.allowLine(now))
+std::uint32_t
+CrashTracker::nextRound(const core::Fingerprint &fingerprint) const {
+  std::uint32_t round = Ledger.nextRound(fingerprint);
+  // A run that proves to be fatal only later still came before this one.
+  for (const BrokenRun &broken : Unproven)
+    if (broken.Outcome.Fingerprint == fingerprint)
+      for (const RunBreak &it : broken.Outcome.Breaks)
+        round = std::max(round, it.Round + 1);
+  return round;
+}
+
+void CrashTracker::onRunEnd(RunOutcome outcome, TimePoint now) {
+  if (!outcome.Answered.empty()) {
+    auto cleared = Ledger.clear(outcome.Fingerprint, outcome.Answered);
+    if (!cleared.empty()) {
       support::LogLine("crash_runs_cleared")
           .with("fingerprint", outcome.Fingerprint.High)
           .with("request", outcome.RequestId)
-          .with("runs", known);
-    if (!records.empty() && SendRecords)
-      SendRecords(records);
-  } else if (outcome.ConnectionBroke && !Link.lost()) {
-    addBrokenRun(outcome, now);
+          .with("runs", cleared.size());
+      Answers.push_back({outcome.Fingerprint, QuarantineEvent::Success, 0,
+                         core::steadyTimeAsWallTime(now)});
+      if (Answers.size() > MaxAnswers)
+        Answers.pop_front();
+      if (OnCleared)
+        OnCleared(cleared);
+    }
   }
-}
-
-void CrashTracker::addBrokenRun(const RunOutcome &outcome, TimePoint now) {
-  // The crash id is derived from the request id, so that a run counts once,
-  // however many hosts and leaves took part in it.
-  BrokenRun run{outcome.Fingerprint, core::makeCrashId(outcome.RequestId, 0),
-                now};
-  if (Unproven.size() >= MaxUnproven ||
-      std::any_of(Unproven.begin(), Unproven.end(),
-                  [&](const auto &it) { return it.Crash == run.Crash; }))
+  if (outcome.Breaks.empty())
     return;
-  run.AnsweredBefore = now - Link.lastAnswer() <= AnswerDistance;
-  for (BrokenRun &other : Unproven)
-    if (other.Fingerprint != run.Fingerprint)
-      other.OthersBroke = run.OthersBroke = true;
-  Unproven.push_back(run);
+  if (Unproven.size() >= MaxUnproven) {
+    Unproven.pop_front();
+    if (LogBudget.allowLine(now))
+      support::LogLine("leaf_breaks_forgotten")
+          .with("runs", 1)
+          .with("why", "too many broken runs");
+  }
   if (LogBudget.allowLine(now))
     support::LogLine("leaf_broke")
         .with("request", outcome.RequestId)
         .with("fingerprint", outcome.Fingerprint.High)
-        .with("refused_from_now",
-              quarantinedFor(outcome.Fingerprint, now) ? 1 : 0);
+        .with("breaks", outcome.Breaks.size())
+        .with("round", outcome.Breaks.front().Round);
+  // Derived from the request's id, so that a run counts once, however many
+  // hosts took part in it.
+  const auto id = core::makeCrashId(outcome.RequestId, 0);
+  Unproven.push_back({std::move(outcome), id, now, Link.lost()});
+}
+
+bool CrashTracker::hasEnded(const BrokenRun &run, const RunBreak &it,
+                            TimePoint now) const {
+  return it.Leaf->Sign == LeafSign::Ended ||
+         (it.Leaf->Sign == LeafSign::Refuses && now - run.At >= ProofPeriod &&
+          refusalCounts(it, run.LinksLost || Link.lost()));
+}
+
+std::optional<FatalRun> CrashTracker::proveFatal(const BrokenRun &run,
+                                                 TimePoint now) const {
+  FatalRun fatal = fatalRun(run.Outcome, run.Id);
+  for (const RunBreak &it : run.Outcome.Breaks)
+    if (hasEnded(run, it, now))
+      addBreak(fatal, it);
+  return fatal.LastRound > 0 ? std::optional(fatal) : std::nullopt;
 }
 
 void CrashTracker::settle(TimePoint now) {
-  std::vector<QuarantineRecord> records;
+  std::vector<FatalRun> found;
   std::size_t forgotten = 0;
-  for (BrokenRun &run : Unproven)
-    if (now - run.At <= AnswerDistance && Link.lastAnswer() > run.At)
-      run.AnsweredAfter = true;
-  while (!Unproven.empty() && now - Unproven.front().At >= ProofPeriod) {
-    const BrokenRun run = Unproven.front();
-    Unproven.pop_front();
-    if (!run.OthersBroke || (run.AnsweredBefore && run.AnsweredAfter))
-      records.push_back({run.Fingerprint, QuarantineEvent::Crash, run.Crash,
-                         core::steadyTimeAsWallTime(run.At)});
-    else
-      ++forgotten;
-    if (LogBudget.allowLine(now))
-      support::LogLine("crash_run")
-          .with("fingerprint", run.Fingerprint.High)
-          .with("run", run.Crash)
-          .with("counted", records.empty() || records.back().Crash != run.Crash
-                               ? 0
-                               : 1)
-          .with("others_broke", run.OthersBroke ? 1 : 0)
-          .with("answered_before", run.AnsweredBefore ? 1 : 0)
-          .with("answered_after", run.AnsweredAfter ? 1 : 0);
-  }
+  std::erase_if(Unproven, [&](const BrokenRun &run) {
+    if (now - run.At < ProofPeriod)
+      return false;
+    if (auto fatal = proveFatal(run, now)) {
+      found.push_back(std::move(*fatal));
+      return true;
+    }
+    const bool expired = now - run.At >= EvidencePeriod;
+    forgotten += expired ? 1 : 0;
+    return expired;
+  });
   if (forgotten > 0)
     support::LogLine("leaf_breaks_forgotten")
         .with("runs", forgotten)
-        .with("why", "no leaf answered meanwhile");
-  if (records.empty())
-    return;
-  Quarantine.merge(records, core::steadyTimeAsWallTime(now));
-  if (SendRecords)
-    SendRecords(records);
+        .with("why", "no leaf has ended");
+  for (const FatalRun &run : found) {
+    if (!Ledger.add(run, now))
+      continue;
+    logQuarantine(run, "run", now);
+    if (OnFound)
+      OnFound(run);
+  }
+}
+
+void CrashTracker::onLeavesLost() {
+  for (BrokenRun &run : Unproven)
+    run.LinksLost = true;
 }
 
-void CrashTracker::merge(const std::vector<QuarantineRecord> &records,
-                         TimePoint now) {
-  if (records.empty())
+void CrashTracker::addHeard(const FatalRun &run, TimePoint now) {
+  if (Ledger.add(run, now))
+    logQuarantine(run, "host", now);
+}
+
+void CrashTracker::removeHeard(const core::Fingerprint &fingerprint,
+                               std::uint64_t runId, std::uint32_t firstRound) {
+  Ledger.remove(fingerprint, runId, firstRound);
+}
+
+void CrashTracker::logQuarantine(const FatalRun &run, const char *foundBy,
+                                 TimePoint now) {
+  if (!LogBudget.allowLine(now))
     return;
-  support::LogLine("crashes_heard").with("records", records.size());
-  const auto at = core::steadyTimeAsWallTime(now);
-  Quarantine.merge(records, at);
-  std::set<core::Fingerprint> named;
+  support::LogLine("crash_run")
+      .with("fingerprint", run.RequestFingerprint.High)
+      .with("run", run.Id)
+      .with("first_round", run.FirstRound)
+      .with("last_round", run.LastRound)
+      .with("services", run.Services.size())
+      .with("found_by", foundBy)
+      .with("runs_known", Ledger.runCount(run.RequestFingerprint))
+      .with("quarantined",
+            Ledger.quarantinedFor(run.RequestFingerprint, now) ? 1 : 0);
+}
+
+void CrashTracker::addRecords(const std::vector<QuarantineRecord> &records,
+                              TimePoint now) {
+  // What is heard together falls into one round.
+  std::map<core::Fingerprint, std::uint32_t> rounds;
+  std::map<core::Fingerprint, core::WallTime> answeredAt;
+  const auto noteAnswer = [&](const QuarantineRecord &record) {
+    auto &at = answeredAt[record.RequestFingerprint];
+    at = std::max(at, record.At);
+  };
   for (const QuarantineRecord &record : records)
-    if (named.insert(record.RequestFingerprint).second &&
-        LogBudget.allowLine(now))
-      support::LogLine("crash_runs_known")
-          .with("fingerprint", record.RequestFingerprint.High)
-          .with("runs", Quarantine.crashCount(record.RequestFingerprint, at));
+    if (record.Event == QuarantineEvent::Success)
+      noteAnswer(record);
+  for (const auto &answer : answeredAt)
+    Ledger.clear(answer.first, {});
+  std::for_each(Answers.begin(), Answers.end(), noteAnswer);
+  for (const QuarantineRecord &record : records) {
+    const auto &fingerprint = record.RequestFingerprint;
+    const auto answered = answeredAt.find(fingerprint);
+    if (record.Event == QuarantineEvent::Success ||
+        (answered != answeredAt.end() && record.At <= answered->second))
+      continue;
+    const auto round =
+        rounds.emplace(fingerprint, Ledger.nextRound(fingerprint))
+            .first->second;
+    addHeard({fingerprint, record.Crash, round, round, {}}, now);
+  }
+}
+
+std::vector<QuarantineRecord> CrashTracker::records() const {
+  std::vector<QuarantineRecord> all;
+  for (const auto &[run, addedAt] : Ledger.newestRuns(MaxRecords))
+    all.push_back({run.RequestFingerprint, QuarantineEvent::Crash, run.Id,
+                   core::steadyTimeAsWallTime(addedAt)});
+  all.insert(all.end(), Answers.begin(), Answers.end());
+  return all;
 }
 
 } // namespace savorytrestle::entry
--- a/src/entry/CrashTracker.h
+++ b/src/entry/CrashTracker.h
@@ -8,13 +8,17 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "entry/CallerSession.h"
+#include "leaf/LeafEndings.h"
 #include "savorytrestle/core/CrashQuarantine.h"
 #include "savorytrestle/core/LeafLink.h"
+#include "savorytrestle/core/quarantine/CrashLedger.h"
 #include "support/LogRateLimiter.h"
 
 namespace savorytrestle::entry {
@@ -24,80 +28,119 @@
 /// @param request the request as received from its caller
 core::Fingerprint fingerprintOf(const CallerRequest &request);
 
+/// @brief A connection to a leaf that broke while it carried a request.
+struct RunBreak {
+  std::shared_ptr<const leaf::SuspectedLeaf> Leaf;
+  core::ServiceHash Service = 0;
+  /// Round in which the request was sent to the leaf.
+  std::uint32_t Round = 1;
+};
+
 /// @brief How a run of a request ended, for the detection of crashes.
 struct RunOutcome {
   core::Fingerprint Fingerprint;
   std::string RequestId;
-  /// Whether a leaf answered. A request that crashes leaves gets no answer.
-  bool Answered = false;
-  /// Whether a leaf's connection broke while the request was in flight.
-  bool ConnectionBroke = false;
+  /// Breaks in calls that got no successful answer.
+  std::vector<RunBreak> Breaks{};
+  /// Services that answered successfully.
+  std::set<core::ServiceHash> Answered{};
 };
 
-/// @brief Counts runs without an answer in which a leaf's connection broke, and
-/// quarantines their requests. Not thread-safe: used on the data thread only.
+/// @brief Finds the runs in which leaves ended and quarantines their requests.
+/// Not thread-safe: used on the data thread only.
 ///
-/// A run counts on this host at once, and for good and on other hosts only once
-/// it has proved to be no fault of this host's links: these break the runs of
-/// several requests, and no leaf answers meanwhile.
+/// A break counts only if the leaf's process has ended: connections also break
+/// by faults of the network, and leaves that go on break them too.
 class CrashTracker {
 public:
-  /// @brief Sends records to the other hosts.
-  using RecordsHandler =
-      std::function<void(const std::vector<core::QuarantineRecord> &records)>;
+  using RunHandler = std::function<void(const core::FatalRun &run)>;
+  using RunsHandler =
+      std::function<void(const std::vector<core::FatalRun> &runs)>;
+
+  static constexpr std::chrono::milliseconds SettleInterval{100};
+  /// Time after which a refused connection proves that the leaf has ended; if
+  /// this host's links are at fault that is known by then.
+  static constexpr std::chrono::milliseconds ProofPeriod{500};
+  /// Time within which the leaf's entry may prove it.
+  static constexpr std::chrono::milliseconds EvidencePeriod{6000};
 
-  /// @brief Creates a tracker without records.
+  /// @brief Creates a tracker without runs.
   /// @param link evidence on this host's links to leaves; must outlive the
   /// tracker
   explicit CrashTracker(const core::LeafLink &link);
 
-  static constexpr std::chrono::milliseconds SettleInterval{100};
-
-  /// @brief Sets the handler that sends records to the other hosts.
-  void onRecords(RecordsHandler handler) { SendRecords = std::move(handler); }
+  /// @brief Sets the handlers of fatal runs that this host found, and of those
+  /// that successful answers to it have cleared.
+  void onFound(RunHandler found, RunsHandler cleared) {
+    OnFound = std::move(found);
+    OnCleared = std::move(cleared);
+  }
 
   /// @brief Checks whether a request is quarantined.
-  /// @param fingerprint fingerprint of the request
-  /// @param now the current time
   /// @return the rest of the quarantine; nothing if the request may run
   std::optional<std::chrono::milliseconds>
   quarantinedFor(const core::Fingerprint &fingerprint, core::TimePoint now);
 
+  /// @brief Round of a run that starts now, see @ref core::CrashLedger.
+  std::uint32_t nextRound(const core::Fingerprint &fingerprint) const;
+
   /// @brief Records how a run ended.
-  void onRunEnd(const RunOutcome &outcome, core::TimePoint now);
+  void onRunEnd(RunOutcome outcome, core::TimePoint now);
 
-  /// @brief Counts broken runs that have proved to be crashes, and forgets
-  /// those that prove nothing. Call every @ref SettleInterval.
+  /// @brief Counts broken runs that have proved to be fatal, and forgets those
+  /// that have not. Call every @ref SettleInterval.
   void settle(core::TimePoint now);
 
-  /// @brief This host's links to all leaves are lost: forgets broken runs that
-  /// aren't proved to be crashes.
-  void onLeavesLost() { Unproven.clear(); }
+  /// @brief This host's links to all leaves are lost: connections that were
+  /// refused when they broke prove nothing.
+  void onLeavesLost();
+
+  /// @brief Adds a run that another host found.
+  void addHeard(const core::FatalRun &run, core::TimePoint now);
+
+  /// @brief Removes a run that a host has cleared or that is too old.
+  void removeHeard(const core::Fingerprint &fingerprint, std::uint64_t runId,
+                   std::uint32_t firstRound);
+
+  /// @brief Adds the records of a host of an earlier version, which knows no
+  /// rounds.
+  void addRecords(const std::vector<core::QuarantineRecord> &records,
+                  core::TimePoint now);
+
+  /// @brief The newest runs and answers as records for hosts of earlier
+  /// versions.
+  std::vector<core::QuarantineRecord> records() const;
 
-  /// @brief Merges records of another host; merging them again has no effect.
-  void merge(const std::vector<core::QuarantineRecord> &records,
-             core::TimePoint now);
+  /// @brief Number of requests in whose runs leaves have ended.
+  std::size_t requestCount() const { return Ledger.size(); }
 
 private:
+  /// A run that broke, until it is known whether leaves ended.
   struct BrokenRun {
-    core::Fingerprint Fingerprint;
-    core::CrashId Crash;
+    RunOutcome Outcome;
+    std::uint64_t Id = 0;
     core::TimePoint At;
-    /// Whether a leaf answered just before, and just after it.
-    bool AnsweredBefore = false;
-    bool AnsweredAfter = false;
-    /// Whether a run of another request broke at about the same time.
-    bool OthersBroke = false;
+    /// Whether this host's links to all leaves were lost since.
+    bool LinksLost = false;
   };
 
-  void addBrokenRun(const RunOutcome &outcome, core::TimePoint now);
-  std::size_t countUnproven(const core::Fingerprint &fingerprint) const;
+  bool hasEnded(const BrokenRun &run, const RunBreak &it,
+                core::TimePoint now) const;
+  std::optional<core::FatalRun> proveFatal(const BrokenRun &run,
+                                           core::TimePoint now) const;
+  std::vector<core::FatalRun>
+  likelyFatal(const core::Fingerprint &fingerprint) const;
+  void logQuarantine(const core::FatalRun &run, const char *foundBy,
+                     core::TimePoint now);
 
   const core::LeafLink &Link;
   /// Oldest first.
   std::deque<BrokenRun> Unproven;
-  core::CrashQuarantine Quarantine;
-  RecordsHandler SendRecords;
+  core::CrashLedger Ledger;
+  /// Answers that cleared runs, for hosts of earlier versions.
+  std::deque<core::QuarantineRecord> Answers;
+  RunHandler OnFound;
+  RunsHandler OnCleared;
   support::LogRateLimiter LogBudget;
 };
 
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -51,6 +51,7 @@
 
 void RequestRun::start(const std::vector<leaf::Service *> &services,
                        std::vector<Relay> relays) {
+  Round = Tracker.nextRound(Context->Fingerprint);
   Relays = std::move(relays);
   Calls.reserve(services.size());
   for (std::size_t i = 0; i < Relays.size(); ++i)
@@ -392,10 +393,15 @@
   // Relays are left out: the other host reports the outcome of its own leaves.
   RunOutcome run{Context->Fingerprint, Context->RequestId};
   for (const auto &call : Calls) {
-    run.Answered |= call->ended() && call->end() == CallEnd::Answered;
-    run.ConnectionBroke |= call->connectionBroke();
+    const auto service = core::hashService(call->serviceName());
+    if (call->succeeded()) {
+      run.Answered.insert(service);
+      continue;
+    }
+    for (const leaf::LeafBreak &it : call->breaks())
+      run.Breaks.push_back({it.Leaf, service, Round + it.EarlierBreaks});
   }
-  Tracker.onRunEnd(run, SteadyClock::now());
+  Tracker.onRunEnd(std::move(run), SteadyClock::now());
 }
 
 void RequestRun::runDueActions(TimePoint now) {
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -143,6 +143,8 @@
   std::vector<ServiceCallPtr> Calls;
   std::vector<Relay> Relays;
   core::TimePoint TimerExpiry = core::TimePoint::max();
+  /// Round of its first attempts, see @ref core::CrashLedger.
+  std::uint32_t Round = 1;
   /// Whether all calls have been started; ends before that are handled after
   /// it.
   bool Started = false;
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -51,7 +51,7 @@
 LeafDirectory::LeafDirectory(boost::asio::io_context &io, HostLocation location,
                              core::RetryBudgetRule rule)
     : Io(io), JointStartTimer(io), Location(std::move(location)),
-      BudgetRule(rule), HostCount(AssumedHosts),
+      BudgetRule(rule), Endings(io), HostCount(AssumedHosts),
       OwnDomainHostCount(AssumedOwnDomainHosts), StartTime(SteadyClock::now()),
       Random(std::random_device{}()) {}
 
@@ -93,6 +93,7 @@
 void LeafDirectory::putLeaf(const core::LeafEntry &entry) {
   ++Generation;
   const core::LeafRun run{entry.Id, entry.Address, entry.StartedAt};
+  Endings.onRunSeen(run);
   if (entry.Draining)
     Departed.add(run);
   if (const auto it = ById.find(entry.Id); it != ById.end()) {
@@ -137,6 +138,7 @@
   if (it == ById.end())
     return;
   ++Generation;
+  Endings.onEnded(it->second->run());
   keepDemands(*it->second);
   it->second->retire();
   eraseLeaf(service(it->second->entry().Service).Leaves, it->second.get());
@@ -166,6 +168,24 @@
   line.with("limited", limit ? 1 : 0).with("found_by", foundBy);
 }
 
+void LeafDirectory::onReplaced(Leaf &leaf) {
+  Endings.onEnded(leaf.run());
+  leaf.retire();
+}
+
+std::shared_ptr<const SuspectedLeaf>
+LeafDirectory::suspectEnding(const Leaf &leaf) {
+  const auto it = ById.find(leaf.entry().Id);
+  const bool replaced =
+      it == ById.end()
+          ? std::any_of(ById.begin(), ById.end(),
+                        [&](const auto &other) {
+                          return other.second->address() == leaf.address();
+                        })
+          : it->second->run() != leaf.run();
+  return Endings.suspect(leaf.run(), leaf.address(), replaced);
+}
+
 void LeafDirectory::markLeaving(Leaf &leaf) {
   const core::LeafRun run = leaf.run();
   leaf.retire();
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -17,6 +17,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "leaf/LeafEndings.h"
 #include "leaf/Service.h"
 #include "savorytrestle/core/LeafLink.h"
 #include "savorytrestle/core/ServingConfig.h"
@@ -94,6 +95,13 @@
   /// @brief Removes a leaf whose entry has been removed.
   void removeLeaf(const std::string &id);
 
+  /// @brief Sends no new requests to a leaf in whose place another one answers.
+  void onReplaced(Leaf &leaf);
+
+  /// @brief A connection to a leaf broke while it carried a request.
+  /// @return what is known of the leaf's process since; changes with time
+  std::shared_ptr<const SuspectedLeaf> suspectEnding(const Leaf &leaf);
+
   /// @brief Sends no new requests to a leaf that said that it is leaving. The
   /// knowledge outlives its entry and ends with the run of its process.
   void markLeaving(Leaf &leaf);
@@ -258,6 +266,7 @@
   /// For lines on what leaves ask in their answers.
   support::LogRateLimiter DemandLog;
   core::LeafLink Link;
+  LeafEndings Endings;
   std::shared_ptr<AnswerMemory> Memory =
       std::make_shared<AnswerMemory>(AnswerLimits{});
   std::function<void(const core::LeafRun &)> OnLeaving;
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -76,6 +76,7 @@
   MayHaveRun = true;
   const std::size_t index = Attempts.size();
   Attempts.push_back({to, connection, to->score().onSend(now, expected), now,
+                      static_cast<std::uint32_t>(Breaks.size()),
                       to->silence().onSend(), !connection->ready(), false});
   connection->send(to->address(), requestFor(*to, now),
                    [self = shared_from_this(), index](LeafReply reply) {
@@ -132,7 +133,9 @@
                                                 : CallEnd::Unreachable,
                          Cause::Replace, now);
   }
-  ConnectionBroke = true;
+  if (!Context->ToHost)
+    Breaks.push_back({Context->Leaves.suspectEnding(*attempt.Target),
+                      attempt.EarlierBreaks});
   attempt.Target->score().onFailure(now);
   retryOrFinish(CallEnd::OutcomeUnknown, resendCause(), now);
 }
@@ -163,7 +166,7 @@
     Reason = "leaf did not execute the request: status " +
              std::to_string(answer.result_int());
     if (answer.result_int() == Misdirected)
-      from.retire();
+      Context->Leaves.onReplaced(from);
     else if (load)
       from.score().onQueueFull(*load);
     from.score().onFailure(now);
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "leaf/LeafDirectory.h"
+#include "leaf/LeafEndings.h"
 #include "leaf/RelayHeaders.h"
 #include "savorytrestle/core/Fingerprint.h"
 #include "savorytrestle/core/HedgePolicy.h"
@@ -56,6 +57,13 @@
   core::HomeRegions Homes{};
 };
 
+/// @brief A connection to a leaf that broke while it carried a request.
+struct LeafBreak {
+  std::shared_ptr<const SuspectedLeaf> Leaf;
+  /// Connections that had broken in the same call when the request was sent.
+  std::uint32_t EarlierBreaks = 0;
+};
+
 /// @brief How a call to a service ended.
 enum class CallEnd {
   Answered,       ///< a leaf answered, with any status
@@ -114,8 +122,8 @@
   /// @brief Number of leaves that any byte of the request may have reached.
   int possibleArrivals() const;
 
-  /// @brief Whether a leaf's connection broke while the request was in flight.
-  bool connectionBroke() const { return ConnectionBroke; }
+  /// @brief Connections to leaves that broke while they carried the request.
+  const std::vector<LeafBreak> &breaks() const { return Breaks; }
 
   /// @brief Leaf whose attempt ended last, attempts, reason of a failure and
   /// service, for logs.
@@ -139,6 +147,8 @@
     std::shared_ptr<LeafConnection> Connection;
     std::uint64_t ScoreHandle = 0;
     core::TimePoint StartedAt;
+    /// Connections that had broken in this call when it was sent.
+    std::uint32_t EarlierBreaks = 0;
     /// Whether it tests the leaf after a silence.
     bool IsTest = false;
     /// Whether its connection is opened for it.
@@ -192,6 +202,7 @@
   std::vector<Attempt> Attempts;
   std::vector<std::shared_ptr<Leaf>> Tried;
   std::vector<core::LeafRun> Leaving;
+  std::vector<LeafBreak> Breaks;
   std::optional<CallEnd> End;
   LeafAnswer Answer;
   std::string LeafId;
@@ -202,7 +213,6 @@
   bool Hedged = false;
   bool SilenceRecorded = false;
   bool MayHaveRun;
-  bool ConnectionBroke = false;
 };
 
 } // namespace savorytrestle::leaf
--- a/src/registry/HostPresence.cpp
+++ b/src/registry/HostPresence.cpp
@@ -23,8 +23,6 @@
 constexpr milliseconds ReplyTimeout{1500};
 /// Collects the data of several requests in one write.
 constexpr milliseconds WriteDelay{1000};
-/// Keeps the item small; few requests crash leaves.
-constexpr std::size_t MaxQuarantineRecords = 32;
 /// Leaves of a service that is replaced leave one after the other.
 constexpr std::size_t MaxLeavingLeaves = 64;
 
@@ -90,9 +88,11 @@
         [](const store::StoreReply &) {}); // on failure the lease expires
 }
 
-void HostPresence::addRecords(
+void HostPresence::setRecords(
     const std::vector<core::QuarantineRecord> &records) {
-  appendNewest(Entry.QuarantineRecords, records, MaxQuarantineRecords);
+  if (Entry.QuarantineRecords == records)
+    return;
+  Entry.QuarantineRecords = records;
   scheduleWrite();
 }
 
--- a/src/registry/HostPresence.h
+++ b/src/registry/HostPresence.h
@@ -35,8 +35,9 @@
   /// store's era are spread.
   void setHostCount(std::size_t hosts) { HostCount = hosts; }
 
-  /// @brief Adds quarantine records to the entry, which is written soon after.
-  void addRecords(const std::vector<core::QuarantineRecord> &records);
+  /// @brief Replaces the quarantine records in the entry, which is written soon
+  /// after if they have changed.
+  void setRecords(const std::vector<core::QuarantineRecord> &records);
 
   /// @brief Adds leaves that are leaving to the entry, which is written soon
   /// after.
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -181,8 +181,8 @@
   Hosts = std::make_shared<registry::HostFeed>(
       Io, Config.Id, [this](const auto &hosts) { applyHosts(hosts); },
       [this](const registry::HostEntry &entry) {
-        Router.crashTracker().merge(entry.QuarantineRecords,
-                                    SteadyClock::now());
+        Router.crashTracker().addRecords(entry.QuarantineRecords,
+                                         SteadyClock::now());
         Departures->onPublished(entry.LeavingLeaves);
         RateLimits->onPublished(entry.Id,
                                 {entry.RateLimits, entry.EndedRateLimits});
@@ -208,8 +208,11 @@
                           Config.PeerAddress},
       Eras);
   Presence->start();
-  Router.crashTracker().onRecords(
-      [this](const auto &records) { Presence->addRecords(records); });
+  const auto publish = [this] {
+    Presence->setRecords(Router.crashTracker().records());
+  };
+  Router.crashTracker().onFound([publish](const auto &) { publish(); },
+                                [publish](const auto &) { publish(); });
 }
 
 void PlatformHost::startNotices() {
--- a/tests/process-crash-requests.cpp
+++ b/tests/process-crash-requests.cpp
@@ -154,4 +154,35 @@
   expectFewLateRetries();
 }
 
+/// Guards against a harmless request that is refused since it met failing
+/// leaves.
+TEST_F(CrashRequestsTest,
+       AHarmlessRequestThatMetFailingLeavesIsServedAfterwards) {
+  std::atomic<bool> refused{false};
+  std::atomic<int> sent{0};
+  for (const auto &node : Cluster.Nodes)
+    Threads.emplace_back([&] {
+      while (!Stopped)
+        for (const char *path : {"/read/popular", "/search/popular"})
+          if (NodeDeployment::sendRequest(*node, path,
+                                          "p" + std::to_string(++sent), 1s)
+                  .Status == 429)
+            refused = true;
+    });
+  for (int i = 0; i < 3; ++i) {
+    std::this_thread::sleep_for(1s);
+    Leaves.crashAll("plain");
+    Leaves.crashAll("s1");
+    std::this_thread::sleep_for(CrashableLeaves::RestartTime);
+  }
+  stopCallers();
+  EXPECT_FALSE(refused);
+  for (const auto &node : Cluster.Nodes)
+    EXPECT_TRUE(eventually([&] {
+      return NodeDeployment::sendRequest(*node, "/read/popular",
+                                         "p" + std::to_string(++sent), 1s)
+                 .Status == 200;
+    }));
+}
+
 } // namespace
--- a/tests/standins/RawLeaf.h
+++ b/tests/standins/RawLeaf.h
@@ -18,6 +18,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
+#include <fcntl.h>
 
 namespace savorytrestle::tests {
 
@@ -50,6 +51,8 @@
   RawLeaf(boost::asio::io_context &io, RequestHandler script)
       : Acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}),
         Handler(std::move(script)) {
+    // Hosts that inherited the socket would keep it open.
+    fcntl(Acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
     accept();
   }
 
