Keep the runs that crashed leaves in the store, where hosts that start read them

Callers saw: once all hosts had been restarted, one after the other as in an upgrade, a request that all of them had refused ended leaves again, with the work that ran there.

Cause: a host published only the runs that it had seen itself, in its own entry, which ends with its lease or is overwritten by its next start; an entry held 32 of them, and every broken run of any request took one.

Each fatal run is now an item of its own under crashes/ (registry::CrashFeed), written within 0.1 s of its proof and until that has succeeded. All hosts follow it through their mirrors and read it before they are ready. It has no lease, since leases may end while the store is away; the host that has known it longest removes it after ten minutes, and the host that found it writes it again after a rise of the store's era. Hosts of earlier versions get the runs in entries, as before, while there are any, and theirs are taken from there.

Numbers of other writers are read with support::integerWithin.

--- a/src/registry/HostEntry.cpp
+++ b/src/registry/HostEntry.cpp
@@ -78,6 +78,8 @@
   }
   if (entry.KeepsWorkspaces)
     object["workspaces"] = true;
+  if (entry.ReadsCrashRuns)
+    object["crash_runs"] = true;
   if (entry.LeavesLost)
     object["leaves_lost"] = true;
   return object.dump();
@@ -102,6 +104,7 @@
         entry.EndedRateLimits.insert(decodeRun(run));
     entry.LeavesLost = object.value("leaves_lost", false);
     entry.KeepsWorkspaces = object.value("workspaces", false);
+    entry.ReadsCrashRuns = object.value("crash_runs", false);
     return entry;
   });
 }
--- a/src/registry/HostEntry.h
+++ b/src/registry/HostEntry.h
@@ -26,7 +26,8 @@
   /// Address of the listener for other hosts, which get changes there and send
   /// relays to it; empty if the host has none.
   std::string PeerAddress;
-  /// Its records of requests that crash leaves, newest last.
+  /// Its records of requests that crash leaves, newest last; for hosts of
+  /// earlier versions only.
   std::vector<core::QuarantineRecord> QuarantineRecords{};
   /// Leaves that told it that they are leaving, newest last.
   std::vector<core::LeafRun> LeavingLeaves{};
@@ -42,6 +43,9 @@
   /// in the regions of their route and workspace; hosts of earlier versions
   /// don't.
   bool KeepsWorkspaces = true;
+  /// Whether it reads the runs in which leaves ended from the store; hosts of
+  /// earlier versions know only the records in entries.
+  bool ReadsCrashRuns = true;
 };
 
 /// @brief Encodes a host's item. Records are stored with their age instead of
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -181,8 +181,9 @@
   Hosts = std::make_shared<registry::HostFeed>(
       Io, Config.Id, [this](const auto &hosts) { applyHosts(hosts); },
       [this](const registry::HostEntry &entry) {
-        Router.crashTracker().addRecords(entry.QuarantineRecords,
-                                         SteadyClock::now());
+        if (!entry.ReadsCrashRuns)
+          Router.crashTracker().addRecords(entry.QuarantineRecords,
+                                           SteadyClock::now());
         Departures->onPublished(entry.LeavingLeaves);
         RateLimits->onPublished(entry.Id,
                                 {entry.RateLimits, entry.EndedRateLimits});
@@ -194,7 +195,9 @@
   startQuotas();
   // Starts the leaf feed first, so that the leaves of a configuration's
   // services are known when it comes into force, and before it that of
-  // evacuations, so that none of their leaves gets a request.
+  // evacuations, so that none of their leaves gets a request, and that of
+  // requests that crash leaves.
+  startCrashRuns(store);
   Evacuations->start(*Mirror);
   LeafEntries->start(*Mirror);
   Configs->start(*Mirror);
@@ -208,11 +211,39 @@
                           Config.PeerAddress},
       Eras);
   Presence->start();
-  const auto publish = [this] {
-    Presence->setRecords(Router.crashTracker().records());
-  };
-  Router.crashTracker().onFound([publish](const auto &) { publish(); },
-                                [publish](const auto &) { publish(); });
+}
+
+void PlatformHost::startCrashRuns(const Endpoint &store) {
+  entry::CrashTracker &tracker = Router.crashTracker();
+  CrashRuns = std::make_shared<registry::CrashFeed>(
+      Io, store, Eras,
+      [this, &tracker](const core::FatalRun &run) {
+        tracker.addHeard(run, SteadyClock::now());
+        publishCrashRecords();
+      },
+      [&tracker](const core::FatalRun &run) {
+        tracker.removeHeard(run.RequestFingerprint, run.Id, run.FirstRound);
+      });
+  tracker.onFound(
+      [this](const core::FatalRun &run) {
+        CrashRuns->publish(run);
+        publishCrashRecords();
+      },
+      [this](const std::vector<core::FatalRun> &runs) {
+        CrashRuns->withdraw(runs);
+        publishCrashRecords();
+      });
+  CrashRuns->start(*Mirror);
+}
+
+void PlatformHost::publishCrashRecords() {
+  const auto &hosts = KnownHosts.LiveHosts;
+  const bool needed =
+      std::any_of(hosts.begin(), hosts.end(),
+                  [](const auto &host) { return !host.ReadsCrashRuns; });
+  if (Presence)
+    Presence->setRecords(needed ? Router.crashTracker().records()
+                                : std::vector<core::QuarantineRecord>{});
 }
 
 void PlatformHost::startNotices() {
@@ -270,6 +301,7 @@
       if (Endpoint address; support::parseEndpoint(text, address))
         HostIps.insert(address.address());
   setPeers();
+  publishCrashRecords();
   HostAddresses others;
   for (const registry::HostEntry &host : hosts.LiveHosts)
     if (Endpoint address; support::parseEndpoint(host.PeerAddress, address)) {
@@ -376,6 +408,10 @@
   HostMetrics.setGauge("savorytrestle_requests_quarantined",
                        "Requests refused since they crash leaves.",
                        static_cast<double>(Router.quarantinedCount()));
+  HostMetrics.setGauge(
+      "savorytrestle_crash_run_requests",
+      "Requests in whose runs leaves have ended, on any host.",
+      static_cast<double>(Router.crashTracker().requestCount()));
   HostMetrics.setGauge("savorytrestle_workspace_keys",
                        "Keys of all workspaces in force.",
                        static_cast<double>(Router.keyCount()));
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -20,6 +20,7 @@
 #include "entry/RequestRouter.h"
 #include "leaf/LeafProber.h"
 #include "registry/ConfigFeed.h"
+#include "registry/CrashFeed.h"
 #include "registry/DepartureNotices.h"
 #include "registry/EvacuationFeed.h"
 #include "registry/FeedServer.h"
@@ -61,6 +62,10 @@
   void setSeeds();
   /// Starts what keeps the limits of workspaces.
   void startQuotas();
+  /// Shares the runs in which leaves ended with the other hosts.
+  void startCrashRuns(const boost::asio::ip::tcp::endpoint &store);
+  /// Publishes them for hosts of earlier versions, if there are any.
+  void publishCrashRecords();
   void applyHosts(const registry::KnownHosts &hosts);
   /// Sets the hosts to which requests may be sent.
   void setPeers();
@@ -106,6 +111,7 @@
   std::shared_ptr<registry::LeafExchange> Exchange;
   std::shared_ptr<entry::QuotaGate> Quotas;
   std::shared_ptr<registry::RateExchange> Rates;
+  std::shared_ptr<registry::CrashFeed> CrashRuns;
   std::shared_ptr<registry::ConfigFeed> Configs;
   std::shared_ptr<registry::LeafFeed> LeafEntries;
   std::shared_ptr<registry::EvacuationFeed> Evacuations;
--- a/src/support/BoundedJson.h
+++ b/src/support/BoundedJson.h
@@ -4,7 +4,12 @@
 /// @file
 /// @brief Parses JSON of external origin with a bound on its nesting.
 
+#include <concepts>
+#include <cstdint>
+#include <limits>
+#include <stdexcept>
 #include <string_view>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -29,11 +34,45 @@
 /// @ref MaxJsonDepth
 core::Result<nlohmann::json> parseBoundedJson(std::string_view text);
 
+/// @brief Converts a JSON number to an integer. Unlike the library's conversion
+/// it neither wraps numbers out of range nor leaves them undefined.
+/// @tparam T type of the integer
+/// @param value the number; digits after the point are dropped
+/// @param least smallest integer that is accepted
+/// @param most largest integer that is accepted
+/// @return the integer
+/// @throws std::out_of_range if the value is out of bounds or no number
+template <std::integral T>
+T integerWithin(const nlohmann::json &value,
+                T least = std::numeric_limits<T>::min(),
+                T most = std::numeric_limits<T>::max()) {
+  const auto within = [least, most](auto n) {
+    return std::cmp_greater_equal(n, least) && std::cmp_less_equal(n, most);
+  };
+  if (value.is_number_unsigned()) {
+    if (const auto n = value.get<std::uint64_t>(); within(n))
+      return static_cast<T>(n);
+  } else if (value.is_number_integer()) {
+    if (const auto n = value.get<std::int64_t>(); within(n))
+      return static_cast<T>(n);
+  } else if (value.is_number_float()) {
+    constexpr auto Min = static_cast<double>(std::numeric_limits<T>::min());
+    // One more than the largest T, which may not be a double.
+    constexpr auto End =
+        static_cast<double>(std::numeric_limits<T>::max() / 2 + 1) * 2;
+    if (const auto n = value.get<double>();
+        n >= Min && n < End && within(static_cast<T>(n)))
+      return static_cast<T>(n);
+  }
+  throw std::out_of_range("number is missing or out of range");
+}
+
 /// @brief Parses a JSON text and converts its value to a type.
 /// @tparam T the type
 /// @param text the text
 /// @param read converts the value to a T or an error; may throw the library's
-/// exceptions for fields that are missing or of another type
+/// exceptions for fields that are missing or of another type, and that of
+/// @ref integerWithin
 /// @param code error code for such fields
 /// @return the T, or the error
 template <typename T, typename Read>
@@ -46,6 +85,8 @@
     return read(*value);
   } catch (const nlohmann::json::exception &ex) {
     return core::makeError(code, ex.what());
+  } catch (const std::out_of_range &ex) {
+    return core::makeError(code, ex.what());
   }
 }
 
