Skip leaf entries whose numbers are out of range or whose port is 0

Another operator's report: one odd entry among those of the leaves ended the machines that read the list, or they followed it no longer.

What did happen: such an entry could name a leaf. maxConcurrency wrapped to 5, 1e300 was undefined and gave slots here, warmupLeftMs and born of 1e300 were undefined, and port 0 was taken. Numbers are read with integerWithin now.

--- a/tests/process-node.cpp
+++ b/tests/process-node.cpp
@@ -297,6 +297,47 @@
   }));
 }
 
+/// Guards against hosts that end, or follow the leaves no longer, since one
+/// entry among them can't be read.
+TEST_F(NodeTest, OddEntriesAmongTheLeavesLeaveTheOthersInUse) {
+  auto &node = Cluster.addNode();
+  const std::string fields =
+      R"("service":"plain","zone":"a","version":"v1","state":"ready","sequence":1,)";
+  const std::vector<std::string> odd = {
+      std::string(200000, '['),
+      "{" + fields + R"("address":"127.0.0.1:70000","maxConcurrency":5})",
+      "{" + fields + R"("address":"127.0.0.1:0","maxConcurrency":5})",
+      "{" + fields + R"("address":"127.0.0.1:9","maxConcurrency":1e999})",
+      "{" + fields + R"("address":"127.0.0.1:9","maxConcurrency":1e300})",
+      "{" + fields +
+          R"("address":"127.0.0.1:9","maxConcurrency":5,"born":1e300})",
+      std::string("\xff\xfe\x00\x01", 4),
+      ""};
+  Cluster.runOnStandInThread([&] {
+    for (std::size_t i = 0; i < odd.size(); ++i)
+      Cluster.Store->put("servers/i-odd" + std::to_string(i), odd[i]);
+    return 0;
+  });
+  auto &second = Cluster.addNode();
+  Cluster.putConfig(testConfig(5, Shards));
+  for (NodeProcess *host : {&node, &second}) {
+    EXPECT_TRUE(eventually([&] {
+      return host->log().find("config_in_force version=5") != std::string::npos;
+    }));
+    EXPECT_FALSE(host->Child.ended());
+  }
+  const PlatformLeaf &added = Cluster.addLeaf("i-new", "plain");
+  int sent = 0;
+  for (NodeProcess *host : {&node, &second})
+    EXPECT_TRUE(eventually([&] {
+      const auto reply = NodeDeployment::sendRequest(
+          *host, "/read/x", host->Id + std::to_string(++sent));
+      EXPECT_EQ(reply.Status, 200);
+      return reply.Headers.at("savorytrestle-server-stamp").find(added.Id) !=
+             std::string::npos;
+    }));
+}
+
 TEST_F(NodeTest, EachFailureIsLoggedWithItsRequestId) {
   const auto &node = Cluster.addNode();
   LeafBehavior full;
--- a/tests/unit-bounded-json.cpp
+++ b/tests/unit-bounded-json.cpp
@@ -35,6 +35,30 @@
                   .is_discarded());
 }
 
+TEST(BoundedJson, IntegersOutOfRangeAreErrors) {
+  const auto read = [](const std::string &text) {
+    return support::decodeJson<int>(text, [](const nlohmann::json &value) {
+      return support::integerWithin<int>(value, 1, 100);
+    });
+  };
+  EXPECT_EQ(read("1"), 1);
+  EXPECT_EQ(read("100"), 100);
+  EXPECT_EQ(read("99.9"), 99);
+  for (const char *bad :
+       {"0", "101", "-1", "4294967297", "18446744073709551616", "1e300",
+        "-1e300", "101.5", "\"5\"", "null", "[]"})
+    EXPECT_FALSE(read(bad)) << bad;
+  const auto readLarge = [](const std::string &text) {
+    return support::decodeJson<std::uint64_t>(
+        text, [](const nlohmann::json &value) {
+          return support::integerWithin<std::uint64_t>(value);
+        });
+  };
+  EXPECT_EQ(readLarge("18446744073709551615"), ~0ULL);
+  EXPECT_FALSE(readLarge("18446744073709551616"));
+  EXPECT_FALSE(readLarge("-1"));
+}
+
 /// Applies one to four random changes to a message: truncates it, repeats a
 /// part, overwrites a byte, inserts nesting or a number out of range.
 std::string mutate(std::string text, std::minstd_rand &random) {
--- a/tests/unit-serving-config.cpp
+++ b/tests/unit-serving-config.cpp
@@ -111,4 +111,38 @@
   EXPECT_FALSE(platform::decodeLeafEntry("i", "\xff\xfe"));
 }
 
+/// Guards against an odd entry of another writer that is taken for a leaf.
+TEST(LeafEntry, OddEntriesNameNoLeaf) {
+  const json good{{"service", "s"},   {"address", "10.0.0.1:80"},
+                  {"zone", "z"},      {"maxConcurrency", 5},
+                  {"state", "ready"}, {"warmupLeftMs", 0},
+                  {"sequence", 4},    {"born", 1765000000000}};
+  ASSERT_TRUE(platform::decodeLeafEntry("i", good.dump()));
+  const std::vector<std::pair<const char *, const char *>> odd = {
+      {"maxConcurrency", "4294967301"},
+      {"maxConcurrency", "1e300"},
+      {"maxConcurrency", "1e999"},
+      {"maxConcurrency", "0"},
+      {"maxConcurrency", "\"5\""},
+      {"warmupLeftMs", "1e300"},
+      {"warmupLeftMs", "-1e300"},
+      {"born", "1e300"},
+      {"born", "18446744073709551616"},
+      {"address", "\"10.0.0.1:0\""},
+      {"address", "\"10.0.0.1:65536\""},
+      {"address", "\"10.0.0.1:-1\""},
+      {"address", "\"10.0.0.1:99999999999\""},
+      {"address", "\":80\""},
+      {"state", "\"gone\""},
+      {"service", "7"}};
+  for (const auto &[field, value] : odd) {
+    json entry = good;
+    entry.erase(field);
+    std::string text = entry.dump();
+    text.pop_back();
+    text += std::string(",\"") + field + "\":" + value + "}";
+    EXPECT_FALSE(platform::decodeLeafEntry("i", text)) << text;
+  }
+}
+
 } // namespace
