Test answers whose head is cut at any byte

Another operator's report: a leaf stopped in the middle of its answer's head and closed, and clients got a 200 framed as whole. It cannot happen here: the test passes without a change, for each of the bytes of three heads; the parser takes an end of the connection for an end of the answer only after the head.

--- a/tests/unit-leaf-connection.cpp
+++ b/tests/unit-leaf-connection.cpp
@@ -81,6 +81,18 @@
   EXPECT_EQ(CloseCalls, 1);
 }
 
+/// Guards against an answer whose head was cut and that is passed on as whole.
+TEST_F(LeafConnectionTest, AnAnswerThatIsCutAnywhereInItsHeadIsBroken) {
+  for (const std::string &head :
+       {std::string("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        std::string("HTTP/1.1 204 No Content\r\nServer-Stamp: s\r\n\r\n")})
+    for (std::size_t n = 0; n < head.size(); ++n) {
+      startLeaf({head.substr(0, n), 0ms, true});
+      EXPECT_EQ(send().Result, Delivery::Broken) << head.substr(0, n);
+    }
+}
+
 TEST_F(LeafConnectionTest, AnAnswerWithoutLengthEndsAtClose) {
   startLeaf({"HTTP/1.1 200 OK\r\n\r\nhello", 0ms, true});
   const auto reply = send();
