Answer the requests that a planned stop ends

Another operator's report: in a planned stop, requests that came late in the grace were passed on and cut at its end with no answer, among them such that may not be repeated. Here too, if their route allows them to outlast the grace: the process ended with their connections open. New connections are taken for 2.6 s after SIGTERM, requests on kept ones no longer than that.

At the end of the grace, less 0.3 s, all requests in progress are answered with what there is: parts, 503 if no leaf can have run them, else 502. The process ends once the answers are sent, 0.15 s later at most. Relays too, so that the other host has an answer.

NodeTest.RequestsThatOutlastAPlannedStopAreAnswered: status 0 for both requests before, 502 now; the one that may run once has run once.

--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -153,12 +153,24 @@
       run->onLeavesLost();
 }
 
+void RequestRouter::endRuns() {
+  const auto runs = Runs;
+  for (const auto &weak : runs)
+    if (const auto run = weak.lock())
+      run->endNow();
+}
+
 std::shared_ptr<RequestRun>
 RequestRouter::makeRun(std::shared_ptr<const leaf::CallContext> context,
                        AnswerHandler respond) {
   const bool relayed = context->FromHost;
   auto run = std::make_shared<RequestRun>(Io, std::move(context), Recorder,
                                           Tracker, std::move(respond));
+  if (Runs.size() >= PruneRunsAt) {
+    std::erase_if(Runs, [](const auto &weak) { return weak.expired(); });
+    PruneRunsAt = std::max(MinRunsToPrune, 2 * Runs.size());
+  }
+  Runs.push_back(run);
   // A relay is not passed on again, so that requests don't go round.
   if (relayed)
     return run;
@@ -168,11 +180,6 @@
                                 std::vector<const leaf::Service *> tried) {
     return makeForward(direct, services, leavesLeft, std::move(tried));
   });
-  if (Runs.size() >= PruneRunsAt) {
-    std::erase_if(Runs, [](const auto &weak) { return weak.expired(); });
-    PruneRunsAt = std::max(MinRunsToPrune, 2 * Runs.size());
-  }
-  Runs.push_back(run);
   return run;
 }
 
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -67,6 +67,10 @@
   /// progress. May be called repeatedly.
   void onLeavesLost();
 
+  /// @brief Answers all requests in progress with what there is, for use at the
+  /// end of a shutdown.
+  void endRuns();
+
   /// @brief Refuses relays from now on, for use in a shutdown.
   void refuseRelays() { RefusesRelays = true; }
 
@@ -178,7 +182,7 @@
   std::shared_ptr<QuotaGate> Quotas;
   /// Rotation over the targets of each traffic split, by the route's name.
   std::map<std::string, core::WeightedRoundRobin> SplitTurns;
-  /// Requests of callers in progress, and ended ones until the next pruning.
+  /// Requests in progress, and ended ones until the next pruning.
   std::vector<std::weak_ptr<RequestRun>> Runs;
   std::size_t PruneRunsAt = MinRunsToPrune;
   std::shared_ptr<std::size_t> RelaysInHand = std::make_shared<std::size_t>(0);
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -377,6 +377,11 @@
     answer.set(leaf::LeavingLeavesHeader, leaf::formatLeavingLeaves(leaving));
 }
 
+void RequestRun::endNow() {
+  if (!Finished)
+    finishIncomplete(SteadyClock::now());
+}
+
 void RequestRun::cancel() {
   if (Finished)
     return;
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -84,6 +84,9 @@
   /// unanswered, if they may be sent again. May be called repeatedly.
   void onLeavesLost();
 
+  /// @brief Answers with what there is, for use when this host's process ends.
+  void endNow();
+
   /// @brief Cancels the calls to leaves, for use when the caller disconnects.
   void cancel();
 
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds BalancerNoticeTime{2600};
 /// Part of the stop grace reserved for the exit of the process.
 constexpr milliseconds ExitReserve{300};
+/// Part of it in which the answers to requests that it ends are sent.
+constexpr milliseconds LastAnswerTime{150};
 constexpr milliseconds IdlePollInterval{50};
 /// The settings file is also reloaded when it changes without a SIGHUP.
 constexpr milliseconds FileCheckInterval{5000};
@@ -530,11 +532,14 @@
 
 void PlatformHost::finishWhenIdle() {
   const auto busy = CallerListener->busyConnections() + Router.relaysInHand();
-  if (busy == 0 || SteadyClock::now() >= StopDeadline) {
+  const auto now = SteadyClock::now();
+  if (busy == 0 || now >= StopDeadline + LastAnswerTime) {
     support::LogLine("stopping_now").with("busy", busy);
     Io.stop();
     return;
   }
+  if (now >= StopDeadline)
+    Router.endRuns();
   StopTimer.expires_after(IdlePollInterval);
   StopTimer.async_wait([this](const boost::system::error_code &ec) {
     if (!ec)
--- a/tests/process-node.cpp
+++ b/tests/process-node.cpp
@@ -297,6 +297,33 @@
   }));
 }
 
+/// Guards against requests that a planned stop cuts off without an answer.
+TEST_F(NodeTest, RequestsThatOutlastAPlannedStopAreAnswered) {
+  auto config = testConfig(4, Shards);
+  for (auto &route : config["routes"])
+    route["timeoutMs"] = 20000;
+  Cluster.putConfig(config);
+  auto &node = Cluster.addNode();
+  LeafBehavior silent;
+  silent.NeverAnswer = true;
+  setBehavior("plain", silent);
+  const auto send = [&](const std::string &id, const char *path,
+                        const char *method) {
+    return std::async(std::launch::async, [&node, id, path, method] {
+      return NodeDeployment::sendRequest(node, path, id, 20s, method);
+    });
+  };
+  auto read = send("r1", "/read/x", "GET");
+  ASSERT_TRUE(eventually([&] { return runs("r1") > 0; }));
+  node.Child.signal(SIGTERM);
+  std::this_thread::sleep_for(1s);
+  auto late = send("r2", "/file/x", "POST");
+  EXPECT_EQ(read.get().Status, 502) << node.log();
+  EXPECT_EQ(late.get().Status, 502) << node.log();
+  EXPECT_EQ(runs("r2"), 1);
+  EXPECT_EQ(node.Child.wait(), 0);
+}
+
 /// Guards against hosts that end, or follow the leaves no longer, since one
 /// entry among them can't be read.
 TEST_F(NodeTest, OddEntriesAmongTheLeavesLeaveTheOthersInUse) {
