Count a run that an earlier version's host reports once

A host of an earlier version repeats all its records with each change of its entry, and the rounds of records are those of the time at which they are heard, so that each repetition counted as another run: two broken runs there quarantined a request. Found by QuarantineTest.HostsOfTwoVersionsTellEachOther, whose log showed run 1 in rounds 1 and 2; CrashTrackerTest.RecordsPassBetweenVersions checks it now.

--- a/include/savorytrestle/core/quarantine/CrashLedger.h
+++ b/include/savorytrestle/core/quarantine/CrashLedger.h
@@ -90,6 +90,9 @@
   quarantinedFor(const Fingerprint &fingerprint, TimePoint now,
                  const std::vector<FatalRun> &unproven = {});
 
+  /// @brief Whether a run of a request is known, in whatever round.
+  bool knows(const Fingerprint &fingerprint, std::uint64_t runId) const;
+
   /// @brief Number of runs known of a request.
   std::size_t runCount(const Fingerprint &fingerprint) const;
 
--- a/src/core/quarantine/CrashLedger.cpp
+++ b/src/core/quarantine/CrashLedger.cpp
@@ -102,6 +102,15 @@
                                                       now);
 }
 
+bool CrashLedger::knows(const Fingerprint &fingerprint,
+                        std::uint64_t runId) const {
+  const auto it = Requests.find(fingerprint);
+  return it != Requests.end() &&
+         std::any_of(
+             it->second.begin(), it->second.end(),
+             [runId](const auto &known) { return known.Run.Id == runId; });
+}
+
 std::size_t CrashLedger::runCount(const Fingerprint &fingerprint) const {
   const auto it = Requests.find(fingerprint);
   return it == Requests.end() ? 0 : it->second.size();
--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -227,6 +227,7 @@
     const auto &fingerprint = record.RequestFingerprint;
     const auto answered = answeredAt.find(fingerprint);
     if (record.Event == QuarantineEvent::Success ||
+        Ledger.knows(fingerprint, record.Crash) ||
         (answered != answeredAt.end() && record.At <= answered->second))
       continue;
     const auto round =
--- a/tests/process-quarantine.cpp
+++ b/tests/process-quarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "savorytrestle/core/Fingerprint.h"
 #include "standins/RawLeaf.h"
 
 using namespace savorytrestle;
@@ -140,4 +141,43 @@
   }
 }
 
+/// Guards against hosts of two versions that don't tell each other.
+TEST_F(QuarantineTest, HostsOfTwoVersionsTellEachOther) {
+  const auto fingerprint =
+      core::makeFingerprint("a.example", "/read/usual", "");
+  const auto putEarlierHost = [&](int records) {
+    nlohmann::json entry{{"failure_domain", "a"},
+                         {"callers", "127.0.0.1:9"},
+                         {"crashes", nlohmann::json::array()}};
+    for (int i = 1; i <= records; ++i)
+      entry["crashes"].push_back(nlohmann::json{{"high", fingerprint.High},
+                                                {"low", fingerprint.Low},
+                                                {"event", "broke"},
+                                                {"run", i},
+                                                {"age_ms", 100}});
+    Cluster.runOnStandInThread([&] {
+      Cluster.Store->put("hosts/earlier", entry.dump());
+      return 0;
+    });
+  };
+  for (int i = 0; i <= 3; ++i) {
+    putEarlierHost(i);
+    // Longer than the news takes to the host.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  }
+  EXPECT_EQ(sendRequest(*FirstHost, "/read/usual"), TooManyRequests)
+      << FirstHost->log();
+  for (int i = 0; i < 3; ++i) {
+    addLeaf();
+    addLeaf();
+    eventually([&] { return sendRequest(*FirstHost, "/read/other") == 200; });
+    sendRequest(*FirstHost, "/read/deadly");
+  }
+  EXPECT_TRUE(eventually([&] {
+    const auto entry = Cluster.runOnStandInThread(
+        [&] { return Cluster.Store->value("hosts/" + FirstHost->Id); });
+    return entry.find("\"event\":\"broke\"") != std::string::npos;
+  }));
+}
+
 } // namespace
--- a/tests/standins/MetadataStore.h
+++ b/tests/standins/MetadataStore.h
@@ -124,6 +124,12 @@
     WriteLimit.PerSecond = writes;
   }
   std::size_t calls() const { return Calls; }
+  /// @brief Value of an item; empty if there is none.
+  std::string value(const std::string &key) const {
+    const auto it = Items.find(key);
+    return it == Items.end() ? "" : it->second.Value;
+  }
+
   std::size_t count(const std::string &prefix) const {
     return static_cast<std::size_t>(
         std::count_if(Items.begin(), Items.end(), [&](const auto &it) {
--- a/tests/unit-crash-tracker.cpp
+++ b/tests/unit-crash-tracker.cpp
@@ -250,9 +250,11 @@
                 .Permission,
             core::RunPermission::Refused);
   CrashTracker later{Link};
-  for (std::size_t i = 1; i <= records.size(); ++i)
+  for (std::size_t i = 1; i <= records.size(); ++i) {
+    EXPECT_FALSE(later.quarantinedFor(RequestFingerprint, Now).has_value());
     later.addRecords({records.begin(), records.begin() + static_cast<long>(i)},
                      Now);
+  }
   EXPECT_TRUE(later.quarantinedFor(RequestFingerprint, Now).has_value());
 }
 
