Tell requests of the same content apart by their workspace

Callers would see: a request is refused since another workspace's request of the same host, path and body crashes leaves; or, the other way round, that one is never refused, as the answers to the harmless one clear its runs. A request that crashes leaves is known by its path, caller and body; the caller was left out. The workspace is part of the fingerprint now, where there are workspaces.

--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -50,10 +50,14 @@
 
 } // namespace
 
-core::Fingerprint fingerprintOf(const CallerRequest &request) {
-  const auto host =
-      support::toStringView(request[boost::beast::http::field::host]);
-  return core::makeFingerprint(host, support::toStringView(request.target()),
+core::Fingerprint fingerprintOf(const CallerRequest &request,
+                                const core::WorkspaceRule *workspace) {
+  std::string scope(
+      support::toStringView(request[boost::beast::http::field::host]));
+  // No host name holds a null byte.
+  if (workspace != nullptr)
+    scope.append(1, '\0').append(workspace->Name);
+  return core::makeFingerprint(scope, support::toStringView(request.target()),
                                request.body());
 }
 
--- a/src/entry/CrashTracker.h
+++ b/src/entry/CrashTracker.h
@@ -18,6 +18,7 @@
 #include "leaf/LeafEndings.h"
 #include "savorytrestle/core/CrashQuarantine.h"
 #include "savorytrestle/core/LeafLink.h"
+#include "savorytrestle/core/ServingConfig.h"
 #include "savorytrestle/core/quarantine/CrashLedger.h"
 #include "support/LogRateLimiter.h"
 
@@ -26,7 +27,9 @@
 /// @brief Computes the fingerprint of a request's content; it is the same each
 /// time the request is sent.
 /// @param request the request as received from its caller
-core::Fingerprint fingerprintOf(const CallerRequest &request);
+/// @param workspace workspace of the caller; null if there is none
+core::Fingerprint fingerprintOf(const CallerRequest &request,
+                                const core::WorkspaceRule *workspace = nullptr);
 
 /// @brief A connection to a leaf that broke while it carried a request.
 struct RunBreak {
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -216,13 +216,22 @@
 CancelHandler RequestRouter::start(CallerRequest request, AnswerHandler respond,
                                    bool relayed) {
   const core::RouteRule *const route = routeOf(request);
-  const auto fingerprint = fingerprintOf(request);
-  const auto identity = check(request, route, fingerprint, relayed);
+  const auto identity = check(request, route, relayed);
   if (!identity) {
     refuse(request, route, identity.error(), respond);
     return nullptr;
   }
   const core::WorkspaceRule *const workspace = identity.value_or(nullptr);
+  const auto fingerprint = fingerprintOf(request, workspace);
+  if (const auto wait =
+          Tracker.quarantinedFor(fingerprint, SteadyClock::now())) {
+    ++QuarantinedCount;
+    refuse(request, route,
+           {http::status::too_many_requests,
+            "request is quarantined: leaves ended while they ran it", *wait},
+           respond);
+    return nullptr;
+  }
   // The caller's host has charged a relay.
   QuotaGate::ChargePtr charge;
   if (!relayed && workspace != nullptr && Quotas &&
@@ -333,7 +342,7 @@
 
 tl::expected<const core::WorkspaceRule *, Refusal>
 RequestRouter::check(const CallerRequest &request, const core::RouteRule *route,
-                     const core::Fingerprint &fingerprint, bool relayed) {
+                     bool relayed) {
   if (const auto refusal = findConfigRefusal(request, route))
     return tl::unexpected(*refusal);
   auto identity = findWorkspace(request, *route, *Config, Keys, relayed);
@@ -346,13 +355,6 @@
     return tl::unexpected(Refusal{http::status::bad_request,
                                   "request id header is missing",
                                   std::nullopt});
-  if (const auto wait =
-          Tracker.quarantinedFor(fingerprint, SteadyClock::now())) {
-    ++QuarantinedCount;
-    return tl::unexpected(Refusal{
-        http::status::too_many_requests,
-        "request is quarantined: leaf connections broke while it ran", *wait});
-  }
   return identity;
 }
 
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -123,7 +123,7 @@
   /// @return its workspace, see @ref entry::findWorkspace
   tl::expected<const core::WorkspaceRule *, Refusal>
   check(const CallerRequest &request, const core::RouteRule *route,
-        const core::Fingerprint &fingerprint, bool relayed);
+        bool relayed);
   /// Returns why this host takes no relays; nothing if it does.
   std::optional<Refusal> findRelayRefusal() const;
   void scheduleSettle();
--- a/tests/unit-crash-tracker.cpp
+++ b/tests/unit-crash-tracker.cpp
@@ -290,4 +290,17 @@
   EXPECT_FALSE(fingerprint == fingerprintOf(request("/x", "r1", "other")));
 }
 
+/// Guards against a request that is refused, or let through again, by what
+/// another caller's request of the same content did.
+TEST(Fingerprint, DependsOnTheWorkspace) {
+  core::WorkspaceRule first;
+  first.Name = "w1";
+  core::WorkspaceRule second;
+  second.Name = "w2";
+  const auto fingerprint = fingerprintOf(request("/x", "r1"), &first);
+  EXPECT_EQ(fingerprint, fingerprintOf(request("/x", "r2"), &first));
+  EXPECT_FALSE(fingerprint == fingerprintOf(request("/x", "r1"), &second));
+  EXPECT_FALSE(fingerprint == fingerprintOf(request("/x", "r1")));
+}
+
 } // namespace
