Take refused connections for ended leaves also while all leaves seem lost

Callers saw: of many requests that crash leaves at once, some went on to end leaves for 15 s, with others' work on them.

Cause: as nearly all leaves had ended, hosts took themselves for cut off (leaves_lost) and refused connections for no evidence; a run that was then not proved by the leaf's entry within 6 s was dropped. Entries of many leaves at once are held as a lapse, for 5.8 s in all.

The state of the links plays no part any more: what a cut breaks falls into one round, and no new connection is established that could open another one. The time for an entry to prove an end is 8 s.

--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -21,18 +21,11 @@
 constexpr std::size_t MaxRecords = 96;
 constexpr std::size_t MaxAnswers = 32;
 
-/// Whether a refused connection shows that the leaf has ended, and not that
-/// this host's links are lost. In a later round the leaf had taken the request
-/// after others broke, so that the links worked.
-bool refusalCounts(const RunBreak &it, bool linksLost) {
-  return !linksLost || it.Round > 1;
-}
-
 /// What a break shows at once.
-bool looksEnded(const RunBreak &it, bool linksLost) {
+bool looksEnded(const RunBreak &it) {
   const auto sign = it.Leaf->Sign;
   return sign == LeafSign::Ended || sign == LeafSign::Pending ||
-         (sign == LeafSign::Refuses && refusalCounts(it, linksLost));
+         sign == LeafSign::Refuses;
 }
 
 FatalRun fatalRun(const RunOutcome &outcome, std::uint64_t id) {
@@ -61,8 +54,6 @@
                                request.body());
 }
 
-CrashTracker::CrashTracker(const core::LeafLink &link) : Link(link) {}
-
 std::optional<std::chrono::milliseconds>
 CrashTracker::quarantinedFor(const core::Fingerprint &fingerprint,
                              TimePoint now) {
@@ -82,7 +73,7 @@
       continue;
     FatalRun run = fatalRun(broken.Outcome, broken.Id);
     for (const RunBreak &it : broken.Outcome.Breaks)
-      if (looksEnded(it, broken.LinksLost || Link.lost()))
+      if (looksEnded(it))
         addBreak(run, it);
     if (run.LastRound > 0)
       runs.push_back(std::move(run));
@@ -135,21 +126,13 @@
   // Derived from the request's id, so that a run counts once, however many
   // hosts took part in it.
   const auto id = core::makeCrashId(outcome.RequestId, 0);
-  Unproven.push_back({std::move(outcome), id, now, Link.lost()});
+  Unproven.push_back({std::move(outcome), id, now});
 }
 
-bool CrashTracker::hasEnded(const BrokenRun &run, const RunBreak &it,
-                            TimePoint now) const {
-  return it.Leaf->Sign == LeafSign::Ended ||
-         (it.Leaf->Sign == LeafSign::Refuses && now - run.At >= ProofPeriod &&
-          refusalCounts(it, run.LinksLost || Link.lost()));
-}
-
-std::optional<FatalRun> CrashTracker::proveFatal(const BrokenRun &run,
-                                                 TimePoint now) const {
+std::optional<FatalRun> CrashTracker::proveFatal(const BrokenRun &run) {
   FatalRun fatal = fatalRun(run.Outcome, run.Id);
   for (const RunBreak &it : run.Outcome.Breaks)
-    if (hasEnded(run, it, now))
+    if (it.Leaf->Sign == LeafSign::Ended || it.Leaf->Sign == LeafSign::Refuses)
       addBreak(fatal, it);
   return fatal.LastRound > 0 ? std::optional(fatal) : std::nullopt;
 }
@@ -160,7 +143,7 @@
   std::erase_if(Unproven, [&](const BrokenRun &run) {
     if (now - run.At < ProofPeriod)
       return false;
-    if (auto fatal = proveFatal(run, now)) {
+    if (auto fatal = proveFatal(run)) {
       found.push_back(std::move(*fatal));
       return true;
     }
@@ -181,11 +164,6 @@
   }
 }
 
-void CrashTracker::onLeavesLost() {
-  for (BrokenRun &run : Unproven)
-    run.LinksLost = true;
-}
-
 void CrashTracker::addHeard(const FatalRun &run, TimePoint now) {
   if (Ledger.add(run, now))
     logQuarantine(run, "host", now);
--- a/src/entry/CrashTracker.h
+++ b/src/entry/CrashTracker.h
@@ -17,7 +17,6 @@
 #include "entry/CallerSession.h"
 #include "leaf/LeafEndings.h"
 #include "savorytrestle/core/CrashQuarantine.h"
-#include "savorytrestle/core/LeafLink.h"
 #include "savorytrestle/core/ServingConfig.h"
 #include "savorytrestle/core/quarantine/CrashLedger.h"
 #include "support/LogRateLimiter.h"
@@ -53,7 +52,9 @@
 /// Not thread-safe: used on the data thread only.
 ///
 /// A break counts only if the leaf's process has ended: connections also break
-/// by faults of the network, and leaves that go on break them too.
+/// by faults of the network, and leaves that go on break them too. A host whose
+/// links are cut may still take leaves for ended; their runs fall into one
+/// round, see @ref core::CrashLedger.
 class CrashTracker {
 public:
   using RunHandler = std::function<void(const core::FatalRun &run)>;
@@ -61,16 +62,12 @@
       std::function<void(const std::vector<core::FatalRun> &runs)>;
 
   static constexpr std::chrono::milliseconds SettleInterval{100};
-  /// Time after which a refused connection proves that the leaf has ended; if
-  /// this host's links are at fault that is known by then.
+  /// Time from a break to the verdict, within which connections to the leaf are
+  /// tried.
   static constexpr std::chrono::milliseconds ProofPeriod{500};
-  /// Time within which the leaf's entry may prove it.
-  static constexpr std::chrono::milliseconds EvidencePeriod{6000};
-
-  /// @brief Creates a tracker without runs.
-  /// @param link evidence on this host's links to leaves; must outlive the
-  /// tracker
-  explicit CrashTracker(const core::LeafLink &link);
+  /// Time within which the leaf's entry may still prove that it has ended:
+  /// entries lapse after seconds, and many at once are held.
+  static constexpr std::chrono::milliseconds EvidencePeriod{8000};
 
   /// @brief Sets the handlers of fatal runs that this host found, and of those
   /// that successful answers to it have cleared.
@@ -94,10 +91,6 @@
   /// that have not. Call every @ref SettleInterval.
   void settle(core::TimePoint now);
 
-  /// @brief This host's links to all leaves are lost: connections that were
-  /// refused when they broke prove nothing.
-  void onLeavesLost();
-
   /// @brief Adds a run that another host found.
   void addHeard(const core::FatalRun &run, core::TimePoint now);
 
@@ -123,20 +116,14 @@
     RunOutcome Outcome;
     std::uint64_t Id = 0;
     core::TimePoint At;
-    /// Whether this host's links to all leaves were lost since.
-    bool LinksLost = false;
   };
 
-  bool hasEnded(const BrokenRun &run, const RunBreak &it,
-                core::TimePoint now) const;
-  std::optional<core::FatalRun> proveFatal(const BrokenRun &run,
-                                           core::TimePoint now) const;
+  static std::optional<core::FatalRun> proveFatal(const BrokenRun &run);
   std::vector<core::FatalRun>
   likelyFatal(const core::Fingerprint &fingerprint) const;
   void logQuarantine(const core::FatalRun &run, const char *foundBy,
                      core::TimePoint now);
 
-  const core::LeafLink &Link;
   /// Oldest first.
   std::deque<BrokenRun> Unproven;
   core::CrashLedger Ledger;
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -81,8 +81,8 @@
                              leaf::LeafDirectory &leaves,
                              support::Metrics &metrics,
                              support::HeaderNames names)
-    : Io(io), Leaves(leaves), Recorder(metrics), Tracker(leaves.link()),
-      Admission(io, leaves, metrics), SettleTimer(io), Names(std::move(names)) {
+    : Io(io), Leaves(leaves), Recorder(metrics), Admission(io, leaves, metrics),
+      SettleTimer(io), Names(std::move(names)) {
   scheduleSettle();
 }
 
@@ -145,7 +145,6 @@
 }
 
 void RequestRouter::onLeavesLost() {
-  Tracker.onLeavesLost();
   Leaves.closeIdleConnections();
   const auto runs = Runs;
   for (const auto &weak : runs)
--- a/tests/process-crash-requests.cpp
+++ b/tests/process-crash-requests.cpp
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <csignal>
+#include <cstdlib>
+#include <random>
 
 #include <gtest/gtest.h>
 
@@ -89,6 +91,46 @@
     }
   }
 
+  /// Pauses or kills a host for a while, or makes the store fail.
+  void injectFault(std::minstd_rand &random) {
+    const std::size_t n = random() % Cluster.Nodes.size();
+    NodeProcess &node = *Cluster.Nodes[n];
+    const std::chrono::milliseconds time(300 + random() % 2000);
+    switch (random() % 3) {
+    case 0:
+      Deadly.startDisturbance(n);
+      node.Child.signal(SIGSTOP);
+      std::this_thread::sleep_for(time);
+      node.Child.signal(SIGCONT);
+      return Deadly.endDisturbance(n);
+    case 1:
+      Deadly.startDisturbance(n);
+      node.Child.kill();
+      std::this_thread::sleep_for(time);
+      Cluster.start(node);
+      eventually([&] { return NodeDeployment::ready(node); });
+      return Deadly.endDisturbance(n);
+    default:
+      return failStore(static_cast<StoreFault>(1 + random() % 4), time);
+    }
+  }
+
+  void failStore(StoreFault fault, std::chrono::milliseconds time) {
+    const auto setFault = [&](StoreFault next) {
+      Cluster.runOnStandInThread([&] {
+        Cluster.Store->setFault(next);
+        return 0;
+      });
+    };
+    for (std::size_t i = 0; i < Cluster.Nodes.size(); ++i)
+      Deadly.startDisturbance(i);
+    setFault(fault);
+    std::this_thread::sleep_for(time);
+    setFault(StoreFault::None);
+    for (std::size_t i = 0; i < Cluster.Nodes.size(); ++i)
+      Deadly.endDisturbance(i);
+  }
+
   void expectFewLateRetries() {
     stopCallers();
     const auto runs = Leaves.deadlyRuns();
@@ -154,6 +196,33 @@
   expectFewLateRetries();
 }
 
+TEST_F(CrashRequestsTest, ManyAtOnceAreRefusedByAllHosts) {
+  sendHarmless(40ms);
+  for (int i = 0; i < 24; ++i)
+    repeat((i % 4 == 0 ? "/search/deadly-" : "/read/deadly-") +
+               std::to_string(i),
+           1500ms);
+  std::this_thread::sleep_for(18s);
+  expectFewLateRetries();
+}
+
+/// Faults of hosts and store overlap; CRASH_SEED draws others than CI's.
+TEST_F(CrashRequestsTest, StaysRefusedWhileHostsAndStoreFail) {
+  const char *const seed = std::getenv("CRASH_SEED");
+  std::minstd_rand random(seed == nullptr ? 1 : std::atoi(seed));
+  sendHarmless(40ms);
+  for (const char *path : {"/read/deadly-1", "/read/deadly-2",
+                           "/search/deadly-3", "/search/deadly-4"})
+    repeat(path, 800ms);
+  const auto until = std::chrono::steady_clock::now() + 16s;
+  while (std::chrono::steady_clock::now() < until) {
+    injectFault(random);
+    std::this_thread::sleep_for(std::chrono::milliseconds(random() % 1200));
+  }
+  std::this_thread::sleep_for(DeadlyCallers::StabilityWindow + 6s);
+  expectFewLateRetries();
+}
+
 /// Guards against a harmless request that is refused since it met failing
 /// leaves.
 TEST_F(CrashRequestsTest,
