--- a/tests/NodeDeployment.h
+++ b/tests/NodeDeployment.h
@@ -197,7 +197,7 @@
   /// @brief Starts or restarts a host's process.
   void start(NodeProcess &node) const {
     node.Child = testing::Process(
-        {"savorytrestle", "node", "--config=" + node.ConfigFile}, node.LogFile);
+        {Program, "node", "--config=" + node.ConfigFile}, node.LogFile);
   }
 
   static bool ready(const NodeProcess &node) {
@@ -245,6 +245,8 @@
       WorkGuard;
   std::filesystem::path Folder;
   std::string StoreAddress;
+  /// Program of hosts that are started from now on.
+  std::string Program = "savorytrestle";
   /// Lines added to the settings of hosts that are added later.
   std::string ExtraSettings;
   bool StoreOpen = false;
--- a/tests/ProcessHarness.h
+++ b/tests/ProcessHarness.h
@@ -26,8 +26,9 @@
 class Process {
 public:
   Process() = default;
-  /// @brief Starts a program of the build directory.
-  /// @param arguments program name and its arguments
+  /// @brief Starts a program.
+  /// @param arguments its name in the build directory, or its absolute path, and
+  /// its arguments
   /// @param logFile file for standard output and error; if empty, standard
   /// error is discarded and standard output is kept for @ref readPort
   explicit Process(const std::vector<std::string> &arguments,
--- a/tests/process-crash-requests.cpp
+++ b/tests/process-crash-requests.cpp
@@ -206,6 +206,29 @@
   expectFewLateRetries();
 }
 
+/// Hosts of the build that SAVORYTRESTLE_EARLIER names are replaced by ones of
+/// this build, one after the other.
+TEST_F(CrashRequestsTest, StaysRefusedDuringAnUpgrade) {
+  const char *const earlier = std::getenv("SAVORYTRESTLE_EARLIER");
+  if (earlier == nullptr)
+    GTEST_SKIP() << "no earlier build is named";
+  Cluster.Program = earlier;
+  for (const auto &node : Cluster.Nodes) {
+    node->Child.kill();
+    Cluster.start(*node);
+  }
+  for (const auto &node : Cluster.Nodes)
+    ASSERT_TRUE(eventually([&] { return NodeDeployment::ready(*node); }));
+  Cluster.Program = "savorytrestle";
+  sendHarmless(40ms);
+  repeat("/read/deadly-1", 700ms);
+  std::this_thread::sleep_for(6s);
+  repeat("/search/deadly-2", 1100ms);
+  restartInTurn();
+  std::this_thread::sleep_for(DeadlyCallers::StabilityWindow + 8s);
+  expectFewLateRetries();
+}
+
 /// Faults of hosts and store overlap; CRASH_SEED draws others than CI's.
 TEST_F(CrashRequestsTest, StaysRefusedWhileHostsAndStoreFail) {
   const char *const seed = std::getenv("CRASH_SEED");
--- a/tests/process-harness.cpp
+++ b/tests/process-harness.cpp
@@ -45,7 +45,10 @@
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   if (!logFile.empty())
     posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
-  const std::string program = std::string(BINARY_DIR) + "/" + arguments.front();
+  const std::string program =
+      arguments.front().starts_with("/")
+          ? arguments.front()
+          : std::string(BINARY_DIR) + "/" + arguments.front();
   std::vector<char *> argv;
   argv.reserve(arguments.size() + 1);
   for (const auto &argument : arguments)
