--- a/src/support/BoundedJson.h
+++ b/src/support/BoundedJson.h
@@ -59,7 +59,7 @@
     constexpr auto Min = static_cast<double>(std::numeric_limits<T>::min());
     // One more than the largest T, which may not be a double.
     constexpr auto End =
-        static_cast<double>(std::numeric_limits<T>::max() / 2 + 1) * 2;
+        static_cast<double>(T{1} << (std::numeric_limits<T>::digits - 1)) * 2;
     if (const auto n = value.get<double>();
         n >= Min && n < End && within(static_cast<T>(n)))
       return static_cast<T>(n);
--- a/tests/ProcessHarness.h
+++ b/tests/ProcessHarness.h
@@ -27,8 +27,8 @@
 public:
   Process() = default;
   /// @brief Starts a program.
-  /// @param arguments its name in the build directory, or its absolute path, and
-  /// its arguments
+  /// @param arguments its name in the build directory, or its absolute path,
+  /// and its arguments
   /// @param logFile file for standard output and error; if empty, standard
   /// error is discarded and standard output is kept for @ref readPort
   explicit Process(const std::vector<std::string> &arguments,
--- a/tests/process-crash-requests.cpp
+++ b/tests/process-crash-requests.cpp
@@ -23,6 +23,7 @@
 
   void SetUp() override {
     std::vector<std::string> shards;
+    shards.reserve(Shards);
     for (int i = 0; i < Shards; ++i)
       shards.push_back("s" + std::to_string(i));
     for (const std::string &shard : shards)
