Skip interim responses of leaves and hosts, reject invalid statuses

A leaf sends "HTTP/1.1 100 Continue" in place of its answer and nothing after it. The host passed it on as the answer; the caller, which reads on for the final one, never got any.

Cause: leaf::LeafConnection took the end of a message for the end of the answer. Beast's parser ends a message with status 1xx at its head, and takes any three digits for a status, so that 1xx, 101, 000, 099, 600 and 999 were answers. Relays and forwards between hosts use the same connection. A 1xx with Savorytrestle-Not-Executed even made a request that may run once go to a second leaf.

Change: interim responses (1xx but 101) are skipped, up to 1,000 and 64 KiB for a request; other statuses outside 200 to 599 break the connection as soon as the head is in. A broken request counts as possibly run: 502 if it may run once, else another leaf. After interim responses alone a request is hedged if it may be repeated, and ends with 504 in time; request_done says why.

RawLeaf, the tests' stand-in, may be destroyed before its handlers are called.

--- a/src/leaf/LeafConnection.cpp
+++ b/src/leaf/LeafConnection.cpp
@@ -14,6 +14,7 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 using std::chrono::milliseconds;
+using support::ResponseKind;
 
 namespace {
 
@@ -56,15 +57,20 @@
                           ReplyHandler onReply) {
   Request = std::move(request);
   OnReply = std::move(onReply);
+  Interim = {};
+  startResponse();
+  if (Open)
+    write();
+  else
+    connect(address);
+}
+
+void LeafConnection::startResponse() {
   Answer.emplace();
   Answer->body_limit(Memory->limits().MaxAnswer);
   Answer->eager(true);
   if (Request.method() == http::verb::head)
     Answer->skip(true);
-  if (Open)
-    write();
-  else
-    connect(address);
 }
 
 void LeafConnection::close() {
@@ -146,26 +152,57 @@
 }
 
 void LeafConnection::parse() {
+  do {
+    if (!parseResponse())
+      return;
+    if (Answer->is_done() && responseKind() == ResponseKind::Final)
+      return finishAnswer();
+  } while (Answer->is_done() && skipInterimResponse());
+  if (Closed)
+    return;
+  if (Buffer.size() > MaxUnparsedBytes)
+    return fail(Delivery::Broken, "answer: no end of a header within " +
+                                      std::to_string(MaxUnparsedBytes) +
+                                      " bytes");
+  read();
+}
+
+bool LeafConnection::parseResponse() {
   error_code ec;
   while (Buffer.size() > 0 && !Answer->is_done()) {
     const std::size_t used = Answer->put(Buffer.data(), ec);
     Buffer.consume(used);
-    if (ec == http::error::need_more) {
-      ec = {};
+    if (ec == http::error::need_more || (!ec && used == 0))
       break;
+    if (ec) {
+      fail(Delivery::Broken, "answer: " + ec.message());
+      return false;
     }
-    if (ec)
-      return fail(Delivery::Broken, "answer: " + ec.message());
-    if (used == 0)
-      break;
   }
-  if (Answer->is_done())
-    return finishAnswer();
-  if (Buffer.size() > MaxUnparsedBytes)
-    return fail(Delivery::Broken, "answer: no end of a header within " +
-                                      std::to_string(MaxUnparsedBytes) +
-                                      " bytes");
-  read();
+  // Checked before the body arrives, which may never end.
+  if (Answer->is_header_done() && responseKind() == ResponseKind::Invalid) {
+    fail(Delivery::Broken, "answer: status " +
+                               std::to_string(Answer->get().result_int()) +
+                               " is not the status of an answer");
+    return false;
+  }
+  return true;
+}
+
+ResponseKind LeafConnection::responseKind() const {
+  return support::responseKind(Answer->get().result_int());
+}
+
+bool LeafConnection::skipInterimResponse() {
+  const std::size_t n = AnswerBytes - Buffer.size();
+  Memory->release(n);
+  AnswerBytes -= n;
+  if (!Interim.tryAdd(n)) {
+    fail(Delivery::Broken, "answer: too many interim responses");
+    return false;
+  }
+  startResponse();
+  return true;
 }
 
 void LeafConnection::releaseMemory() {
--- a/src/leaf/LeafConnection.h
+++ b/src/leaf/LeafConnection.h
@@ -20,6 +20,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "leaf/AnswerMemory.h"
+#include "support/ResponseKind.h"
 
 namespace savorytrestle::leaf {
 
@@ -27,7 +28,7 @@
 using LeafRequest =
     boost::beast::http::request<boost::beast::http::string_body>;
 
-/// @brief A complete answer of a leaf.
+/// @brief The final answer of a leaf, complete.
 using LeafAnswer =
     boost::beast::http::response<boost::beast::http::string_body>;
 
@@ -38,7 +39,7 @@
 
 /// @brief How a request on a connection ended.
 enum class Delivery {
-  Answered, ///< a complete answer was received
+  Answered, ///< a complete final answer was received
   NotSent,  ///< no byte of the request was sent
   Broken,   ///< sent at least in part, but no complete answer was received
 };
@@ -52,7 +53,9 @@
 };
 
 /// @brief Client side of one connection. It reads even when idle, so that it
-/// detects at once that the leaf closes it or sends unexpected bytes.
+/// detects at once that the leaf closes it or sends unexpected bytes. Interim
+/// responses (1xx) are skipped; a status that no answer may have breaks the
+/// connection.
 class LeafConnection : public std::enable_shared_from_this<LeafConnection> {
 public:
   using ReplyHandler = std::function<void(LeafReply)>;
@@ -92,6 +95,9 @@
   /// @brief Idle time after which the leaf closes the connection.
   std::chrono::milliseconds keepAlive() const { return KeepAlive; }
 
+  /// @brief Interim responses to the current request, or else the last one.
+  std::size_t interimResponses() const { return Interim.count(); }
+
 private:
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -100,7 +106,14 @@
   void write();
   void read();
   void onRead(boost::system::error_code ec, std::size_t n);
+  void startResponse();
   void parse();
+  /// Parses received bytes up to the end of a response.
+  /// @return false if the response is invalid; the connection is closed then
+  bool parseResponse();
+  /// @return false if there are too many; the connection is closed then
+  bool skipInterimResponse();
+  support::ResponseKind responseKind() const;
   void finishAnswer();
   void fail(Delivery result, const std::string &reason);
   void releaseMemory();
@@ -115,6 +128,7 @@
   std::shared_ptr<AnswerMemory> Memory;
   /// Bytes received of the current answer.
   std::size_t AnswerBytes = 0;
+  support::InterimResponses Interim;
   std::chrono::steady_clock::time_point IdleSince{};
   std::chrono::milliseconds KeepAlive;
   bool Open = false;
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -345,6 +345,10 @@
   const auto now = SteadyClock::now();
   attempt.Target->score().onCancelled(now, now - attempt.StartedAt,
                                       latencyEstimate().get());
+  if (Reason.empty() && attempt.Connection->interimResponses() > 0) {
+    LeafId = attempt.Target->entry().Id;
+    Reason = "interim responses (1xx) without a final one";
+  }
   attempt.Connection->close();
 }
 
--- a/tests/standins/RawLeaf.h
+++ b/tests/standins/RawLeaf.h
@@ -32,6 +32,9 @@
   bool Reset = false;
   /// Ends the leaf, see @ref RawLeaf::crash.
   bool Crash = false;
+  /// Sent after the bytes, once a pause has passed.
+  std::string Rest{};
+  std::chrono::milliseconds RestDelay{5};
 };
 
 /// @brief A complete HTTP answer of a leaf.
@@ -89,9 +92,10 @@
   using SessionPtr = std::shared_ptr<Session>;
 
   void accept() {
-    Acceptor.async_accept([this](const boost::system::error_code &ec,
-                                 boost::asio::ip::tcp::socket socket) {
-      if (ec)
+    Acceptor.async_accept([this, alive = std::weak_ptr(Lifetime)](
+                              const boost::system::error_code &ec,
+                              boost::asio::ip::tcp::socket socket) {
+      if (ec || alive.expired())
         return;
       ++Connections;
       const auto session = std::make_shared<Session>(std::move(socket));
@@ -105,7 +109,10 @@
   void read(const SessionPtr &session) {
     boost::asio::async_read_until(
         session->Socket, session->Buffer, "\r\n\r\n",
-        [this, session](const boost::system::error_code &ec, std::size_t n) {
+        [this, session, alive = std::weak_ptr(Lifetime)](
+            const boost::system::error_code &ec, std::size_t n) {
+          if (alive.expired())
+            return;
           if (ec) {
             ++EndedConnections;
             return;
@@ -132,8 +139,10 @@
       return crash();
     session->Timer.expires_after(raw.Delay);
     session->Timer.async_wait(
-        [this, session, raw](const boost::system::error_code &) {
-          write(session, raw);
+        [this, session, raw,
+         alive = std::weak_ptr(Lifetime)](const boost::system::error_code &) {
+          if (!alive.expired())
+            write(session, raw);
         });
   }
 
@@ -141,10 +150,13 @@
     session->Out = raw.Bytes;
     boost::asio::async_write(
         session->Socket, boost::asio::buffer(session->Out),
-        [this, session, raw](const boost::system::error_code &ec, std::size_t) {
-          if (ec)
+        [this, session, raw, alive = std::weak_ptr(Lifetime)](
+            const boost::system::error_code &ec, std::size_t) {
+          if (ec || alive.expired())
             return;
-          if (raw.Reset)
+          if (!raw.Rest.empty())
+            answer(session, {raw.Rest, raw.RestDelay, raw.Close, raw.Reset});
+          else if (raw.Reset)
             reset(*session);
           else if (raw.Close)
             session->Socket.close();
@@ -159,6 +171,8 @@
   int Requests = 0;
   int Connections = 0;
   int EndedConnections = 0;
+  /// Ends before the handlers that may still be called.
+  std::shared_ptr<char> Lifetime = std::make_shared<char>();
 };
 
 } // namespace savorytrestle::tests
--- a/tests/unit-leaf-connection.cpp
+++ b/tests/unit-leaf-connection.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "standins/RawLeaf.h"
+#include "standins/ResponseHeads.h"
 
 using namespace savorytrestle;
 using namespace std::chrono_literals;
@@ -14,6 +15,7 @@
 using tests::leafAnswer;
 using tests::RawAnswer;
 using tests::RawLeaf;
+using tests::repeat;
 
 namespace {
 
@@ -152,6 +154,111 @@
   EXPECT_EQ(Leaf->requests(), 1);
 }
 
+/// Guards against an interim response that is taken for the answer, in one
+/// piece with the final one or before it.
+TEST_F(LeafConnectionTest, InterimResponsesBeforeTheAnswerAreSkipped) {
+  for (const std::string &interim : tests::interimResponses())
+    for (const int count : {1, 3, 200}) {
+      const std::string before = repeat(interim, count);
+      for (const RawAnswer &answer :
+           {RawAnswer{before + leafAnswer("hello")},
+            RawAnswer{.Bytes = before, .Rest = leafAnswer("hello")}}) {
+        startLeaf(answer);
+        for (int i = 0; i < 2; ++i) {
+          const auto reply = send();
+          EXPECT_EQ(reply.Result, Delivery::Answered) << interim;
+          EXPECT_EQ(reply.Answer.result_int(), 200U) << interim;
+          EXPECT_EQ(reply.Answer.body(), "hello") << interim;
+        }
+        EXPECT_EQ(Leaf->connections(), 1) << interim;
+        EXPECT_EQ(Memory->held(), 0U);
+      }
+    }
+}
+
+/// Guards against a request that ends without a final answer, and against one
+/// that a connection which ends never ends.
+TEST_F(LeafConnectionTest, InterimResponsesAloneAreNoAnswer) {
+  for (const std::string &interim : tests::interimResponses()) {
+    startLeaf({interim});
+    int replies = 0;
+    Connection->send(Leaf->address(), request(),
+                     [&](const LeafReply &) { ++replies; });
+    runBriefly();
+    EXPECT_EQ(replies, 0) << interim;
+    Connection->close();
+    startLeaf({interim, 0ms, true});
+    EXPECT_EQ(send().Result, Delivery::Broken) << interim;
+  }
+}
+
+/// Guards against a late interim response that counts for the next request.
+TEST_F(LeafConnectionTest, AnInterimResponseAfterTheAnswerCloses) {
+  for (const std::string &interim : tests::interimResponses())
+    for (const RawAnswer &answer :
+         {RawAnswer{leafAnswer("hello") + interim},
+          RawAnswer{.Bytes = leafAnswer("hello"), .Rest = interim}}) {
+      startLeaf(answer);
+      EXPECT_EQ(send().Answer.body(), "hello");
+      runBriefly();
+      EXPECT_FALSE(Connection->ready()) << interim;
+    }
+}
+
+TEST_F(LeafConnectionTest, AnAnswerToHeadMayFollowAnInterimResponse) {
+  startLeaf({"HTTP/1.1 103 Early Hints\r\n\r\n"
+             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"});
+  leaf::LeafRequest head = request();
+  head.method(boost::beast::http::verb::head);
+  LeafReply got;
+  Connection->send(Leaf->address(), head, [&](LeafReply reply) {
+    got = std::move(reply);
+    Io.stop();
+  });
+  Io.restart();
+  Io.run_for(5s);
+  EXPECT_EQ(got.Result, Delivery::Answered);
+  EXPECT_EQ(got.Answer.result_int(), 200U);
+}
+
+/// Guards against a status that no answer may have and that callers would get,
+/// and against waiting for the end of its body.
+TEST_F(LeafConnectionTest, AnInvalidStatusIsBrokenAtOnce) {
+  for (const std::string &head : tests::invalidHeads())
+    for (const std::string &rest :
+         {std::string("\r\n"), "\r\n" + leafAnswer("hello"),
+          std::string("Content-Length: 9\r\n\r\nhello"),
+          std::string("Content-Length: 5\r\n\r\nhello")}) {
+      startLeaf({head + rest});
+      EXPECT_EQ(send().Result, Delivery::Broken) << head;
+      EXPECT_FALSE(Connection->ready());
+      startLeaf({absl::StrCat("HTTP/1.1 100 Continue\r\n\r\n", head, rest)});
+      EXPECT_EQ(send().Result, Delivery::Broken) << head;
+      EXPECT_EQ(Memory->held(), 0U);
+    }
+}
+
+TEST_F(LeafConnectionTest, AllFinalStatusesAreAnswers) {
+  for (const char *status : {"200 OK", "204 No Content", "206 Partial", "304 X",
+                             "404 Not Found", "499 X", "500 X", "599 X"}) {
+    startLeaf({leafAnswer("", "", status)});
+    EXPECT_EQ(send().Result, Delivery::Answered) << status;
+  }
+}
+
+/// Guards against a leaf that keeps a host reading with interim responses.
+TEST_F(LeafConnectionTest, InterimResponsesWithoutAnEndAreBroken) {
+  const std::string small = "HTTP/1.1 100 \r\n\r\n";
+  const std::string large =
+      "HTTP/1.1 103 X\r\nA: " + std::string(4000, 'x') + "\r\n\r\n";
+  for (const std::string &bytes : {repeat(small, 1 << 20), repeat(large, 40)}) {
+    startLeaf({bytes});
+    EXPECT_EQ(send().Result, Delivery::Broken) << bytes.substr(0, 20);
+    EXPECT_FALSE(Connection->ready());
+    EXPECT_EQ(Memory->held(), 0U);
+  }
+}
+
 /// Bytes that are no answer and never end must neither be kept nor waited for.
 TEST_F(LeafConnectionTest, AnswersWithoutAnEndAreBroken) {
   const std::string endless(8 << 20, 'x');
