Skip interim responses of the store and of other hosts' feeds

What operators would see: a store, or a proxy before it, that sends an interim response first makes a host drop the reply behind it, or take it for that of the next call; a watch follows the store with a list each time.

Cause: as in leaf::LeafConnection. StoreConnection took any message that the parser accepts for the reply. It serves the platform's store and the calls between hosts (feeds, reports on leaves, rates).

Change: the head is read first. Interim responses are skipped within the same bounds; an invalid status fails the call at once, also when its body has no end, and counts as possibly executed.

Evidence: RawStoreTest.

--- a/src/store/StoreConnection.cpp
+++ b/src/store/StoreConnection.cpp
@@ -56,6 +56,7 @@
   PendingRequest->body() = call.Body;
   PendingRequest->prepare_payload();
   ++CallNumber;
+  Interim = {};
   Sent = false;
   dropIfClosed();
   if (CurrentLink) {
@@ -126,6 +127,32 @@
 void StoreConnection::read(const std::shared_ptr<Link> &link) {
   auto parser = std::make_shared<Parser>();
   parser->body_limit(MaxReplyBytes);
+  http::async_read_header(
+      link->Socket, link->Buffer, *parser,
+      [self = shared_from_this(), link, parser](error_code ec, std::size_t n) {
+        if (self->CurrentLink != link)
+          return;
+        if (ec)
+          return self->fail("read: " + ec.message());
+        self->onHead(link, parser, n);
+      });
+}
+
+void StoreConnection::onHead(const std::shared_ptr<Link> &link,
+                             const std::shared_ptr<Parser> &parser,
+                             std::size_t n) {
+  const unsigned status = parser->get().result_int();
+  switch (support::responseKind(status)) {
+  case support::ResponseKind::Invalid:
+    return fail("status " + std::to_string(status) +
+                " is not the status of a reply");
+  case support::ResponseKind::Interim:
+    if (!Interim.tryAdd(n))
+      return fail("too many interim responses");
+    return read(link);
+  case support::ResponseKind::Final:
+    break;
+  }
   http::async_read(
       link->Socket, link->Buffer, *parser,
       [self = shared_from_this(), link, parser](error_code ec, std::size_t) {
--- a/src/store/StoreConnection.h
+++ b/src/store/StoreConnection.h
@@ -19,6 +19,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "store/EraTracker.h"
+#include "support/ResponseKind.h"
 
 namespace savorytrestle::store {
 
@@ -35,7 +36,8 @@
 
 /// @brief Connection that is opened by the first call that needs it. It is
 /// closed after a call without a reply, because a late reply would be taken for
-/// that of the next call.
+/// that of the next call. Interim responses (1xx) are skipped; a status that no
+/// reply may have fails the call.
 class StoreConnection : public std::enable_shared_from_this<StoreConnection> {
 public:
   using ReplyHandler = std::function<void(StoreReply)>;
@@ -80,6 +82,8 @@
   void dropIfClosed();
   void write(const std::shared_ptr<Link> &link);
   void read(const std::shared_ptr<Link> &link);
+  void onHead(const std::shared_ptr<Link> &link,
+              const std::shared_ptr<Parser> &parser, std::size_t n);
   void onResponse(const std::shared_ptr<Link> &link, Parser &parser);
   void fail(const std::string &why);
   void complete(StoreReply reply);
@@ -94,6 +98,7 @@
   /// Changes at the start and the end of each call, so that a timeout detects
   /// that its call has ended.
   std::uint64_t CallNumber = 0;
+  support::InterimResponses Interim;
   /// Whether any byte of the current call may have been sent.
   bool Sent = false;
 };
--- a/tests/unit-store-connection.cpp
+++ b/tests/unit-store-connection.cpp
@@ -6,7 +6,11 @@
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include "standins/RawLeaf.h"
+#include "standins/ResponseHeads.h"
+
 using namespace savorytrestle;
+using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 
 namespace {
@@ -88,4 +92,78 @@
   EXPECT_EQ(replies, 0);
 }
 
+/// A store that sends the same bytes for each call.
+class RawStoreTest : public ::testing::Test {
+protected:
+  void startStore(tests::RawAnswer answer) {
+    Store = std::make_unique<tests::RawLeaf>(
+        Io,
+        [answer = std::move(answer)](const std::string &) { return answer; });
+    Connection = std::make_shared<store::StoreConnection>(Io, Store->address());
+  }
+
+  store::StoreReply call(std::chrono::milliseconds timeout) {
+    store::StoreReply got;
+    Connection->call({"GET", "/kv-watch", ""}, timeout,
+                     [&](store::StoreReply reply) {
+                       got = std::move(reply);
+                       Io.stop();
+                     });
+    Io.restart();
+    Io.run_for(10s);
+    return got;
+  }
+
+  boost::asio::io_context Io;
+  std::unique_ptr<tests::RawLeaf> Store;
+  std::shared_ptr<store::StoreConnection> Connection;
+};
+
+/// Guards against an interim response that is taken for the reply: the reply
+/// itself would then be that of the next call.
+TEST_F(RawStoreTest, InterimResponsesBeforeTheReplyAreSkipped) {
+  for (const std::string &interim : tests::interimResponses())
+    for (const int count : {1, 200}) {
+      startStore({.Bytes = tests::repeat(interim, count),
+                  .Rest = interim + tests::leafAnswer("hello")});
+      for (int i = 0; i < 2; ++i) {
+        const auto reply = call(5s);
+        EXPECT_EQ(reply.Status, 200U) << interim;
+        EXPECT_EQ(reply.Body, "hello") << interim;
+      }
+      EXPECT_EQ(Store->connections(), 1) << interim;
+    }
+}
+
+TEST_F(RawStoreTest, ACallWithoutAFinalReplyFailsInTimeAndMayHaveRun) {
+  for (const std::string &interim : tests::interimResponses()) {
+    startStore({interim});
+    const auto start = std::chrono::steady_clock::now();
+    const auto reply = call(100ms);
+    EXPECT_EQ(reply.Status, 0U) << interim;
+    EXPECT_EQ(reply.Error, "no reply in time");
+    EXPECT_TRUE(reply.MayHaveExecuted);
+    EXPECT_LT(std::chrono::steady_clock::now() - start, 2s);
+  }
+}
+
+/// Guards against a status that no reply may have, and against waiting for the
+/// end of its body, for as long as a watch waits.
+TEST_F(RawStoreTest, AnInvalidStatusFailsTheCallAtOnce) {
+  for (const std::string &head : tests::invalidHeads())
+    for (const char *rest :
+         {"\r\n", "\r\nendless", "Content-Length: 9\r\n\r\nhello"}) {
+      startStore({head + rest});
+      const auto reply = call(1h);
+      EXPECT_EQ(reply.Status, 0U) << head;
+      EXPECT_NE(reply.Error.find("status"), std::string::npos) << reply.Error;
+      EXPECT_TRUE(reply.MayHaveExecuted);
+    }
+}
+
+TEST_F(RawStoreTest, InterimResponsesWithoutAnEndFailTheCall) {
+  startStore({tests::repeat("HTTP/1.1 100 \r\n\r\n", 100000)});
+  EXPECT_EQ(call(1h).Error, "too many interim responses");
+}
+
 } // namespace
