Abort libcurl's transfers at an invalid status or endless interim responses

What callers would see: on our own interface a leaf's 101, or a status below 100, holds a search's attempt, a write or a status poll until its deadline. The settings and explain commands wait for their time-out, and read headers of an interim response as those of the reply.

Cause: libcurl skips interim responses, but takes 101 for a final response whose body ends with the connection, skips statuses below 100 like 1xx, and bounds neither the number nor the bytes of what it skips.

The call counts as sent, so that a write is answered as unknown and not sent again.

--- a/src/backend/LeafTransport.cpp
+++ b/src/backend/LeafTransport.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "support/DuplicateSendGuard.h"
+#include "support/FinalResponseGuard.h"
 
 namespace savorytrestle::backend {
 
@@ -55,6 +56,7 @@
   std::size_t MaxReplyBytes = 0;
   LeafChannel *Channel = nullptr;
   support::DuplicateSendGuard Guard;
+  support::FinalResponseGuard ResponseGuard;
 };
 
 std::size_t onData(char *data, std::size_t size, std::size_t count,
@@ -153,6 +155,7 @@
   curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &closeSocket);
   curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, call.Channel);
   call.Guard.attach(handle);
+  call.ResponseGuard.attach(handle);
   curl_easy_setopt(handle, CURLOPT_PRIVATE, &call);
   if (call.Call.FreshConnection)
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
--- a/src/backend/LeafTransport.h
+++ b/src/backend/LeafTransport.h
@@ -41,7 +41,8 @@
 /// @brief Why a call got no reply.
 enum class CallFailure {
   NotSent,        ///< no connection; no byte of the request was sent
-  ConnectionLost, ///< the connection broke after the request was sent
+  ConnectionLost, ///< the connection broke after the request was sent, or the
+                  ///< response had a status that no reply may have
   Expired,        ///< no complete reply before the deadline
 };
 
--- a/src/support/HttpClient.cpp
+++ b/src/support/HttpClient.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "support/DuplicateSendGuard.h"
+#include "support/FinalResponseGuard.h"
 
 namespace savorytrestle::support {
 
@@ -23,10 +24,21 @@
   return size * count;
 }
 
+/// Takes the headers of a reply.
+struct HeaderSink {
+  FinalResponseGuard Guard;
+  std::map<std::string, std::string> &Headers;
+};
+
 std::size_t addHeader(char *data, std::size_t size, std::size_t count,
                       void *out) {
   const std::string line(data, size * count);
-  auto &headers = *static_cast<std::map<std::string, std::string> *>(out);
+  auto &[guard, headers] = *static_cast<HeaderSink *>(out);
+  if (!guard.accept(line))
+    return 0;
+  // Those before it are of an interim response.
+  if (FinalResponseGuard::isStatusLine(line))
+    headers.clear();
   if (const auto colon = line.find(':'); colon != std::string::npos) {
     std::string key = line.substr(0, colon);
     std::transform(key.begin(), key.end(), key.begin(),
@@ -95,7 +107,8 @@
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &reply.Body);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &addHeader);
-  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &reply.Headers);
+  HeaderSink sink{{}, reply.Headers};
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &sink);
   DuplicateSendGuard guard;
   guard.attach(handle);
   if (const CURLcode ec = curl_easy_perform(handle); ec != CURLE_OK)
