Test interim responses between processes, of leaves and of the store

Hosts, store and leaves as processes and stand-ins: each leaf, and the store, sends interim responses before each answer.

--- a/tests/standins/MetadataStore.h
+++ b/tests/standins/MetadataStore.h
@@ -115,6 +115,10 @@
 
   void setFault(StoreFault fault) { Fault = fault; }
 
+  /// @brief Sends interim responses before each reply from now on. Call it
+  /// before any host is started.
+  void setInterim(std::string bytes) { Server.setInterim(std::move(bytes)); }
+
   /// @brief Closes all connections, as an idle timeout does.
   void dropConnections() { Server.dropConnections(); }
 
--- a/tests/standins/StandInHttpServer.h
+++ b/tests/standins/StandInHttpServer.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -39,9 +40,11 @@
 class StandInHttpSession
     : public std::enable_shared_from_this<StandInHttpSession> {
 public:
+  /// @param interim bytes sent before each answer
   StandInHttpSession(boost::asio::ip::tcp::socket socket,
-                     const StandInRequestHandler &handler)
-      : Socket(std::move(socket)), Handler(handler) {}
+                     const StandInRequestHandler &handler,
+                     const std::string &interim)
+      : Socket(std::move(socket)), Handler(handler), Interim(interim) {}
 
   void close() { Socket.close(); }
 
@@ -68,17 +71,28 @@
         return self->Socket.close();
       self->Answer = std::move(*answer);
       self->Answer.prepare_payload();
-      boost::beast::http::async_write(
-          self->Socket, self->Answer,
+      boost::asio::async_write(
+          self->Socket, boost::asio::buffer(self->Interim),
           [self](const boost::system::error_code &ec, std::size_t) {
             if (!ec)
-              self->read();
+              self->write();
           });
     };
   }
 
+  void write() {
+    boost::beast::http::async_write(
+        Socket, Answer,
+        [self = shared_from_this()](const boost::system::error_code &ec,
+                                    std::size_t) {
+          if (!ec)
+            self->read();
+        });
+  }
+
   boost::asio::ip::tcp::socket Socket;
   const StandInRequestHandler &Handler;
+  const std::string &Interim;
   boost::beast::flat_buffer Buffer;
   std::unique_ptr<RequestParser> Parser;
   StandInResponse Answer;
@@ -107,6 +121,10 @@
 
   int port() const { return Acceptor.local_endpoint().port(); }
 
+  /// @brief Sets interim responses that are sent before each answer. Sessions
+  /// must not be writing.
+  void setInterim(std::string bytes) { Interim = std::move(bytes); }
+
   void dropConnections() {
     for (const auto &weak : Sessions)
       if (const auto session = weak.lock())
@@ -121,8 +139,8 @@
       if (ec)
         return;
       support::setNoDelay(socket);
-      const auto session =
-          std::make_shared<StandInHttpSession>(std::move(socket), Handler);
+      const auto session = std::make_shared<StandInHttpSession>(
+          std::move(socket), Handler, Interim);
       Sessions.push_back(session);
       session->read();
       accept();
@@ -131,6 +149,7 @@
 
   boost::asio::ip::tcp::acceptor Acceptor;
   StandInRequestHandler Handler;
+  std::string Interim;
   std::vector<std::weak_ptr<StandInHttpSession>> Sessions;
 };
 
