--- a/tests/process-interim-answers.cpp
+++ b/tests/process-interim-answers.cpp
@@ -21,6 +21,7 @@
 protected:
   void SetUp() override {
     std::vector<std::string> shards;
+    shards.reserve(Shards);
     for (int i = 0; i < Shards; ++i)
       shards.push_back("t" + std::to_string(i));
     Cluster.runOnStandInThread([&] {
