Keep the rounds that follow many fatal runs at once

Callers: a request that ends its leaves, sent to twelve hosts at the same moment and again every 2 to 6 s, was never refused.

Cause: CrashLedger kept the first eight runs of a request and dropped all later ones. Eight runs that begin together fill it with one round, so the next rounds aren't kept, and three rounds are needed.

In the new unit test the run after 16 runs of one round isn't kept by the old code.

Change: a run of new rounds replaces one whose rounds another kept run has. Memory is bounded as before.

--- a/include/savorytrestle/core/quarantine/CrashLedger.h
+++ b/include/savorytrestle/core/quarantine/CrashLedger.h
@@ -62,7 +62,8 @@
   /// Requests with fatal runs; the one with the oldest last run is dropped
   /// beyond it.
   static constexpr std::size_t MaxRequests = 4096;
-  /// Runs kept of one request; further ones change no decision.
+  /// Runs kept of one request; further ones are kept in place of one whose
+  /// rounds another kept run has too.
   static constexpr std::size_t MaxRunsOfRequest = 8;
 
   /// @brief Adds a run. O(runs of the request).
@@ -112,6 +113,8 @@
 private:
   using Runs = std::vector<KnownRun>;
 
+  /// The run that gives way to another one; the end if that adds no round.
+  static Runs::iterator surplusRun(Runs &runs, const FatalRun &added);
   void evictOldest();
 
   std::unordered_map<Fingerprint, Runs, FingerprintHash> Requests;
--- a/src/core/quarantine/CrashLedger.cpp
+++ b/src/core/quarantine/CrashLedger.cpp
@@ -10,6 +10,22 @@
   return XXH3_64bits(name.data(), name.size());
 }
 
+CrashLedger::Runs::iterator CrashLedger::surplusRun(Runs &runs,
+                                                    const FatalRun &added) {
+  const auto sameRounds = [](const FatalRun &a, const FatalRun &b) {
+    return a.FirstRound == b.FirstRound && a.LastRound == b.LastRound;
+  };
+  if (std::any_of(runs.begin(), runs.end(), [&](const KnownRun &it) {
+        return sameRounds(it.Run, added);
+      }))
+    return runs.end();
+  return std::find_if(runs.begin(), runs.end(), [&](const KnownRun &it) {
+    return std::count_if(runs.begin(), runs.end(), [&](const KnownRun &other) {
+             return sameRounds(it.Run, other.Run);
+           }) > 1;
+  });
+}
+
 bool CrashLedger::add(const FatalRun &run, TimePoint now) {
   Runs &runs = Requests[run.RequestFingerprint];
   std::erase_if(
@@ -18,8 +34,15 @@
       std::any_of(runs.begin(), runs.end(), [&](const KnownRun &it) {
         return it.Run.Id == run.Id && it.Run.FirstRound == run.FirstRound;
       });
-  if (known || runs.size() >= MaxRunsOfRequest)
+  if (known)
     return false;
+  if (runs.size() >= MaxRunsOfRequest) {
+    // Many runs that began together must not hide the rounds that follow.
+    const auto surplus = surplusRun(runs, run);
+    if (surplus == runs.end())
+      return false;
+    runs.erase(surplus);
+  }
   runs.push_back({run, now});
   if (Requests.size() > MaxRequests)
     evictOldest();
--- a/tests/unit-crash-ledger.cpp
+++ b/tests/unit-crash-ledger.cpp
@@ -89,4 +89,17 @@
   EXPECT_EQ(Ledger.runCount({0, 0}), 0U);
 }
 
+/// Guards against a request that comes to so many hosts at once that the rounds
+/// after that aren't kept.
+TEST_F(CrashLedgerTest, RunsOfOneRoundDontHideTheNextRounds) {
+  std::uint64_t id = 0;
+  for (; id < 2 * CrashLedger::MaxRunsOfRequest; ++id)
+    Ledger.add(run(id, 1, 2), Now);
+  EXPECT_EQ(Ledger.runCount(Request), CrashLedger::MaxRunsOfRequest);
+  EXPECT_TRUE(Ledger.add(run(++id, 3, 4), Now));
+  EXPECT_EQ(Ledger.nextRound(Request), 5U);
+  EXPECT_TRUE(refused());
+  EXPECT_EQ(Ledger.runCount(Request), CrashLedger::MaxRunsOfRequest);
+}
+
 } // namespace
