Requests under which leaves ended: one host at a time runs them

Callers: a request that ends its leaves came to several hosts in the same moment, again and again, and reached leaves in more than the three late retries that are allowed; after ten minutes it had three runs again.

Cause: each host let the request through by what it had read itself, which is older than what is on its way. Runs that begin together fall into one round, however many hosts they come from.

Change: from the first run in which a leaf ended, or may have, a request is on probation in the fleet. A run of it begins with a write that replaces the record under trials/ only if that is unchanged; the other hosts answer 503 with Retry-After at once. What closes a trial is written together with its run, so that the next trial is in a round of its own. A trial whose host ended counts as a round. A host without the store has trials of its own. Requests under no suspicion make no call.

--- a/bench/slopes-control.cpp
+++ b/bench/slopes-control.cpp
@@ -6,6 +6,7 @@
 // Prints a line for each point (median, lowest and highest of the rounds) and
 // for each least-squares fit. The measured code does no I/O.
 
+#include <cstdlib>
 #include <memory>
 #include <random>
 
@@ -16,6 +17,8 @@
 #include "savorytrestle/core/ClaimDocument.h"
 #include "savorytrestle/core/CrashQuarantine.h"
 #include "savorytrestle/core/SettingsYaml.h"
+#include "savorytrestle/core/quarantine/CrashLedger.h"
+#include "savorytrestle/core/quarantine/CrashTrials.h"
 
 ABSL_FLAG(int, rounds, 5, "measurement rounds of each point");
 ABSL_FLAG(std::string, only, "",
@@ -142,6 +145,55 @@
   dump.printFit();
 }
 
+/// Requests under which leaves have ended, three runs and a trial each.
+void measureSuspects() {
+  auto heap = makeSeries("suspects_heap_bytes_by_requests");
+  auto check = makeSeries("suspects_check_us_by_requests");
+  for (const int count : {0, 100, 4096}) {
+    std::mt19937_64 random(1);
+    const TimePoint now{1h};
+    struct State {
+      CrashLedger Ledger;
+      CrashTrials Trials;
+    };
+    const auto make = [&] {
+      auto state = std::make_unique<State>();
+      for (int n = 0; n < count; ++n) {
+        const Fingerprint request{random(), random()};
+        for (std::uint32_t round = 1; round <= 3; ++round)
+          state->Ledger.add({request, random(), round, round, {random()}}, now);
+        state->Trials.onRecord(request,
+                               {.Number = 2,
+                                .Failed = 2,
+                                .Lifetime = 4s,
+                                .Host = "host-1-12345678"},
+                               1, now);
+      }
+      return state;
+    };
+    heap.measurePoint(count, [&] {
+      const double before = heapBytes();
+      const auto state = make();
+      return heapBytes() - before;
+    });
+    const auto state = make();
+    check.measurePoint(count, [&] {
+      return cpuMicrosPerCall(100000, [&](int n) {
+        const Fingerprint request{static_cast<std::uint64_t>(n), 1};
+        // What each request of a caller is checked for.
+        if (state->Trials.exhausted(request, now) ||
+            state->Trials.lapsed(request, now) > 0 ||
+            state->Ledger.quarantinedFor(request, now) ||
+            state->Ledger.runCount(request) > 0 ||
+            state->Trials.contains(request))
+          std::abort();
+      });
+    });
+  }
+  heap.printFit();
+  check.printFit();
+}
+
 void measureClaims() {
   auto micros = makeSeries("claim_us_by_entries");
   auto bytes = makeSeries("claim_document_bytes_by_entries");
@@ -179,6 +231,7 @@
   const std::vector<std::pair<std::string, void (*)()>> parts = {
       {"settings", measureSettings},
       {"quarantine", measureQuarantine},
+      {"suspects", measureSuspects},
       {"claims", measureClaims}};
   const std::string only = absl::GetFlag(FLAGS_only);
   for (const auto &[name, measure] : parts)
--- a/include/savorytrestle/core/quarantine/CrashLedger.h
+++ b/include/savorytrestle/core/quarantine/CrashLedger.h
@@ -56,9 +56,15 @@
   static constexpr std::uint32_t RoundsToQuarantine = 3;
   /// Fatal runs from which it is if each run alone spans two rounds.
   static constexpr std::size_t LongRunsToQuarantine = 4;
-  /// Time after which a run no longer counts.
+  /// Time from the newest run for which a request is quarantined.
+  static constexpr std::chrono::milliseconds QuarantineTime =
+      std::chrono::minutes(10);
+  /// Time from the newest run after which the runs of a request are forgotten.
   static constexpr std::chrono::milliseconds RunLifetime =
       std::chrono::minutes(10);
+  /// The same if as many leaves have ended as @ref RunsToQuarantine.
+  static constexpr std::chrono::milliseconds LongRunLifetime =
+      std::chrono::hours(24);
   /// Requests with fatal runs; the one with the oldest last run is dropped
   /// beyond it.
   static constexpr std::size_t MaxRequests = 4096;
@@ -86,14 +92,26 @@
 
   /// @brief Whether a request is quarantined. O(runs of the request).
   /// @param unproven runs that may prove to be fatal
-  /// @return time until it no longer is; nothing if it may run
+  /// @param lapsed trials of unknown result, see @ref CrashTrials; each counts
+  /// as a run in a round of its own
+  /// @return time until it no longer is, 0 if no run is known; nothing if it
+  /// may run
   std::optional<std::chrono::milliseconds>
   quarantinedFor(const Fingerprint &fingerprint, TimePoint now,
-                 const std::vector<FatalRun> &unproven = {});
+                 const std::vector<FatalRun> &unproven = {},
+                 std::uint32_t lapsed = 0);
+
+  /// @brief Forgets the runs of requests whose time is over. O(runs).
+  void prune(TimePoint now);
 
   /// @brief Whether a run of a request is known, in whatever round.
   bool knows(const Fingerprint &fingerprint, std::uint64_t runId) const;
 
+  /// @brief The run of a request with an id and of a round, or of a later one.
+  std::optional<FatalRun> find(const Fingerprint &fingerprint,
+                               std::uint64_t runId,
+                               std::uint32_t leastRound) const;
+
   /// @brief Number of runs known of a request.
   std::size_t runCount(const Fingerprint &fingerprint) const;
 
@@ -115,6 +133,9 @@
 
   /// The run that gives way to another one; the end if that adds no round.
   static Runs::iterator surplusRun(Runs &runs, const FatalRun &added);
+  static std::chrono::milliseconds lifetimeOf(const Runs &runs);
+  /// Whether the runs are to be forgotten.
+  static bool isOver(const Runs &runs, TimePoint now);
   void evictOldest();
 
   std::unordered_map<Fingerprint, Runs, FingerprintHash> Requests;
--- a/src/core/quarantine/CrashLedger.cpp
+++ b/src/core/quarantine/CrashLedger.cpp
@@ -28,8 +28,8 @@
 
 bool CrashLedger::add(const FatalRun &run, TimePoint now) {
   Runs &runs = Requests[run.RequestFingerprint];
-  std::erase_if(
-      runs, [now](const auto &it) { return it.AddedAt + RunLifetime <= now; });
+  if (isOver(runs, now))
+    runs.clear();
   const bool known =
       std::any_of(runs.begin(), runs.end(), [&](const KnownRun &it) {
         return it.Run.Id == run.Id && it.Run.FirstRound == run.FirstRound;
@@ -92,15 +92,14 @@
 
 std::optional<std::chrono::milliseconds>
 CrashLedger::quarantinedFor(const Fingerprint &fingerprint, TimePoint now,
-                            const std::vector<FatalRun> &unproven) {
+                            const std::vector<FatalRun> &unproven,
+                            std::uint32_t lapsed) {
   const auto it = Requests.find(fingerprint);
-  if (it != Requests.end())
-    std::erase_if(it->second, [now](const auto &known) {
-      return known.AddedAt + RunLifetime <= now;
-    });
+  if (it != Requests.end() && isOver(it->second, now))
+    it->second.clear();
   const Runs none;
   const Runs &runs = it == Requests.end() ? none : it->second;
-  if (runs.size() + unproven.size() < RunsToQuarantine)
+  if (runs.size() + unproven.size() + lapsed < RunsToQuarantine)
     return std::nullopt;
   std::uint32_t first = UINT32_MAX;
   std::uint32_t last = 0;
@@ -119,10 +118,36 @@
     include(run);
   const bool allLong = longRuns == runs.size() + unproven.size() &&
                        longRuns >= LongRunsToQuarantine;
-  if (last - first + 1 < RoundsToQuarantine && !allLong)
+  const std::uint32_t rounds = last == 0 ? 0 : last - first + 1;
+  if (rounds + lapsed < RoundsToQuarantine && !allLong)
+    return std::nullopt;
+  if (runs.empty())
+    return std::chrono::milliseconds(0);
+  // Later ones run on probation.
+  if (unproven.empty() && newest + QuarantineTime <= now)
     return std::nullopt;
-  return std::chrono::ceil<std::chrono::milliseconds>(newest + RunLifetime -
-                                                      now);
+  return std::max(std::chrono::milliseconds(0),
+                  std::chrono::ceil<std::chrono::milliseconds>(
+                      newest + QuarantineTime - now));
+}
+
+std::chrono::milliseconds CrashLedger::lifetimeOf(const Runs &runs) {
+  std::size_t leaves = 0;
+  for (const KnownRun &known : runs)
+    leaves +=
+        std::max<std::size_t>(known.Run.LastRound - known.Run.FirstRound + 1,
+                              known.Run.Services.size());
+  return leaves < RunsToQuarantine ? RunLifetime : LongRunLifetime;
+}
+
+bool CrashLedger::isOver(const Runs &runs, TimePoint now) {
+  return !runs.empty() && runs.back().AddedAt + lifetimeOf(runs) <= now;
+}
+
+void CrashLedger::prune(TimePoint now) {
+  std::erase_if(Requests, [now](const auto &it) {
+    return it.second.empty() || isOver(it.second, now);
+  });
 }
 
 bool CrashLedger::knows(const Fingerprint &fingerprint,
@@ -134,6 +159,19 @@
              [runId](const auto &known) { return known.Run.Id == runId; });
 }
 
+std::optional<FatalRun> CrashLedger::find(const Fingerprint &fingerprint,
+                                          std::uint64_t runId,
+                                          std::uint32_t leastRound) const {
+  const auto it = Requests.find(fingerprint);
+  if (it == Requests.end())
+    return std::nullopt;
+  const auto run = std::find_if(
+      it->second.begin(), it->second.end(), [&](const KnownRun &known) {
+        return known.Run.Id == runId && known.Run.LastRound >= leastRound;
+      });
+  return run == it->second.end() ? std::nullopt : std::optional(run->Run);
+}
+
 std::size_t CrashLedger::runCount(const Fingerprint &fingerprint) const {
   const auto it = Requests.find(fingerprint);
   return it == Requests.end() ? 0 : it->second.size();
@@ -152,13 +190,16 @@
 }
 
 void CrashLedger::evictOldest() {
-  const auto lastAdded = [](const Runs &runs) {
-    return runs.empty() ? TimePoint::min() : runs.back().AddedAt;
+  // Requests that are to be remembered for long go last.
+  const auto rank = [](const Runs &runs) {
+    return runs.empty()
+               ? std::pair(std::chrono::milliseconds(0), TimePoint::min())
+               : std::pair(lifetimeOf(runs), runs.back().AddedAt);
   };
-  Requests.erase(std::min_element(
-      Requests.begin(), Requests.end(), [&](const auto &a, const auto &b) {
-        return lastAdded(a.second) < lastAdded(b.second);
-      }));
+  Requests.erase(std::min_element(Requests.begin(), Requests.end(),
+                                  [&](const auto &a, const auto &b) {
+                                    return rank(a.second) < rank(b.second);
+                                  }));
 }
 
 } // namespace savorytrestle::core
--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -20,6 +20,7 @@
 /// Keeps the entries of hosts small.
 constexpr std::size_t MaxRecords = 96;
 constexpr std::size_t MaxAnswers = 32;
+constexpr std::chrono::milliseconds PruneInterval{1000};
 
 /// What a break shows at once.
 bool looksEnded(const RunBreak &it) {
@@ -54,15 +55,129 @@
                                request.body());
 }
 
+TrialPermit::~TrialPermit() {
+  if (const auto tracker = Tracker.lock())
+    (*tracker)->onPermitEnd(RequestFingerprint, Relayed,
+                            std::chrono::steady_clock::now());
+}
+
 std::optional<std::chrono::milliseconds>
 CrashTracker::quarantinedFor(const core::Fingerprint &fingerprint,
                              TimePoint now) {
   settle(now);
-  auto wait = Ledger.quarantinedFor(fingerprint, now);
-  if (!wait && !Unproven.empty() &&
-      Ledger.quarantinedFor(fingerprint, now, likelyFatal(fingerprint)))
-    wait = ProofPeriod;
-  return wait;
+  if (Trials.exhausted(fingerprint, now))
+    return Trials.recordTimeLeft(fingerprint, now);
+  const auto lapsed = Trials.lapsed(fingerprint, now);
+  if (const auto wait = Ledger.quarantinedFor(fingerprint, now, {}, lapsed))
+    return wait;
+  if (!Unproven.empty() &&
+      Ledger.quarantinedFor(fingerprint, now, likelyFatal(fingerprint), lapsed))
+    return ProofPeriod;
+  return std::nullopt;
+}
+
+bool CrashTracker::onProbation(const core::Fingerprint &fingerprint) const {
+  return Ledger.runCount(fingerprint) > 0 || Trials.contains(fingerprint) ||
+         (!Unproven.empty() && !likelyFatal(fingerprint).empty());
+}
+
+void CrashTracker::askForTrial(const core::Fingerprint &fingerprint,
+                               const std::string &requestId,
+                               std::chrono::milliseconds timeLimit,
+                               TimePoint now, const PermitHandler &onDecided) {
+  if (const auto wait = Trials.waitFor(fingerprint, now))
+    return onDecided(tl::unexpected(*wait));
+  const auto write = Trials.take(fingerprint, timeLimit, now);
+  const auto onReply =
+      [weak = std::weak_ptr(Self), fingerprint, onDecided,
+       runId = core::makeCrashId(requestId, 0),
+       number = write.Record->Number](const core::TrialReply &reply) {
+        const auto tracker = weak.lock();
+        if (!tracker)
+          return;
+        CrashTracker &self = **tracker;
+        const auto repliedAt = std::chrono::steady_clock::now();
+        if (!self.Trials.onTakeReply(fingerprint, reply, repliedAt))
+          return onDecided(tl::unexpected(core::CrashTrials::ChangedPause));
+        self.OwnTrials[fingerprint] = {.RunId = runId,
+                                       .Round = self.nextRound(fingerprint),
+                                       .StartedAt = repliedAt};
+        support::LogLine("trial_started")
+            .with("fingerprint", fingerprint.High)
+            .with("number", number)
+            .with("in_store",
+                  reply.Result == core::TrialReply::Kind::Written ? 1 : 0);
+        onDecided(std::make_shared<TrialPermit>(tracker, fingerprint));
+      };
+  if (TakeTrial)
+    TakeTrial(write, onReply);
+  else
+    onReply({.Result = core::TrialReply::Kind::Written});
+}
+
+bool CrashTracker::isUnproven(const core::Fingerprint &fingerprint,
+                              const OwnTrial &trial) const {
+  return std::any_of(Unproven.begin(), Unproven.end(), [&](const auto &it) {
+    return it.Outcome.Fingerprint == fingerprint && it.Id == trial.RunId &&
+           it.At >= trial.StartedAt;
+  });
+}
+
+void CrashTracker::onPermitEnd(const core::Fingerprint &fingerprint,
+                               bool relayed, TimePoint now) {
+  const auto it = OwnTrials.find(fingerprint);
+  if (it == OwnTrials.end())
+    return;
+  if (isUnproven(fingerprint, it->second))
+    it->second.SettledAt = now + core::CrashTrials::SettleTime;
+  else if (relayed)
+    it->second.SettledAt = now + RelayProofPeriod;
+  else
+    closeTrial(fingerprint, now);
+}
+
+void CrashTracker::closeTrial(const core::Fingerprint &fingerprint,
+                              TimePoint now) {
+  const auto own = OwnTrials.extract(fingerprint);
+  // Of this host, or of one that the request was relayed to.
+  const auto run = own.empty() ? std::nullopt
+                               : Ledger.find(fingerprint, own.mapped().RunId,
+                                             own.mapped().Round);
+  const auto write = Trials.close(fingerprint, run.has_value(),
+                                  Ledger.runCount(fingerprint) > 0, now);
+  support::LogLine("trial_ended")
+      .with("fingerprint", fingerprint.High)
+      .with("leaf_ended", run ? 1 : 0)
+      .with("runs_known", Ledger.runCount(fingerprint))
+      .with("in_store", write ? 1 : 0);
+  if (!write)
+    return;
+  if (!CloseTrial)
+    return Trials.onCloseReply(
+        *write, {.Result = core::TrialReply::Kind::Written}, now);
+  CloseTrial(*write, run,
+             [weak = std::weak_ptr(Self),
+              write = *write](const core::TrialReply &reply) {
+               if (const auto tracker = weak.lock())
+                 (*tracker)->Trials.onCloseReply(
+                     write, reply, std::chrono::steady_clock::now());
+             });
+}
+
+void CrashTracker::settleTrials(TimePoint now) {
+  std::vector<core::Fingerprint> settled;
+  for (const auto &[fingerprint, trial] : OwnTrials)
+    if (trial.SettledAt != TimePoint::max() &&
+        (now >= trial.SettledAt ||
+         Ledger.find(fingerprint, trial.RunId, trial.Round)))
+      settled.push_back(fingerprint);
+  for (const core::Fingerprint &fingerprint : settled)
+    closeTrial(fingerprint, now);
+  if (now - PrunedAt < PruneInterval)
+    return;
+  PrunedAt = now;
+  Trials.prune(now);
+  Ledger.prune(now);
 }
 
 std::vector<FatalRun>
@@ -94,6 +209,7 @@
 
 void CrashTracker::onRunEnd(RunOutcome outcome, TimePoint now) {
   if (!outcome.Answered.empty()) {
+    clearUnproven(outcome);
     auto cleared = Ledger.clear(outcome.Fingerprint, outcome.Answered);
     if (!cleared.empty()) {
       support::LogLine("crash_runs_cleared")
@@ -129,6 +245,17 @@
   Unproven.push_back({std::move(outcome), id, now});
 }
 
+void CrashTracker::clearUnproven(const RunOutcome &answered) {
+  std::erase_if(Unproven, [&](BrokenRun &run) {
+    if (run.Outcome.Fingerprint != answered.Fingerprint)
+      return false;
+    std::erase_if(run.Outcome.Breaks, [&](const RunBreak &it) {
+      return answered.Answered.contains(it.Service);
+    });
+    return run.Outcome.Breaks.empty();
+  });
+}
+
 std::optional<FatalRun> CrashTracker::proveFatal(const BrokenRun &run) {
   FatalRun fatal = fatalRun(run.Outcome, run.Id);
   for (const RunBreak &it : run.Outcome.Breaks)
@@ -162,6 +289,7 @@
     if (OnFound)
       OnFound(run);
   }
+  settleTrials(now);
 }
 
 void CrashTracker::addHeard(const FatalRun &run, TimePoint now) {
--- a/src/entry/CrashTracker.h
+++ b/src/entry/CrashTracker.h
@@ -8,17 +8,21 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include <tl/expected.hpp>
+
 #include "entry/CallerSession.h"
 #include "leaf/LeafEndings.h"
 #include "savorytrestle/core/CrashQuarantine.h"
 #include "savorytrestle/core/ServingConfig.h"
 #include "savorytrestle/core/quarantine/CrashLedger.h"
+#include "savorytrestle/core/quarantine/CrashTrials.h"
 #include "support/LogRateLimiter.h"
 
 namespace savorytrestle::entry {
@@ -48,6 +52,29 @@
   std::set<core::ServiceHash> Answered{};
 };
 
+class CrashTracker;
+
+/// @brief Permission to run a request on probation once. The trial ends with
+/// the object, or once it is known whether leaves ended in the run.
+class TrialPermit {
+public:
+  TrialPermit(std::weak_ptr<CrashTracker *> tracker,
+              const core::Fingerprint &fingerprint)
+      : Tracker(std::move(tracker)), RequestFingerprint(fingerprint) {}
+  TrialPermit(const TrialPermit &) = delete;
+  TrialPermit &operator=(const TrialPermit &) = delete;
+  ~TrialPermit();
+
+  /// @brief Other hosts may have run the request, which report on their leaves
+  /// themselves.
+  void onRelayed() { Relayed = true; }
+
+private:
+  std::weak_ptr<CrashTracker *> Tracker;
+  core::Fingerprint RequestFingerprint;
+  bool Relayed = false;
+};
+
 /// @brief Finds the runs in which leaves ended and quarantines their requests.
 /// Not thread-safe: used on the data thread only.
 ///
@@ -60,6 +87,18 @@
   using RunHandler = std::function<void(const core::FatalRun &run)>;
   using RunsHandler =
       std::function<void(const std::vector<core::FatalRun> &runs)>;
+  using TrialReplyHandler = std::function<void(const core::TrialReply &reply)>;
+  /// Writes what a trial begins with to the store.
+  using TrialTaker = std::function<void(const core::TrialWrite &write,
+                                        TrialReplyHandler onReply)>;
+  /// Writes what a trial ends with, and the run if leaves ended in it.
+  using TrialCloser = std::function<void(
+      const core::TrialWrite &write, const std::optional<core::FatalRun> &run,
+      TrialReplyHandler onReply)>;
+  using PermitPtr = std::shared_ptr<TrialPermit>;
+  /// A permit, or the time after which a caller may come again.
+  using PermitHandler = std::function<void(
+      tl::expected<PermitPtr, std::chrono::milliseconds> permit)>;
 
   static constexpr std::chrono::milliseconds SettleInterval{100};
   /// Time from a break to the verdict, within which connections to the leaf are
@@ -69,6 +108,10 @@
   /// entries lapse after seconds, and many at once are held.
   static constexpr std::chrono::milliseconds EvidencePeriod{8000};
 
+  /// Time from a run's end after which the hosts that it was relayed to have
+  /// published that leaves ended, if any did.
+  static constexpr std::chrono::milliseconds RelayProofPeriod{1500};
+
   /// @brief Sets the handlers of fatal runs that this host found, and of those
   /// that successful answers to it have cleared.
   void onFound(RunHandler found, RunsHandler cleared) {
@@ -76,6 +119,35 @@
     OnCleared = std::move(cleared);
   }
 
+  /// @brief Sets how trials are written to the store; without it each host has
+  /// trials of its own.
+  void onTrial(TrialTaker taken, TrialCloser closed) {
+    TakeTrial = std::move(taken);
+    CloseTrial = std::move(closed);
+  }
+
+  /// @brief The trials, which the store's feed updates.
+  core::CrashTrials &trials() { return Trials; }
+
+  /// @brief Whether a request is on probation: leaves have ended under it, or
+  /// may have, or a host tries it.
+  bool onProbation(const core::Fingerprint &fingerprint) const;
+
+  /// @brief Asks for the permission to run a request on probation. No call to
+  /// the store is made for those that have to wait.
+  /// @param requestId id under which it is run
+  /// @param timeLimit longest time that the run may take
+  /// @param onDecided called once, before the return or later
+  void askForTrial(const core::Fingerprint &fingerprint,
+                   const std::string &requestId,
+                   std::chrono::milliseconds timeLimit, core::TimePoint now,
+                   const PermitHandler &onDecided);
+
+  /// @brief A permit has ended; its run, if there was one, has been recorded.
+  /// @param relayed whether other hosts may have run the request
+  void onPermitEnd(const core::Fingerprint &fingerprint, bool relayed,
+                   core::TimePoint now);
+
   /// @brief Checks whether a request is quarantined.
   /// @return the rest of the quarantine; nothing if the request may run
   std::optional<std::chrono::milliseconds>
@@ -107,6 +179,11 @@
   /// versions.
   std::vector<core::QuarantineRecord> records() const;
 
+  /// @brief Whether runs of a request in which leaves ended are remembered.
+  bool remembers(const core::Fingerprint &fingerprint) const {
+    return Ledger.runCount(fingerprint) > 0;
+  }
+
   /// @brief Number of requests in whose runs leaves have ended.
   std::size_t requestCount() const { return Ledger.size(); }
 
@@ -118,19 +195,43 @@
     core::TimePoint At;
   };
 
+  /// A trial of this host.
+  struct OwnTrial {
+    std::uint64_t RunId = 0;
+    /// Round of its run.
+    std::uint32_t Round = 0;
+    core::TimePoint StartedAt;
+    /// When it is closed at the latest, once its run has ended.
+    core::TimePoint SettledAt = core::TimePoint::max();
+  };
+
   static std::optional<core::FatalRun> proveFatal(const BrokenRun &run);
   std::vector<core::FatalRun>
   likelyFatal(const core::Fingerprint &fingerprint) const;
+  void closeTrial(const core::Fingerprint &fingerprint, core::TimePoint now);
+  void settleTrials(core::TimePoint now);
+  /// Drops breaks of services that have answered the request since.
+  void clearUnproven(const RunOutcome &answered);
+  /// Whether it isn't known yet if leaves ended in a trial's run.
+  bool isUnproven(const core::Fingerprint &fingerprint,
+                  const OwnTrial &trial) const;
   void logQuarantine(const core::FatalRun &run, const char *foundBy,
                      core::TimePoint now);
 
   /// Oldest first.
   std::deque<BrokenRun> Unproven;
   core::CrashLedger Ledger;
+  core::CrashTrials Trials;
+  std::map<core::Fingerprint, OwnTrial> OwnTrials;
+  core::TimePoint PrunedAt{};
   /// Answers that cleared runs, for hosts of earlier versions.
   std::deque<core::QuarantineRecord> Answers;
   RunHandler OnFound;
   RunsHandler OnCleared;
+  TrialTaker TakeTrial;
+  TrialCloser CloseTrial;
+  /// Tells permits whether this tracker still exists.
+  std::shared_ptr<CrashTracker *> Self = std::make_shared<CrashTracker *>(this);
   support::LogRateLimiter LogBudget;
 };
 
--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -213,7 +213,8 @@
 }
 
 CancelHandler RequestRouter::start(CallerRequest request, AnswerHandler respond,
-                                   bool relayed) {
+                                   bool relayed,
+                                   CrashTracker::PermitPtr permit) {
   const core::RouteRule *const route = routeOf(request);
   const auto identity = check(request, route, relayed);
   if (!identity) {
@@ -231,6 +232,10 @@
            respond);
     return nullptr;
   }
+  // The caller's host has the permission for a relay.
+  if (!relayed && !permit && Tracker.onProbation(fingerprint))
+    return startTrial(std::move(request), fingerprint, *route,
+                      std::move(respond));
   // The caller's host has charged a relay.
   QuotaGate::ChargePtr charge;
   if (!relayed && workspace != nullptr && Quotas &&
@@ -242,7 +247,53 @@
     }
   }
   return startChecked(std::move(request), fingerprint, *route, workspace,
-                      std::move(respond), relayed, std::move(charge));
+                      std::move(respond), relayed, std::move(charge),
+                      std::move(permit));
+}
+
+CancelHandler RequestRouter::startTrial(CallerRequest request,
+                                        const core::Fingerprint &fingerprint,
+                                        const core::RouteRule &route,
+                                        AnswerHandler respond) {
+  /// A request that waits for the permission, and then runs.
+  struct Waiting {
+    CallerRequest Request;
+    AnswerHandler Respond;
+    core::TimePoint Since = SteadyClock::now();
+    CancelHandler Cancel{};
+    bool Cancelled = false;
+  };
+  const milliseconds limit = timeLimit(request, route);
+  const auto waiting = std::make_shared<Waiting>(
+      Waiting{std::move(request), std::move(respond)});
+  const auto onDecided =
+      [this, waiting,
+       limit](const tl::expected<CrashTracker::PermitPtr, milliseconds> &it) {
+        if (waiting->Cancelled)
+          return;
+        const auto left = limit - std::chrono::ceil<milliseconds>(
+                                      SteadyClock::now() - waiting->Since);
+        if (!it || left <= milliseconds(0)) {
+          ++ProbationCount;
+          return refuse(waiting->Request, routeOf(waiting->Request),
+                        {http::status::service_unavailable,
+                         "request is on probation: leaves ended while they ran "
+                         "it, and another run has not ended",
+                         it ? core::CrashTrials::ChangedPause : it.error()},
+                        waiting->Respond);
+        }
+        waiting->Request.set(Names.Deadline, std::to_string(left.count()));
+        waiting->Cancel = start(std::move(waiting->Request),
+                                std::move(waiting->Respond), false, *it);
+      };
+  const std::string id(
+      support::toStringView(waiting->Request[Names.RequestId]));
+  Tracker.askForTrial(fingerprint, id, limit, waiting->Since, onDecided);
+  return [waiting] {
+    waiting->Cancelled = true;
+    if (waiting->Cancel)
+      waiting->Cancel();
+  };
 }
 
 CancelHandler RequestRouter::startChecked(CallerRequest request,
@@ -250,7 +301,8 @@
                                           const core::RouteRule &checked,
                                           const core::WorkspaceRule *workspace,
                                           AnswerHandler respond, bool relayed,
-                                          QuotaGate::ChargePtr charge) {
+                                          QuotaGate::ChargePtr charge,
+                                          CrashTracker::PermitPtr permit) {
   const core::RouteRule *const route = &checked;
   const auto relayRoute = relayed ? routeForRelay(*route, request) : nullptr;
   const core::RouteRule &rule = relayRoute ? *relayRoute : *route;
@@ -281,6 +333,7 @@
                                    relayRoute, draw, workspace, homes);
   const auto run = makeRun(context, std::move(respond));
   run->setCharge(std::move(charge));
+  run->setPermit(std::move(permit));
   if (auto forward = forwards
                          ? makeForward(*context, services, rule.MaxLeaves, {})
                          : std::nullopt)
--- a/src/entry/RequestRouter.h
+++ b/src/entry/RequestRouter.h
@@ -86,6 +86,10 @@
   /// @brief Number of requests that were refused since they crash leaves.
   std::uint64_t quarantinedCount() const { return QuarantinedCount; }
 
+  /// @brief Number of requests that were refused since another run of them on
+  /// probation had not ended.
+  std::uint64_t probationCount() const { return ProbationCount; }
+
   /// @brief Number of keys in force.
   std::size_t keyCount() const { return Keys.size(); }
 
@@ -100,8 +104,13 @@
   };
 
   /// Checks a request against the configuration in force and starts it.
+  /// @param permit permission to run it if it is on probation
   CancelHandler start(CallerRequest request, AnswerHandler respond,
-                      bool relayed);
+                      bool relayed, CrashTracker::PermitPtr permit = nullptr);
+  /// Starts a request on probation once this host has the permission.
+  CancelHandler startTrial(CallerRequest request,
+                           const core::Fingerprint &fingerprint,
+                           const core::RouteRule &route, AnswerHandler respond);
   void refuseOverRate(const CallerRequest &request,
                       const core::RouteRule &route,
                       const std::string &workspace,
@@ -112,7 +121,8 @@
                              const core::RouteRule &route,
                              const core::WorkspaceRule *workspace,
                              AnswerHandler respond, bool relayed,
-                             QuotaGate::ChargePtr charge);
+                             QuotaGate::ChargePtr charge,
+                             CrashTracker::PermitPtr permit);
   /// Returns the route of a request, or null.
   const core::RouteRule *routeOf(const CallerRequest &request) const;
   /// Returns why the configuration doesn't allow to handle a request: there is
@@ -189,6 +199,7 @@
   bool RefusesRelays = false;
   std::uint64_t UnauthorizedCount = 0;
   std::uint64_t QuarantinedCount = 0;
+  std::uint64_t ProbationCount = 0;
   /// Relay plan of each sharded route, by the route's name.
   std::map<std::string, CachedRelayPlan> RelayPlans;
 };
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -407,6 +407,19 @@
       run.Breaks.push_back({it.Leaf, service, Round + it.EarlierBreaks});
   }
   Tracker.onRunEnd(std::move(run), SteadyClock::now());
+  if (!Permit)
+    return;
+  // Their reports come later, unless nothing is missing from the answer.
+  const core::ShardCounts shards = shardTally();
+  const bool complete =
+      status == static_cast<unsigned>(http::status::ok) &&
+      (!Context->Route.sharded() || shards.Answered == shards.Total);
+  if (!complete &&
+      std::any_of(Relays.begin(), Relays.end(), [](const auto &it) {
+        return it.Call && it.Call->mayHaveRun();
+      }))
+    Permit->onRelayed();
+  Permit.reset();
 }
 
 void RequestRun::runDueActions(TimePoint now) {
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -80,6 +80,9 @@
   /// @brief Holds the request's credit until its end.
   void setCharge(QuotaGate::ChargePtr charge) { Charge = std::move(charge); }
 
+  /// @brief Holds the permission to run a request on probation until its end.
+  void setPermit(CrashTracker::PermitPtr permit) { Permit = std::move(permit); }
+
   /// @brief This host has no links to leaves: forwards the calls that are still
   /// unanswered, if they may be sent again. May be called repeatedly.
   void onLeavesLost();
@@ -142,6 +145,7 @@
   AnswerHandler OnAnswer;
   ForwardFactory MakeForward;
   QuotaGate::ChargePtr Charge;
+  CrashTracker::PermitPtr Permit;
   boost::asio::steady_timer Timer;
   std::vector<ServiceCallPtr> Calls;
   std::vector<Relay> Relays;
--- a/src/registry/CrashFeed.cpp
+++ b/src/registry/CrashFeed.cpp
@@ -91,11 +91,13 @@
 CrashFeed::CrashFeed(boost::asio::io_context &io,
                      const boost::asio::ip::tcp::endpoint &store,
                      std::shared_ptr<store::EraTracker> eras,
-                     RunHandler onAdded, RunHandler onRemoved)
+                     RunHandler onAdded, RunHandler onRemoved,
+                     KeepsHandler keeps)
     : WriteTimer(io), ExpiryTimer(io),
       Connection(
           std::make_shared<store::StoreConnection>(io, store, std::move(eras))),
-      OnAdded(std::move(onAdded)), OnRemoved(std::move(onRemoved)) {}
+      OnAdded(std::move(onAdded)), OnRemoved(std::move(onRemoved)),
+      Keeps(std::move(keeps)) {}
 
 void CrashFeed::start(StoreMirror &mirror) {
   const auto self = shared_from_this();
@@ -186,19 +188,19 @@
 
 void CrashFeed::scheduleExpiry() {
   ExpiryTimer.expires_after(ExpiryInterval);
-  ExpiryTimer.async_wait(
-      [self = shared_from_this()](const boost::system::error_code &ec) {
-        if (ec)
-          return;
-        const auto now = SteadyClock::now();
-        std::vector<FatalRun> expired;
-        for (const auto &[key, item] : self->Items)
-          if (item.ExpiresAt <= now)
-            expired.push_back(item.Run);
-        if (!expired.empty())
-          self->withdraw(expired);
-        self->scheduleExpiry();
-      });
+  ExpiryTimer.async_wait([self = shared_from_this()](
+                             const boost::system::error_code &ec) {
+    if (ec)
+      return;
+    const auto now = SteadyClock::now();
+    std::vector<FatalRun> expired;
+    for (const auto &[key, item] : self->Items)
+      if (item.ExpiresAt <= now && !self->Keeps(item.Run.RequestFingerprint))
+        expired.push_back(item.Run);
+    if (!expired.empty())
+      self->withdraw(expired);
+    self->scheduleExpiry();
+  });
 }
 
 void CrashFeed::scheduleWrite(milliseconds delay) {
--- a/src/registry/CrashFeed.h
+++ b/src/registry/CrashFeed.h
@@ -41,10 +41,12 @@
 /// @brief Writes this host's runs to the store, and passes on all runs there.
 ///
 /// Items have no lease: a lease may end while the store is away. The host that
-/// has known an item for the longest time removes it.
+/// has known an item for the longest time removes it, once hosts have forgotten
+/// its request.
 class CrashFeed : public std::enable_shared_from_this<CrashFeed> {
 public:
   using RunHandler = std::function<void(const core::FatalRun &run)>;
+  using KeepsHandler = std::function<bool(const core::Fingerprint &)>;
 
   /// @brief Makes a feed.
   /// @param io runs its handlers
@@ -52,10 +54,11 @@
   /// @param eras era of the store, shared with the host's other connections
   /// @param onAdded called with each run that appears in the store
   /// @param onRemoved called with each run that disappears from it
+  /// @param keeps tells whether this host remembers runs of a request
   CrashFeed(boost::asio::io_context &io,
             const boost::asio::ip::tcp::endpoint &store,
             std::shared_ptr<store::EraTracker> eras, RunHandler onAdded,
-            RunHandler onRemoved);
+            RunHandler onRemoved, KeepsHandler keeps);
 
   /// @brief Subscribes to the mirror; must be called before the mirror starts.
   void start(StoreMirror &mirror);
@@ -87,6 +90,7 @@
   std::shared_ptr<store::StoreConnection> Connection;
   RunHandler OnAdded;
   RunHandler OnRemoved;
+  KeepsHandler Keeps;
   std::map<std::string, Item> Items;
   /// Runs that this host found, and their items' values.
   std::map<std::string, std::string> Own;
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <functional>
+#include <random>
+
+#include <absl/strings/str_cat.h>
 
 #include "entry/Answers.h"
 #include "entry/RelayRequest.h"
@@ -225,7 +228,8 @@
       },
       [&tracker](const core::FatalRun &run) {
         tracker.removeHeard(run.RequestFingerprint, run.Id, run.FirstRound);
-      });
+      },
+      [&tracker](const auto &request) { return tracker.remembers(request); });
   tracker.onFound(
       [this](const core::FatalRun &run) {
         CrashRuns->publish(run);
@@ -236,6 +240,26 @@
         publishCrashRecords();
       });
   CrashRuns->start(*Mirror);
+  // After the runs: a record that closes a trial comes with the trial's run.
+  startTrials(store);
+}
+
+void PlatformHost::startTrials(const Endpoint &store) {
+  entry::CrashTracker &tracker = Router.crashTracker();
+  // A process that starts again doesn't know the trials of the one before.
+  tracker.trials().setOwnHost(
+      absl::StrCat(Config.Id, "-", absl::Hex(std::random_device{}())));
+  Trials = std::make_shared<registry::TrialFeed>(
+      Io, store, Eras, tracker.trials(),
+      [&tracker](const auto &request) { return tracker.remembers(request); });
+  tracker.onTrial(
+      [this](const core::TrialWrite &write, auto onReply) {
+        Trials->write(write, std::move(onReply));
+      },
+      [this](const core::TrialWrite &write,
+             const std::optional<core::FatalRun> &run,
+             auto onReply) { Trials->close(write, run, std::move(onReply)); });
+  Trials->start(*Mirror);
 }
 
 void PlatformHost::publishCrashRecords() {
@@ -410,6 +434,9 @@
   HostMetrics.setGauge("savorytrestle_requests_quarantined",
                        "Requests refused since they crash leaves.",
                        static_cast<double>(Router.quarantinedCount()));
+  HostMetrics.setGauge("savorytrestle_requests_on_probation",
+                       "Requests refused while another run of them was tried.",
+                       static_cast<double>(Router.probationCount()));
   HostMetrics.setGauge(
       "savorytrestle_crash_run_requests",
       "Requests in whose runs leaves have ended, on any host.",
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -30,6 +30,7 @@
 #include "registry/LeafFeed.h"
 #include "registry/RateExchange.h"
 #include "registry/RateLimitNotices.h"
+#include "registry/TrialFeed.h"
 #include "serve/PlatformHostConfig.h"
 #include "support/LogRateLimiter.h"
 #include "support/Metrics.h"
@@ -64,6 +65,7 @@
   void startQuotas();
   /// Shares the runs in which leaves ended with the other hosts.
   void startCrashRuns(const boost::asio::ip::tcp::endpoint &store);
+  void startTrials(const boost::asio::ip::tcp::endpoint &store);
   /// Publishes them for hosts of earlier versions, if there are any.
   void publishCrashRecords();
   void applyHosts(const registry::KnownHosts &hosts);
@@ -112,6 +114,7 @@
   std::shared_ptr<entry::QuotaGate> Quotas;
   std::shared_ptr<registry::RateExchange> Rates;
   std::shared_ptr<registry::CrashFeed> CrashRuns;
+  std::shared_ptr<registry::TrialFeed> Trials;
   std::shared_ptr<registry::ConfigFeed> Configs;
   std::shared_ptr<registry::LeafFeed> LeafEntries;
   std::shared_ptr<registry::EvacuationFeed> Evacuations;
--- a/tests/process-crash-requests.cpp
+++ b/tests/process-crash-requests.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
+#include <iostream>
 #include <optional>
 #include <random>
 
@@ -62,6 +63,36 @@
     });
   }
 
+  /// Sends a request to several hosts at the same moment, again and again after
+  /// pauses of 2 to 6 s. Hosts meet it more than once if there are fewer.
+  void sendVolleys(const std::string &path, std::size_t size, unsigned seed) {
+    Paths.push_back(path);
+    Threads.emplace_back([this, path, size,
+                          random = std::minstd_rand(seed)]() mutable {
+      while (!Stopped) {
+        const std::size_t first = random() % Hosts;
+        std::vector<std::thread> volley;
+        volley.reserve(size);
+        for (std::size_t i = 0; i < size; ++i)
+          volley.emplace_back([this, &path, n = (first + i) % Hosts] {
+            Deadly.send(*Cluster.Nodes[n], n, path);
+          });
+        for (std::thread &sender : volley)
+          sender.join();
+        const auto until = std::chrono::steady_clock::now() +
+                           std::chrono::milliseconds(2000 + random() % 4000);
+        while (!Stopped && std::chrono::steady_clock::now() < until)
+          std::this_thread::sleep_for(20ms);
+      }
+    });
+  }
+
+  /// Seed of the play; CRASH_SEED draws another than CI's.
+  static unsigned seed() {
+    const char *const seed = std::getenv("CRASH_SEED");
+    return seed == nullptr ? 1 : static_cast<unsigned>(std::atoi(seed));
+  }
+
   /// Sends harmless requests to all hosts, each with a path of its own.
   void sendHarmless(std::chrono::milliseconds pause) {
     for (int i = 0; i < 2; ++i)
@@ -144,8 +175,10 @@
           std::count_if(runs.begin(), runs.end(),
                         [&](const auto &run) { return run.Path == path; });
       exercised += ended >= 3 ? 1 : 0;
-      EXPECT_LE(Deadly.lateRetries(runs, path), DeadlyCallers::AllowedRetries)
-          << path << " of " << runs.size() << " runs that ended a leaf";
+      const auto late = Deadly.lateRetries(runs, path);
+      EXPECT_LE(late, DeadlyCallers::AllowedRetries) << path;
+      std::cout << path << ": " << late << " late retries, " << ended
+                << " leaves ended\n";
     }
     EXPECT_GE(exercised, leastExercised.value_or(Paths.size()));
     EXPECT_EQ(Refused, 0) << "of " << Harmless << " harmless requests";
@@ -238,8 +271,7 @@
 
 /// Faults of hosts and store overlap; CRASH_SEED draws others than CI's.
 TEST_F(CrashRequestsTest, StaysRefusedWhileHostsAndStoreFail) {
-  const char *const seed = std::getenv("CRASH_SEED");
-  std::minstd_rand random(seed == nullptr ? 1 : std::atoi(seed));
+  std::minstd_rand random(seed());
   sendHarmless(40ms);
   for (const char *path : {"/read/deadly-1", "/read/deadly-2",
                            "/search/deadly-3", "/search/deadly-4"})
@@ -253,6 +285,43 @@
   expectFewLateRetries();
 }
 
+TEST_F(CrashRequestsTest, VolleysOfOneReadAreRefusedByAllHosts) {
+  sendHarmless(40ms);
+  sendVolleys("/read/deadly", 5, seed());
+  std::this_thread::sleep_for(30s);
+  expectFewLateRetries();
+}
+
+TEST_F(CrashRequestsTest, VolleysOfOneSearchAreRefusedByAllHosts) {
+  sendHarmless(40ms);
+  sendVolleys("/search/deadly", 12, seed());
+  std::this_thread::sleep_for(30s);
+  expectFewLateRetries();
+}
+
+TEST_F(CrashRequestsTest, VolleysOfSeveralAtOnceAreRefusedByAllHosts) {
+  sendHarmless(40ms);
+  sendVolleys("/read/deadly-1", 2, seed());
+  sendVolleys("/search/deadly-2", 7, seed() + 1);
+  sendVolleys("/read/deadly-3", 12, seed() + 2);
+  std::this_thread::sleep_for(30s);
+  expectFewLateRetries();
+}
+
+TEST_F(CrashRequestsTest, VolleysAreRefusedWhileHostsAndStoreFail) {
+  std::minstd_rand random(seed());
+  sendHarmless(40ms);
+  sendVolleys("/read/deadly-1", 5, seed());
+  sendVolleys("/search/deadly-2", 12, seed() + 1);
+  const auto until = std::chrono::steady_clock::now() + 26s;
+  while (std::chrono::steady_clock::now() < until) {
+    injectFault(random);
+    std::this_thread::sleep_for(std::chrono::milliseconds(random() % 4000));
+  }
+  std::this_thread::sleep_for(DeadlyCallers::StabilityWindow + 8s);
+  expectFewLateRetries();
+}
+
 /// Guards against a harmless request that is refused since it met failing
 /// leaves.
 TEST_F(CrashRequestsTest,
--- a/tests/unit-crash-ledger.cpp
+++ b/tests/unit-crash-ledger.cpp
@@ -102,4 +102,15 @@
   EXPECT_EQ(Ledger.runCount(Request), CrashLedger::MaxRunsOfRequest);
 }
 
+/// Trials of unknown result count as runs in which leaves ended.
+TEST_F(CrashLedgerTest, LapsedTrialsCountAsRoundsOfTheirOwn) {
+  Ledger.add(run(1, 1, 1), Now);
+  EXPECT_FALSE(Ledger.quarantinedFor(Request, Now, {}, 1));
+  EXPECT_TRUE(Ledger.quarantinedFor(Request, Now, {}, 2));
+  Ledger.add(run(2, 1, 1), Now);
+  EXPECT_FALSE(Ledger.quarantinedFor(Request, Now, {}, 1));
+  EXPECT_FALSE(Ledger.quarantinedFor({3, 4}, Now, {}, 2));
+  EXPECT_TRUE(Ledger.quarantinedFor({3, 4}, Now, {}, 3));
+}
+
 } // namespace
--- a/tests/unit-crash-tracker.cpp
+++ b/tests/unit-crash-tracker.cpp
@@ -279,6 +279,196 @@
   EXPECT_FALSE(refused());
 }
 
+/// A tracker on the real clock, with a store that the test answers for.
+class CrashTrialTest : public CrashTrackerTest {
+protected:
+  CrashTrialTest() {
+    Now = std::chrono::steady_clock::now();
+    Tracker.onTrial(
+        [this](const auto &write, auto onReply) {
+          Taken.push_back(write);
+          Reply = std::move(onReply);
+        },
+        [this](const auto &write, const auto &run, auto onReply) {
+          Closed.push_back(write);
+          ClosedWith.push_back(run);
+          onReply({core::TrialReply::Kind::Written, 2 + Closed.size()});
+        });
+  }
+
+  /// Asks for a trial; the store's reply is that of the test.
+  void ask() {
+    Permit = nullptr;
+    Wait.reset();
+    Tracker.askForTrial(RequestFingerprint, "r2", 1s, Now,
+                        [this](const auto &it) {
+                          if (it)
+                            Permit = *it;
+                          else
+                            Wait = it.error();
+                        });
+  }
+  void grant() { Reply({core::TrialReply::Kind::Written, 1 + Taken.size()}); }
+  bool onProbation() { return Tracker.onProbation(RequestFingerprint); }
+
+  std::vector<core::TrialWrite> Taken;
+  std::vector<core::TrialWrite> Closed;
+  std::vector<std::optional<core::FatalRun>> ClosedWith;
+  std::function<void(const core::TrialReply &)> Reply;
+  CrashTracker::PermitPtr Permit;
+  std::optional<std::chrono::milliseconds> Wait;
+};
+
+TEST_F(CrashTrialTest, ARequestIsOnProbationFromItsFirstBrokenRun) {
+  EXPECT_FALSE(onProbation());
+  endBroken("r1", LeafSign::Accepts, RequestFingerprint);
+  EXPECT_FALSE(onProbation());
+  endBroken("r2");
+  EXPECT_TRUE(onProbation());
+  prove();
+  EXPECT_TRUE(onProbation());
+  EXPECT_FALSE(Tracker.onProbation(OtherFingerprint));
+  endAnswered();
+  EXPECT_FALSE(onProbation());
+}
+
+TEST_F(CrashTrialTest, OneTrialAtATime) {
+  endBroken("r1");
+  prove();
+  ask();
+  ASSERT_EQ(Taken.size(), 1U);
+  EXPECT_FALSE(Permit);
+  grant();
+  EXPECT_TRUE(Permit);
+  const auto first = Permit;
+  ask();
+  EXPECT_TRUE(Wait);
+  EXPECT_EQ(Taken.size(), 1U);
+}
+
+/// Guards against a host that hears that a trial is over before it hears that
+/// a leaf has ended in it.
+TEST_F(CrashTrialTest, ATrialEndsWithItsRun) {
+  endBroken("r1");
+  prove();
+  ask();
+  grant();
+  endBroken("r2");
+  Permit = nullptr;
+  EXPECT_TRUE(Closed.empty());
+  prove();
+  ASSERT_EQ(Closed.size(), 1U);
+  ASSERT_TRUE(ClosedWith[0]);
+  EXPECT_EQ(ClosedWith[0]->FirstRound, 2U);
+  EXPECT_FALSE(Closed[0].Record->Open);
+  EXPECT_EQ(Closed[0].Record->Failed, 1U);
+}
+
+TEST_F(CrashTrialTest, ASuccessEndsTheProbation) {
+  endBroken("r1");
+  prove();
+  ask();
+  grant();
+  endAnswered();
+  Permit = nullptr;
+  ASSERT_EQ(Closed.size(), 1U);
+  EXPECT_FALSE(Closed[0].Record);
+  EXPECT_FALSE(onProbation());
+}
+
+/// Guards against a harmless request that is refused for a day, since runs that
+/// were sent before its trials counted against them.
+TEST_F(CrashTrialTest, EarlierRunsDontFailATrial) {
+  endBroken("r1");
+  ask();
+  grant();
+  prove();
+  Tracker.addHeard({RequestFingerprint, 77, 1, 2, {Service}}, Now);
+  Permit = nullptr;
+  ASSERT_EQ(Closed.size(), 1U);
+  EXPECT_FALSE(ClosedWith[0]);
+  EXPECT_EQ(Closed[0].Record->Failed, 0U);
+}
+
+/// The run's leaf is as good as before the break.
+TEST_F(CrashTrialTest, ATrialWhoseLeavesGoOnEndsWithoutARun) {
+  endBroken("r1");
+  prove();
+  ask();
+  grant();
+  endBroken("r2", LeafSign::Accepts, RequestFingerprint);
+  Permit = nullptr;
+  Now += core::CrashTrials::SettleTime;
+  Tracker.settle(Now);
+  ASSERT_EQ(Closed.size(), 1U);
+  EXPECT_FALSE(ClosedWith[0]);
+  EXPECT_TRUE(Closed[0].Record);
+  EXPECT_TRUE(onProbation());
+}
+
+TEST_F(CrashTrialTest, WhatOtherHostsRanIsWaitedFor) {
+  endBroken("r1");
+  prove();
+  ask();
+  grant();
+  Permit->onRelayed();
+  Permit = nullptr;
+  EXPECT_TRUE(Closed.empty());
+  Now = std::chrono::steady_clock::now() + CrashTracker::RelayProofPeriod;
+  Tracker.settle(Now);
+  EXPECT_EQ(Closed.size(), 1U);
+}
+
+TEST_F(CrashTrialTest, TrialsOfHostsThatEndedQuarantine) {
+  endBroken("r1");
+  prove();
+  Tracker.trials().onRecord(RequestFingerprint, {2, 0, 1, true, 3s, "other"}, 9,
+                            Now);
+  EXPECT_FALSE(refused());
+  Now += 3s;
+  const auto wait = Tracker.quarantinedFor(RequestFingerprint, Now);
+  ASSERT_TRUE(wait);
+  EXPECT_GT(*wait, 9min);
+}
+
+/// Guards against a request that ends leaves again every ten minutes.
+TEST_F(CrashTrialTest, AfterThreeFailedTrialsThereAreNoMore) {
+  for (const char *run : {"r1", "r2", "r3"})
+    endBroken(run);
+  prove();
+  EXPECT_TRUE(refused());
+  Now += core::CrashLedger::QuarantineTime;
+  EXPECT_FALSE(refused());
+  EXPECT_TRUE(onProbation());
+  Tracker.trials().onRecord(RequestFingerprint, {3, 2, 1, false, 3s, "other"},
+                            9, Now);
+  const auto wait = Tracker.quarantinedFor(RequestFingerprint, Now);
+  ASSERT_TRUE(wait);
+  EXPECT_GT(*wait, 23h);
+}
+
+TEST_F(CrashTrialTest, APermitMayOutliveItsTracker) {
+  auto tracker = std::make_unique<CrashTracker>();
+  CrashTracker::PermitPtr permit;
+  tracker->askForTrial(RequestFingerprint, "r2", 1s, Now,
+                       [&](const auto &it) { permit = *it; });
+  EXPECT_TRUE(permit);
+  tracker.reset();
+  permit.reset();
+}
+
+/// Guards against breaks that count after the service has answered the request.
+TEST_F(CrashTrackerTest, AnAnswerClearsBreaksThatArentProvenYet) {
+  endBroken("r1");
+  endAnswered();
+  prove();
+  EXPECT_TRUE(Found.empty());
+  endBroken("r2");
+  endAnswered(Service + 1);
+  prove();
+  EXPECT_EQ(Found.size(), 1U);
+}
+
 TEST(Fingerprint, DependsOnContentOnly) {
   const auto fingerprint = fingerprintOf(request("/x", "r1", "body"));
   EXPECT_EQ(fingerprint, fingerprintOf(request("/x", "r2", "body")));
