Write all known fatal runs again when the store is back from an older copy

Callers: once the host that had found a request's runs was gone and the store was back from an older copy, a restart of the hosts let the request reach leaves again.

Cause: only the host that had found a run wrote it again; the others kept it in their copy of the store only.

Change: each host writes what it knows within 5 s, at a time drawn at random, and leaves out what another one has written meanwhile. Lists don't count for that: they also hold items that the store has lost.

--- a/src/registry/CrashFeed.cpp
+++ b/src/registry/CrashFeed.cpp
@@ -33,7 +33,7 @@
 /// Hosts that know an item for equally long don't all remove it.
 constexpr milliseconds ExpirySpread{60000};
 /// Hosts that write again after a rise of the era share this time.
-constexpr milliseconds EraSpread{1000};
+constexpr milliseconds EraSpread{5000};
 
 bool parseHex(std::string_view text, std::uint64_t &value) {
   return absl::SimpleHexAtoi(absl::string_view(text.data(), text.size()),
@@ -104,11 +104,13 @@
   FeedHandlers handlers;
   handlers.OnList = [self](const auto &items) { self->onList(items); };
   handlers.OnChanges = [self](const auto &items) {
-    for (const StoredItem &item : items)
+    for (const StoredItem &item : items) {
       self->onItem(item);
+      self->dropPendingWrite(item);
+    }
   };
   handlers.OnStoreReachable = [] {};
-  handlers.OnEraRise = [self] { self->writeOwnAgain(); };
+  handlers.OnEraRise = [self] { self->writeAgain(); };
   // An older copy of the store doesn't end a quarantine.
   handlers.KeepsHeld = [](const StoredItem &, const StoredItem *listed) {
     return listed == nullptr;
@@ -148,11 +150,16 @@
   OnAdded(*run);
 }
 
+void CrashFeed::dropPendingWrite(const StoredItem &item) {
+  const auto it = Pending.find(item.Key);
+  if (!item.Removed && it != Pending.end() && it->second == item.Value)
+    Pending.erase(it);
+}
+
 void CrashFeed::removeItem(const std::string &key) {
   if (const auto it = Pending.find(key);
       it != Pending.end() && !it->second.has_value())
     Pending.erase(it);
-  Own.erase(key);
   const auto it = Items.find(key);
   if (it == Items.end())
     return;
@@ -160,26 +167,24 @@
   Items.erase(it);
 }
 
-void CrashFeed::writeOwnAgain() {
-  if (Own.empty())
-    return;
-  for (const auto &[key, value] : Own)
-    Pending.try_emplace(key, value);
+void CrashFeed::writeAgain() {
+  // The host that found a run may be gone, so all write what they know, at
+  // different times: who hears of an item in time doesn't write it.
+  for (const auto &[key, item] : Items)
+    Pending.try_emplace(key, encodeCrashRun(item.Run));
   scheduleWrite(milliseconds(std::uniform_int_distribution<std::int64_t>(
       0, EraSpread.count())(Random)));
 }
 
 void CrashFeed::publish(const FatalRun &run) {
   const std::string key = crashRunKey(run);
-  Own[key] = encodeCrashRun(run);
-  Pending[key] = Own[key];
+  Pending[key] = encodeCrashRun(run);
   scheduleWrite(WriteDelay);
 }
 
 void CrashFeed::withdraw(const std::vector<FatalRun> &runs) {
   for (const FatalRun &run : runs) {
     const std::string key = crashRunKey(run);
-    Own.erase(key);
     Items.erase(key);
     Pending[key] = std::nullopt;
   }
--- a/src/registry/CrashFeed.h
+++ b/src/registry/CrashFeed.h
@@ -79,8 +79,11 @@
 
   void onList(const std::vector<store::StoredItem> &items);
   void onItem(const store::StoredItem &item);
+  /// Drops a write that another host has made. Lists don't tell which items the
+  /// store has: they also hold those that it has lost.
+  void dropPendingWrite(const store::StoredItem &item);
   void removeItem(const std::string &key);
-  void writeOwnAgain();
+  void writeAgain();
   void scheduleExpiry();
   void scheduleWrite(std::chrono::milliseconds delay);
   void write();
@@ -92,8 +95,6 @@
   RunHandler OnRemoved;
   KeepsHandler Keeps;
   std::map<std::string, Item> Items;
-  /// Runs that this host found, and their items' values.
-  std::map<std::string, std::string> Own;
   /// Items to be written, or removed if there is no value.
   std::map<std::string, std::optional<std::string>> Pending;
   std::minstd_rand Random{std::random_device{}()};
--- a/tests/process-crash-requests.cpp
+++ b/tests/process-crash-requests.cpp
@@ -322,6 +322,39 @@
   expectFewLateRetries();
 }
 
+/// Guards against runs that are lost with an older copy of the store, since
+/// only the host that had found them wrote them again.
+TEST_F(CrashRequestsTest, StaysRefusedOnceTheStoreIsBackFromACopy) {
+  const auto onStore = [&](auto f) {
+    Cluster.runOnStandInThread([&] {
+      f(*Cluster.Store);
+      return 0;
+    });
+  };
+  const auto refuses = [&](std::size_t host) {
+    return Deadly.send(*Cluster.Nodes[host], host, "/read/deadly") == 429;
+  };
+  onStore([](auto &store) { store.takeCopy(); });
+  ASSERT_TRUE(eventually([&] { return refuses(0); }));
+  // The other hosts read its runs from the store.
+  std::this_thread::sleep_for(2s);
+  for (std::size_t i = 1; i < Cluster.Nodes.size(); ++i)
+    ASSERT_TRUE(refuses(i)) << i;
+  const auto runs = Leaves.deadlyRuns().size();
+  Cluster.Nodes[0]->Child.kill();
+  onStore([](auto &store) { store.restoreCopy(); });
+  std::this_thread::sleep_for(9s);
+  for (const auto &node : Cluster.Nodes)
+    node->Child.kill();
+  for (const auto &node : Cluster.Nodes)
+    Cluster.start(*node);
+  for (const auto &node : Cluster.Nodes)
+    EXPECT_TRUE(eventually([&] { return NodeDeployment::ready(*node); }));
+  for (std::size_t i = 0; i < Cluster.Nodes.size(); ++i)
+    EXPECT_TRUE(refuses(i)) << i;
+  EXPECT_EQ(Leaves.deadlyRuns().size(), runs);
+}
+
 /// Guards against a harmless request that is refused since it met failing
 /// leaves.
 TEST_F(CrashRequestsTest,
