--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -411,6 +411,19 @@
                                      Stopping ? "stopping\n" : "starting\n");
 }
 
+void PlatformHost::setCrashMetrics() {
+  HostMetrics.setGauge("savorytrestle_requests_quarantined",
+                       "Requests refused since they crash leaves.",
+                       static_cast<double>(Router.quarantinedCount()));
+  HostMetrics.setGauge("savorytrestle_requests_on_probation",
+                       "Requests refused while another run of them was tried.",
+                       static_cast<double>(Router.probationCount()));
+  HostMetrics.setGauge(
+      "savorytrestle_crash_run_requests",
+      "Requests in whose runs leaves have ended, on any host.",
+      static_cast<double>(Router.crashTracker().requestCount()));
+}
+
 entry::CallerAnswer PlatformHost::metrics() {
   const auto &config = Configs->current();
   HostMetrics.setGauge("savorytrestle_config_version",
@@ -431,16 +444,7 @@
   HostMetrics.setGauge("savorytrestle_requests_unauthorized",
                        "Requests refused for want of a known key.",
                        static_cast<double>(Router.unauthorizedCount()));
-  HostMetrics.setGauge("savorytrestle_requests_quarantined",
-                       "Requests refused since they crash leaves.",
-                       static_cast<double>(Router.quarantinedCount()));
-  HostMetrics.setGauge("savorytrestle_requests_on_probation",
-                       "Requests refused while another run of them was tried.",
-                       static_cast<double>(Router.probationCount()));
-  HostMetrics.setGauge(
-      "savorytrestle_crash_run_requests",
-      "Requests in whose runs leaves have ended, on any host.",
-      static_cast<double>(Router.crashTracker().requestCount()));
+  setCrashMetrics();
   HostMetrics.setGauge("savorytrestle_workspace_keys",
                        "Keys of all workspaces in force.",
                        static_cast<double>(Router.keyCount()));
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -95,6 +95,8 @@
   bool ready() const;
   entry::CallerAnswer readiness() const;
   entry::CallerAnswer metrics();
+  /// Sets the metrics of requests that crash leaves.
+  void setCrashMetrics();
 
   PlatformHostConfig Config;
   std::string ConfigFile;
--- a/tests/unit-crash-trials.cpp
+++ b/tests/unit-crash-trials.cpp
@@ -327,8 +327,8 @@
 
   /// Calls the store: executed or not, the reply may get lost.
   void call(const HostPtr &host, const TrialWrite &write,
-            std::optional<FatalRun> run,
-            std::function<void(const TrialReply &)> onReply) {
+            const std::optional<FatalRun> &run,
+            const std::function<void(const TrialReply &)> &onReply) {
     ++StoreCalls;
     const TimePoint sent = Now;
     const auto reply = std::make_shared<TrialReply>();
@@ -544,7 +544,7 @@
               << " calls for the trials of a request\n";
     // Two for each of its trials, and those of hosts that come second, which
     // ask once for each record that they haven't heard of.
-    EXPECT_LE(most, 2 * CrashTrials::MaxFailures + 3 * hosts);
+    EXPECT_LE(most, std::size_t{2} * CrashTrials::MaxFailures + 3 * hosts);
   }
 }
 
