Read and write fingerprints in keys of the store in one place

The feeds of fatal runs and of trials each had their own copy. No change of behaviour; CrashRunItem and TrialItem pass.

--- a/src/registry/CrashFeed.cpp
+++ b/src/registry/CrashFeed.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "platform/StoreProtocol.h"
+#include "registry/FingerprintText.h"
 #include "support/BoundedJson.h"
 #include "support/Log.h"
 
@@ -35,35 +36,27 @@
 /// Hosts that write again after a rise of the era share this time.
 constexpr milliseconds EraSpread{5000};
 
-bool parseHex(std::string_view text, std::uint64_t &value) {
-  return absl::SimpleHexAtoi(absl::string_view(text.data(), text.size()),
-                             &value);
-}
-
 /// Reads what the key holds: fingerprint, run id and first round.
 bool parseKey(const std::string &key, FatalRun &run) {
-  constexpr std::size_t HexDigits = 16;
   const auto rest = std::string_view(key).substr(
       std::min(key.size(), std::string_view(CrashRunPrefix).size()));
-  if (rest.size() < 2 * HexDigits || rest[2 * HexDigits] != '/')
+  const auto fingerprint = parseFingerprint(rest.substr(0, FingerprintDigits));
+  if (!fingerprint || rest.size() <= FingerprintDigits ||
+      rest[FingerprintDigits] != '/')
     return false;
+  run.RequestFingerprint = *fingerprint;
   const std::vector<std::string> parts = absl::StrSplit(
-      std::string(rest.substr(2 * HexDigits + 1)), absl::MaxSplits('-', 1));
-  return parts.size() == 2 &&
-         parseHex(rest.substr(0, HexDigits), run.RequestFingerprint.High) &&
-         parseHex(rest.substr(HexDigits, HexDigits),
-                  run.RequestFingerprint.Low) &&
-         parseHex(parts[0], run.Id) &&
+      std::string(rest.substr(FingerprintDigits + 1)), absl::MaxSplits('-', 1));
+  return parts.size() == 2 && parseHex(parts[0], run.Id) &&
          absl::SimpleAtoi(parts[1], &run.FirstRound);
 }
 
 } // namespace
 
 std::string crashRunKey(const FatalRun &run) {
-  return absl::StrCat(
-      CrashRunPrefix, absl::Hex(run.RequestFingerprint.High, absl::kZeroPad16),
-      absl::Hex(run.RequestFingerprint.Low, absl::kZeroPad16), "/",
-      absl::Hex(run.Id, absl::kZeroPad16), "-", run.FirstRound);
+  return absl::StrCat(CrashRunPrefix, formatFingerprint(run.RequestFingerprint),
+                      "/", absl::Hex(run.Id, absl::kZeroPad16), "-",
+                      run.FirstRound);
 }
 
 std::string encodeCrashRun(const FatalRun &run) {
--- a/src/registry/TrialFeed.cpp
+++ b/src/registry/TrialFeed.cpp
@@ -2,12 +2,11 @@
 
 #include <set>
 
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
 #include "platform/StoreProtocol.h"
 #include "registry/CrashFeed.h"
+#include "registry/FingerprintText.h"
 #include "support/BoundedJson.h"
 #include "support/Log.h"
 
@@ -33,30 +32,17 @@
 constexpr std::size_t MaxHostBytes = 200;
 constexpr milliseconds MaxLifetime = std::chrono::minutes(10);
 
-bool parseHex(std::string_view text, std::uint64_t &value) {
-  return absl::SimpleHexAtoi(absl::string_view(text.data(), text.size()),
-                             &value);
-}
-
 } // namespace
 
 std::string trialKey(const Fingerprint &fingerprint) {
-  return absl::StrCat(TrialPrefix,
-                      absl::Hex(fingerprint.High, absl::kZeroPad16),
-                      absl::Hex(fingerprint.Low, absl::kZeroPad16));
+  return TrialPrefix + formatFingerprint(fingerprint);
 }
 
 std::optional<Fingerprint> parseTrialKey(std::string_view key) {
-  constexpr std::size_t HexDigits = 16;
-  Fingerprint fingerprint;
-  if (!key.starts_with(TrialPrefix))
-    return std::nullopt;
-  key.remove_prefix(std::string_view(TrialPrefix).size());
-  if (key.size() != 2 * HexDigits ||
-      !parseHex(key.substr(0, HexDigits), fingerprint.High) ||
-      !parseHex(key.substr(HexDigits), fingerprint.Low))
-    return std::nullopt;
-  return fingerprint;
+  return key.starts_with(TrialPrefix)
+             ? parseFingerprint(
+                   key.substr(std::string_view(TrialPrefix).size()))
+             : std::nullopt;
 }
 
 std::string encodeTrial(const TrialRecord &record) {
