Quarantine test: come again while another run of the request is judged

It came while the second one was judged, and is on probation then: it hasn't run and may come again.

Change: the test sends again until it is run, as a caller does, and checks that an answer of 503 has ended no leaf. What it asks for is the same: three runs, then 429 on both hosts with no further leaf ended.

--- a/tests/process-quarantine.cpp
+++ b/tests/process-quarantine.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int TooManyRequests = 429;
+constexpr int Unavailable = 503;
 
 /// Leaves that end on one kind of request, and two hosts that tell each other.
 class QuarantineTest : public ::testing::Test {
@@ -70,7 +71,15 @@
     for (int i = 0; i < 2; ++i)
       addLeaf();
     eventually([&] { return sendRequest(node, "/read/usual") == 200; });
-    return sendRequest(node, "/read/deadly");
+    int status = 0;
+    eventually([&] {
+      const int before = crashes();
+      status = sendRequest(node, "/read/deadly");
+      // Another run of it is being judged: it hasn't run, and may come again.
+      EXPECT_TRUE(status != Unavailable || crashes() == before);
+      return status != Unavailable;
+    });
+    return status;
   }
 
   int crashes() {
