Close trials that never ran, so that they don't count as lapsed

Cause: a grant whose reply got lost, or came too late to be used, left an open record in the store. Other hosts took it for a trial whose host had ended, in which leaves may have ended; three of these end all trials.

Evidence: found by reading.

Change: a host closes records of its own process that it doesn't run, once a second, and counts nothing for them. A close in flight is a state of its own, so that such a record isn't closed twice. The flag of a grant is gone: the record that the host has read says the same.

--- a/include/savorytrestle/core/quarantine/CrashTrials.h
+++ b/include/savorytrestle/core/quarantine/CrashTrials.h
@@ -148,13 +148,15 @@
                                   bool leafEnded, bool keepsRecord,
                                   TimePoint now);
 
-  /// @brief The store has replied to the write of @ref close.
+  /// @brief Closes the trials of this process that it has not run, since the
+  /// grant came too late or got lost. O(requests).
+  /// @return what has to be written; @ref onCloseReply follows
+  std::vector<TrialWrite> closeAbandoned(TimePoint now);
+
+  /// @brief The store has replied to the write of @ref close, or will not.
   void onCloseReply(const TrialWrite &write, const TrialReply &reply,
                     TimePoint now);
 
-  /// @brief Whether this host has a trial of a request.
-  bool hasTrial(const Fingerprint &fingerprint) const;
-
   /// @brief Whether a request has failed so many trials that there are no more.
   bool exhausted(const Fingerprint &fingerprint, TimePoint now) const;
 
@@ -170,7 +172,7 @@
 
 private:
   /// State of this host's trial.
-  enum class OwnTrial { None, Asked, Running };
+  enum class OwnTrial { None, Asked, Running, Closing };
 
   struct Request {
     std::optional<TrialRecord> Stored;
@@ -184,8 +186,6 @@
     TimePoint AskedAt{};
     /// The record that this host asked to write.
     TrialRecord Asked;
-    /// Whether the store has granted this host's trial.
-    bool Granted = false;
     /// This host asks for no trial before.
     TimePoint NotBefore{};
   };
--- a/src/core/quarantine/CrashTrials.cpp
+++ b/src/core/quarantine/CrashTrials.cpp
@@ -75,7 +75,7 @@
   const auto it = Requests.find(fingerprint);
   if (it != Requests.end()) {
     const Request &request = it->second;
-    if (request.Own != OwnTrial::None)
+    if (request.Own == OwnTrial::Asked || request.Own == OwnTrial::Running)
       return MaxRetryAfter;
     if (now < request.NotBefore)
       return std::chrono::ceil<milliseconds>(request.NotBefore - now);
@@ -120,7 +120,6 @@
   request.Own = OwnTrial::Asked;
   request.AskedAt = now;
   request.Asked = record;
-  request.Granted = false;
   return {fingerprint, request.Revision, std::move(record)};
 }
 
@@ -133,11 +132,10 @@
   case TrialReply::Kind::Written:
     AwaySince.reset();
     onWritten(request, request.Asked, reply.Revision, now);
-    // Its lifetime began for others when they saw it: this process may have
-    // been paused meanwhile. The next trial of this host replaces it.
+    // This process may have been paused meanwhile, and others may take the
+    // trial for lapsed soon.
     if (late)
       return false;
-    request.Granted = true;
     break;
   case TrialReply::Kind::Changed:
     AwaySince.reset();
@@ -167,8 +165,9 @@
     return std::nullopt;
   Request &request = it->second;
   request.Own = OwnTrial::None;
-  // Another host may have taken this trial for lapsed.
-  const bool known = request.Granted && request.Stored &&
+  // Another host may have taken this trial for lapsed, or the store never had
+  // it.
+  const bool known = request.Stored &&
                      request.Stored->Number == request.Asked.Number &&
                      request.Stored->Host == OwnHost;
   if (!known)
@@ -179,17 +178,37 @@
     write.Record->Open = false;
     write.Record->Failed += leafEnded ? 1 : 0;
   }
-  // Other hosts wait until the write has succeeded; so does this one.
+  // Other hosts wait until the write has succeeded; so does this one, for a
+  // while.
+  request.Own = OwnTrial::Closing;
   request.NotBefore = now + MaxGrantAge;
   return write;
 }
 
+std::vector<TrialWrite> CrashTrials::closeAbandoned(TimePoint now) {
+  std::vector<TrialWrite> writes;
+  for (auto &[fingerprint, request] : Requests) {
+    if (request.Own != OwnTrial::None || !request.Stored ||
+        !request.Stored->Open || request.Stored->Host != OwnHost ||
+        now < request.NotBefore)
+      continue;
+    TrialWrite write{fingerprint, request.Revision, request.Stored};
+    write.Record->Open = false;
+    writes.push_back(std::move(write));
+    request.Own = OwnTrial::Closing;
+    request.NotBefore = now + MaxGrantAge;
+  }
+  return writes;
+}
+
 void CrashTrials::onCloseReply(const TrialWrite &write, const TrialReply &reply,
                                TimePoint now) {
   const auto it = Requests.find(write.RequestFingerprint);
   if (it == Requests.end())
     return;
   Request &request = it->second;
+  if (request.Own == OwnTrial::Closing)
+    request.Own = OwnTrial::None;
   switch (reply.Result) {
   case TrialReply::Kind::Written:
     AwaySince.reset();
@@ -208,11 +227,6 @@
   }
 }
 
-bool CrashTrials::hasTrial(const Fingerprint &fingerprint) const {
-  const auto it = Requests.find(fingerprint);
-  return it != Requests.end() && it->second.Own == OwnTrial::Running;
-}
-
 bool CrashTrials::exhausted(const Fingerprint &fingerprint,
                             TimePoint now) const {
   const auto it = Requests.find(fingerprint);
--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -150,18 +150,23 @@
       .with("leaf_ended", run ? 1 : 0)
       .with("runs_known", Ledger.runCount(fingerprint))
       .with("in_store", write ? 1 : 0);
-  if (!write)
-    return;
+  if (write)
+    writeClose(*write, run, now);
+}
+
+void CrashTracker::writeClose(const core::TrialWrite &write,
+                              const std::optional<FatalRun> &run,
+                              TimePoint now) {
   if (!CloseTrial)
     return Trials.onCloseReply(
-        *write, {.Result = core::TrialReply::Kind::Written}, now);
-  CloseTrial(*write, run,
-             [weak = std::weak_ptr(Self),
-              write = *write](const core::TrialReply &reply) {
-               if (const auto tracker = weak.lock())
-                 (*tracker)->Trials.onCloseReply(
-                     write, reply, std::chrono::steady_clock::now());
-             });
+        write, {.Result = core::TrialReply::Kind::Written}, now);
+  CloseTrial(
+      write, run,
+      [weak = std::weak_ptr(Self), write](const core::TrialReply &reply) {
+        if (const auto tracker = weak.lock())
+          (*tracker)->Trials.onCloseReply(write, reply,
+                                          std::chrono::steady_clock::now());
+      });
 }
 
 void CrashTracker::settleTrials(TimePoint now) {
@@ -176,6 +181,8 @@
   if (now - PrunedAt < PruneInterval)
     return;
   PrunedAt = now;
+  for (const core::TrialWrite &write : Trials.closeAbandoned(now))
+    writeClose(write, std::nullopt, now);
   Trials.prune(now);
   Ledger.prune(now);
 }
--- a/src/entry/CrashTracker.h
+++ b/src/entry/CrashTracker.h
@@ -209,6 +209,9 @@
   std::vector<core::FatalRun>
   likelyFatal(const core::Fingerprint &fingerprint) const;
   void closeTrial(const core::Fingerprint &fingerprint, core::TimePoint now);
+  void writeClose(const core::TrialWrite &write,
+                  const std::optional<core::FatalRun> &run,
+                  core::TimePoint now);
   void settleTrials(core::TimePoint now);
   /// Drops breaks of services that have answered the request since.
   void clearUnproven(const RunOutcome &answered);
--- a/tests/unit-crash-trials.cpp
+++ b/tests/unit-crash-trials.cpp
@@ -45,7 +45,6 @@
   EXPECT_TRUE(write.Record->Open);
   EXPECT_FALSE(mayTake());
   EXPECT_TRUE(Trials.onTakeReply(Request, written(5), Now));
-  EXPECT_TRUE(Trials.hasTrial(Request));
   EXPECT_FALSE(mayTake());
 
   const auto close = Trials.close(Request, true, true, Now);
@@ -98,6 +97,38 @@
   EXPECT_EQ(next.Record->Lapsed, 0U);
 }
 
+/// Guards against a harmless request that is refused for a day, since the
+/// store's replies got lost and trials that never ran counted as lapsed.
+TEST_F(CrashTrialsTest, ATrialThatNeverRanIsClosed) {
+  take();
+  EXPECT_FALSE(Trials.onTakeReply(Request, Unknown, Now));
+  Now += CrashTrials::ChangedPause;
+  EXPECT_TRUE(Trials.closeAbandoned(Now).empty());
+  Trials.onRecord(Request, {1, 0, 0, true, 4s, "own"}, 5, Now);
+  const auto writes = Trials.closeAbandoned(Now);
+  ASSERT_EQ(writes.size(), 1U);
+  EXPECT_EQ(writes[0].ExpectedRevision, 5U);
+  EXPECT_EQ(*writes[0].Record, (TrialRecord{1, 0, 0, false, 4s, "own"}));
+  Now += CrashTrials::MaxGrantAge;
+  EXPECT_TRUE(Trials.closeAbandoned(Now).empty());
+  Trials.onCloseReply(writes[0], written(6), Now);
+  EXPECT_TRUE(Trials.closeAbandoned(Now).empty());
+}
+
+TEST_F(CrashTrialsTest, ATrialThatRunsOrIsBeingClosedIsntAbandoned) {
+  take();
+  Trials.onTakeReply(Request, written(5), Now);
+  Now += 1min;
+  EXPECT_TRUE(Trials.closeAbandoned(Now).empty());
+  const auto close = Trials.close(Request, true, true, Now);
+  ASSERT_TRUE(close);
+  Now += 1min;
+  EXPECT_TRUE(Trials.closeAbandoned(Now).empty());
+  // The store hasn't replied for good.
+  Trials.onCloseReply(*close, Unknown, Now);
+  EXPECT_EQ(Trials.closeAbandoned(Now).size(), 1U);
+}
+
 TEST_F(CrashTrialsTest, WhatItHasWrittenIsntReplacedByOlderNews) {
   take();
   Trials.onTakeReply(Request, written(5), Now);
@@ -245,6 +276,8 @@
   TimePoint LeavesFailUntil{};
   bool Faults = false;
   std::size_t MostVolley = 12;
+  /// Part of the store's replies that hosts don't get.
+  double LostReplies = 0;
   std::chrono::milliseconds LongestPause = 6s;
   /// Trials in which leaves ended.
   std::size_t Failed = 0;
@@ -310,6 +343,8 @@
       if (host->CutUntil <= Now)
         for (; host->Known < Changes.size(); ++host->Known)
           apply(*host, Changes[host->Known], host->Known + 1);
+      for (const TrialWrite &write : host->Trials.closeAbandoned(Now))
+        sendClose(host, write, {});
       follow(host);
     });
   }
@@ -344,7 +379,9 @@
       *reply = written(Changes.size());
     });
     on(host, sent + time(41, 80), [this, host, reply, onReply] {
-      if (host->CutUntil > Now)
+      if (host->CutUntil > Now ||
+          (LostReplies > 0 &&
+           std::uniform_real_distribution<>()(Random) < LostReplies))
         *reply = {};
       onReply(*reply);
     });
@@ -530,6 +567,18 @@
   }
 }
 
+/// The same while half of the store's replies get lost.
+TEST(CrashTrialsModel, AHarmlessRequestIsServedThoughRepliesGetLost) {
+  for (unsigned seed = 0; seed < 300; ++seed) {
+    TrialModel model(seed, 2 + seed % 20, false);
+    model.LeavesFailUntil = model.Now + 400ms;
+    model.LostReplies = 0.5;
+    model.run(3min);
+    EXPECT_LE(model.LastRefusal, model.LeavesFailUntil + 60s) << seed;
+    EXPECT_GT(model.Served, model.Volleys) << seed;
+  }
+}
+
 /// A request that comes to all hosts at once, again and again.
 TEST(CrashTrialsModel, CallsToTheStoreAreBounded) {
   for (const std::size_t hosts : {7U, 82U, 195U}) {
