Ask for a trial before the writes of trials that have ended

Callers: while the store accepted calls and didn't reply, a request on probation was held until long after its deadline.

Cause: TrialFeed sends one write at a time, and the writes that close trials are repeated until the store replies; asking stood behind all of them.

Evidence: found by reading; with ten such writes and a store that never replies, asking was answered after 5.0 s.

Change: what a caller waits for goes first; it is answered after the write in flight, at most. The two ways of making a write are one.

--- a/src/registry/TrialFeed.cpp
+++ b/src/registry/TrialFeed.cpp
@@ -1,5 +1,6 @@
 #include "registry/TrialFeed.h"
 
+#include <algorithm>
 #include <set>
 
 #include <nlohmann/json.hpp>
@@ -141,7 +142,8 @@
   Trials.onRecord(*fingerprint, *record, item.ModRevision, now);
 }
 
-void TrialFeed::write(const core::TrialWrite &write, ReplyHandler onReply) {
+TrialFeed::Write TrialFeed::makeWrite(const core::TrialWrite &write,
+                                      ReplyHandler onReply) {
   Write next{.OnReply = std::move(onReply),
              .Deadline = SteadyClock::now() + CrashTrials::GrantTimeout};
   const std::string key = trialKey(write.RequestFingerprint);
@@ -150,23 +152,21 @@
     next.Transaction.Puts.push_back({key, encodeTrial(*write.Record)});
   else
     next.Transaction.Removals.push_back(key);
-  enqueue(std::move(next));
+  return next;
+}
+
+void TrialFeed::write(const core::TrialWrite &write, ReplyHandler onReply) {
+  enqueue(makeWrite(write, std::move(onReply)));
 }
 
 void TrialFeed::close(const core::TrialWrite &write,
                       const std::optional<core::FatalRun> &run,
                       ReplyHandler onReply) {
-  Write next{.OnReply = std::move(onReply),
-             .Deadline = SteadyClock::now() + core::CrashLedger::RunLifetime,
-             .Repeats = true};
-  const std::string key = trialKey(write.RequestFingerprint);
-  next.Transaction.Expects.push_back({key, write.ExpectedRevision});
+  Write next = makeWrite(write, std::move(onReply));
+  next.Deadline = SteadyClock::now() + core::CrashLedger::RunLifetime;
+  next.Repeats = true;
   if (run)
     next.Transaction.Puts.push_back({crashRunKey(*run), encodeCrashRun(*run)});
-  if (write.Record)
-    next.Transaction.Puts.push_back({key, encodeTrial(*write.Record)});
-  else
-    next.Transaction.Removals.push_back(key);
   enqueue(std::move(next));
 }
 
@@ -178,7 +178,12 @@
     write.OnReply({});
     return;
   }
-  Queue.push_back(std::move(write));
+  // A caller waits for the writes that aren't repeated.
+  const auto before =
+      write.Repeats ? Queue.end()
+                    : std::find_if(Queue.begin(), Queue.end(),
+                                   [](const Write &it) { return it.Repeats; });
+  Queue.insert(before, std::move(write));
   sendNext();
 }
 
--- a/src/registry/TrialFeed.h
+++ b/src/registry/TrialFeed.h
@@ -91,6 +91,7 @@
 
   void onList(const std::vector<store::StoredItem> &items);
   void onItem(const store::StoredItem &item);
+  static Write makeWrite(const core::TrialWrite &write, ReplyHandler onReply);
   void enqueue(Write write);
   void sendNext();
   void onReply(Write write, const store::StoreReply &reply);
