Don't write a run again that another host has removed

Callers: after the store was back from an older copy, a request that had been answered since could be on probation again.

Cause: hosts that wrote known runs again kept a write in hand when another host removed the run, as an answer clears it; since all hosts do that.

Evidence: found by reading.

Change: a removal drops whatever is to be written under that key.

--- a/src/registry/CrashFeed.cpp
+++ b/src/registry/CrashFeed.cpp
@@ -150,9 +150,8 @@
 }
 
 void CrashFeed::removeItem(const std::string &key) {
-  if (const auto it = Pending.find(key);
-      it != Pending.end() && !it->second.has_value())
-    Pending.erase(it);
+  // Also a write of it, again after a rise of the era: it is out of date.
+  Pending.erase(key);
   const auto it = Items.find(key);
   if (it == Items.end())
     return;
--- a/tests/unit-trial-feed.cpp
+++ b/tests/unit-trial-feed.cpp
@@ -125,4 +125,29 @@
   EXPECT_LT(SteadyClock::now() - asked, 3 * CrashTrials::GrantTimeout);
 }
 
+/// Guards against runs that a successful answer has cleared and that come back.
+TEST_F(TrialFeedTest, ARunThatHasBeenRemovedIsntWrittenAgain) {
+  ASSERT_TRUE(Opened);
+  Store.takeCopy();
+  const std::string key = registry::crashRunKey(Fatal);
+  FeedHost host(Io, loopback(Store.port()), "host");
+  host.Mirror->start();
+  Store.put(key, registry::encodeCrashRun(Fatal));
+  ASSERT_TRUE(runUntil([&] { return host.RunsKnown == 1; }));
+  Store.restoreCopy();
+  // The host has read the older copy.
+  FatalRun other = Fatal;
+  other.Id = 8;
+  Store.put(registry::crashRunKey(other), registry::encodeCrashRun(other));
+  ASSERT_TRUE(runUntil([&] { return host.RunsKnown == 2; }));
+  // Of a host that has cleared it: another value, then none.
+  Store.put(key, R"({"last_round": 2})");
+  Store.remove(key);
+  ASSERT_TRUE(runUntil([&] { return host.RunsKnown == 1; }));
+  Io.restart();
+  Io.run_for(6s);
+  EXPECT_EQ(Store.count("crashes/"), 1U);
+  EXPECT_EQ(host.RunsKnown, 1);
+}
+
 } // namespace
