Write a trial's run before its record, so that the next trial is granted

Callers saw: a request on probation got 503 from a host for good once one of its trials had ended a leaf, so it was never quarantined there, and a harmless one was never tried again by that host.

Cause: put the record before the run in the transaction that closes a trial. The store counts each change, and its reply names the last one: the run's. The host took this for the revision of the record, and each further trial that it asked for met another revision.

The record is the last change again, as before.

--- a/src/registry/TrialFeed.cpp
+++ b/src/registry/TrialFeed.cpp
@@ -165,8 +165,11 @@
   Write next = makeWrite(write, std::move(onReply));
   next.Deadline = SteadyClock::now() + core::CrashLedger::RunLifetime;
   next.Repeats = true;
+  // Before the record: the reply names the revision of the last change, which
+  // the next write of the record expects.
   if (run)
-    next.Transaction.Puts.push_back({crashRunKey(*run), encodeCrashRun(*run)});
+    next.Transaction.Puts.insert(next.Transaction.Puts.begin(),
+                                 {crashRunKey(*run), encodeCrashRun(*run)});
   enqueue(std::move(next));
 }
 
--- a/tests/unit-trial-feed.cpp
+++ b/tests/unit-trial-feed.cpp
@@ -108,6 +108,29 @@
   EXPECT_EQ(second.RunsKnown, 1);
 }
 
+/// Guards against hosts that don't get another trial of a request, since they
+/// take its record for one of another revision.
+TEST_F(TrialFeedTest, AHostGetsTheNextTrialAfterOneInWhichALeafEnded) {
+  ASSERT_TRUE(Opened);
+  FeedHost host(Io, loopback(Store.port()), "host");
+  host.Mirror->start();
+  for (int i = 0; i < 3; ++i) {
+    host.ask();
+    ASSERT_TRUE(runUntil([&] { return host.Granted.has_value(); }));
+    ASSERT_TRUE(*host.Granted) << i;
+    const auto write =
+        host.Trials.close(Request, true, true, SteadyClock::now());
+    ASSERT_TRUE(write);
+    bool closed = false;
+    host.Feed->close(*write, Fatal, [&](const TrialReply &reply) {
+      host.Trials.onCloseReply(*write, reply, SteadyClock::now());
+      closed = true;
+    });
+    ASSERT_TRUE(runUntil([&] { return closed; }));
+  }
+  EXPECT_TRUE(host.Trials.exhausted(Request, SteadyClock::now()));
+}
+
 /// Guards against requests that are held until their deadlines while the store
 /// doesn't reply, since the writes of trials that have ended come first.
 TEST_F(TrialFeedTest, AskingDoesntWaitForTheWritesOfTrialsThatHaveEnded) {
