Read what the store holds after a rise of its era before writing runs again

Callers saw: nothing yet; a run that a successful answer had cleared on another host could come back, and be counted against its request.

Cause: after a rise of the era each host writes the runs that it knows at a random time within five seconds, also at once, when it hasn't read what others have changed since.

Evidence: TrialFeedTest.ARunThatHasBeenRemovedIsntWrittenAgain failed 2 of 15 times, when the host's write fell into the milliseconds between the rise and the removal.

Hosts now wait a second at least; five seconds stay the longest time. The test passed 48 of 48 times, six at a time.

--- a/src/registry/CrashFeed.cpp
+++ b/src/registry/CrashFeed.cpp
@@ -33,8 +33,10 @@
 constexpr milliseconds ExpiryInterval{10000};
 /// Hosts that know an item for equally long don't all remove it.
 constexpr milliseconds ExpirySpread{60000};
-/// Hosts that write again after a rise of the era share this time.
-constexpr milliseconds EraSpread{5000};
+/// Hosts write again between these times after a rise of the era: they read
+/// first what has changed since, and share the rest.
+constexpr milliseconds MinEraDelay{1000};
+constexpr milliseconds MaxEraDelay{5000};
 
 /// Reads what the key holds: fingerprint, run id and first round.
 bool parseKey(const std::string &key, FatalRun &run) {
@@ -165,7 +167,7 @@
   for (const auto &[key, item] : Items)
     Pending.try_emplace(key, encodeCrashRun(item.Run));
   scheduleWrite(milliseconds(std::uniform_int_distribution<std::int64_t>(
-      0, EraSpread.count())(Random)));
+      MinEraDelay.count(), MaxEraDelay.count())(Random)));
 }
 
 void CrashFeed::publish(const FatalRun &run) {
