Soak: expect drains to hold from the store's stability window on

Trace: the store's last fault loses replies. Node-3 sent its watch 0.4 s before the faults ended, and the store never answers it. The host waits for as long as a watch may take, 2 s and 1.5 s for the reply, and then reads the entry: 3.07 s after the acknowledgement, 3.5 s after its watch. All late requests came from this host.

That is allowed: a drain counts from an acknowledgement given while the store is stable, and hosts must be in touch for the stability window, 4 s at least, which the wait of a watch is chosen for. The check put the leaf into drain at once. It now expects no requests from 3 s after the drain or 4 s after the end of all faults on, whichever is later, so a watch that is noticed later than that still breaks it.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -38,6 +38,9 @@
 constexpr std::size_t TopRecords = 4;
 /// Time after which the platform expects no more requests at a draining leaf.
 constexpr std::chrono::milliseconds DrainBound{3000};
+/// Time from the end of all faults to the store counting as stable again. A
+/// host may miss its news before, as with a watch that the store never answers.
+constexpr std::chrono::milliseconds StabilityWindow{4000};
 constexpr std::chrono::milliseconds ObservationAfterDrain{500};
 
 /// Each configuration uses a random one of these shard sets.
@@ -324,6 +327,7 @@
   void awaitRecovery() {
     for (std::size_t n = 0; n < Cluster.Nodes.size(); ++n)
       Cluster.Nodes[n]->Child.signal(SIGCONT);
+    FaultsEndedAt = std::chrono::steady_clock::now();
     Cluster.runOnStandInThread([&] {
       Cluster.Store->setFault(StoreFault::None);
       for (const auto &link : Links)
@@ -366,7 +370,8 @@
       Cut->putLeaf(index, true);
       return 0;
     });
-    const auto drained = std::chrono::steady_clock::now() + DrainBound;
+    const auto drained = std::max(std::chrono::steady_clock::now() + DrainBound,
+                                  FaultsEndedAt + StabilityWindow);
     for (int i = 0;
          std::chrono::steady_clock::now() < drained + ObservationAfterDrain;
          ++i)
@@ -454,6 +459,7 @@
   soak::Violations Violations;
   std::atomic<int> Served{0};
   std::atomic<bool> StopCallers{false};
+  std::chrono::steady_clock::time_point FaultsEndedAt;
   int Version = 0;
   int RecoveryProbes = 0;
 };
