Try all leaves of a service while connections to them are refused

Callers saw: harmless requests beside such that end leaves got 503 although a leaf of their service lived from before they were sent until their deadline: 13 and 5 of 891 and 890 in two plays of CrashRequestsTest.VolleysOfSeveralAtOnceAreRefusedByAllHosts.

Cause: one call opened five connections at most, also if all were refused, and after a volley most of nineteen leaves had ended, of which the host didn't know yet.

Evidence: each of their log lines says attempts=5 and "Connection refused"; the tests now record when leaves live and name such requests.

A refused connection takes 0.02 ms, never reaches a leaf, and leaves the leaf out of all further calls of the host for 0.3 to 1.2 s. Only other attempts count to the limit of five now; 64 in all.

--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -17,8 +17,11 @@
 
 namespace {
 
-/// Limit of one call's attempts, including those whose connection fails.
+/// Limit of one call's attempts, but for those whose connection is refused.
 constexpr int MaxAttempts = 5;
+/// Limit with these. A refusal takes no time, and the leaf that refused is left
+/// out by all calls of this host for a while.
+constexpr int MaxConnections = 64;
 /// HTTP status of a leaf that isn't the one that the request names.
 constexpr unsigned Misdirected = 421;
 /// HTTP status of a leaf that turned the request away.
@@ -54,7 +57,8 @@
 }
 
 bool ServiceCall::startAttempt(Cause cause, TimePoint now) {
-  if (AttemptCount >= MaxAttempts || now >= Context->Deadline)
+  if (AttemptCount - RefusedCount >= MaxAttempts ||
+      AttemptCount >= MaxConnections || now >= Context->Deadline)
     return false;
   const bool extra = cause == Cause::Hedge || cause == Cause::Resend;
   if (extra && (!TargetService.RetryBudget.canSpend(now) || !admitsExtra(now)))
@@ -122,6 +126,7 @@
   Reason = reply.Reason;
   LeafId = attempt.Target->entry().Id;
   if (reply.Result == Delivery::NotSent) {
+    ++RefusedCount;
     --PossibleExecutions;
     MayHaveRun = PossibleExecutions > 0;
     // A connection that was cancelled since the leaf accepts no requests says
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -208,6 +208,8 @@
   std::string LeafId;
   std::string Reason;
   int AttemptCount = 0;
+  /// Attempts whose connection was refused or cancelled before they were sent.
+  int RefusedCount = 0;
   /// Attempts that a leaf may have executed.
   int PossibleExecutions;
   bool Hedged = false;
--- a/tests/CrashableLeaves.h
+++ b/tests/CrashableLeaves.h
@@ -38,6 +38,8 @@
   static constexpr std::chrono::milliseconds RestartTime{2500};
   /// Time after which the store removes the entry of a leaf that has ended.
   static constexpr std::chrono::milliseconds EntryLifetime{3600};
+  /// Time in which hosts hear of a new leaf.
+  static constexpr std::chrono::milliseconds NewsTime{1000};
   /// Time that leaves work on other requests.
   static constexpr std::chrono::milliseconds Work{30};
 
@@ -59,6 +61,17 @@
     return Cluster.runOnStandInThread([&] { return Runs; });
   }
 
+  /// @brief Whether one leaf of a service lived, and was known, for a whole
+  /// time. Callable from the test's thread.
+  bool anyLived(const std::string &service, TimePoint from, TimePoint until) {
+    return Cluster.runOnStandInThread([&] {
+      return std::any_of(Leaves.begin(), Leaves.end(), [&](const auto &it) {
+        return it->Service == service && it->StartedAt + NewsTime <= from &&
+               it->EndedAt >= until;
+      });
+    });
+  }
+
   /// @brief Makes leaves reset the connection in place of a part of their
   /// answers, without ending. Callable from the test's thread.
   void setResetShare(double share) {
@@ -87,6 +100,8 @@
     std::string Service;
     std::string Domain;
     bool Alive = true;
+    TimePoint StartedAt;
+    TimePoint EndedAt = TimePoint::max();
     std::unique_ptr<RawLeaf> Listener;
   };
 
@@ -95,6 +110,7 @@
     leaf->Id = "i-" + std::to_string(++Count);
     leaf->Service = service;
     leaf->Domain = domain;
+    leaf->StartedAt = std::chrono::steady_clock::now();
     leaf->Listener = std::make_unique<RawLeaf>(
         Cluster.Io, [this, raw = leaf.get()](const std::string &head) {
           return answer(*raw, head);
@@ -147,6 +163,7 @@
 
   void end(Leaf &leaf) {
     leaf.Alive = false;
+    leaf.EndedAt = std::chrono::steady_clock::now();
     after(std::chrono::milliseconds(0), [&leaf] { leaf.Listener->crash(); });
     after(EntryLifetime,
           [this, id = leaf.Id] { Cluster.Store->remove("servers/" + id); });
--- a/tests/process-crash-requests.cpp
+++ b/tests/process-crash-requests.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <mutex>
 #include <optional>
 #include <random>
 
@@ -100,17 +101,46 @@
         for (std::size_t n = 0; !Stopped; ++n) {
           const auto &host = *Cluster.Nodes[n % Cluster.Nodes.size()];
           const std::string id = std::to_string(i) + "-" + std::to_string(n);
+          const bool read = n % 4 == 0;
+          const auto sentAt = std::chrono::steady_clock::now();
           const int status =
               NodeDeployment::sendRequest(
-                  host, (n % 4 == 0 ? "/read/" : "/search/") + id, "h" + id, 1s)
+                  host, (read ? "/read/" : "/search/") + id, "h" + id, 1s)
                   .Status;
           ++Harmless;
           Refused += status == 429 ? 1 : 0;
+          if (status != 200)
+            addFailure({sentAt, read, "h" + id, status});
           std::this_thread::sleep_for(pause);
         }
       });
   }
 
+  /// A harmless request without success.
+  struct Failure {
+    std::chrono::steady_clock::time_point SentAt;
+    bool Read = false;
+    std::string RequestId;
+    int Status = 0;
+  };
+
+  void addFailure(Failure failure) {
+    const std::lock_guard lock(FailuresMutex);
+    Failures.push_back(std::move(failure));
+  }
+
+  /// Whether leaves lived for a request from its start to its deadline, as many
+  /// as it needs.
+  bool couldBeServed(const Failure &failure) {
+    const auto until = failure.SentAt + 1s;
+    if (failure.Read)
+      return Leaves.anyLived("plain", failure.SentAt, until);
+    int lived = 0;
+    for (int i = 0; i < Shards; ++i)
+      lived += Leaves.anyLived("s" + std::to_string(i), failure.SentAt, until);
+    return 2 * lived >= Shards;
+  }
+
   /// Stops and starts all hosts one after the other, as an upgrade does.
   void restartInTurn() {
     for (std::size_t i = 0; i < Cluster.Nodes.size(); ++i) {
@@ -184,12 +214,29 @@
     EXPECT_EQ(Refused, 0) << "of " << Harmless << " harmless requests";
   }
 
+  /// Harmless requests get an answer wherever leaves live; one in a hundred may
+  /// meet a slow machine.
+  void expectHarmlessServed() {
+    std::size_t servable = 0;
+    for (const Failure &it : Failures)
+      if (couldBeServed(it)) {
+        ++servable;
+        std::cout << "not served: " << it.RequestId << " " << it.Status << "\n";
+      }
+    std::cout << Failures.size() << " of " << Harmless
+              << " harmless requests without success, " << servable
+              << " of them with leaves\n";
+    EXPECT_LE(servable * 100, static_cast<std::size_t>(Harmless));
+  }
+
   NodeDeployment Cluster;
   CrashableLeaves Leaves{Cluster};
   DeadlyCallers Deadly;
   std::vector<std::string> Paths;
   std::vector<std::thread> Threads;
   std::atomic<bool> Stopped{false};
+  std::mutex FailuresMutex;
+  std::vector<Failure> Failures;
   std::atomic<int> Harmless{0};
   std::atomic<int> Refused{0};
 };
@@ -223,6 +270,7 @@
     repeat(path, 900ms);
   std::this_thread::sleep_for(14s);
   expectFewLateRetries();
+  expectHarmlessServed();
 }
 
 TEST_F(CrashRequestsTest, StaysRefusedOnceAllHostsHaveBeenRestartedInTurn) {
@@ -306,6 +354,7 @@
   sendVolleys("/read/deadly-3", 12, seed() + 2);
   std::this_thread::sleep_for(30s);
   expectFewLateRetries();
+  expectHarmlessServed();
 }
 
 TEST_F(CrashRequestsTest, VolleysAreRefusedWhileHostsAndStoreFail) {
--- a/tests/unit-request-run.cpp
+++ b/tests/unit-request-run.cpp
@@ -87,6 +87,19 @@
     First.refuse();
   }
 
+  /// Adds a leaf at whose address nothing listens any more.
+  void addEndedLeaf(const std::string &id, const std::string &service) {
+    const boost::asio::ip::tcp::acceptor ended(
+        Io, {boost::asio::ip::address_v4::loopback(), 0});
+    core::LeafEntry leaf;
+    leaf.Id = id;
+    leaf.Service = service;
+    leaf.Address = "127.0.0.1:" + std::to_string(ended.local_endpoint().port());
+    leaf.FailureDomain = "a";
+    leaf.Slots = 5;
+    Leaves.putLeaf(leaf);
+  }
+
   /// Replaces the hosts that requests may be sent to.
   void setHost(const HostStandIn &host) { Leaves.setPeers({host.entry()}, {}); }
 
@@ -174,6 +187,19 @@
   EXPECT_EQ(Answer->body(), "new");
 }
 
+/// Guards against a request that is refused although a leaf serves it, since
+/// most leaves have ended at once and the host doesn't know of it yet.
+TEST_F(RequestRunTest, TheOneLeafThatLivesAnswers) {
+  Behind[0]->Behavior.NeverAnswer = false;
+  for (int i = 0; i < 20; ++i)
+    addEndedLeaf("i-ended" + std::to_string(i), "s0");
+  makeRun();
+  Run->start(services(0, 1), {});
+  ASSERT_TRUE(runUntil(Io, [&] { return Answer.has_value(); }));
+  EXPECT_EQ(Answer->result(), Status::ok);
+  EXPECT_EQ(Behind[0]->Arrivals.size(), 1U);
+}
+
 /// Guards against shards that are counted twice or not at all, after a relay
 /// was reclaimed and its shards forwarded with others.
 TEST_F(RequestRunTest, ShardsOfAReclaimedRelayAreForwardedWithTheOthers) {
