Don't count connections that are being opened as requests that may have run

Callers saw: 502 without Retry-After for searches of which no leaf had got a byte, at the moment when all leaves had ended: from 2 to 3 of 7 hosts in each run of the new test. 502 says that the request may have run.

Cause: a call counted an attempt from its start. A search ends as soon as too few shards are left; the connections of its other shards were still being opened then, and counted as sent. So did those of cancelled relays.

Evidence: the log lines list the shards with one attempt and no reason, or "Connection refused" and a further attempt. RequestRunTest. ARequestWhoseLeavesHaveAllEndedHasNotRun, without a network of hosts: 502.

An attempt counts once its connection is established, which is when its first byte is written; an attempt that is abandoned before leaves the count. The flag that repeated the count is gone.

--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -33,8 +33,7 @@
                          Service &service, EndHandler onEnd,
                          int earlierArrivals)
     : Context(std::move(context)), TargetService(service),
-      OnEnd(std::move(onEnd)), PossibleExecutions(earlierArrivals),
-      MayHaveRun(earlierArrivals > 0) {}
+      OnEnd(std::move(onEnd)), PossibleExecutions(earlierArrivals) {}
 
 core::ExpectedLatency &ServiceCall::latencyEstimate() {
   const core::RouteRule &route = Context->Route;
@@ -51,7 +50,7 @@
   Plan = core::planHedge(Context->Route, latencyEstimate().get());
   if (startAttempt(Cause::First, SteadyClock::now()))
     return true;
-  End = MayHaveRun ? CallEnd::OutcomeUnknown : CallEnd::Unreachable;
+  End = mayHaveRun() ? CallEnd::OutcomeUnknown : CallEnd::Unreachable;
   Reason = "no leaf takes requests";
   return false;
 }
@@ -77,7 +76,6 @@
   Tried.push_back(to);
   ++AttemptCount;
   ++PossibleExecutions;
-  MayHaveRun = true;
   const std::size_t index = Attempts.size();
   Attempts.push_back({to, connection, to->score().onSend(now, expected), now,
                       static_cast<std::uint32_t>(Breaks.size()),
@@ -128,7 +126,6 @@
   if (reply.Result == Delivery::NotSent) {
     ++RefusedCount;
     --PossibleExecutions;
-    MayHaveRun = PossibleExecutions > 0;
     // A connection that was cancelled since the leaf accepts no requests says
     // nothing about its network.
     if (attempt.Target->acceptsRequests() &&
@@ -167,7 +164,6 @@
   if (answer.find(Context->Names.NotExecuted) != answer.end() ||
       answer.result_int() == Misdirected) {
     --PossibleExecutions;
-    MayHaveRun = PossibleExecutions > 0;
     Reason = "leaf did not execute the request: status " +
              std::to_string(answer.result_int());
     if (answer.result_int() == Misdirected)
@@ -278,8 +274,6 @@
     if (!attempt.Ended && attempt.Connection->connecting() &&
         now - attempt.StartedAt >= Plan.ConnectTimeout) {
       abandon(attempt);
-      --PossibleExecutions;
-      MayHaveRun = PossibleExecutions > 0;
       onUnreachable(attempt, now);
       Reason = "connection not established in time";
       retryOrFinish(PossibleExecutions > 0 ? CallEnd::OutcomeUnknown
@@ -344,6 +338,9 @@
 
 void ServiceCall::abandon(Attempt &attempt) {
   attempt.Ended = true;
+  // Nothing has been sent on it.
+  if (attempt.Connection->connecting())
+    --PossibleExecutions;
   attempt.Target->score().onEnd(attempt.ScoreHandle);
   if (attempt.IsTest)
     attempt.Target->silence().onTestLost();
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -117,7 +117,7 @@
   const LeafAnswer &answer() const { return Answer; }
 
   /// @brief Whether a leaf may be executing the request or have executed it.
-  bool mayHaveRun() const { return MayHaveRun; }
+  bool mayHaveRun() const { return possibleArrivals() > 0; }
 
   /// @brief Number of leaves that any byte of the request may have reached.
   int possibleArrivals() const;
@@ -214,7 +214,6 @@
   int PossibleExecutions;
   bool Hedged = false;
   bool SilenceRecorded = false;
-  bool MayHaveRun;
 };
 
 } // namespace savorytrestle::leaf
--- a/tests/process-crash-requests.cpp
+++ b/tests/process-crash-requests.cpp
@@ -435,4 +435,38 @@
     }));
 }
 
+/// Guards against hosts that hold requests, or refuse them for longer than
+/// needed, since they take themselves for cut off when nearly all leaves end.
+TEST_F(CrashRequestsTest, RequestsAreServedAsSoonAsLeavesThatAllEndedAreBack) {
+  sendHarmless(40ms);
+  std::this_thread::sleep_for(1s);
+  Leaves.crashAll("plain");
+  for (int i = 0; i < Shards; ++i)
+    Leaves.crashAll("s" + std::to_string(i));
+  const auto back =
+      std::chrono::steady_clock::now() + CrashableLeaves::RestartTime;
+  std::this_thread::sleep_for(500ms);
+  for (const auto &node : Cluster.Nodes)
+    for (const char *path : {"/read/x", "/search/x"}) {
+      const auto sentAt = std::chrono::steady_clock::now();
+      const auto reply =
+          NodeDeployment::sendRequest(*node, path, "during-" + node->Id);
+      EXPECT_EQ(reply.Status, 503) << path;
+      EXPECT_EQ(reply.Headers.count("retry-after"), 1U) << path;
+      EXPECT_LT(std::chrono::steady_clock::now() - sentAt, 500ms) << path;
+    }
+  std::this_thread::sleep_until(back + CrashableLeaves::NewsTime);
+  for (const auto &node : Cluster.Nodes)
+    for (const char *path : {"/read/y", "/search/y"})
+      EXPECT_TRUE(eventually(
+          [&] {
+            return NodeDeployment::sendRequest(*node, path, "after-" + node->Id)
+                       .Status == 200;
+          },
+          2s))
+          << path << " at " << node->Id;
+  stopCallers();
+  EXPECT_EQ(Refused, 0);
+}
+
 } // namespace
--- a/tests/unit-request-run.cpp
+++ b/tests/unit-request-run.cpp
@@ -200,6 +200,22 @@
   EXPECT_EQ(Behind[0]->Arrivals.size(), 1U);
 }
 
+/// Guards against a request that no leaf got and whose refusal doesn't say so,
+/// since connections for it were still being opened.
+TEST_F(RequestRunTest, ARequestWhoseLeavesHaveAllEndedHasNotRun) {
+  Route.Shards = {"e0", "e1", "e2"};
+  Route.MinShardShare = 1;
+  std::vector<leaf::Service *> ended;
+  for (const std::string &service : Route.Shards) {
+    addEndedLeaf("i-" + service, service);
+    ended.push_back(&Leaves.service(service));
+  }
+  makeRun();
+  Run->start(ended, {});
+  ASSERT_TRUE(runUntil(Io, [&] { return Answer.has_value(); }));
+  EXPECT_EQ(Answer->result(), Status::service_unavailable);
+}
+
 /// Guards against shards that are counted twice or not at all, after a relay
 /// was reclaimed and its shards forwarded with others.
 TEST_F(RequestRunTest, ShardsOfAReclaimedRelayAreForwardedWithTheOthers) {
