Test that hosts of earlier builds fingerprint requests alike

Requests of workspaces had other fingerprints before; hosts of two versions that differ don't tell each other which requests end leaves.

--- a/tests/unit-crash-tracker.cpp
+++ b/tests/unit-crash-tracker.cpp
@@ -489,4 +489,15 @@
   EXPECT_FALSE(fingerprint == fingerprintOf(request("/x", "r1")));
 }
 
+/// Guards against hosts of two versions that don't tell each other: as e648cf4
+/// and all since have it.
+TEST(Fingerprint, IsThatOfEarlierVersions) {
+  core::WorkspaceRule workspace;
+  workspace.Name = "w1";
+  EXPECT_EQ(fingerprintOf(request("/x", "r1", "body")),
+            (core::Fingerprint{0xC0B0E98BF59B11D5, 0x75F82C8D3EA8D549}));
+  EXPECT_EQ(fingerprintOf(request("/x", "r1", "body"), &workspace),
+            (core::Fingerprint{0x23E1337B87813494, 0xA01DFB6A9810EE7D}));
+}
+
 } // namespace
