Test malformed heads, lengths and chunks of leaf answers up to the caller

For each the caller gets 502 before the route's timeout, a request that may run once is sent once, and one that may be repeated is answered by another leaf.

--- a/tests/unit-nonfinal-answers.cpp
+++ b/tests/unit-nonfinal-answers.cpp
@@ -150,11 +150,28 @@
   }
 }
 
+/// Guards against a part of an answer that callers get for the whole, a request
+/// that is sent again though a leaf may have run it, and one that is held until
+/// its deadline.
+TEST_F(NonFinalAnswerTest, AMalformedAnswerFailsARequestThatIsSentOnce) {
+  for (const std::string &bytes : malformedAnswers()) {
+    addLeaf("s", {bytes});
+    addLeaf("s", {bytes});
+    const auto result = send(route(false));
+    EXPECT_EQ(result.Status, 502U) << bytes;
+    EXPECT_LT(result.Elapsed, RouteTimeout) << bytes;
+    EXPECT_EQ(Raw[0]->requests() + Raw[1]->requests(), 1) << bytes;
+    clear();
+  }
+}
+
 /// A hedge after interim responses, a second leaf after an invalid status.
 TEST_F(NonFinalAnswerTest, ARequestThatMayBeRepeatedIsAnsweredByAnotherLeaf) {
   std::vector<std::string> bytes = interimResponses();
   for (const std::string &head : invalidHeads())
     bytes.push_back(head + "\r\n");
+  for (const std::string &answer : malformedAnswers())
+    bytes.push_back(answer);
   for (const std::string &first : bytes) {
     int requests = 0;
     const auto answer = [&](const std::string &) {
