Test volleys of requests that end leaves with one host cut off from the store

So far only the unit model had one host without the store; in the process tests the store failed for all at once. One of seven hosts now follows the store through a link that is cut for 0.5 to 5.5 s, again and again.

--- a/tests/process-crash-requests.cpp
+++ b/tests/process-crash-requests.cpp
@@ -10,6 +10,8 @@
 
 #include <gtest/gtest.h>
 
+#include "FaultyLink.h"
+
 using namespace savorytrestle;
 using namespace savorytrestle::tests;
 using namespace std::chrono_literals;
@@ -23,6 +25,8 @@
 protected:
   static constexpr int Shards = 10;
   static constexpr int Hosts = 7;
+  /// Host whose link to the store can be cut.
+  static constexpr int LinkedHost = 2;
 
   void SetUp() override {
     std::vector<std::string> shards;
@@ -34,7 +38,8 @@
     Leaves.add("plain", 19);
     Cluster.putConfig(testConfig(3, shards));
     for (int i = 0; i < Hosts; ++i)
-      Cluster.addNode(false, std::string(1, "abc"[i % 3]));
+      Cluster.addNode(false, std::string(1, "abc"[i % 3]),
+                      i == LinkedHost ? linkToStore() : "");
     for (const auto &node : Cluster.Nodes)
       ASSERT_TRUE(eventually([&] { return NodeDeployment::ready(*node); }));
   }
@@ -178,6 +183,34 @@
     }
   }
 
+  /// Opens a link to the store that can be cut, and returns its address.
+  std::string linkToStore() {
+    const auto colon = Cluster.StoreAddress.find(':');
+    const auto port = std::stoi(Cluster.StoreAddress.substr(colon + 1));
+    return Cluster.runOnStandInThread([&] {
+      StoreLink = std::make_unique<soak::FaultyLink>(
+          Cluster.Io,
+          soak::FaultyLink::Endpoint{boost::asio::ip::address_v4::loopback(),
+                                     static_cast<unsigned short>(port)});
+      return StoreLink->address();
+    });
+  }
+
+  /// Cuts @ref LinkedHost off from the store for a while.
+  void cutOffFromStore(std::chrono::milliseconds time) {
+    const auto setFault = [&](soak::LinkFault fault) {
+      Cluster.runOnStandInThread([&] {
+        StoreLink->setFault(fault);
+        return 0;
+      });
+    };
+    Deadly.startDisturbance(LinkedHost);
+    setFault(soak::LinkFault::HoldsBoth);
+    std::this_thread::sleep_for(time);
+    setFault(soak::LinkFault::None);
+    Deadly.endDisturbance(LinkedHost);
+  }
+
   void failStore(StoreFault fault, std::chrono::milliseconds time) {
     const auto setFault = [&](StoreFault next) {
       Cluster.runOnStandInThread([&] {
@@ -231,6 +264,7 @@
 
   NodeDeployment Cluster;
   CrashableLeaves Leaves{Cluster};
+  std::unique_ptr<soak::FaultyLink> StoreLink;
   DeadlyCallers Deadly;
   std::vector<std::string> Paths;
   std::vector<std::thread> Threads;
@@ -371,6 +405,20 @@
   expectFewLateRetries();
 }
 
+TEST_F(CrashRequestsTest, VolleysAreRefusedWhileOneHostIsCutOffFromTheStore) {
+  std::minstd_rand random(seed());
+  sendHarmless(40ms);
+  sendVolleys("/read/deadly-1", 5, seed());
+  sendVolleys("/search/deadly-2", 12, seed() + 1);
+  const auto until = std::chrono::steady_clock::now() + 24s;
+  while (std::chrono::steady_clock::now() < until) {
+    cutOffFromStore(std::chrono::milliseconds(500 + random() % 5000));
+    std::this_thread::sleep_for(std::chrono::milliseconds(random() % 3000));
+  }
+  std::this_thread::sleep_for(DeadlyCallers::StabilityWindow + 6s);
+  expectFewLateRetries();
+}
+
 /// Guards against runs that are lost with an older copy of the store, since
 /// only the host that had found them wrote them again.
 TEST_F(CrashRequestsTest, StaysRefusedOnceTheStoreIsBackFromACopy) {
