Keep the text of a duration's unit while it is compared

A valid duration in the settings file could be refused, so that a host doesn't start, or a wrong unit be accepted, with another compiler.

Cause: support::parseDuration kept a view of the temporary that substr() returns and compared it after that had ended.

Evidence: the unit tests, built by hand with the address and undefined- behaviour sanitizers, stop at the test of unit-cold-leaf.cpp that reads host settings: stack-use-after-scope in parseDuration. With the text kept they go on past it.

--- a/src/support/YamlReader.cpp
+++ b/src/support/YamlReader.cpp
@@ -29,7 +29,8 @@
   if (end == std::string::npos || end == 0 ||
       !absl::SimpleAtod(text.substr(0, end), &count))
     return std::nullopt;
-  const auto unit = absl::StripAsciiWhitespace(text.substr(end));
+  const std::string rest = text.substr(end);
+  const auto unit = absl::StripAsciiWhitespace(rest);
   if (unit == "ms")
     return std::chrono::round<milliseconds>(Count(count));
   if (unit == "s")
