--- a/review/standins-2/Deployment.h
+++ b/review/standins-2/Deployment.h
@@ -159,14 +159,17 @@
 
   /// @brief Writes the settings as deploy/host.yaml.template gives them, with
   /// the bounds of nagelpreis.
-  void writeSettings(const std::string &store, const std::string &seeds) const {
+  /// @param bootstrap whether the whole system starts for the first time
+  void writeSettings(const std::string &store, const std::string &seeds,
+                     bool bootstrap) const {
     std::ofstream(SettingsFile)
         << "host:\n  id: \"" << Name << "\"\n  failure_domain: \"" << Zone
         << "\"\nregions:\n  \"wien-a\": \"wien\"\n  \"graz-a\": \"graz\"\n"
         << "  \"innsbruck-a\": \"innsbruck\"\nlisten:\n  callers: \"" << Front
         << "\"\n  readiness: \"" << Readiness << "\"\n  peers: \"" << Control
         << "\"\n  metrics: \"" << Metrics << "\"\nplatform:\n  store: \""
-        << store << "\"\nseeds: [" << seeds << "]\nstart: \"fleet\"\n"
+        << store << "\"\nseeds: [" << seeds << "]\nstart: \""
+        << (bootstrap ? "fleet" : "host") << "\"\n"
         << "bounds:\n  config_apply: \"3000 ms\"\n  stop_grace: \"6 s\"\n"
         << "  retry_ratio: 0.2\n  retry_extra: 54\n  retry_window: \"10 s\"\n";
   }
@@ -280,18 +283,17 @@
 
   /// @brief Starts hosts, in turn in the zones, and waits until they are ready.
   bool startHosts(int count) {
-    std::string seeds;
     for (int i = 0; i < count; ++i) {
       const std::string zone = Zones[i % 3];
       Hosts.push_back(std::make_unique<Host>("edge-" + zone + "-" +
                                                  std::to_string(i / 3 + 1),
                                              zone, loopback(i + 1), Folder));
       if (i < 3)
-        seeds +=
+        Seeds +=
             std::string(i == 0 ? "" : ",") + "\"" + Hosts[i]->Control + "\"";
     }
     for (const auto &host : Hosts) {
-      host->writeSettings(PlatformStore.address(), seeds);
+      host->writeSettings(PlatformStore.address(), Seeds, true);
       if (!host->start())
         return false;
     }
@@ -305,7 +307,15 @@
     return true;
   }
 
+  /// @brief Starts a host's process again, as the platform does after its end.
+  bool restart(Host &host) const {
+    host.writeSettings(PlatformStore.address(), Seeds, false);
+    return host.start();
+  }
+
   std::string Folder;
+  /// Control addresses of the first hosts, as the settings list them.
+  std::string Seeds;
   Store PlatformStore;
   std::vector<std::unique_ptr<Leaf>> Leaves;
   std::vector<std::unique_ptr<Host>> Hosts;
--- a/review/standins-2/dark-crashes.cpp
+++ b/review/standins-2/dark-crashes.cpp
@@ -1,4 +1,4 @@
-// Case 8: a request takes down each leaf that begins to run it, and the leaf
+// Case 9: a request takes down each leaf that begins to run it, and the leaf
 // falls silent instead of resetting its connections.
 
 #include "Deployment.h"
--- a/review/standins-2/garbled-trailer.cpp
+++ b/review/standins-2/garbled-trailer.cpp
@@ -121,7 +121,7 @@
           ++Ended;
           Log.line("host " + host->Name + " ended by itself: " + *how);
           std::this_thread::sleep_for(RestartDelay);
-          host->start();
+          System.restart(*host);
         }
       std::this_thread::sleep_for(Milliseconds(20));
     }
--- a/review/standins-2/raised-limit.cpp
+++ b/review/standins-2/raised-limit.cpp
@@ -1,4 +1,4 @@
-// Case 9: a new version raises maxBodyBytes; requests that it allows must not
+// Case 10: a new version raises maxBodyBytes; requests that it allows must not
 // be refused by the limit of the version before.
 
 #include "Deployment.h"
