--- a/review/standins-2/Deployment.h
+++ b/review/standins-2/Deployment.h
@@ -115,6 +115,8 @@
 
   /// @brief Ends all connections and the listener.
   void stop() { Listening.shutDown(); }
+  /// @brief The same with resets, as by the end of its process.
+  void crash() { Listening.shutDown(true); }
 
   const std::string Id;
   const std::string Service;
@@ -366,18 +368,20 @@
 
   /// @brief Sends a request on the kept connection, or on a new one.
   /// @param headers further header lines
+  /// @param leavesAfter time after which the client leaves; 0 for the deadline
   /// @return nothing if the connection ended without a whole answer, or the
-  /// deadline passed
+  /// client left
   std::optional<Message> send(const std::string &method,
                               const std::string &path, const std::string &id,
                               Milliseconds deadline,
                               const std::string &body = "",
-                              const std::string &headers = "") {
+                              const std::string &headers = "",
+                              Milliseconds leavesAfter = {}) {
     if (!Connection.isOpen()) {
       Connection = connectTo(Front, Milliseconds(1000));
       Answers = 0;
     }
-    Sent =
+    const bool sent =
         Connection.isOpen() &&
         Connection.send(
             method + " " + path + " HTTP/1.1\r\nHost: leno12.example\r\n" +
@@ -388,11 +392,11 @@
                  ? ""
                  : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
             "\r\n" + body);
-    if (!Sent) {
+    if (!sent) {
       Connection.close();
       return std::nullopt;
     }
-    Connection.setReadTimeout(deadline);
+    Connection.setReadTimeout(leavesAfter.count() > 0 ? leavesAfter : deadline);
     auto reply = Connection.read();
     if (reply)
       ++Answers;
@@ -401,18 +405,14 @@
     return reply;
   }
 
-  /// @brief Whether the last request was sent.
-  bool sent() const { return Sent; }
   /// @brief Answers on the present connection.
   int answers() const { return Answers; }
-  void close() { Connection.close(); }
 
   std::string Front;
 
 private:
   Socket Connection;
   int Answers = 0;
-  bool Sent = false;
 };
 
 } // namespace review
--- a/review/standins-2/dark-crashes.cpp
+++ b/review/standins-2/left-early.cpp
@@ -1,5 +1,5 @@
-// Case 9: a request takes down each leaf that begins to run it, and the leaf
-// falls silent instead of resetting its connections.
+// Case 9: a request ends each leaf that runs it, and its caller leaves each
+// time before the leaf ends.
 
 #include "Deployment.h"
 
@@ -8,16 +8,21 @@
 namespace {
 
 constexpr int HostCount = 7;
-constexpr int LeafCount = 15;
+constexpr int LeafCount = 30;
 constexpr int CallerCount = 6;
 constexpr Milliseconds WorkTime{10};
 constexpr Milliseconds Deadline{800};
 constexpr Milliseconds CalmTime{8000};
-constexpr Milliseconds TroubleTime{40000};
+constexpr Milliseconds TroubleTime{8000};
+/// targetLatencyMs of the route; its caller leaves after half of it.
+constexpr int Objective = 150;
+constexpr Milliseconds LeavesAfter{Objective / 2};
+/// Time from the begin of the run to the end of the leaf's process.
+constexpr Milliseconds EndsAfter{150};
 /// Pause after which the request comes again, at another machine.
-constexpr Milliseconds ComesAgainAfter{500};
-/// A leaf is silent for so long, then it is back.
-constexpr Milliseconds SilentTime{4000};
+constexpr Milliseconds ComesAgainAfter{300};
+/// A leaf that has ended is back after this time.
+constexpr Milliseconds BackAfter{3000};
 /// The store removes an entry after three heartbeat intervals of 1.2 s.
 constexpr Milliseconds EntryTime{3600};
 constexpr Milliseconds StabilityWindow{5000};
@@ -25,35 +30,34 @@
 constexpr std::size_t CountsAfterCrashes = 3;
 constexpr int MaxLateRetries = 3;
 
-/// One run of a leaf's process.
-struct Process {
-  std::atomic<bool> Silent = false;
-  std::atomic<bool> Ended = false;
-  Clock::time_point SilentSince{};
-};
-
-/// A place for a leaf, which is started again after a crash.
+/// A place for a leaf, which is started again after its end.
 struct Slot {
   std::unique_ptr<Leaf> Running;
-  std::shared_ptr<Process> Current;
   int Starts = 0;
-  bool EntryRemoved = false;
+  std::atomic<bool> MustEnd = false;
+  std::optional<Clock::time_point> EndedAt;
 };
 
-class DarkCrashes {
+/// An entry of a leaf that has ended.
+struct OldEntry {
+  std::string Key;
+  Clock::time_point RemoveAt;
+};
+
+class LeftEarly {
 public:
-  explicit DarkCrashes(const std::string &recordFile)
+  explicit LeftEarly(const std::string &recordFile)
       : Log(recordFile), Slots(LeafCount) {}
 
   int run() {
     for (int i = 0; i < LeafCount; ++i)
       start(i);
-    System.putConfig(
-        makeConfig(7, {route("r-price", "/nono601/", true, "preisportal")},
-                   {"preisportal"}));
+    Json price = route("r-price", "/nono601/", true, "preisportal");
+    price["targetLatencyMs"] = Objective;
+    price["timeoutMs"] = Deadline.count();
+    System.putConfig(makeConfig(7, {price}, {"preisportal"}));
     if (!System.startHosts(HostCount)) {
       Log.result("hosts did not become ready");
-      Stop = true;
       return CouldNotRun;
     }
     std::thread platform([this] { restartLeaves(); });
@@ -64,7 +68,7 @@
     std::this_thread::sleep_for(CalmTime);
     const auto until = Clock::now() + TroubleTime;
     for (int n = 0; Clock::now() < until; ++n) {
-      send("poison-" + std::to_string(n), n, "/nono601/poison");
+      sendAndLeave(n);
       std::this_thread::sleep_for(ComesAgainAfter);
     }
     Stop = true;
@@ -74,7 +78,7 @@
     const int late = countLateRetries();
     Log.result("harmless requests answered " + std::to_string(Answered) +
                ", not answered with 200 " + std::to_string(Failed) +
-               "; leaves that the request took down " +
+               "; leaves that the request ended " +
                std::to_string(Crashes.size()) +
                ", retries that reached leaves later than stabilityWindowMs "
                "after the third " +
@@ -89,76 +93,77 @@
     Slot &slot = Slots[i];
     const std::string id =
         "i-preis-" + std::to_string(i) + "-" + std::to_string(++slot.Starts);
-    slot.Current = std::make_shared<Process>();
-    slot.EntryRemoved = false;
+    slot.MustEnd = false;
+    slot.EndedAt.reset();
     slot.Running = std::make_unique<Leaf>(
         id, "preisportal", Deployment::Zones[i % 3],
-        [this, process = slot.Current, id](const Arrival &it) {
-          return handle(*process, id, it);
-        });
+        [this, &slot, id](const Arrival &it) { return handle(slot, id, it); });
     System.PlatformStore.put(slot.Running->key(), slot.Running->entry());
     Log.line("leaf " + id + " starts");
   }
 
-  std::string handle(Process &process, const std::string &leaf,
-                     const Arrival &it) {
-    const bool poison = withTrouble() && it.Request.secondWord().find(
-                                             "poison") != std::string::npos;
-    if (poison) {
+  std::string handle(Slot &slot, const std::string &leaf, const Arrival &it) {
+    const bool deadly =
+        it.Request.secondWord().find("deadly") != std::string::npos;
+    if (!deadly || !withTrouble()) {
+      std::this_thread::sleep_for(WorkTime);
+      return answer("200 OK", signature(leaf, it.Id), "prices");
+    }
+    {
       const std::lock_guard lock(Mutex);
-      if (!process.Silent) {
-        Log.line("leaf " + leaf + " begins to run " + it.Id +
-                 " and falls silent");
-        Crashes.push_back(Clock::now());
-        Reached.emplace(it.Id, Clock::now());
-        process.SilentSince = Clock::now();
-        process.Silent = true;
-      }
+      Reached.emplace(it.Id, Clock::now());
     }
-    // Says nothing more, also on other connections.
-    while (process.Silent && !process.Ended && !Stop)
-      std::this_thread::sleep_for(Milliseconds(5));
-    if (process.Silent)
-      return "";
-    std::this_thread::sleep_for(WorkTime);
-    return answer("200 OK", signature(leaf, it.Id), "prices");
+    Log.line("leaf " + leaf + " begins to run " + it.Id);
+    // Goes on when its connection closes, as some leaves do.
+    std::this_thread::sleep_for(EndsAfter);
+    if (!slot.MustEnd.exchange(true)) {
+      Log.line("leaf " + leaf + " ends under " + it.Id);
+      const std::lock_guard lock(Mutex);
+      Crashes.push_back(Clock::now());
+    }
+    return "";
   }
 
   void restartLeaves() {
     while (!Stop) {
+      const auto now = Clock::now();
       for (int i = 0; i < LeafCount; ++i) {
         Slot &slot = Slots[i];
-        if (!slot.Current->Silent)
-          continue;
-        const auto silent = Clock::now() - slot.Current->SilentSince;
-        if (silent >= EntryTime && !slot.EntryRemoved) {
-          System.PlatformStore.remove(slot.Running->key());
-          slot.EntryRemoved = true;
+        if (slot.MustEnd && !slot.EndedAt) {
+          slot.Running->crash();
+          slot.EndedAt = now;
+          OldEntries.push_back({slot.Running->key(), now + EntryTime});
+        } else if (slot.EndedAt && now - *slot.EndedAt >= BackAfter) {
+          start(i);
         }
-        if (silent < SilentTime)
-          continue;
-        slot.Current->Ended = true;
-        slot.Running->stop();
-        start(i);
       }
-      std::this_thread::sleep_for(Milliseconds(20));
+      std::erase_if(OldEntries, [&](const OldEntry &it) {
+        if (now < it.RemoveAt)
+          return false;
+        System.PlatformStore.remove(it.Key);
+        return true;
+      });
+      std::this_thread::sleep_for(Milliseconds(5));
     }
   }
 
-  std::optional<Message> send(const std::string &id, int host,
-                              const std::string &path) {
-    Caller caller(System.Hosts[host % HostCount]->Front);
+  void sendAndLeave(int n) {
+    const std::string id = "deadly-" + std::to_string(n);
+    Caller caller(System.Hosts[n % HostCount]->Front);
     Log.line("caller sends " + id + " to " + caller.Front);
-    auto reply = caller.send("GET", path, id, Deadline);
-    Log.line(id + " gets " + (reply ? reply->secondWord() : "no answer"));
-    return reply;
+    const auto reply = caller.send("GET", "/nono601/deadly", id, Deadline, "",
+                                   "", LeavesAfter);
+    Log.line(id + (reply ? " gets " + reply->secondWord()
+                         : ": its caller leaves after half the objective"));
   }
 
   void call(int number) {
     for (int n = 0; !Stop; ++n) {
       const std::string id =
           "c" + std::to_string(number) + "-" + std::to_string(n);
-      const auto reply = send(id, number + n, "/nono601/" + id);
+      Caller caller(System.Hosts[(number + n) % HostCount]->Front);
+      const auto reply = caller.send("GET", "/nono601/" + id, id, Deadline);
+      Log.line(id + " gets " + (reply ? reply->secondWord() : "no answer"));
       ++(reply && reply->status() == 200 ? Answered : Failed);
       std::this_thread::sleep_for(Milliseconds(50));
     }
@@ -177,8 +182,9 @@
   Record Log;
   std::mutex Mutex;
   std::vector<Clock::time_point> Crashes;
-  /// When each retry first reached a leaf that it took down.
+  /// When each retry first reached a leaf.
   std::map<std::string, Clock::time_point> Reached;
+  std::vector<OldEntry> OldEntries;
   std::atomic<bool> Stop = false;
   std::atomic<int> Answered = 0;
   std::atomic<int> Failed = 0;
@@ -189,5 +195,5 @@
 } // namespace
 
 int main(int argc, char **argv) {
-  return argc == 2 ? DarkCrashes(argv[1]).run() : CouldNotRun;
+  return argc == 2 ? LeftEarly(argv[1]).run() : CouldNotRun;
 }
