--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,8 +2,13 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/savorytrestle ] && [ -x target/review-2/garbled-trailer ] || exit 2
-timeout --kill-after=5 110 target/review-2/garbled-trailer review/6/record.txt
+program=target/review-2/garbled-trailer
+[ -x target/savorytrestle ] && [ -x "$program" ] || exit 2
+# timeout leads a process group of its own, with all processes of the case.
+timeout --kill-after=5 110 "$program" review/6/record.txt &
+group=$!
+trap 'kill -KILL -- "-$group" 2>/dev/null' EXIT
+wait "$group"
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
