Answer 502 where a leaf fails with a status that promises "not run"

Cause: RequestRun passed a leaf's answer on with its status unless it stated Savorytrestle-Not-Executed. 408, 421, 429 and 503 promise callers that a request has not run and never will; only a leaf that states it may have them passed on. The same held for an answer that came through another host, and for the refusal of a host that was asked after leaves had the request already: the calls that a forward replaced were forgotten.

Such an answer is now 502 without the leaf's signature, which would vouch for a status that the leaf did not give; its Retry-After stays. A refusal that another host states itself keeps its status, unless a leaf may have had the request before.

--- a/src/entry/Answers.cpp
+++ b/src/entry/Answers.cpp
@@ -21,6 +21,13 @@
   return answer;
 }
 
+bool promisesNotRun(http::status status) {
+  return status == http::status::request_timeout ||
+         status == http::status::misdirected_request ||
+         status == http::status::too_many_requests ||
+         status == http::status::service_unavailable;
+}
+
 CallerAnswer textAnswer(http::status status, std::string text) {
   CallerAnswer answer{status, 11};
   answer.set(http::field::content_type, "text/plain; version=0.0.4");
--- a/src/entry/Answers.h
+++ b/src/entry/Answers.h
@@ -20,6 +20,10 @@
 errorAnswer(boost::beast::http::status status, const std::string &reason,
             std::optional<std::chrono::milliseconds> retryAfter = {});
 
+/// @brief Whether a status tells the caller that its request has not run and
+/// never will: 408, 421, 429 and 503.
+bool promisesNotRun(boost::beast::http::status status);
+
 /// @brief Builds a plain-text answer.
 CallerAnswer textAnswer(boost::beast::http::status status, std::string text);
 
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -125,6 +125,8 @@
   if (relay.Call->mayHaveRun() && !refused)
     return false;
   Recorder.onRelayRefused(*Context, *relay.Call, status);
+  // The host that refused it is one of them.
+  MayHaveRunBefore |= relay.Call->possibleArrivals() > (refused ? 1 : 0);
   relay.Call->cancel();
   if (sentToNextHost(i))
     return true;
@@ -184,8 +186,10 @@
   auto forward = MakeForward(*Context, services, least, {});
   if (!forward)
     return;
-  for (const ServiceCallPtr &call : moved)
+  for (const ServiceCallPtr &call : moved) {
+    MayHaveRunBefore |= call->mayHaveRun();
     call->cancel();
+  }
   Calls = std::move(kept);
   Relays.push_back(std::move(*forward));
   startRelay(Relays.size() - 1);
@@ -224,6 +228,8 @@
     return answerPlain();
   case CallEnd::Rejected:
   case CallEnd::Unreachable:
+    if (anyLeafMayHaveRun())
+      return finishIncomplete(now);
     return finish(errorAnswer(http::status::service_unavailable, call.reason(),
                               retryAfter()),
                   "refused");
@@ -269,8 +275,28 @@
   return tally;
 }
 
+bool RequestRun::wronglyPromisesNotRun() const {
+  const ServiceCall &call = plainCall();
+  if (!promisesNotRun(call.answer().result()))
+    return false;
+  const bool refusedByHost =
+      Calls.empty() &&
+      call.answer().find(leaf::RelayLeafAnswerHeader) == call.answer().end();
+  return !refusedByHost || call.possibleArrivals() > 1 || MayHaveRunBefore;
+}
+
 void RequestRun::answerPlain() {
   CallerAnswer answer = plainCall().answer();
+  if (wronglyPromisesNotRun()) {
+    // Leaves also fail with these statuses after they have run a request. The
+    // leaf's signature would vouch for a status that it did not give.
+    CallerAnswer failure =
+        errorAnswer(http::status::bad_gateway, plainCall().reason());
+    if (const auto it = answer.find(http::field::retry_after);
+        it != answer.end())
+      failure.set(http::field::retry_after, it->value());
+    answer = std::move(failure);
+  }
   for (const http::field field : HopByHop)
     answer.erase(field);
   answer.erase(leaf::LeavingLeavesHeader);
@@ -343,7 +369,8 @@
 }
 
 bool RequestRun::anyLeafMayHaveRun() const {
-  return std::any_of(Calls.begin(), Calls.end(),
+  return MayHaveRunBefore ||
+         std::any_of(Calls.begin(), Calls.end(),
                      [](const auto &call) { return call->mayHaveRun(); }) ||
          std::any_of(Relays.begin(), Relays.end(), [](const Relay &it) {
            return it.Call && it.Call->mayHaveRun();
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -122,6 +122,9 @@
   void advancePlain(core::TimePoint now);
   void advanceSharded(core::TimePoint now);
   void answerPlain();
+  /// Whether the status of a plain route's answer states that the request has
+  /// not run, though a leaf may have run it.
+  bool wronglyPromisesNotRun() const;
   void answerSharded();
   /// Answers with the parts received if they suffice, else with an error.
   void finishIncomplete(core::TimePoint now);
@@ -152,6 +155,8 @@
   core::TimePoint TimerExpiry = core::TimePoint::max();
   /// Round of its first attempts, see @ref core::CrashLedger.
   std::uint32_t Round = 1;
+  /// Whether a leaf may have run the request in a call that has been replaced.
+  bool MayHaveRunBefore = false;
   /// Whether all calls have been started; ends before that are handled after
   /// it.
   bool Started = false;
--- a/tests/process-leaf-cut.cpp
+++ b/tests/process-leaf-cut.cpp
@@ -238,7 +238,7 @@
       leaf->Behavior.FailUnsigned = true;
     return 0;
   });
-  EXPECT_EQ(send("/file/x", "POST").Status, 503);
+  EXPECT_EQ(send("/file/x", "POST").Status, 502);
   EXPECT_EQ(mostRuns(), 1);
   EXPECT_EQ(totalRuns("r" + std::to_string(LastRequest)), 1);
 }
--- a/tests/standins/PlatformLeaf.h
+++ b/tests/standins/PlatformLeaf.h
@@ -32,6 +32,8 @@
   bool Fail = false;
   /// Answers 503 after the execution, without a signature.
   bool FailUnsigned = false;
+  /// Answers with this status and a signature after the execution, unless 0.
+  unsigned FailStatus = 0;
   /// Says in all answers that it is leaving.
   bool Leaving = false;
   /// Turns requests away with 503 and this Retry-After, unless empty.
@@ -155,9 +157,12 @@
     if (Behavior.FailUnsigned)
       return entry::textAnswer(boost::beast::http::status::service_unavailable,
                                "");
-    auto answer = entry::textAnswer(
-        static_cast<boost::beast::http::status>(Behavior.Fail ? 500 : 200),
-        echo.empty() ? records() : echo);
+    auto answer =
+        entry::textAnswer(static_cast<boost::beast::http::status>(
+                              Behavior.FailStatus != 0 ? Behavior.FailStatus
+                              : Behavior.Fail          ? 500
+                                                       : 200),
+                          echo.empty() ? records() : echo);
     answer.set("Savorytrestle-Request-Id", id);
     answer.set("Savorytrestle-Server-Stamp", "stamp-" + Id + "-" + id);
     answer.set("Savorytrestle-Instance-Load",
--- a/tests/unit-request-run.cpp
+++ b/tests/unit-request-run.cpp
@@ -268,6 +268,69 @@
   EXPECT_EQ(Answer->result(), Status::bad_gateway);
 }
 
+/// Guards against "not run" in the answer to a request that a leaf has run and
+/// then failed with a status of that meaning.
+TEST_F(RequestRunTest, AFailureAfterTheRunNeverPromisesThatItHasNotRun) {
+  Behind[0]->Behavior.NeverAnswer = false;
+  for (const bool idempotent : {false, true})
+    for (const bool isSigned : {false, true})
+      for (const unsigned status : {408U, 429U, 503U}) {
+        if (!isSigned && status != 503U)
+          continue;
+        Route.Idempotent = idempotent;
+        Behind[0]->Behavior.FailUnsigned = !isSigned;
+        Behind[0]->Behavior.FailStatus = status;
+        Answer.reset();
+        makeRun();
+        Run->start(services(0, 1), {});
+        ASSERT_TRUE(runUntil(Io, [&] { return Answer.has_value(); }));
+        EXPECT_EQ(Answer->result(), Status::bad_gateway) << status;
+        // It would vouch for a status that the leaf did not give.
+        EXPECT_EQ(Answer->count(Names.LeafSignature), 0U) << status;
+      }
+}
+
+/// Guards against a leaf's failure that turns into "not run" on its way through
+/// another host.
+TEST_F(RequestRunTest, ALeafsFailureThroughAnotherHostDoesntPromiseIt) {
+  Route.Idempotent = false;
+  makeRun();
+  Second.Answer = entry::errorAnswer(Status::service_unavailable, "failed");
+  Second.Answer->set(leaf::RelayLeafAnswerHeader, "1");
+  setHost(Second);
+  Run->start({}, {relay(services(0, 1), true)});
+  ASSERT_TRUE(runUntil(Io, [&] { return Answer.has_value(); }));
+  EXPECT_EQ(Answer->result(), Status::bad_gateway);
+  EXPECT_TRUE(Behind[0]->Arrivals.empty());
+}
+
+/// Guards against the loss of what another host truly refuses.
+TEST_F(RequestRunTest, ARefusalOfAnotherHostKeepsItsPromise) {
+  Route.Idempotent = false;
+  makeRun();
+  Second.Answer = entry::errorAnswer(Status::too_many_requests, "wait", 2s);
+  setHost(Second);
+  Run->start({}, {relay(services(0, 1), true)});
+  ASSERT_TRUE(runUntil(Io, [&] { return Answer.has_value(); }));
+  EXPECT_EQ(Answer->result(), Status::too_many_requests);
+  EXPECT_EQ((*Answer)["Retry-After"], "2.000");
+}
+
+/// Guards against a refusal of the next host that hides that a leaf got the
+/// request before: at its own leaves, or through a first host that broke off.
+TEST_F(RequestRunTest, ARefusalAfterAnEarlierTryDoesntPromiseThatItHasNotRun) {
+  Route.MaxLeaves = 3;
+  makeRun();
+  Run->start(services(0, 1), {});
+  ASSERT_TRUE(leafHas(0));
+  Second.Answer = entry::errorAnswer(Status::too_many_requests, "wait", 2s);
+  setHost(Second);
+  Run->onLeavesLost();
+  ASSERT_TRUE(runUntil(Io, [&] { return Answer.has_value(); }));
+  EXPECT_EQ(Second.Requests, 1);
+  EXPECT_EQ(Answer->result(), Status::bad_gateway);
+}
+
 /// Guards against the crash of a host that reaches no leaf, by a request of a
 /// route without services: there was nothing to send when its forward was
 /// refused.
