Take 503 for "not run" only if a leaf says why it refused a write

Cause: toWriteResult took each 503 for a refusal. A leaf states a refusal with the error "shed" or "draining", as for searches; any other 503 leaves the outcome unknown, and the key stays claimed.

--- a/src/backend/LeafEngine.cpp
+++ b/src/backend/LeafEngine.cpp
@@ -71,9 +71,7 @@
       return parsed["result"].dump();
     return std::string("null");
   }
-  const auto refusal = decodeRefusal(result.Status, result.Body);
-  if (refusal == core::AttemptFailure::Shed ||
-      refusal == core::AttemptFailure::Draining)
+  if (statesNotRun(result.Status, result.Body))
     return notRunError(
         ErrorCode::Overloaded,
         "the backend server refused the write: overloaded or draining");
--- a/src/backend/LeafProtocol.cpp
+++ b/src/backend/LeafProtocol.cpp
@@ -104,6 +104,16 @@
   return AttemptFailure::Shed;
 }
 
+bool statesNotRun(int status, const std::string &body) {
+  if (status != StatusUnavailable)
+    return false;
+  const json parsed = support::parseJsonOrDiscarded(body);
+  if (!parsed.is_object())
+    return false;
+  const auto error = parsed.find("error");
+  return error != parsed.end() && (*error == "shed" || *error == "draining");
+}
+
 AttemptFailure toAttemptFailure(CallFailure failure) {
   switch (failure) {
   case CallFailure::NotSent:
--- a/src/backend/LeafProtocol.h
+++ b/src/backend/LeafProtocol.h
@@ -90,6 +90,13 @@
 /// @return Shed, Draining, WrongVersion or Malformed
 core::AttemptFailure decodeRefusal(int status, const std::string &body);
 
+/// @brief Whether a reply to POST /v1/write states that the write was not run.
+/// @param status HTTP status
+/// @param body HTTP body
+/// @return true for 503 with the error `shed` or `draining` only: a leaf may
+///   also fail with 503 after it has run a write
+bool statesNotRun(int status, const std::string &body);
+
 /// @brief What a transport failure means for an attempt.
 /// @param failure how the call failed
 /// @return ConnectionRefused, ConnectionLost or Expired
--- a/tests/process-writes.cpp
+++ b/tests/process-writes.cpp
@@ -232,4 +232,23 @@
   EXPECT_EQ(executions(writeLeaf().control()["writes"], filing), 1U);
 }
 
+/// Guards against a write that its leaf ran and then failed with 503, which is
+/// told to be "not run" and runs again with the next send of its key.
+TEST_F(WritesUnderFaults, AWriteThatItsLeafFailedIsNotRunAgain) {
+  std::mt19937_64 random(Seed);
+  auto filing = makeFiling(random);
+  writeLeaf().control({{"fail_writes", true}});
+  send(filing, *Cluster.Hosts[0]);
+  EXPECT_EQ(filing.LastRunState, "unknown");
+  writeLeaf().control({{"fail_writes", false}});
+  send(filing, *Cluster.Hosts[1]);
+  EXPECT_EQ(filing.LastRunState, "unknown");
+  EXPECT_EQ(executions(writeLeaf().control()["writes"], filing), 1U);
+  // What a leaf refuses with a reason has not run.
+  writeLeaf().control({{"shedding", true}});
+  auto refused = makeFiling(random);
+  send(refused, *Cluster.Hosts[0]);
+  EXPECT_EQ(refused.LastRunState, "not_run");
+}
+
 } // namespace
--- a/tests/standins/LeafModel.h
+++ b/tests/standins/LeafModel.h
@@ -32,6 +32,8 @@
   std::string ReplyFault;
   /// Writes are executed, but their reply is lost.
   bool LoseWriteReplies = false;
+  /// Answers writes with 503 after they have run.
+  bool FailWrites = false;
 };
 
 /// @brief Counters that /control returns.
--- a/tests/standins/leaf-standin.cpp
+++ b/tests/standins/leaf-standin.cpp
@@ -189,6 +189,10 @@
           ++counters.Writes[key.empty() ? id : key];
           return settings.LoseWriteReplies;
         });
+    if (Model.withState([](StandInLeafSettings &settings, auto &, auto &) {
+          return settings.FailWrites;
+        }))
+      return reply(503, {{"error", "backend failed"}});
     HttpResponse response =
         reply(200, {{"request_id", id}, {"result", {{"filed_by", Name}}}});
     response.Abort = lost;
@@ -225,6 +229,7 @@
     settings.ReplyFault = change.value("reply_fault", settings.ReplyFault);
     settings.LoseWriteReplies =
         change.value("lose_write_replies", settings.LoseWriteReplies);
+    settings.FailWrites = change.value("fail_writes", settings.FailWrites);
     if (change.contains("indexes"))
       indexes = parseIndexes(change.value("indexes", ""));
   }
