Don't state "not run" in refusals of a key's later sends

Cause: these refusals are made before the claim is read, and took the default run state. core::withProvenRunState now states for all of them what a refusal before the claim proves: the first send has not run, a later one is unknown.

Evidence: the listener wrote "not_run" into each 413 by itself; the test CallerApiTest.AResendWhoseBodyIsRefusedHasAnUnknownRunState covers the path that takes its place. The two other refusals were found by reading.

--- a/include/savorytrestle/core/ClaimDocument.h
+++ b/include/savorytrestle/core/ClaimDocument.h
@@ -45,10 +45,18 @@
   SendNumber Send = UnknownSend;
 };
 
+/// @brief Adapts the error of a send that was refused before its claim: only
+/// the first send of a key proves that the write has not run, since another
+/// host may have dispatched an earlier send.
+/// @param error the error
+/// @param send number of the refused send
+/// @return the error, with run state Unknown instead of NotRun where that isn't
+/// proved
+Error withProvenRunState(Error error, SendNumber send);
+
 /// @brief Makes the error for a write whose claim could not be confirmed.
 ///
-/// The run state is NotRun only for the first send of a key: for a later one,
-/// another host may have dispatched an earlier send.
+/// Its run state is that of @ref withProvenRunState.
 /// @param request the claim, which is never dispatched
 /// @param code kind of the failure
 /// @param message human-readable reason
--- a/src/caller/CallerApi.cpp
+++ b/src/caller/CallerApi.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
+#include "savorytrestle/core/ClaimDocument.h"
 #include "support/BoundedJson.h"
 #include "support/Log.h"
 
@@ -197,14 +198,13 @@
 
 namespace {
 
-/// Sets the run state to Unknown unless this refusal proves that the write has
-/// not run: it does for a write without a key and for the first send of a key,
-/// but an earlier send of the same key may have run.
+/// As core::withProvenRunState; a refusal of a request without a key proves
+/// that it has not run.
 Error withProvenRunState(Error error, const HttpRequest &request) {
-  if (request.header("idempotency-key") &&
-      request.header("send-number") != std::optional<std::string>("1"))
-    error.Run = RunState::Unknown;
-  return error;
+  const bool isFirst = !request.header("idempotency-key") ||
+                       request.header("send-number") == "1";
+  return core::withProvenRunState(std::move(error),
+                                  isFirst ? 1 : core::UnknownSend);
 }
 
 } // namespace
@@ -240,6 +240,16 @@
   return run(*checked);
 }
 
+HttpResponse CallerApi::refuseBody(const HttpRequest &request) {
+  const Error error{ErrorCode::BadRequest,
+                    "request body is incomplete or larger than the limit",
+                    RunState::NotRun,
+                    {}};
+  RequestMetrics.countRequest("-", "-", std::string(name(error.Code)), {});
+  return errorResponse(withProvenRunState(error, request),
+                       requestIdOf(request));
+}
+
 HttpResponse CallerApi::health(const std::string &path) const {
   if (path == "/healthz")
     return jsonResponse(200, {{"status", "alive"}});
--- a/src/caller/CallerApi.h
+++ b/src/caller/CallerApi.h
@@ -69,6 +69,12 @@
   /// @return the response; the body of each error has an error code
   support::HttpResponse handle(const support::HttpRequest &request);
 
+  /// @brief Answers a request whose body is incomplete or larger than the
+  /// listener's limit.
+  /// @param request the request, with what was read of its body
+  /// @return the response
+  support::HttpResponse refuseBody(const support::HttpRequest &request);
+
 private:
   support::HttpResponse health(const std::string &path) const;
   support::HttpResponse run(const CallerRequest &request);
--- a/src/core/ClaimDocument.cpp
+++ b/src/core/ClaimDocument.cpp
@@ -80,10 +80,17 @@
 
 } // namespace
 
+Error withProvenRunState(Error error, SendNumber send) {
+  if (error.Run == RunState::NotRun && send != 1)
+    error.Run = RunState::Unknown;
+  return error;
+}
+
 Error unconfirmedClaimError(const ClaimRequest &request, ErrorCode code,
                             std::string message) {
-  const auto run = request.Send == 1 ? RunState::NotRun : RunState::Unknown;
-  return {code, std::move(message), run, WriteRetryAfter};
+  return withProvenRunState(
+      {code, std::move(message), RunState::NotRun, WriteRetryAfter},
+      request.Send);
 }
 
 Result<WriteOutcome> resultWithoutDispatch(const ClaimRequest &request,
--- a/src/serve/Host.cpp
+++ b/src/serve/Host.cpp
@@ -111,22 +111,28 @@
   const auto open = [](std::unique_ptr<support::HttpServer> &listener,
                        const std::string &address, unsigned threads,
                        milliseconds keepAlive,
-                       support::HttpServer::Handler handler) {
+                       support::HttpServer::Handler handler,
+                       support::HttpServer::Handler onBodyRefused = nullptr) {
     support::HttpServerOptions options;
     options.Listen = address;
     options.Threads = threads;
     options.KeepAlive = keepAlive;
     // Operators and peers send whole settings trees.
     options.MaxBodyBytes = MaxBodyBytes;
+    options.OnBodyRefused = std::move(onBodyRefused);
     return support::HttpServer::start(options, std::move(handler))
         .map([&](auto started) { listener = std::move(started); });
   };
-  return open(CallerListener, Config.CallerAddress, Config.CallerThreads,
-              CallerKeepAlive,
-              [this](const auto &request) {
-                const InFlightGuard guard(InFlight);
-                return CallerRequests.handle(request);
-              })
+  return open(
+             CallerListener, Config.CallerAddress, Config.CallerThreads,
+             CallerKeepAlive,
+             [this](const auto &request) {
+               const InFlightGuard guard(InFlight);
+               return CallerRequests.handle(request);
+             },
+             [this](const auto &request) {
+               return CallerRequests.refuseBody(request);
+             })
       .and_then([&] {
         return open(OperatorListener, Config.OperatorAddress, OperatorThreads,
                     OperatorKeepAlive, [this](const auto &request) {
--- a/src/serve/WriteRunner.cpp
+++ b/src/serve/WriteRunner.cpp
@@ -10,7 +10,6 @@
 namespace savorytrestle::serve {
 
 using core::ErrorCode;
-using core::makeError;
 using core::RunState;
 
 namespace {
@@ -36,8 +35,12 @@
     return core::UnknownSend;
   core::SendNumber send = 0;
   if (!absl::SimpleAtoi(*request.SendNumber, &send) || send == 0)
-    return makeError(ErrorCode::BadRequest,
-                     "header Send-Number must be a whole number of at least 1");
+    // An earlier send of the key may have run.
+    return tl::unexpected<core::Error>(
+        core::Error{ErrorCode::BadRequest,
+                    "header Send-Number must be a whole number of at least 1",
+                    RunState::Unknown,
+                    {}});
   return send;
 }
 
--- a/src/store/ClaimStore.h
+++ b/src/store/ClaimStore.h
@@ -66,7 +66,8 @@
     if (const auto age =
             core::checkKeyAge(request.Key, Options.WallClock(), Options.Limits);
         !age)
-      return done(tl::unexpected(age.error()));
+      return done(
+          tl::unexpected(core::withProvenRunState(age.error(), request.Send)));
     if (Stopping)
       return Batches.refuse({std::move(request), deadline, std::move(done)},
                             ErrorCode::Draining, "this host is stopping");
--- a/src/support/HttpServer.cpp
+++ b/src/support/HttpServer.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr int PayloadTooLarge = 413;
+
 std::string lowerCase(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
                  [](unsigned char c) { return std::tolower(c); });
@@ -94,10 +96,9 @@
   HttpResponse response;
   if (!readBody(connection, info.content_length, self.Options.MaxBodyBytes,
                 request.Body)) {
-    response.Status = 413;
-    response.Body =
-        R"({"error":{"code":"bad_request","run":"not_run",)"
-        R"("message":"request body is incomplete or larger than the limit"}})";
+    if (self.Options.OnBodyRefused)
+      response = self.Options.OnBodyRefused(request);
+    response.Status = PayloadTooLarge;
     response.Headers["Connection"] = "close";
   } else {
     response = self.RequestHandler(request);
--- a/src/support/HttpServer.h
+++ b/src/support/HttpServer.h
@@ -55,6 +55,9 @@
   std::size_t MaxBodyBytes = 1 << 20;
   /// Idle keep-alive connections are closed after this.
   std::chrono::milliseconds KeepAlive{30000};
+  /// Answers a request whose body is incomplete or larger than the limit; if
+  /// empty, a plain 413 is sent.
+  std::function<HttpResponse(const HttpRequest &)> OnBodyRefused;
   /// Called with +1 when a connection opens and -1 when it has closed; may be
   /// empty.
   std::function<void(int)> OnConnection;
--- a/tests/unit-caller-api.cpp
+++ b/tests/unit-caller-api.cpp
@@ -109,6 +109,22 @@
             "unknown");
 }
 
+/// Guards against a resend with a cut body that is told "not run" though an
+/// earlier send of its key has run.
+TEST_F(CallerApiTest, AResendWhoseBodyIsRefusedHasAnUnknownRunState) {
+  const auto runState = [&](std::map<std::string, std::string> headers) {
+    HttpRequest request;
+    request.Headers = std::move(headers);
+    caller::CallerApi api(Backend, Metrics);
+    return json::parse(api.refuseBody(request).Body)["error"]["run"];
+  };
+  EXPECT_EQ(runState({}), "not_run");
+  EXPECT_EQ(runState({{"idempotency-key", "k"}, {"send-number", "1"}}),
+            "not_run");
+  EXPECT_EQ(runState({{"idempotency-key", "k"}, {"send-number", "2"}}),
+            "unknown");
+}
+
 TEST_F(CallerApiTest, RejectsABodyThatIsNestedTooDeeply) {
   Table->Routes[{"w", "r"}].MaxBodyBytes = 1 << 20;
   std::string body;
