Parse messages of all peers without exceptions and reserved memory

An answer that states a Content-Length of a terabyte ended it too, by std::bad_alloc.

Cause: the HTTP library's parser throws for a field of 65,534 bytes, which only the limit of the head keeps out, and a trailer is no part of the head. It also goes on after a head whose Content-Length is over the limit if bytes of the body came with it, and string_body then reserves that length. Nothing between the handler and the loop caught either. Callers' requests and replies of the store and other hosts were read in the same way; a caller's chunk extensions and trailers were kept without any bound.

support::MessageParser reads all of them: a step at a time, so that the limit's error isn't lost; with a body that grows with what has come; with a bound on what is incomplete; and with the library's exceptions as errors. The store's replies have a bound of 32 MiB, since 17 MB are taken today when large configurations come in a row.

--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -33,18 +33,16 @@
 }
 
 void CallerSession::resetParser() {
-  Request.emplace();
+  Request.emplace(
+      support::MessageLimits{.MaxHead = Context->Limits.MaxHeaderBytes,
+                             .MaxBody = Context->Limits.MaxBodyBytes});
   ContinueSent = false;
-  Request->eager(true);
-  Request->header_limit(
-      static_cast<std::uint32_t>(Context->Limits.MaxHeaderBytes));
-  Request->body_limit(Context->Limits.MaxBodyBytes);
 }
 
 void CallerSession::enforceTimeouts(TimePoint now) {
   if (State == Phase::Idle && now - TimeoutStart > Context->Limits.IdleTimeout)
     return close();
-  if (State == Phase::Receiving && !Request->is_header_done() &&
+  if (State == Phase::Receiving && !Request->headDone() &&
       now - TimeoutStart > Context->Limits.HeaderTimeout)
     refuse(http::status::request_timeout,
            "request header not received within the header timeout");
@@ -85,30 +83,20 @@
 }
 
 void CallerSession::parse() {
-  error_code ec;
-  while (Buffer.size() > 0 && !Request->is_done()) {
-    if (State == Phase::Idle) {
-      State = Phase::Receiving;
-      TimeoutStart = std::chrono::steady_clock::now();
-    }
-    const std::size_t used = Request->put(Buffer.data(), ec);
-    Buffer.consume(used);
-    if (ec == http::error::need_more) {
-      ec = {};
-      break;
-    }
-    if (ec == http::error::header_limit)
-      return refuse(http::status::request_header_fields_too_large,
-                    "request header exceeds maxHeaderBytes");
-    if (ec == http::error::body_limit)
-      return refuse(http::status::payload_too_large,
-                    "request body exceeds maxBodyBytes");
-    if (ec)
-      return refuse(http::status::bad_request, ec.message());
-    if (used == 0)
-      break;
+  if (Buffer.size() > 0 && State == Phase::Idle) {
+    State = Phase::Receiving;
+    TimeoutStart = std::chrono::steady_clock::now();
   }
-  if (Request->is_done())
+  const error_code ec = Request->parse(Buffer);
+  if (ec == http::error::header_limit)
+    return refuse(http::status::request_header_fields_too_large,
+                  "request header exceeds maxHeaderBytes");
+  if (ec == http::error::body_limit)
+    return refuse(http::status::payload_too_large,
+                  "request body exceeds maxBodyBytes");
+  if (ec)
+    return refuse(http::status::bad_request, ec.message());
+  if (Request->done())
     dispatch();
   else
     sendContinue();
@@ -116,8 +104,8 @@
 }
 
 void CallerSession::sendContinue() {
-  if (ContinueSent || !Request->is_header_done() ||
-      !boost::beast::iequals(Request->get()[http::field::expect],
+  if (ContinueSent || !Request->headDone() ||
+      !boost::beast::iequals(Request->head()[http::field::expect],
                              "100-continue"))
     return;
   ContinueSent = true;
@@ -132,7 +120,7 @@
 
 void CallerSession::dispatch() {
   State = Phase::Handling;
-  KeepAlive = Request->keep_alive();
+  KeepAlive = Request->keepAlive();
   const std::uint64_t requestNumber = ++RequestNumber;
   auto respond = [self = shared_from_this(),
                   requestNumber](CallerAnswer callerAnswer) {
--- a/src/entry/CallerSession.h
+++ b/src/entry/CallerSession.h
@@ -14,10 +14,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "savorytrestle/core/ServingConfig.h"
+#include "support/MessageParser.h"
 
 namespace savorytrestle::entry {
 
@@ -83,8 +83,7 @@
   }
 
 private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = support::MessageParser<true>;
 
   enum class Phase {
     Idle,      ///< waiting for a request
--- a/src/leaf/LeafConnection.cpp
+++ b/src/leaf/LeafConnection.cpp
@@ -19,8 +19,6 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 8192;
-/// Bytes that the parser may leave for more to come, as in a chunk's header.
-constexpr std::size_t MaxUnparsedBytes = 64 << 10;
 /// The connection is closed if sent bytes stay unacknowledged for so long.
 constexpr milliseconds UnackedTimeout{2000};
 /// Idle time-out that is assumed for leaves whose answers state none.
@@ -66,11 +64,9 @@
 }
 
 void LeafConnection::startResponse() {
-  Answer.emplace();
-  Answer->body_limit(Memory->limits().MaxAnswer);
-  Answer->eager(true);
+  Answer.emplace(support::MessageLimits{.MaxBody = Memory->limits().MaxAnswer});
   if (Request.method() == http::verb::head)
-    Answer->skip(true);
+    Answer->skipBody();
 }
 
 void LeafConnection::close() {
@@ -122,16 +118,11 @@
 void LeafConnection::onRead(error_code ec, std::size_t n) {
   if (Closed)
     return;
-  if (ec == boost::asio::error::eof && OnReply && Answer->got_some() &&
-      !Answer->is_done()) {
-    // An answer without a length ends when the connection is closed. The parser
-    // reports an error for any other, which has been truncated.
-    error_code end;
-    Answer->put_eof(end);
-    if (!end && Answer->is_done()) {
-      Open = false;
-      return finishAnswer();
-    }
+  // An answer without a length ends when the connection is closed. Any other
+  // has been truncated.
+  if (ec == boost::asio::error::eof && OnReply && Answer->parseEnd()) {
+    Open = false;
+    return finishAnswer();
   }
   if (ec)
     return fail(Delivery::Broken, "read: " + ec.message());
@@ -139,7 +130,7 @@
   if (!OnReply)
     return fail(Delivery::Broken, "leaf sent bytes without a pending request");
   // The parser's own limits leave out what surrounds chunks.
-  if (AnswerBytes + n > Memory->limits().MaxAnswer + MaxUnparsedBytes)
+  if (AnswerBytes + n > Memory->limits().MaxAnswer + Parser::MaxUnparsed)
     return fail(Delivery::Broken,
                 "answer exceeds " + std::to_string(Memory->limits().MaxAnswer) +
                     " bytes");
@@ -155,34 +146,22 @@
   do {
     if (!parseResponse())
       return;
-    if (Answer->is_done() && responseKind() == ResponseKind::Final)
+    if (Answer->done() && responseKind() == ResponseKind::Final)
       return finishAnswer();
-  } while (Answer->is_done() && skipInterimResponse());
-  if (Closed)
-    return;
-  if (Buffer.size() > MaxUnparsedBytes)
-    return fail(Delivery::Broken, "answer: no end of a header within " +
-                                      std::to_string(MaxUnparsedBytes) +
-                                      " bytes");
-  read();
+  } while (Answer->done() && skipInterimResponse());
+  if (!Closed)
+    read();
 }
 
 bool LeafConnection::parseResponse() {
-  error_code ec;
-  while (Buffer.size() > 0 && !Answer->is_done()) {
-    const std::size_t used = Answer->put(Buffer.data(), ec);
-    Buffer.consume(used);
-    if (ec == http::error::need_more || (!ec && used == 0))
-      break;
-    if (ec) {
-      fail(Delivery::Broken, "answer: " + ec.message());
-      return false;
-    }
+  if (const error_code ec = Answer->parse(Buffer)) {
+    fail(Delivery::Broken, "answer: " + ec.message());
+    return false;
   }
   // Checked before the body arrives, which may never end.
-  if (Answer->is_header_done() && responseKind() == ResponseKind::Invalid) {
+  if (Answer->headDone() && responseKind() == ResponseKind::Invalid) {
     fail(Delivery::Broken, "answer: status " +
-                               std::to_string(Answer->get().result_int()) +
+                               std::to_string(Answer->head().result_int()) +
                                " is not the status of an answer");
     return false;
   }
@@ -190,7 +169,7 @@
 }
 
 ResponseKind LeafConnection::responseKind() const {
-  return support::responseKind(Answer->get().result_int());
+  return support::responseKind(Answer->head().result_int());
 }
 
 bool LeafConnection::skipInterimResponse() {
@@ -215,7 +194,7 @@
   // A leaf may answer before it has read the whole request body. It would then
   // take the next request on the connection for the rest of that body.
   const bool keep =
-      Open && !Writing && Answer->keep_alive() && Buffer.size() == 0;
+      Open && !Writing && Answer->keepAlive() && Buffer.size() == 0;
   reply.Answer = Answer->release();
   releaseMemory();
   KeepAlive = statedKeepAlive(reply.Answer);
--- a/src/leaf/LeafConnection.h
+++ b/src/leaf/LeafConnection.h
@@ -16,10 +16,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "leaf/AnswerMemory.h"
+#include "support/MessageParser.h"
 #include "support/ResponseKind.h"
 
 namespace savorytrestle::leaf {
@@ -99,8 +99,7 @@
   std::size_t interimResponses() const { return Interim.count(); }
 
 private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = support::MessageParser<false>;
 
   void connect(const boost::asio::ip::tcp::endpoint &address);
   void write();
--- a/src/store/StoreConnection.cpp
+++ b/src/store/StoreConnection.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include <absl/strings/numbers.h>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "platform/StoreProtocol.h"
@@ -26,6 +25,7 @@
 /// Covers many round trips between any two regions. If the first packet of the
 /// handshake is lost, the call fails and has to be made again.
 constexpr milliseconds ConnectTimeout{700};
+constexpr std::size_t ReadBytes = 16 << 10;
 
 std::optional<Era> eraOf(const http::response<http::string_body> &response) {
   const auto text = response[platform::StoreEraHeader];
@@ -120,59 +120,84 @@
                         return;
                       if (ec)
                         return self->fail("write: " + ec.message());
+                      self->startResponse(*link);
                       self->read(link);
                     });
 }
 
+void StoreConnection::startResponse(Link &link) {
+  link.Reply.emplace(support::MessageLimits{.MaxBody = MaxReplyBytes});
+  link.ReplyBytes = 0;
+}
+
 void StoreConnection::read(const std::shared_ptr<Link> &link) {
-  auto parser = std::make_shared<Parser>();
-  parser->body_limit(MaxReplyBytes);
-  http::async_read_header(
-      link->Socket, link->Buffer, *parser,
-      [self = shared_from_this(), link, parser](error_code ec, std::size_t n) {
+  link->Socket.async_read_some(
+      link->Buffer.prepare(ReadBytes),
+      [self = shared_from_this(), link](error_code ec, std::size_t n) {
         if (self->CurrentLink != link)
           return;
+        // A reply without a length ends when the connection is closed.
+        if (ec == boost::asio::error::eof && link->Reply->parseEnd())
+          return self->onResponse(link);
         if (ec)
           return self->fail("read: " + ec.message());
-        self->onHead(link, parser, n);
+        self->onRead(link, n);
       });
 }
 
-void StoreConnection::onHead(const std::shared_ptr<Link> &link,
-                             const std::shared_ptr<Parser> &parser,
-                             std::size_t n) {
-  const unsigned status = parser->get().result_int();
-  switch (support::responseKind(status)) {
-  case support::ResponseKind::Invalid:
-    return fail("status " + std::to_string(status) +
-                " is not the status of a reply");
-  case support::ResponseKind::Interim:
-    if (!Interim.tryAdd(n))
-      return fail("too many interim responses");
-    return read(link);
-  case support::ResponseKind::Final:
-    break;
+void StoreConnection::onRead(const std::shared_ptr<Link> &link, std::size_t n) {
+  link->Buffer.commit(n);
+  link->ReplyBytes += n;
+  do {
+    if (!parseResponse(*link))
+      return;
+    if (link->Reply->done() &&
+        support::responseKind(link->Reply->head().result_int()) ==
+            support::ResponseKind::Final)
+      return onResponse(link);
+  } while (link->Reply->done() && skipInterimResponse(*link));
+  if (CurrentLink == link)
+    read(link);
+}
+
+bool StoreConnection::parseResponse(Link &link) {
+  if (const error_code ec = link.Reply->parse(link.Buffer)) {
+    fail("reply: " + ec.message());
+    return false;
   }
-  http::async_read(
-      link->Socket, link->Buffer, *parser,
-      [self = shared_from_this(), link, parser](error_code ec, std::size_t) {
-        if (self->CurrentLink != link)
-          return;
-        if (ec)
-          return self->fail("read: " + ec.message());
-        self->onResponse(link, *parser);
-      });
+  // The parser's limits leave out what surrounds chunks.
+  if (link.ReplyBytes > 2 * MaxReplyBytes) {
+    fail("reply exceeds " + std::to_string(2 * MaxReplyBytes) + " bytes");
+    return false;
+  }
+  if (!link.Reply->headDone())
+    return true;
+  const unsigned status = link.Reply->head().result_int();
+  if (support::responseKind(status) != support::ResponseKind::Invalid)
+    return true;
+  fail("status " + std::to_string(status) + " is not the status of a reply");
+  return false;
+}
+
+bool StoreConnection::skipInterimResponse(Link &link) {
+  const std::size_t n = link.ReplyBytes - link.Buffer.size();
+  startResponse(link);
+  link.ReplyBytes = link.Buffer.size();
+  if (Interim.tryAdd(n))
+    return true;
+  fail("too many interim responses");
+  return false;
 }
 
-void StoreConnection::onResponse(const std::shared_ptr<Link> &link,
-                                 Parser &parser) {
-  auto response = parser.release();
+void StoreConnection::onResponse(const std::shared_ptr<Link> &link) {
+  const bool keep = link->Reply->keepAlive() && link->Buffer.size() == 0;
+  auto response = link->Reply->release();
   if (Eras && !Eras->observe(eraOf(response)))
     return fail("reply of an older store era");
   // A handler of the rise may have closed the connection.
   if (CurrentLink != link)
     return;
-  if (!response.keep_alive() || link->Buffer.size() > 0)
+  if (!keep)
     CurrentLink.reset();
   complete({response.result_int(), std::move(response.body()), "", true});
 }
--- a/src/store/StoreConnection.h
+++ b/src/store/StoreConnection.h
@@ -9,16 +9,17 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "store/EraTracker.h"
+#include "support/MessageParser.h"
 #include "support/ResponseKind.h"
 
 namespace savorytrestle::store {
@@ -63,28 +64,35 @@
   void close();
 
 private:
-  /// Enough for the longest page of a range in its encoded form. Bounds the
-  /// bytes of an unfinished reply, whatever they are.
-  static constexpr std::size_t MaxReplyBytes = 8 << 20;
+  using Parser = support::MessageParser<false>;
+
+  /// Enough for a watch that returns some seconds of large configurations.
+  static constexpr std::size_t MaxReplyBytes = 32 << 20;
 
   /// Socket and buffer of one TCP connection. They are replaced together, so
   /// that handlers of a closed connection detect that it isn't the current one.
   struct Link {
     explicit Link(boost::asio::io_context &io) : Socket(io) {}
     boost::asio::ip::tcp::socket Socket;
-    boost::beast::flat_buffer Buffer{MaxReplyBytes};
+    boost::beast::flat_buffer Buffer;
+    std::optional<Parser> Reply;
+    /// Bytes of the current response.
+    std::size_t ReplyBytes = 0;
   };
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
   void startTimeout(std::chrono::milliseconds after, const char *why);
   void dropIfClosed();
   void write(const std::shared_ptr<Link> &link);
   void read(const std::shared_ptr<Link> &link);
-  void onHead(const std::shared_ptr<Link> &link,
-              const std::shared_ptr<Parser> &parser, std::size_t n);
-  void onResponse(const std::shared_ptr<Link> &link, Parser &parser);
+  void startResponse(Link &link);
+  void onRead(const std::shared_ptr<Link> &link, std::size_t n);
+  /// Parses received bytes up to the end of a response.
+  /// @return false if the response is invalid; the call has failed then
+  bool parseResponse(Link &link);
+  /// @return false if there are too many; the call has failed then
+  bool skipInterimResponse(Link &link);
+  void onResponse(const std::shared_ptr<Link> &link);
   void fail(const std::string &why);
   void complete(StoreReply reply);
 
--- a/tests/unit-leaf-connection.cpp
+++ b/tests/unit-leaf-connection.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "standins/HostileBytes.h"
 #include "standins/RawLeaf.h"
 #include "standins/ResponseHeads.h"
 
@@ -288,6 +289,21 @@
   EXPECT_LE(Memory->peak(), (1U << 20) + (128U << 10));
 }
 
+/// Guards against the end of the host that reads them, by an exception of the
+/// HTTP library or by memory that is reserved for what a leaf claims.
+TEST_F(LeafConnectionTest, HostileAnswersAreBroken) {
+  for (const auto &[name, bytes] : tests::hostileMessages("HTTP/1.1 200 OK")) {
+    startLeaf({bytes});
+    LeafReply reply;
+    EXPECT_NO_THROW(reply = send()) << name;
+    EXPECT_TRUE(reply.Result == Delivery::Broken ||
+                name == "trailer of many fields")
+        << name;
+    Connection->close();
+    EXPECT_EQ(Memory->held(), 0U) << name;
+  }
+}
+
 /// Fifty leaves do so at once: together they stay under the bound, and other
 /// answers arrive once they are closed.
 TEST_F(LeafConnectionTest, UnfinishedAnswersOfManyLeavesAreBounded) {
--- a/tests/unit-store-connection.cpp
+++ b/tests/unit-store-connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include "standins/HostileBytes.h"
 #include "standins/RawLeaf.h"
 #include "standins/ResponseHeads.h"
 
@@ -161,6 +162,29 @@
     }
 }
 
+/// Guards against the end of the host by a reply of the store, or of another
+/// host whose feed it reads.
+TEST_F(RawStoreTest, HostileRepliesFailTheCall) {
+  for (const auto &[name, bytes] : tests::hostileMessages("HTTP/1.1 200 OK")) {
+    startStore({bytes});
+    store::StoreReply reply;
+    EXPECT_NO_THROW(reply = call(1h)) << name;
+    EXPECT_TRUE(reply.Status == 0U || name == "trailer of many fields") << name;
+    EXPECT_TRUE(reply.MayHaveExecuted) << name;
+  }
+}
+
+/// Guards against replies that fill the host's memory, and against the loss of
+/// what large configurations in a row take.
+TEST_F(RawStoreTest, LargeRepliesAreReadWithinABound) {
+  const std::string body(17 << 20, 'x');
+  startStore({tests::leafAnswer(body)});
+  EXPECT_EQ(call(1h).Body.size(), body.size());
+  const std::string endless(40 << 20, 'x');
+  startStore({"HTTP/1.1 200 OK\r\n\r\n" + endless});
+  EXPECT_EQ(call(1h).Status, 0U);
+}
+
 TEST_F(RawStoreTest, InterimResponsesWithoutAnEndFailTheCall) {
   startStore({tests::repeat("HTTP/1.1 100 \r\n\r\n", 100000)});
   EXPECT_EQ(call(1h).Error, "too many interim responses");
