Don't let TRACE requests with a body or long signatures end a host

The names of leaving leaves in an answer to another host had no bound either.

A body of TRACE is forwarded with its length; signatures that don't fit into a field go into one each, as callers may get the header more than once; at most 16 leaving leaves are named.

Both were found by reading the calls; the tests weren't run on the old code one by one.

--- a/src/entry/RequestRouter.cpp
+++ b/src/entry/RequestRouter.cpp
@@ -452,7 +452,11 @@
   removeRelayHeaders(request);
   setWorkspaceHeaders(request, Names, *Config, Keys, workspace);
   request.version(11);
-  request.prepare_payload();
+  // prepare_payload() throws for a TRACE request with a body.
+  if (request.method() == http::verb::trace && !request.body().empty())
+    request.content_length(request.body().size());
+  else
+    request.prepare_payload();
   return std::make_shared<const leaf::CallContext>(leaf::CallContext{
       Leaves, Names, Config, route, std::move(derivedRoute), std::move(request),
       std::move(id), fingerprint, Names.LeafSignature, arrived, start + timeout,
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -31,6 +31,22 @@
                         absl::SkipEmpty());
 }
 
+/// Names the signatures of an answer's parts. The HTTP library throws for a
+/// field of 64 KiB, which signatures of faulty leaves may exceed together.
+void setSignatures(CallerAnswer &answer, const std::string &header,
+                   const std::vector<std::string> &signatures) {
+  constexpr std::size_t MaxFieldBytes = 32 << 10;
+  const auto joined = absl::StrJoin(signatures, ", ");
+  if (joined.size() <= MaxFieldBytes)
+    return answer.set(header, joined);
+  for (const std::string &it : signatures)
+    answer.insert(header, it);
+}
+
+/// Most leaving leaves that an answer to another host names: its head is
+/// bounded, and each leaf says so again.
+constexpr std::size_t MaxLeavingNamed = 16;
+
 /// Most hosts that one forward is sent to.
 constexpr std::size_t MaxForwardTries = 3;
 
@@ -330,7 +346,7 @@
   }
   CallerAnswer answer{http::status::ok, 11};
   answer.set(Context->Names.RequestId, Context->RequestId);
-  answer.set(Context->Names.PartSignatures, absl::StrJoin(signatures, ", "));
+  setSignatures(answer, Context->Names.PartSignatures, signatures);
   const std::size_t missing = total - std::min(total, signatures.size());
   answer.set(Context->Names.MissingShards, std::to_string(missing));
   answer.set(http::field::content_type, "application/octet-stream");
@@ -400,6 +416,7 @@
   for (const auto &call : Calls)
     leaving.insert(leaving.end(), call->leavingLeaves().begin(),
                    call->leavingLeaves().end());
+  leaving.resize(std::min(leaving.size(), MaxLeavingNamed));
   if (!leaving.empty())
     answer.set(leaf::LeavingLeavesHeader, leaf::formatLeavingLeaves(leaving));
 }
--- a/tests/unit-request-run.cpp
+++ b/tests/unit-request-run.cpp
@@ -5,6 +5,7 @@
 #include "entry/RequestRun.h"
 #include "platform/Headers.h"
 #include "standins/PlatformLeaf.h"
+#include "standins/RawLeaf.h"
 
 #include <deque>
 
@@ -354,4 +355,59 @@
   EXPECT_EQ(Answer->result(), Status::service_unavailable);
 }
 
+/// Guards against the end of the host by a request whose method the HTTP
+/// library allows no body.
+TEST_F(RequestRunTest, ATraceRequestWithABodyIsForwarded) {
+  entry::RequestRouter router(Io, Leaves, Metrics, Names);
+  Behind[0]->Behavior.NeverAnswer = false;
+  Route.Host = "a.example";
+  Route.PathPrefix = "/";
+  Route.Targets = {{"s0", 1}};
+  Config->Routes = {Route};
+  Config->buildIndex();
+  router.setConfig(Config);
+  entry::CallerRequest request{boost::beast::http::verb::trace, "/x", 11};
+  request.set(boost::beast::http::field::host, "a.example");
+  request.set(Names.RequestId, "r1");
+  request.body() = "body";
+  router.handle(request, [this](entry::CallerAnswer answer) {
+    Answer = std::move(answer);
+  });
+  ASSERT_TRUE(runUntil(Io, [&] { return Answer.has_value(); }));
+  EXPECT_EQ(Answer->result(), Status::ok);
+  EXPECT_EQ(Answer->body(), "body");
+}
+
+/// Guards against the end of the host by leaves that sign with long stamps: the
+/// HTTP library throws for a field of 64 KiB.
+TEST_F(RequestRunTest, LongSignaturesOfManyShardsAreNamedInSeveralHeaders) {
+  constexpr int Shards = 12;
+  Route.MinShardShare = 1;
+  Route.TopRecords = 1;
+  std::vector<std::unique_ptr<RawLeaf>> raw;
+  std::vector<leaf::Service *> all;
+  for (int i = 0; i < Shards; ++i) {
+    const std::string shard = "long" + std::to_string(i);
+    raw.push_back(std::make_unique<RawLeaf>(Io, [](const std::string &) {
+      return RawAnswer{leafAnswer(
+          std::string(16, 'r'),
+          "Savorytrestle-Server-Stamp: " + std::string(7000, 's') + "\r\n")};
+    }));
+    core::LeafEntry leaf;
+    leaf.Id = "i-" + shard;
+    leaf.Service = shard;
+    leaf.Address = raw.back()->addressText();
+    leaf.FailureDomain = "a";
+    leaf.Slots = 5;
+    Leaves.putLeaf(leaf);
+    Route.Shards.push_back(shard);
+    all.push_back(&Leaves.service(shard));
+  }
+  makeRun();
+  Run->start(all, {});
+  ASSERT_TRUE(runUntil(Io, [&] { return Answer.has_value(); }));
+  EXPECT_EQ(Answer->result(), Status::ok);
+  EXPECT_EQ(Answer->count(Names.PartSignatures), std::size_t{Shards});
+}
+
 } // namespace
