Contain unexpected exceptions of handlers and bound replies of libcurl

HttpClient kept bodies without an end until its timeout, and libcurl keeps all headers: a reply's body is bounded to 32 MiB and its head to 64 KiB.

--- a/src/backend/FanOutLoop.cpp
+++ b/src/backend/FanOutLoop.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "support/RunHandlers.h"
+
 namespace savorytrestle::backend {
 
 using std::chrono::milliseconds;
@@ -48,9 +50,11 @@
 
 void FanOutLoop::run() {
   while (!Stopping) {
-    runTasks();
-    const auto wait = runTimers();
-    Transport.processEvents(QueuedTasks > 0 ? milliseconds(0) : wait);
+    support::callGuarded([this] {
+      runTasks();
+      const auto wait = runTimers();
+      Transport.processEvents(QueuedTasks > 0 ? milliseconds(0) : wait);
+    });
   }
 }
 
--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "entry/Answers.h"
+#include "support/RunHandlers.h"
 #include "support/SocketOptions.h"
 
 namespace savorytrestle::entry {
@@ -127,10 +128,15 @@
     if (self->RequestNumber == requestNumber && self->State == Phase::Handling)
       self->answer(std::move(callerAnswer), self->KeepAlive);
   };
-  auto cancel =
-      Context->OnRequestFrom
-          ? Context->OnRequestFrom(Request->release(), Remote, respond)
-          : Context->OnRequest(Request->release(), respond);
+  CancelHandler cancel;
+  if (!support::callGuarded([&] {
+        cancel =
+            Context->OnRequestFrom
+                ? Context->OnRequestFrom(Request->release(), Remote, respond)
+                : Context->OnRequest(Request->release(), respond);
+      }))
+    respond(
+        errorAnswer(http::status::internal_server_error, "unexpected error"));
   if (State == Phase::Handling && RequestNumber == requestNumber)
     Cancel = std::move(cancel);
 }
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -13,6 +13,7 @@
 #include "platform/Headers.h"
 #include "support/BeastStringView.h"
 #include "support/Log.h"
+#include "support/RunHandlers.h"
 #include "support/SocketOptions.h"
 #include "support/Version.h"
 
@@ -136,7 +137,7 @@
   ConfigFileWritten = std::filesystem::last_write_time(ConfigFile, ec);
   pollConfigFile();
   waitForSignal();
-  Io.run();
+  support::runHandlers(Io);
   support::LogLine("stopped")
       .with("host", Config.Id)
       .with("log_lines_dropped", support::droppedLogLines());
--- a/src/support/FinalResponseGuard.cpp
+++ b/src/support/FinalResponseGuard.cpp
@@ -45,7 +45,7 @@
   HeadBytes += line.size();
   switch (Kind) {
   case ResponseKind::Final:
-    return true;
+    return HeadBytes <= MaxHeadBytes;
   case ResponseKind::Invalid:
     return false;
   case ResponseKind::Interim:
--- a/src/support/FinalResponseGuard.h
+++ b/src/support/FinalResponseGuard.h
@@ -13,13 +13,16 @@
 
 namespace savorytrestle::support {
 
-/// @brief Aborts a transfer whose response has an invalid status, or that gets
-/// too many interim responses.
+/// @brief Aborts a transfer whose response has an invalid status or a head that
+/// is too long, or that gets too many interim responses.
 ///
 /// libcurl takes 101 for a final response whose body ends with the connection,
 /// and skips a status below 100 as an interim response.
 class FinalResponseGuard {
 public:
+  /// Most bytes of a response's head and trailer. libcurl keeps all headers.
+  static constexpr std::size_t MaxHeadBytes = 64 << 10;
+
   /// @brief Guards the next transfer of a handle. Takes its header callback.
   /// @param handle the handle; this object must outlive the transfer
   void attach(CURL *handle);
--- a/src/support/HttpClient.cpp
+++ b/src/support/HttpClient.cpp
@@ -18,9 +18,19 @@
 // it.
 const CURLcode GlobalInit = curl_global_init(CURL_GLOBAL_DEFAULT);
 
+/// Takes the body of a reply.
+struct BodySink {
+  std::size_t Limit = 0;
+  std::string &Body;
+};
+
 std::size_t appendBody(char *data, std::size_t size, std::size_t count,
                        void *out) {
-  static_cast<std::string *>(out)->append(data, size * count);
+  auto &[limit, body] = *static_cast<BodySink *>(out);
+  // Aborts the transfer.
+  if (body.size() + size * count > limit)
+    return 0;
+  body.append(data, size * count);
   return size * count;
 }
 
@@ -105,7 +115,8 @@
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(call.Timeout.count()));
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
-  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &reply.Body);
+  BodySink bodySink{call.MaxReplyBytes, reply.Body};
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &bodySink);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &addHeader);
   HeaderSink sink{{}, reply.Headers};
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &sink);
--- a/src/support/HttpClient.h
+++ b/src/support/HttpClient.h
@@ -24,6 +24,8 @@
   std::map<std::string, std::string> Headers;
   /// Bound on the whole call.
   std::chrono::milliseconds Timeout{1000};
+  /// Bound on the reply's body; the call fails beyond it.
+  std::size_t MaxReplyBytes = 32 << 20;
 };
 
 /// @brief The peer's answer.
--- a/src/support/HttpServer.cpp
+++ b/src/support/HttpServer.cpp
@@ -8,11 +8,14 @@
 #include <absl/strings/str_cat.h>
 #include <civetweb.h>
 
+#include "support/Log.h"
+
 namespace savorytrestle::support {
 
 namespace {
 
 constexpr int PayloadTooLarge = 413;
+constexpr int InternalError = 500;
 
 std::string lowerCase(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
@@ -66,6 +69,23 @@
   mg_write(connection, out.data(), out.size());
 }
 
+/// Calls the handler. An exception must not reach the library's C code, where
+/// it would end the process.
+HttpResponse handle(const HttpServer::Handler &handler,
+                    const HttpRequest &request) {
+  try {
+    return handler(request);
+  } catch (const std::exception &ex) {
+    LogLine("request_failed").with("path", request.Path).with("why", ex.what());
+  }
+  HttpResponse response;
+  response.Status = InternalError;
+  // The handler may have run the request before it failed.
+  response.Body = R"({"error":{"code":"internal","run":"unknown",)"
+                  R"("message":"unexpected error"}})";
+  return response;
+}
+
 } // namespace
 
 struct HttpServer::Impl {
@@ -101,7 +121,7 @@
     response.Status = PayloadTooLarge;
     response.Headers["Connection"] = "close";
   } else {
-    response = self.RequestHandler(request);
+    response = handle(self.RequestHandler, request);
   }
   if (!response.Abort)
     send(connection, response);
--- a/tests/unit-fan-out-loop.cpp
+++ b/tests/unit-fan-out-loop.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <stdexcept>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -13,6 +14,20 @@
 
 namespace {
 
+/// Guards against the end of the process by one search.
+TEST(FanOutLoop, ATaskThatThrowsEndsAlone) {
+  FanOutLoop loop({}, 64, 1);
+  std::promise<void> done;
+  loop.post([] { throw std::length_error("too long"); });
+  loop.post([&] {
+    loop.scheduleAt(std::chrono::steady_clock::now(),
+                    [] { throw std::length_error("too long"); });
+    loop.scheduleAt(std::chrono::steady_clock::now() + 1ms,
+                    [&] { done.set_value(); });
+  });
+  EXPECT_EQ(done.get_future().wait_for(5s), std::future_status::ready);
+}
+
 /// Guards against searches that get no answer long after their deadline: a
 /// burst of new searches kept the loop from its timers and from the leaves'
 /// replies until all of them had been started.
