Count searches that a host gave up if their leaf ends, own interface

One that was cancelled, since another leaf had answered, or whose deadline had passed, counted for nothing, though the leaf goes on with it.

CrashQuarantine::onAbandoned keeps such attempts for 3 s; if the leaf refuses connections or has restarted by then, it counts as in a break. A leaf that was draining ends anyway, so nothing counts against its searches.

Evidence: AnAttemptThatItsHostGaveUpCountsIfItsLeafEnds and AnAttemptThatItsHostGaveUpIsForgottenInTime; the call that they test is new.

--- a/include/savorytrestle/core/CrashQuarantine.h
+++ b/include/savorytrestle/core/CrashQuarantine.h
@@ -77,6 +77,9 @@
   /// Time after a connection breaks within which a refusal confirms that the
   /// leaf crashed.
   std::chrono::milliseconds ConfirmationWindow = std::chrono::seconds(2);
+  /// Time after an attempt that its host gave up within which the end of the
+  /// leaf is put down to it.
+  std::chrono::milliseconds AbandonedWindow = std::chrono::seconds(3);
   /// Most fingerprints with records; beyond it the one whose last record is the
   /// oldest is evicted.
   std::size_t MaxFingerprints = 4096;
@@ -143,6 +146,14 @@
   void onConnectionBroken(std::string_view leafName,
                           const Fingerprint &fingerprint, WallTime now);
 
+  /// @brief Records an attempt that its host has given up while the leaf may
+  /// still run it: the search was answered, or its deadline has passed.
+  /// @param leafName the leaf
+  /// @param fingerprint the request's fingerprint
+  /// @param now current time
+  void onAbandoned(std::string_view leafName, const Fingerprint &fingerprint,
+                   WallTime now);
+
   /// @brief Records an attempt that ended in any other way.
   /// @param leafName the leaf
   /// @param fingerprint the request's fingerprint
@@ -150,13 +161,18 @@
                       const Fingerprint &fingerprint);
 
   /// @brief Records that a leaf refuses connections or has restarted. If
-  /// attempts on it broke within the confirmation window, it has crashed.
+  /// attempts on it broke within the confirmation window, or were abandoned
+  /// within theirs, it has crashed.
   /// @param leafName the leaf
   /// @param crash id under which a crash is recorded
   /// @param now current time
+  /// @param wasDraining whether it was about to end anyway; abandoned attempts
+  /// don't count then
   /// @return records to send to other hosts before the callers get an answer
-  std::vector<QuarantineRecord>
-  onLeafDownOrRestarted(std::string_view leafName, CrashId crash, WallTime now);
+  std::vector<QuarantineRecord> onLeafDownOrRestarted(std::string_view leafName,
+                                                      CrashId crash,
+                                                      WallTime now,
+                                                      bool wasDraining = false);
 
   /// @brief Records that a leaf whose connections broke answers with the same
   /// incarnation, so it did not crash.
@@ -191,6 +207,12 @@
   struct LeafActivity {
     std::vector<Fingerprint> Unproven;
     std::vector<BrokenAttempt> BrokenAttempts;
+    std::vector<BrokenAttempt> AbandonedAttempts;
+
+    bool empty() const {
+      return Unproven.empty() && BrokenAttempts.empty() &&
+             AbandonedAttempts.empty();
+    }
   };
 
   void add(const QuarantineRecord &record, WallTime now);
@@ -198,6 +220,8 @@
   void dropExpired(History &history, WallTime now) const;
   std::size_t countUnconfirmedBreaks(const Fingerprint &fingerprint,
                                      WallTime now);
+  static void addAttempt(std::vector<BrokenAttempt> &attempts,
+                         const Fingerprint &fingerprint, WallTime now);
   void removeUnproven(std::string_view leafName,
                       const Fingerprint &fingerprint);
   bool isSuspect(const Fingerprint &fingerprint, WallTime now);
--- a/src/backend/HostQuarantine.cpp
+++ b/src/backend/HostQuarantine.cpp
@@ -75,6 +75,9 @@
       Quarantine.onConnectionBroken(leafName, fingerprint, wallNow());
     else if (!result.Failure && !result.Cancelled)
       newRecords = Quarantine.onSuccess(leafName, fingerprint, wallNow());
+    else if (result.Cancelled ||
+             result.Failure == core::AttemptFailure::Expired)
+      Quarantine.onAbandoned(leafName, fingerprint, wallNow());
     else
       Quarantine.onOtherOutcome(leafName, fingerprint);
   }
@@ -88,12 +91,14 @@
 }
 
 void HostQuarantine::onLeafDownOrRestarted(const std::string &leafName,
-                                           std::uint64_t incarnation) {
+                                           std::uint64_t incarnation,
+                                           bool wasDraining) {
   std::vector<QuarantineRecord> newRecords;
   {
     const std::lock_guard guard(Lock);
     newRecords = Quarantine.onLeafDownOrRestarted(
-        leafName, core::makeCrashId(leafName, incarnation), wallNow());
+        leafName, core::makeCrashId(leafName, incarnation), wallNow(),
+        wasDraining);
   }
   for (const auto &record : newRecords)
     support::LogLine("leaf_crash")
--- a/src/backend/HostQuarantine.h
+++ b/src/backend/HostQuarantine.h
@@ -58,8 +58,9 @@
   /// @brief Records that a leaf refuses connections or has restarted.
   /// @param leafName the leaf
   /// @param incarnation its incarnation before that, 0 if unknown
+  /// @param wasDraining whether it was about to end anyway
   void onLeafDownOrRestarted(const std::string &leafName,
-                             std::uint64_t incarnation);
+                             std::uint64_t incarnation, bool wasDraining);
 
   /// @brief Records that a leaf answers with the same incarnation, so it did
   /// not crash.
--- a/src/backend/ServiceRuntime.cpp
+++ b/src/backend/ServiceRuntime.cpp
@@ -183,7 +183,9 @@
   const bool restarted = status && previousIncarnation != 0 &&
                          currentIncarnation != previousIncarnation;
   if (restarted || result.Failure == CallFailure::NotSent)
-    Quarantine->onLeafDownOrRestarted(name, previousIncarnation);
+    Quarantine->onLeafDownOrRestarted(name, previousIncarnation,
+                                      LastStatuses[leaf] &&
+                                          LastStatuses[leaf]->Draining);
   else if (status && previousIncarnation != 0)
     Quarantine->onLeafAlive(name);
   else if (result.Failure == CallFailure::ConnectionLost && !Stopped)
--- a/src/core/CrashQuarantine.cpp
+++ b/src/core/CrashQuarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -119,10 +120,21 @@
                                          const Fingerprint &fingerprint,
                                          WallTime now) {
   removeUnproven(leafName, fingerprint);
-  auto &broken = Leaves[std::string(leafName)].BrokenAttempts;
-  if (broken.size() >= MaxBrokenAttemptsKept)
-    broken.erase(broken.begin());
-  broken.push_back({fingerprint, now});
+  addAttempt(Leaves[std::string(leafName)].BrokenAttempts, fingerprint, now);
+}
+
+void CrashQuarantine::onAbandoned(std::string_view leafName,
+                                  const Fingerprint &fingerprint,
+                                  WallTime now) {
+  removeUnproven(leafName, fingerprint);
+  addAttempt(Leaves[std::string(leafName)].AbandonedAttempts, fingerprint, now);
+}
+
+void CrashQuarantine::addAttempt(std::vector<BrokenAttempt> &attempts,
+                                 const Fingerprint &fingerprint, WallTime now) {
+  if (attempts.size() >= MaxBrokenAttemptsKept)
+    attempts.erase(attempts.begin());
+  attempts.push_back({fingerprint, now});
 }
 
 void CrashQuarantine::onOtherOutcome(std::string_view leafName,
@@ -132,15 +144,17 @@
 
 std::vector<QuarantineRecord>
 CrashQuarantine::onLeafDownOrRestarted(std::string_view leafName, CrashId crash,
-                                       WallTime now) {
+                                       WallTime now, bool wasDraining) {
   const auto it = Leaves.find(std::string(leafName));
   if (it == Leaves.end())
     return {};
-  auto broken = std::move(it->second.BrokenAttempts);
-  it->second.BrokenAttempts.clear();
+  auto broken = std::exchange(it->second.BrokenAttempts, {});
   std::erase_if(broken, [&](const auto &b) {
     return now - b.At > Settings.ConfirmationWindow;
   });
+  for (const auto &attempt : std::exchange(it->second.AbandonedAttempts, {}))
+    if (!wasDraining && now - attempt.At <= Settings.AbandonedWindow)
+      broken.push_back(attempt);
   // The crash is not recorded for fingerprints known to be good if an unproven
   // one broke too. If all are known to be good it is recorded for each: the
   // index or the leaf's program may have changed since.
@@ -230,9 +244,11 @@
             [&](const auto &b) { return b.RequestFingerprint == fingerprint; }))
       ++unconfirmed;
   }
-  std::erase_if(Leaves, [](const auto &entry) {
-    return entry.second.Unproven.empty() && entry.second.BrokenAttempts.empty();
-  });
+  for (auto &[name, leaf] : Leaves)
+    std::erase_if(leaf.AbandonedAttempts, [&](const auto &it) {
+      return now - it.At > Settings.AbandonedWindow;
+    });
+  std::erase_if(Leaves, [](const auto &entry) { return entry.second.empty(); });
   return unconfirmed;
 }
 
@@ -245,7 +261,7 @@
   if (const auto it = std::find(unproven.begin(), unproven.end(), fingerprint);
       it != unproven.end())
     unproven.erase(it);
-  if (unproven.empty() && leaf->second.BrokenAttempts.empty())
+  if (leaf->second.empty())
     Leaves.erase(leaf);
 }
 
--- a/tests/unit-crash-quarantine.cpp
+++ b/tests/unit-crash-quarantine.cpp
@@ -73,6 +73,32 @@
   EXPECT_EQ(permission(host, Harmless, Start + 3s), RunPermission::Suspect);
 }
 
+/// Guards against a search that ends each leaf which runs it and is never
+/// refused, since its deadline passes or another leaf answers before.
+TEST(CrashQuarantine, AnAttemptThatItsHostGaveUpCountsIfItsLeafEnds) {
+  CrashQuarantine host({});
+  for (const CrashId id : {1U, 2U}) {
+    const auto leaf = "leaf-" + std::to_string(id);
+    host.onStart(leaf, Poison);
+    host.onAbandoned(leaf, Poison, Start);
+    EXPECT_NE(permission(host, Poison, Start), RunPermission::Refused);
+    EXPECT_EQ(host.onLeafDownOrRestarted(leaf, id, Start + 1s).size(), 1U);
+  }
+  EXPECT_EQ(permission(host, Poison, Start + 1s), RunPermission::Refused);
+}
+
+/// Guards against searches that are refused since leaves ended later, or as
+/// planned.
+TEST(CrashQuarantine, AnAttemptThatItsHostGaveUpIsForgottenInTime) {
+  CrashQuarantine host({});
+  host.onAbandoned("leaf-1", Harmless, Start);
+  EXPECT_TRUE(host.onLeafDownOrRestarted("leaf-1", 1, Start + 4s).empty());
+  host.onAbandoned("leaf-2", Harmless, Start);
+  EXPECT_TRUE(
+      host.onLeafDownOrRestarted("leaf-2", 2, Start + 1s, true).empty());
+  EXPECT_EQ(permission(host, Harmless, Start + 5s), RunPermission::Canary);
+}
+
 TEST(CrashQuarantine, ACrashIsRecordedOnceHoweverManyConnectionsBreak) {
   CrashQuarantine host({});
   for (int n = 0; n < 5; ++n)
