Count runs that a host ends itself if their leaves end of them

Cause: a run counted only if a connection broke under it. When the caller leaves, the deadline passes or another leaf answers a hedge first, the host closes the connection itself, and CrashTracker never heard of the leaf.

ServiceCall now names the leaves that may still run the request, and CrashTracker keeps these runs until a second after the request's deadline, and 8 s more for the news. A leaf counts against the run if its process has ended by then: nothing listens at its address, or another run is there. This is looked at when its entry goes, a connection to it is refused or breaks, or an idle one is closed before its time; leaves that are leaving aren't looked at, and one that has answered after that second has outlived the run. No connection is opened for runs that nothing speaks against. While a request is on probation its leaves are tried until the second is over, and the trial stays open until then, so that none follows before.

An answer clears a request only once the leaves of its lost hedges have outlived it. Runs that began before any leaf was known to have ended are in one round, so that leaves that end together refuse no harmless request.

--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::size_t MaxUnproven = 4096;
+constexpr std::size_t MaxUnfinished = 4096;
 /// Keeps the entries of hosts small.
 constexpr std::size_t MaxRecords = 96;
 constexpr std::size_t MaxAnswers = 32;
@@ -33,13 +34,13 @@
   return {outcome.Fingerprint, id, UINT32_MAX, 0, {}};
 }
 
-void addBreak(FatalRun &run, const RunBreak &it) {
-  run.FirstRound = std::min(run.FirstRound, it.Round);
-  run.LastRound = std::max(run.LastRound, it.Round);
+void addEnd(FatalRun &run, std::uint32_t round, core::ServiceHash service) {
+  run.FirstRound = std::min(run.FirstRound, round);
+  run.LastRound = std::max(run.LastRound, round);
   auto &services = run.Services;
   if (services.size() < FatalRun::MaxServices &&
-      std::find(services.begin(), services.end(), it.Service) == services.end())
-    services.push_back(it.Service);
+      std::find(services.begin(), services.end(), service) == services.end())
+    services.push_back(service);
 }
 
 } // namespace
@@ -57,7 +58,7 @@
 
 TrialPermit::~TrialPermit() {
   if (const auto tracker = Tracker.lock())
-    (*tracker)->onPermitEnd(RequestFingerprint, Relayed,
+    (*tracker)->onPermitEnd(RequestFingerprint, RelayedUntil,
                             std::chrono::steady_clock::now());
 }
 
@@ -123,15 +124,39 @@
   });
 }
 
+std::optional<TimePoint>
+CrashTracker::unfinishedUntil(const core::Fingerprint &fingerprint,
+                              const OwnTrial &trial) const {
+  const auto it = Unfinished.find(fingerprint);
+  if (it == Unfinished.end())
+    return std::nullopt;
+  std::optional<TimePoint> until;
+  for (const UnfinishedRun &run : it->second)
+    if (run.Id == trial.RunId)
+      for (const RunRest &rest : run.Outcome.Rest)
+        until = std::max(until.value_or(TimePoint::min()), rest.Until);
+  return until;
+}
+
 void CrashTracker::onPermitEnd(const core::Fingerprint &fingerprint,
-                               bool relayed, TimePoint now) {
+                               std::optional<TimePoint> relayedUntil,
+                               TimePoint now) {
   const auto it = OwnTrials.find(fingerprint);
   if (it == OwnTrials.end())
     return;
+  std::optional<TimePoint> settledAt;
+  const auto settleAfter = [&settledAt](TimePoint at) {
+    settledAt = std::max(settledAt.value_or(at), at);
+  };
   if (isUnproven(fingerprint, it->second))
-    it->second.SettledAt = now + core::CrashTrials::SettleTime;
-  else if (relayed)
-    it->second.SettledAt = now + RelayProofPeriod;
+    settleAfter(now + core::CrashTrials::SettleTime);
+  if (relayedUntil)
+    settleAfter(std::max(now, *relayedUntil) + RelayProofPeriod);
+  // The last try is made when the time is over.
+  if (const auto until = unfinishedUntil(fingerprint, it->second))
+    settleAfter(*until + ProofPeriod);
+  if (settledAt)
+    it->second.SettledAt = *settledAt;
   else
     closeTrial(fingerprint, now);
 }
@@ -196,7 +221,7 @@
     FatalRun run = fatalRun(broken.Outcome, broken.Id);
     for (const RunBreak &it : broken.Outcome.Breaks)
       if (looksEnded(it))
-        addBreak(run, it);
+        addEnd(run, it.Round, it.Service);
     if (run.LastRound > 0)
       runs.push_back(std::move(run));
   }
@@ -214,23 +239,87 @@
   return round;
 }
 
-void CrashTracker::onRunEnd(RunOutcome outcome, TimePoint now) {
-  if (!outcome.Answered.empty()) {
-    clearUnproven(outcome);
-    auto cleared = Ledger.clear(outcome.Fingerprint, outcome.Answered);
-    if (!cleared.empty()) {
-      support::LogLine("crash_runs_cleared")
-          .with("fingerprint", outcome.Fingerprint.High)
-          .with("request", outcome.RequestId)
-          .with("runs", cleared.size());
-      Answers.push_back({outcome.Fingerprint, QuarantineEvent::Success, 0,
-                         core::steadyTimeAsWallTime(now)});
-      if (Answers.size() > MaxAnswers)
-        Answers.pop_front();
-      if (OnCleared)
-        OnCleared(cleared);
-    }
+void CrashTracker::clearAnswered(const RunOutcome &outcome, TimePoint now) {
+  clearUnproven(outcome);
+  auto cleared = Ledger.clear(outcome.Fingerprint, outcome.Answered);
+  if (cleared.empty())
+    return;
+  support::LogLine("crash_runs_cleared")
+      .with("fingerprint", outcome.Fingerprint.High)
+      .with("request", outcome.RequestId)
+      .with("runs", cleared.size());
+  Answers.push_back({outcome.Fingerprint, QuarantineEvent::Success, 0,
+                     core::steadyTimeAsWallTime(now)});
+  if (Answers.size() > MaxAnswers)
+    Answers.pop_front();
+  if (OnCleared)
+    OnCleared(cleared);
+}
+
+void CrashTracker::addUnfinished(const RunOutcome &outcome, std::uint64_t id,
+                                 TimePoint now) {
+  if (UnfinishedCount >= MaxUnfinished) {
+    if (LogBudget.allowLine(now))
+      support::LogLine("unfinished_runs_forgotten")
+          .with("runs", 1)
+          .with("why", "too many unfinished runs");
+    return;
   }
+  ++UnfinishedCount;
+  UnfinishedRun run{outcome, id};
+  run.Outcome.Breaks.clear();
+  for (const RunRest &it : outcome.Rest)
+    run.Round = std::max(run.Round, it.Round);
+  Unfinished[outcome.Fingerprint].push_back(std::move(run));
+}
+
+std::optional<FatalRun> CrashTracker::judge(UnfinishedRun &run, TimePoint now) {
+  FatalRun fatal = fatalRun(run.Outcome, run.Id);
+  std::erase_if(run.Outcome.Rest, [&](const RunRest &it) {
+    const bool outlived = it.Leaf->AliveAt > it.Until;
+    if (it.Leaf->hasEnded() && !outlived) {
+      addEnd(fatal, it.Round, it.Service);
+      run.Outcome.Answered.erase(it.Service);
+      return true;
+    }
+    return outlived || now > it.Until + EvidencePeriod;
+  });
+  return fatal.LastRound > 0 ? std::optional(fatal) : std::nullopt;
+}
+
+void CrashTracker::settleUnfinished(TimePoint now) {
+  std::vector<FatalRun> found;
+  std::vector<RunOutcome> answered;
+  for (auto &[fingerprint, runs] : Unfinished)
+    std::erase_if(runs, [&](UnfinishedRun &run) {
+      if (auto fatal = judge(run, now))
+        found.push_back(std::move(*fatal));
+      if (!run.Outcome.Rest.empty())
+        return false;
+      // A success doesn't clear the runs that came after it.
+      if (!run.Outcome.Answered.empty() &&
+          Ledger.nextRound(run.Outcome.Fingerprint) <= run.Round)
+        answered.push_back(std::move(run.Outcome));
+      --UnfinishedCount;
+      return true;
+    });
+  std::erase_if(Unfinished, [](const auto &it) { return it.second.empty(); });
+  for (const FatalRun &run : found)
+    addFatal(run, now);
+  for (const RunOutcome &outcome : answered)
+    clearAnswered(outcome, now);
+}
+
+void CrashTracker::onRunEnd(RunOutcome outcome, TimePoint now) {
+  // Derived from the request's id, so that a run counts once, however many
+  // hosts took part in it.
+  const auto id = core::makeCrashId(outcome.RequestId, 0);
+  if (!outcome.Rest.empty())
+    addUnfinished(outcome, id, now);
+  for (const RunRest &it : outcome.Rest)
+    outcome.Answered.erase(it.Service);
+  if (!outcome.Answered.empty())
+    clearAnswered(outcome, now);
   if (outcome.Breaks.empty())
     return;
   if (Unproven.size() >= MaxUnproven) {
@@ -246,9 +335,6 @@
         .with("fingerprint", outcome.Fingerprint.High)
         .with("breaks", outcome.Breaks.size())
         .with("round", outcome.Breaks.front().Round);
-  // Derived from the request's id, so that a run counts once, however many
-  // hosts took part in it.
-  const auto id = core::makeCrashId(outcome.RequestId, 0);
   Unproven.push_back({std::move(outcome), id, now});
 }
 
@@ -261,13 +347,25 @@
     });
     return run.Outcome.Breaks.empty();
   });
+  const auto it = Unfinished.find(answered.Fingerprint);
+  if (it == Unfinished.end())
+    return;
+  std::erase_if(it->second, [&](UnfinishedRun &run) {
+    std::erase_if(run.Outcome.Rest, [&](const RunRest &rest) {
+      return answered.Answered.contains(rest.Service);
+    });
+    UnfinishedCount -= run.Outcome.Rest.empty() ? 1 : 0;
+    return run.Outcome.Rest.empty();
+  });
+  if (it->second.empty())
+    Unfinished.erase(it);
 }
 
 std::optional<FatalRun> CrashTracker::proveFatal(const BrokenRun &run) {
   FatalRun fatal = fatalRun(run.Outcome, run.Id);
   for (const RunBreak &it : run.Outcome.Breaks)
-    if (it.Leaf->Sign == LeafSign::Ended || it.Leaf->Sign == LeafSign::Refuses)
-      addBreak(fatal, it);
+    if (it.Leaf->hasEnded())
+      addEnd(fatal, it.Round, it.Service);
   return fatal.LastRound > 0 ? std::optional(fatal) : std::nullopt;
 }
 
@@ -289,16 +387,20 @@
     support::LogLine("leaf_breaks_forgotten")
         .with("runs", forgotten)
         .with("why", "no leaf has ended");
-  for (const FatalRun &run : found) {
-    if (!Ledger.add(run, now))
-      continue;
-    logQuarantine(run, "run", now);
-    if (OnFound)
-      OnFound(run);
-  }
+  for (const FatalRun &run : found)
+    addFatal(run, now);
+  settleUnfinished(now);
   settleTrials(now);
 }
 
+void CrashTracker::addFatal(const FatalRun &run, TimePoint now) {
+  if (!Ledger.add(run, now))
+    return;
+  logQuarantine(run, "run", now);
+  if (OnFound)
+    OnFound(run);
+}
+
 void CrashTracker::addHeard(const FatalRun &run, TimePoint now) {
   if (Ledger.add(run, now))
     logQuarantine(run, "host", now);
--- a/src/entry/CrashTracker.h
+++ b/src/entry/CrashTracker.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <tl/expected.hpp>
@@ -42,14 +43,27 @@
   std::uint32_t Round = 1;
 };
 
+/// @brief A leaf that may run a request after its host has ended the run.
+struct RunRest {
+  std::shared_ptr<const leaf::SuspectedLeaf> Leaf;
+  core::ServiceHash Service = 0;
+  /// Round in which the request was sent to the leaf.
+  std::uint32_t Round = 1;
+  /// Time after which the end of the leaf isn't put down to the request.
+  core::TimePoint Until;
+};
+
 /// @brief How a run of a request ended, for the detection of crashes.
 struct RunOutcome {
   core::Fingerprint Fingerprint;
   std::string RequestId;
   /// Breaks in calls that got no successful answer.
   std::vector<RunBreak> Breaks{};
-  /// Services that answered successfully.
+  /// Services that answered successfully. They clear the request, unless
+  /// another of their leaves may still run it.
   std::set<core::ServiceHash> Answered{};
+  /// Leaves that may still run it.
+  std::vector<RunRest> Rest{};
 };
 
 class CrashTracker;
@@ -67,12 +81,13 @@
 
   /// @brief Other hosts may have run the request, which report on their leaves
   /// themselves.
-  void onRelayed() { Relayed = true; }
+  /// @param runsUntil when their leaves stop to work on it at the latest
+  void onRelayed(core::TimePoint runsUntil) { RelayedUntil = runsUntil; }
 
 private:
   std::weak_ptr<CrashTracker *> Tracker;
   core::Fingerprint RequestFingerprint;
-  bool Relayed = false;
+  std::optional<core::TimePoint> RelayedUntil;
 };
 
 /// @brief Finds the runs in which leaves ended and quarantines their requests.
@@ -108,6 +123,10 @@
   /// entries lapse after seconds, and many at once are held.
   static constexpr std::chrono::milliseconds EvidencePeriod{8000};
 
+  /// Time from a request's deadline for which the end of a leaf that may still
+  /// run it is put down to it.
+  static constexpr std::chrono::milliseconds RestPeriod{1000};
+
   /// Time from a run's end after which the hosts that it was relayed to have
   /// published that leaves ended, if any did.
   static constexpr std::chrono::milliseconds RelayProofPeriod{1500};
@@ -144,8 +163,10 @@
                    const PermitHandler &onDecided);
 
   /// @brief A permit has ended; its run, if there was one, has been recorded.
-  /// @param relayed whether other hosts may have run the request
-  void onPermitEnd(const core::Fingerprint &fingerprint, bool relayed,
+  /// @param relayedUntil if other hosts may have run the request, when their
+  /// leaves stop to work on it at the latest
+  void onPermitEnd(const core::Fingerprint &fingerprint,
+                   std::optional<core::TimePoint> relayedUntil,
                    core::TimePoint now);
 
   /// @brief Checks whether a request is quarantined.
@@ -205,7 +226,31 @@
     core::TimePoint SettledAt = core::TimePoint::max();
   };
 
+  /// A run that the host has ended while leaves may run the request.
+  struct UnfinishedRun {
+    RunOutcome Outcome;
+    std::uint64_t Id = 0;
+    /// Round of its last leaf.
+    std::uint32_t Round = 0;
+  };
+
   static std::optional<core::FatalRun> proveFatal(const BrokenRun &run);
+  void addUnfinished(const RunOutcome &outcome, std::uint64_t id,
+                     core::TimePoint now);
+  /// Counts unfinished runs under which leaves have ended, and drops those
+  /// whose leaves have outlived them.
+  void settleUnfinished(core::TimePoint now);
+  /// Takes what is known of a run's leaves.
+  /// @return the run if one has ended of it
+  static std::optional<core::FatalRun> judge(UnfinishedRun &run,
+                                             core::TimePoint now);
+  void clearAnswered(const RunOutcome &outcome, core::TimePoint now);
+  void addFatal(const core::FatalRun &run, core::TimePoint now);
+  /// When it is known at the latest whether leaves end of a trial's run that
+  /// its host has ended; nothing if it is known.
+  std::optional<core::TimePoint>
+  unfinishedUntil(const core::Fingerprint &fingerprint,
+                  const OwnTrial &trial) const;
   std::vector<core::FatalRun>
   likelyFatal(const core::Fingerprint &fingerprint) const;
   void closeTrial(const core::Fingerprint &fingerprint, core::TimePoint now);
@@ -223,6 +268,10 @@
 
   /// Oldest first.
   std::deque<BrokenRun> Unproven;
+  std::unordered_map<core::Fingerprint, std::vector<UnfinishedRun>,
+                     core::FingerprintHash>
+      Unfinished;
+  std::size_t UnfinishedCount = 0;
   core::CrashLedger Ledger;
   core::CrashTrials Trials;
   std::map<core::Fingerprint, OwnTrial> OwnTrials;
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -205,6 +205,7 @@
   for (const ServiceCallPtr &call : moved) {
     MayHaveRunBefore |= call->mayHaveRun();
     call->cancel();
+    ReplacedCalls.push_back(call);
   }
   Calls = std::move(kept);
   Relays.push_back(std::move(*forward));
@@ -441,15 +442,10 @@
   Recorder.onFinished(*Context, Calls, shardTally(), status, outcome);
   // Relays are left out: the other host reports the outcome of its own leaves.
   RunOutcome run{Context->Fingerprint, Context->RequestId};
-  for (const auto &call : Calls) {
-    const auto service = core::hashService(call->serviceName());
-    if (call->succeeded()) {
-      run.Answered.insert(service);
-      continue;
-    }
-    for (const leaf::LeafBreak &it : call->breaks())
-      run.Breaks.push_back({it.Leaf, service, Round + it.EarlierBreaks});
-  }
+  for (const auto &call : Calls)
+    addOutcome(*call, run);
+  for (const auto &call : ReplacedCalls)
+    addOutcome(*call, run);
   Tracker.onRunEnd(std::move(run), SteadyClock::now());
   if (!Permit)
     return;
@@ -462,10 +458,36 @@
       std::any_of(Relays.begin(), Relays.end(), [](const auto &it) {
         return it.Call && it.Call->mayHaveRun();
       }))
-    Permit->onRelayed();
+    Permit->onRelayed(allRelaysAnswered() ? SteadyClock::now()
+                                          : Context->Deadline);
   Permit.reset();
 }
 
+bool RequestRun::allRelaysAnswered() const {
+  return std::all_of(Relays.begin(), Relays.end(), [](const Relay &it) {
+    return !it.Call || it.Call->end() == CallEnd::Answered;
+  });
+}
+
+void RequestRun::addOutcome(const ServiceCall &call, RunOutcome &run) const {
+  const auto service = core::hashService(call.serviceName());
+  const bool onProbation =
+      !call.abandonedRuns().empty() &&
+      (Permit || Tracker.onProbation(Context->Fingerprint));
+  for (const leaf::AbandonedRun &it : call.abandonedRuns()) {
+    const auto until = Context->Deadline + CrashTracker::RestPeriod;
+    run.Rest.push_back({it.Ending, service, Round + it.EarlierBreaks, until});
+    // Others wait for the verdict.
+    if (onProbation)
+      Context->Leaves.checkEnding(*it.Target, until);
+  }
+  if (call.succeeded())
+    run.Answered.insert(service);
+  else
+    for (const leaf::LeafBreak &it : call.breaks())
+      run.Breaks.push_back({it.Leaf, service, Round + it.EarlierBreaks});
+}
+
 void RequestRun::runDueActions(TimePoint now) {
   // Copies, since a call that ends may start others and release itself.
   std::vector<ServiceCallPtr> calls = Calls;
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -130,6 +130,10 @@
   void finishIncomplete(core::TimePoint now);
   void finish(CallerAnswer answer, const char *outcome);
   void recordOutcome(unsigned status, const char *outcome);
+  /// Whether the hosts of all relays have answered. Requires their end.
+  bool allRelaysAnswered() const;
+  /// Adds what the leaves of a call have done to the outcome.
+  void addOutcome(const leaf::ServiceCall &call, RunOutcome &run) const;
   core::ShardCounts shardTally() const;
   /// Wait that a refusal states.
   std::chrono::milliseconds retryAfter() const;
@@ -151,6 +155,8 @@
   CrashTracker::PermitPtr Permit;
   boost::asio::steady_timer Timer;
   std::vector<ServiceCallPtr> Calls;
+  /// Calls that forwards have replaced.
+  std::vector<ServiceCallPtr> ReplacedCalls;
   std::vector<Relay> Relays;
   core::TimePoint TimerExpiry = core::TimePoint::max();
   /// Round of its first attempts, see @ref core::CrashLedger.
--- a/src/leaf/Leaf.cpp
+++ b/src/leaf/Leaf.cpp
@@ -96,6 +96,16 @@
       connection->cancelConnect();
 }
 
+std::shared_ptr<SuspectedLeaf> Leaf::watchEnding() {
+  auto ending = Ending.lock();
+  if (!ending) {
+    ending = std::make_shared<SuspectedLeaf>(
+        SuspectedLeaf{.Run = run(), .Sign = LeafSign::None});
+    Ending = ending;
+  }
+  return ending;
+}
+
 bool Leaf::hasFreeConnection() const {
   return !Idle.empty() || ConnectionCount < MaxConnections;
 }
@@ -119,6 +129,10 @@
           --self->ConnectionCount;
       },
       Memory);
+  connection->onUnexpectedClose([weak = weak_from_this()] {
+    if (const auto self = weak.lock(); self && self->OnUnexpectedClose)
+      self->OnUnexpectedClose();
+  });
   std::erase_if(Connecting, [](const auto &it) {
     const auto other = it.lock();
     return !other || !other->connecting();
--- a/src/leaf/Leaf.h
+++ b/src/leaf/Leaf.h
@@ -8,10 +8,12 @@
 #include <utility>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <vector>
 
 #include "leaf/LeafConnection.h"
+#include "leaf/LeafEndings.h"
 #include "savorytrestle/core/DepartedLeaves.h"
 #include "savorytrestle/core/LeafEntry.h"
 #include "savorytrestle/core/LeafSilence.h"
@@ -113,6 +115,25 @@
   /// @brief Returns a connection to the pool, if it can carry further requests.
   void releaseConnection(std::shared_ptr<LeafConnection> connection);
 
+  /// @brief What is known of the end of the leaf's process, for a request that
+  /// this host has stopped to wait for. Kept while it is held.
+  std::shared_ptr<SuspectedLeaf> watchEnding();
+
+  /// @brief The same, if it is held; else null.
+  std::shared_ptr<SuspectedLeaf> watchedEnding() const { return Ending.lock(); }
+
+  /// @brief Records that the leaf's process has answered.
+  void onAnswered(core::TimePoint now) {
+    if (const auto ending = Ending.lock())
+      ending->AliveAt = now;
+  }
+
+  /// @brief Sets what is called if the leaf closes an idle connection before
+  /// its time, as its process does when it ends.
+  void onUnexpectedClose(std::function<void()> handler) {
+    OnUnexpectedClose = std::move(handler);
+  }
+
   /// @brief Time in which the leaf wants no requests.
   core::LeafSilence &silence() { return Demands.Silence; }
   const core::LeafSilence &silence() const { return Demands.Silence; }
@@ -178,6 +199,8 @@
   core::LeafScore Score;
   std::shared_ptr<AnswerMemory> Memory;
   LeafDemands Demands;
+  std::weak_ptr<SuspectedLeaf> Ending;
+  std::function<void()> OnUnexpectedClose;
   std::vector<std::shared_ptr<LeafConnection>> Idle;
   /// Connections that may still be being established.
   std::vector<std::weak_ptr<LeafConnection>> Connecting;
--- a/src/leaf/LeafConnection.cpp
+++ b/src/leaf/LeafConnection.cpp
@@ -124,8 +124,14 @@
     Open = false;
     return finishAnswer();
   }
-  if (ec)
-    return fail(Delivery::Broken, "read: " + ec.message());
+  if (ec) {
+    const bool unexpected =
+        !OnReply && std::chrono::steady_clock::now() - IdleSince < KeepAlive;
+    fail(Delivery::Broken, "read: " + ec.message());
+    if (unexpected && OnUnexpectedClose)
+      OnUnexpectedClose();
+    return;
+  }
   Buffer.commit(n);
   if (!OnReply)
     return fail(Delivery::Broken, "leaf sent bytes without a pending request");
--- a/src/leaf/LeafConnection.h
+++ b/src/leaf/LeafConnection.h
@@ -68,6 +68,12 @@
   LeafConnection(boost::asio::io_context &context, CloseHandler onClose,
                  std::shared_ptr<AnswerMemory> memory);
 
+  /// @brief Sets what is called if the leaf closes the connection while it
+  /// carries no request, before its idle time-out.
+  void onUnexpectedClose(CloseHandler handler) {
+    OnUnexpectedClose = std::move(handler);
+  }
+
   /// @brief Sends a request; connects first if the connection isn't open.
   /// @param address the leaf's address
   /// @param request the request
@@ -124,6 +130,7 @@
   LeafRequest Request;
   ReplyHandler OnReply;
   CloseHandler OnClose;
+  CloseHandler OnUnexpectedClose;
   std::shared_ptr<AnswerMemory> Memory;
   /// Bytes received of the current answer.
   std::size_t AnswerBytes = 0;
--- a/src/leaf/LeafDirectory.cpp
+++ b/src/leaf/LeafDirectory.cpp
@@ -104,6 +104,10 @@
       applyDomain(*it->second);
       return;
     }
+    // Another run has taken its place.
+    if (const auto ending = it->second->watchedEnding();
+        ending && !Departed.contains(it->second->run()))
+      ending->Sign = LeafSign::Ended;
     removeLeaf(entry.Id);
   }
   boost::asio::ip::tcp::endpoint address;
@@ -126,6 +130,10 @@
     leaf->rateLimit().set(it->second, SteadyClock::now());
     logRateLimit(*leaf, "host");
   }
+  leaf->onUnexpectedClose([this, weak = std::weak_ptr(leaf)] {
+    if (const auto it = weak.lock())
+      checkEnding(*it);
+  });
   Service &owner = service(entry.Service);
   setShares(owner, *leaf);
   owner.Leaves.push_back(leaf);
@@ -139,6 +147,8 @@
     return;
   ++Generation;
   Endings.onEnded(it->second->run());
+  // Its process may go on for a while.
+  checkEnding(*it->second);
   keepDemands(*it->second);
   it->second->retire();
   eraseLeaf(service(it->second->entry().Service).Leaves, it->second.get());
@@ -170,11 +180,21 @@
 
 void LeafDirectory::onReplaced(Leaf &leaf) {
   Endings.onEnded(leaf.run());
+  if (const auto ending = leaf.watchedEnding();
+      ending && !Departed.contains(leaf.run()))
+    ending->Sign = LeafSign::Ended;
   leaf.retire();
 }
 
-std::shared_ptr<const SuspectedLeaf>
-LeafDirectory::suspectEnding(const Leaf &leaf) {
+void LeafDirectory::checkEnding(Leaf &leaf, core::TimePoint until) {
+  // The process of a leaf that is leaving ends anyway.
+  if (const auto ending = leaf.watchedEnding();
+      ending && !Departed.contains(leaf.run()))
+    Endings.check(ending, leaf.address(), until);
+}
+
+std::shared_ptr<const SuspectedLeaf> LeafDirectory::suspectEnding(Leaf &leaf) {
+  checkEnding(leaf);
   const auto it = ById.find(leaf.entry().Id);
   const bool replaced =
       it == ById.end()
--- a/src/leaf/LeafDirectory.h
+++ b/src/leaf/LeafDirectory.h
@@ -100,7 +100,13 @@
 
   /// @brief A connection to a leaf broke while it carried a request.
   /// @return what is known of the leaf's process since; changes with time
-  std::shared_ptr<const SuspectedLeaf> suspectEnding(const Leaf &leaf);
+  std::shared_ptr<const SuspectedLeaf> suspectEnding(Leaf &leaf);
+
+  /// @brief Finds out whether a leaf's process has ended, if a request that
+  /// this host has stopped to wait for may still run on it. The process of a
+  /// leaf that is leaving isn't looked at.
+  /// @param until for how long to look; once if it has passed
+  void checkEnding(Leaf &leaf, core::TimePoint until = {});
 
   /// @brief Sends no new requests to a leaf that said that it is leaving. The
   /// knowledge outlives its entry and ends with the run of its process.
--- a/src/leaf/LeafEndings.cpp
+++ b/src/leaf/LeafEndings.cpp
@@ -50,7 +50,8 @@
                                   known->Sign != LeafSign::Accepts &&
                                   known->Sign != LeafSign::Silent)
       return known;
-  const auto suspect = std::make_shared<SuspectedLeaf>(SuspectedLeaf{run});
+  const auto suspect =
+      std::make_shared<SuspectedLeaf>(SuspectedLeaf{.Run = run});
   Suspects.push_back(suspect);
   if (replaced)
     suspect->Sign = LeafSign::Ended;
@@ -61,33 +62,66 @@
   return suspect;
 }
 
-void LeafEndings::tryConnection(const std::shared_ptr<SuspectedLeaf> &suspect,
-                                const tcp::endpoint &address, bool isFirst) {
+template <typename F>
+void LeafEndings::tryAfter(std::chrono::milliseconds delay,
+                           const tcp::endpoint &address, F onTried) {
   ++Tries;
   const auto attempt = std::make_shared<ConnectionTry>(Io);
-  attempt->Timeout.expires_after(isFirst ? FirstTryDelay : NextTryDelay);
-  attempt->Timeout.async_wait(
-      [this, suspect, address, attempt, isFirst](error_code ec) {
-        if (ec)
-          return;
-        attempt->Socket.async_connect(address, [this, suspect, address, attempt,
-                                                isFirst](error_code result) {
-          attempt->Timeout.cancel();
-          onTried(suspect, address, signOf(result), isFirst);
-        });
-        attempt->Timeout.expires_after(ConnectTimeout);
-        attempt->Timeout.async_wait([attempt](error_code cancelled) {
-          error_code ignored; // the handler of the connection sees an error
-          if (!cancelled)
-            attempt->Socket.close(ignored);
-        });
-      });
+  attempt->Timeout.expires_after(delay);
+  attempt->Timeout.async_wait([this, address, attempt, onTried](error_code ec) {
+    if (ec)
+      return;
+    attempt->Socket.async_connect(address,
+                                  [this, attempt, onTried](error_code result) {
+                                    --Tries;
+                                    attempt->Timeout.cancel();
+                                    onTried(signOf(result));
+                                  });
+    attempt->Timeout.expires_after(ConnectTimeout);
+    attempt->Timeout.async_wait([attempt](error_code cancelled) {
+      error_code ignored; // the handler of the connection sees an error
+      if (!cancelled)
+        attempt->Socket.close(ignored);
+    });
+  });
+}
+
+void LeafEndings::tryConnection(const std::shared_ptr<SuspectedLeaf> &suspect,
+                                const tcp::endpoint &address, bool isFirst) {
+  tryAfter(isFirst ? FirstTryDelay : NextTryDelay, address,
+           [this, suspect, address, isFirst](LeafSign sign) {
+             onTried(suspect, address, sign, isFirst);
+           });
+}
+
+void LeafEndings::check(const std::shared_ptr<SuspectedLeaf> &leaf,
+                        const tcp::endpoint &address, core::TimePoint until) {
+  if (leaf->BeingTried || leaf->hasEnded() || Tries >= MaxTries)
+    return;
+  leaf->BeingTried = true;
+  checkOnce(leaf, address, until, 0);
+}
+
+void LeafEndings::checkOnce(const std::shared_ptr<SuspectedLeaf> &leaf,
+                            const tcp::endpoint &address, core::TimePoint until,
+                            int tries) {
+  tryAfter(tries == 0 ? FirstTryDelay : NextTryDelay, address,
+           [this, leaf, address, until, tries](LeafSign sign) {
+             constexpr int LeastTries = 2;
+             const auto now = std::chrono::steady_clock::now();
+             if (sign == LeafSign::Refuses && leaf->Sign != LeafSign::Ended)
+               leaf->Sign = sign;
+             if (sign == LeafSign::Accepts)
+               leaf->AliveAt = now;
+             if (!leaf->hasEnded() && (tries + 1 < LeastTries || now < until))
+               return checkOnce(leaf, address, until, tries + 1);
+             leaf->BeingTried = false;
+           });
 }
 
 void LeafEndings::onTried(const std::shared_ptr<SuspectedLeaf> &suspect,
                           const tcp::endpoint &address, LeafSign sign,
                           bool isFirst) {
-  --Tries;
   if (suspect->Sign != LeafSign::Ended)
     suspect->Sign = sign;
   if (isFirst && sign != LeafSign::Refuses)
--- a/src/leaf/LeafEndings.h
+++ b/src/leaf/LeafEndings.h
@@ -3,7 +3,8 @@
 
 /// @file
 /// @brief Finds out whether a leaf's process has ended after a connection to it
-/// broke, as opposed to the connection alone.
+/// broke, as opposed to the connection alone, or after this host closed one
+/// under a request.
 
 #include <utility>
 
@@ -17,8 +18,10 @@
 
 namespace savorytrestle::leaf {
 
-/// @brief What is known of a leaf's process since a connection to it broke.
+/// @brief What is known of a leaf's process since a connection to it broke, or
+/// was closed by this host.
 enum class LeafSign {
+  None,    ///< nothing shows that it has ended
   Pending, ///< a new connection is being tried
   Silent,  ///< the connection could not be established in time
   Accepts, ///< something listens at the leaf's address
@@ -30,6 +33,15 @@
 struct SuspectedLeaf {
   core::LeafRun Run;
   LeafSign Sign = LeafSign::Pending;
+  /// When the process last answered or accepted a connection.
+  core::TimePoint AliveAt{};
+  /// Whether connections are being tried to find out if it has ended.
+  bool BeingTried = false;
+
+  /// @brief Whether the process is known to have ended.
+  bool hasEnded() const {
+    return Sign == LeafSign::Ended || Sign == LeafSign::Refuses;
+  }
 };
 
 /// @brief Tries connections to leaves and takes in changes of their entries.
@@ -52,6 +64,13 @@
   suspect(const core::LeafRun &run,
           const boost::asio::ip::tcp::endpoint &address, bool replaced);
 
+  /// @brief Tries connections to a leaf that this host has closed some to;
+  /// nothing if it is being tried. Its sign changes only if it has ended.
+  /// @param until when the last try is made; two are made at least
+  void check(const std::shared_ptr<SuspectedLeaf> &leaf,
+             const boost::asio::ip::tcp::endpoint &address,
+             core::TimePoint until = {});
+
   /// @brief The entry of a run has been removed, or a leaf in its place has
   /// answered that it is another one. O(suspects).
   void onEnded(const core::LeafRun &run);
@@ -67,6 +86,13 @@
   void onTried(const std::shared_ptr<SuspectedLeaf> &suspect,
                const boost::asio::ip::tcp::endpoint &address, LeafSign sign,
                bool isFirst);
+  void checkOnce(const std::shared_ptr<SuspectedLeaf> &leaf,
+                 const boost::asio::ip::tcp::endpoint &address,
+                 core::TimePoint until, int tries);
+  /// Tries a connection after a delay.
+  template <typename F>
+  void tryAfter(std::chrono::milliseconds delay,
+                const boost::asio::ip::tcp::endpoint &address, F onTried);
   template <typename F> void forEach(F f);
 
   boost::asio::io_context &Io;
--- a/src/leaf/ServiceCall.cpp
+++ b/src/leaf/ServiceCall.cpp
@@ -110,6 +110,7 @@
   attempt.Target->score().onEnd(attempt.ScoreHandle);
   const auto now = SteadyClock::now();
   if (reply.Result == Delivery::Answered) {
+    attempt.Target->onAnswered(now);
     if (!Context->ToHost) {
       Context->Leaves.link().onAnswer(now);
       if (attempt.Connects)
@@ -296,8 +297,10 @@
 
 void ServiceCall::onUnreachable(const Attempt &attempt, TimePoint now) {
   attempt.Target->score().onUnreachable(now);
-  if (!Context->ToHost)
-    Context->Leaves.link().onConnectFailed(attempt.Target->entry().Id, now);
+  if (Context->ToHost)
+    return;
+  Context->Leaves.checkEnding(*attempt.Target);
+  Context->Leaves.link().onConnectFailed(attempt.Target->entry().Id, now);
 }
 
 void ServiceCall::recordSilence(TimePoint now) {
@@ -341,6 +344,9 @@
   // Nothing has been sent on it.
   if (attempt.Connection->connecting())
     --PossibleExecutions;
+  else if (!Context->ToHost)
+    Abandoned.push_back(
+        {attempt.Target, attempt.Target->watchEnding(), attempt.EarlierBreaks});
   attempt.Target->score().onEnd(attempt.ScoreHandle);
   if (attempt.IsTest)
     attempt.Target->silence().onTestLost();
--- a/src/leaf/ServiceCall.h
+++ b/src/leaf/ServiceCall.h
@@ -64,6 +64,16 @@
   std::uint32_t EarlierBreaks = 0;
 };
 
+/// @brief A leaf that may still run a request whose connection this host has
+/// closed: its caller has left, its deadline has passed, or another leaf has
+/// answered.
+struct AbandonedRun {
+  std::shared_ptr<Leaf> Target;
+  std::shared_ptr<const SuspectedLeaf> Ending;
+  /// Connections that had broken in the same call when the request was sent.
+  std::uint32_t EarlierBreaks = 0;
+};
+
 /// @brief How a call to a service ended.
 enum class CallEnd {
   Answered,       ///< a leaf answered, with any status
@@ -125,6 +135,9 @@
   /// @brief Connections to leaves that broke while they carried the request.
   const std::vector<LeafBreak> &breaks() const { return Breaks; }
 
+  /// @brief Leaves that may still run the request.
+  const std::vector<AbandonedRun> &abandonedRuns() const { return Abandoned; }
+
   /// @brief Leaf whose attempt ended last, attempts, reason of a failure and
   /// service, for logs.
   const std::string &leafId() const { return LeafId; }
@@ -203,6 +216,7 @@
   std::vector<std::shared_ptr<Leaf>> Tried;
   std::vector<core::LeafRun> Leaving;
   std::vector<LeafBreak> Breaks;
+  std::vector<AbandonedRun> Abandoned;
   std::optional<CallEnd> End;
   LeafAnswer Answer;
   std::string LeafId;
--- a/tests/CrashableLeaves.h
+++ b/tests/CrashableLeaves.h
@@ -34,6 +34,10 @@
 
   /// Part of the path of requests that end their leaves.
   static constexpr const char *Deadly = "/deadly";
+  /// The same of those that end them after a while, whether or not the
+  /// connection has been closed.
+  static constexpr const char *DeadlyLate = "/deadly-late";
+  static constexpr std::chrono::milliseconds LateAfter{150};
   /// Time after which a leaf that has ended is back, as another instance.
   static constexpr std::chrono::milliseconds RestartTime{2500};
   /// Time after which the store removes the entry of a leaf that has ended.
@@ -149,6 +153,13 @@
                          "421 Misdirected Request")};
     if (path.find(Deadly) != std::string::npos) {
       Runs.push_back({std::chrono::steady_clock::now(), path, id});
+      if (path.find(DeadlyLate) != std::string::npos) {
+        after(LateAfter, [this, &leaf] {
+          if (leaf.Alive)
+            end(leaf);
+        });
+        return {.Bytes = "", .Delay = std::chrono::hours(1)};
+      }
       end(leaf);
       return {.Bytes = "", .Reset = true};
     }
@@ -196,17 +207,24 @@
   static constexpr std::size_t AllowedRetries = 3;
 
   /// @brief Sends a request to a host.
+  /// @param deadline the request's deadline
+  /// @param leaveAfter time after which the caller closes its connection
   /// @return the status; 0 if there was no answer
-  int send(const NodeProcess &host, std::size_t index,
-           const std::string &path) {
+  int send(const NodeProcess &host, std::size_t index, const std::string &path,
+           std::chrono::milliseconds deadline = std::chrono::milliseconds(1000),
+           std::chrono::milliseconds leaveAfter = std::chrono::seconds(10)) {
     std::string id;
     {
       const std::lock_guard lock(Mutex);
       id = "d" + std::to_string(++Count);
       Sent[id] = {std::chrono::steady_clock::now(), index};
     }
-    return NodeDeployment::sendRequest(host, path, id,
-                                       std::chrono::milliseconds(1000))
+    return NodeDeployment::get(host.CallerAddress, path,
+                               {{"Host", "a.example"},
+                                {"Savorytrestle-Request-Id", id},
+                                {"Savorytrestle-Deadline-Ms",
+                                 std::to_string(deadline.count())}},
+                               leaveAfter)
         .Status;
   }
 
--- a/tests/process-crash-requests.cpp
+++ b/tests/process-crash-requests.cpp
@@ -57,16 +57,20 @@
   }
 
   /// Sends a request again and again, to one host after the other.
-  void repeat(const std::string &path, std::chrono::milliseconds pause) {
+  void repeat(const std::string &path, std::chrono::milliseconds pause,
+              std::chrono::milliseconds deadline = 1s,
+              std::chrono::milliseconds leaveAfter = 10s) {
     Paths.push_back(path);
-    Threads.emplace_back([this, path, pause, first = Paths.size()] {
-      for (std::size_t n = first; !Stopped; ++n) {
-        // Not in a fixed order, so that none meets the same hosts each time.
-        const std::size_t host = n * n % Cluster.Nodes.size();
-        Deadly.send(*Cluster.Nodes[host], host, path);
-        std::this_thread::sleep_for(pause);
-      }
-    });
+    Threads.emplace_back(
+        [this, path, pause, deadline, leaveAfter, first = Paths.size()] {
+          for (std::size_t n = first; !Stopped; ++n) {
+            // Not in a fixed order, so that none meets the same hosts each
+            // time.
+            const std::size_t host = n * n % Cluster.Nodes.size();
+            Deadly.send(*Cluster.Nodes[host], host, path, deadline, leaveAfter);
+            std::this_thread::sleep_for(pause);
+          }
+        });
   }
 
   /// Sends a request to several hosts at the same moment, again and again after
@@ -289,6 +293,27 @@
   expectFewLateRetries();
 }
 
+/// Guards against a request that is never refused, since its caller leaves
+/// before its leaves end.
+TEST_F(CrashRequestsTest, ARequestWhoseCallerLeavesFirstIsRefused) {
+  sendHarmless(40ms);
+  repeat("/read/deadly-late", 300ms, 800ms, CrashableLeaves::LateAfter / 2);
+  repeat("/search/deadly-late", 700ms, 800ms, CrashableLeaves::LateAfter / 2);
+  std::this_thread::sleep_for(14s);
+  expectFewLateRetries();
+  expectHarmlessServed();
+}
+
+/// The same if its deadline passes before.
+TEST_F(CrashRequestsTest, ARequestWhoseDeadlinePassesFirstIsRefused) {
+  sendHarmless(40ms);
+  repeat("/read/deadly-late", 300ms, CrashableLeaves::LateAfter * 2 / 3);
+  repeat("/search/deadly-late", 700ms, CrashableLeaves::LateAfter * 2 / 3);
+  std::this_thread::sleep_for(14s);
+  expectFewLateRetries();
+  expectHarmlessServed();
+}
+
 TEST_F(CrashRequestsTest, OneReadIsRefusedWhileLeavesLoseAnswers) {
   sendHarmless(40ms);
   Leaves.setResetShare(0.08);
--- a/tests/unit-crash-tracker.cpp
+++ b/tests/unit-crash-tracker.cpp
@@ -61,6 +61,27 @@
     }
     return leaves;
   }
+  /// The host ends a run while a leaf may still run the request.
+  /// @param answered whether another leaf of the service has answered
+  /// @return what is known of the leaf, which may run it for a second
+  std::shared_ptr<leaf::SuspectedLeaf> endEarly(const std::string &runId,
+                                                bool answered = false) {
+    auto leaf = std::make_shared<leaf::SuspectedLeaf>();
+    leaf->Sign = LeafSign::None;
+    RunOutcome outcome{RequestFingerprint, runId};
+    outcome.Rest.push_back(
+        {leaf, Service, Tracker.nextRound(RequestFingerprint), Now + 1s});
+    if (answered)
+      outcome.Answered.insert(Service);
+    Tracker.onRunEnd(outcome, Now);
+    return leaf;
+  }
+  /// The leaf's process ends, and the host gets to know it.
+  void endLeaf(leaf::SuspectedLeaf &leaf) {
+    leaf.Sign = LeafSign::Refuses;
+    prove();
+  }
+
   void endAnswered(core::ServiceHash service = Service) {
     Tracker.onRunEnd({RequestFingerprint, "ok", {}, {service}}, Now);
   }
@@ -94,6 +115,67 @@
   EXPECT_EQ(Found.size(), 3U);
 }
 
+/// Guards against a request that ends each leaf which runs it and is never
+/// refused, since its caller leaves or its deadline passes before.
+TEST_F(CrashTrackerTest, RunsThatTheHostEndedCountIfTheirLeavesEnd) {
+  for (const char *run : {"r1", "r2", "r3"}) {
+    EXPECT_FALSE(refused());
+    endLeaf(*endEarly(run));
+  }
+  EXPECT_TRUE(refused());
+  EXPECT_EQ(Found.size(), 3U);
+}
+
+/// Guards against the same with a hedge: another leaf answers each time.
+TEST_F(CrashTrackerTest, RunsWithAnAnswerCountIfAnotherLeafEndsOfThem) {
+  for (const char *run : {"r1", "r2", "r3"})
+    endLeaf(*endEarly(run, true));
+  EXPECT_TRUE(refused());
+}
+
+/// Guards against harmless requests that are refused since leaves that they
+/// were sent to ended later, or together.
+TEST_F(CrashTrackerTest, LeavesThatOutliveARunDontCountAgainstIt) {
+  for (const char *run : {"r1", "r2", "r3"}) {
+    const auto leaf = endEarly(run);
+    leaf->AliveAt = Now + 1001ms;
+    Now += 2s;
+    endLeaf(*leaf);
+  }
+  EXPECT_TRUE(Found.empty());
+  std::vector<std::shared_ptr<leaf::SuspectedLeaf>> together;
+  for (const char *run : {"r4", "r5", "r6", "r7"})
+    together.push_back(endEarly(run));
+  for (const auto &leaf : together)
+    leaf->Sign = LeafSign::Ended;
+  prove();
+  EXPECT_EQ(Found.size(), 4U);
+  EXPECT_FALSE(refused());
+}
+
+TEST_F(CrashTrackerTest, RunsThatTheHostEndedAreForgottenInTime) {
+  const auto leaf = endEarly("r1");
+  Now += 1s + CrashTracker::EvidencePeriod + 1ms;
+  Tracker.settle(Now);
+  endLeaf(*leaf);
+  EXPECT_TRUE(Found.empty());
+}
+
+/// Guards against a harmless request that stays on probation, since a hedge of
+/// the run that cleared it was lost.
+TEST_F(CrashTrackerTest, AnAnswerClearsOnceTheLostHedgesLeafHasOutlivedIt) {
+  endBroken("r1");
+  prove();
+  const auto leaf = endEarly("r2", true);
+  prove();
+  EXPECT_TRUE(Tracker.onProbation(RequestFingerprint));
+  leaf->AliveAt = Now + 2s;
+  Now += 2s;
+  Tracker.settle(Now);
+  EXPECT_FALSE(Tracker.onProbation(RequestFingerprint));
+  EXPECT_EQ(Cleared.size(), 1U);
+}
+
 /// Guards against a request that crashes further leaves while a run is judged.
 TEST_F(CrashTrackerTest, ProvedAndUnprovenRunsCountTogether) {
   endBroken("r1");
@@ -390,6 +472,22 @@
   EXPECT_EQ(Closed[0].Record->Failed, 0U);
 }
 
+/// Guards against trials that follow each other before the leaves of the one
+/// before can have ended.
+TEST_F(CrashTrialTest, ATrialThatTheHostEndedIsWaitedFor) {
+  endBroken("r1");
+  prove();
+  ask();
+  grant();
+  const auto leaf = endEarly("r2");
+  Permit = nullptr;
+  EXPECT_TRUE(Closed.empty());
+  endLeaf(*leaf);
+  ASSERT_EQ(Closed.size(), 1U);
+  ASSERT_TRUE(ClosedWith[0]);
+  EXPECT_EQ(Closed[0].Record->Failed, 1U);
+}
+
 /// The run's leaf is as good as before the break.
 TEST_F(CrashTrialTest, ATrialWhoseLeavesGoOnEndsWithoutARun) {
   endBroken("r1");
@@ -411,10 +509,13 @@
   prove();
   ask();
   grant();
-  Permit->onRelayed();
+  const auto runsUntil = std::chrono::steady_clock::now() + 1s;
+  Permit->onRelayed(runsUntil);
   Permit = nullptr;
+  Now = runsUntil + CrashTracker::RelayProofPeriod - 1ms;
+  Tracker.settle(Now);
   EXPECT_TRUE(Closed.empty());
-  Now = std::chrono::steady_clock::now() + CrashTracker::RelayProofPeriod;
+  Now += 1ms;
   Tracker.settle(Now);
   EXPECT_EQ(Closed.size(), 1U);
 }
