Judge runs that a host has ended by the timer, not with each request

settle() also ran for each request that was checked, and looked at all runs that the host had ended: hundreds under load. The timer's 100 ms suffice for their verdicts; broken runs are still judged with each request.

--- a/src/entry/CrashTracker.cpp
+++ b/src/entry/CrashTracker.cpp
@@ -65,7 +65,7 @@
 std::optional<std::chrono::milliseconds>
 CrashTracker::quarantinedFor(const core::Fingerprint &fingerprint,
                              TimePoint now) {
-  settle(now);
+  settleBroken(now);
   if (Trials.exhausted(fingerprint, now))
     return Trials.recordTimeLeft(fingerprint, now);
   const auto lapsed = Trials.lapsed(fingerprint, now);
@@ -370,6 +370,12 @@
 }
 
 void CrashTracker::settle(TimePoint now) {
+  settleBroken(now);
+  settleUnfinished(now);
+  settleTrials(now);
+}
+
+void CrashTracker::settleBroken(TimePoint now) {
   std::vector<FatalRun> found;
   std::size_t forgotten = 0;
   std::erase_if(Unproven, [&](const BrokenRun &run) {
@@ -389,8 +395,6 @@
         .with("why", "no leaf has ended");
   for (const FatalRun &run : found)
     addFatal(run, now);
-  settleUnfinished(now);
-  settleTrials(now);
 }
 
 void CrashTracker::addFatal(const FatalRun &run, TimePoint now) {
--- a/src/entry/CrashTracker.h
+++ b/src/entry/CrashTracker.h
@@ -244,6 +244,8 @@
   /// @return the run if one has ended of it
   static std::optional<core::FatalRun> judge(UnfinishedRun &run,
                                              core::TimePoint now);
+  /// The part of @ref settle that concerns runs which broke.
+  void settleBroken(core::TimePoint now);
   void clearAnswered(const RunOutcome &outcome, core::TimePoint now);
   void addFatal(const core::FatalRun &run, core::TimePoint now);
   /// When it is known at the latest whether leaves end of a trial's run that
