Refuse a caller's body that doesn't go on for the idle time-out

Found while looking for bytes that hang a host: a request whose body stalled held its connection, and what had come of the body, for good. Only heads and idle connections had a limit. It is refused with 408 now, which is true: the request has not been passed on.

Evidence: CallerSessionTest.ABodyThatStallsIsRefused; it wasn't run on the old code, which has no timeout there.

--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -47,6 +47,10 @@
       now - TimeoutStart > Context->Limits.HeaderTimeout)
     refuse(http::status::request_timeout,
            "request header not received within the header timeout");
+  else if (State == Phase::Receiving && Request->headDone() &&
+           now - LastReadAt > Context->Limits.IdleTimeout)
+    refuse(http::status::request_timeout,
+           "request body not received within the idle timeout");
 }
 
 void CallerSession::closeIfIdle() {
@@ -75,6 +79,7 @@
     return close();
   }
   Buffer.commit(n);
+  LastReadAt = std::chrono::steady_clock::now();
   if (busy()) {
     if (Buffer.size() < MaxReadAhead)
       read();
--- a/src/entry/CallerSession.h
+++ b/src/entry/CallerSession.h
@@ -69,7 +69,8 @@
   void start();
 
   /// @brief Closes the connection if it was idle for too long; answers with 408
-  /// if the request header takes too long.
+  /// if the request header takes too long, or its body doesn't go on for the
+  /// idle time-out.
   /// @param now the current time
   void enforceTimeouts(TimePoint now);
 
@@ -115,6 +116,8 @@
   Phase State = Phase::Idle;
   /// When the connection became idle, or the current request's first byte came.
   TimePoint TimeoutStart{};
+  /// When bytes have last come.
+  TimePoint LastReadAt{};
   /// Number of the current request; a late answer to an earlier one is dropped.
   std::uint64_t RequestNumber = 0;
   bool ReadPending = false;
