Try a trial's leaves to its end also if one is being tried already

Found by reading the diff: a check of a leaf that was under way for another request ended with its two tries, so the leaves of a trial that began meanwhile weren't looked at for the rest of their second.

Evidence: LeafEndingsTest.ALaterCheckProlongsTheOneUnderWay.

--- a/src/leaf/LeafEndings.cpp
+++ b/src/leaf/LeafEndings.cpp
@@ -1,5 +1,7 @@
 #include "leaf/LeafEndings.h"
 
+#include <algorithm>
+
 #include <boost/asio/error.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -96,25 +98,26 @@
 
 void LeafEndings::check(const std::shared_ptr<SuspectedLeaf> &leaf,
                         const tcp::endpoint &address, core::TimePoint until) {
+  leaf->TriedUntil = std::max(leaf->TriedUntil, until);
   if (leaf->BeingTried || leaf->hasEnded() || Tries >= MaxTries)
     return;
   leaf->BeingTried = true;
-  checkOnce(leaf, address, until, 0);
+  checkOnce(leaf, address, 0);
 }
 
 void LeafEndings::checkOnce(const std::shared_ptr<SuspectedLeaf> &leaf,
-                            const tcp::endpoint &address, core::TimePoint until,
-                            int tries) {
+                            const tcp::endpoint &address, int tries) {
   tryAfter(tries == 0 ? FirstTryDelay : NextTryDelay, address,
-           [this, leaf, address, until, tries](LeafSign sign) {
+           [this, leaf, address, tries](LeafSign sign) {
              constexpr int LeastTries = 2;
              const auto now = std::chrono::steady_clock::now();
              if (sign == LeafSign::Refuses && leaf->Sign != LeafSign::Ended)
                leaf->Sign = sign;
              if (sign == LeafSign::Accepts)
                leaf->AliveAt = now;
-             if (!leaf->hasEnded() && (tries + 1 < LeastTries || now < until))
-               return checkOnce(leaf, address, until, tries + 1);
+             if (!leaf->hasEnded() &&
+                 (tries + 1 < LeastTries || now < leaf->TriedUntil))
+               return checkOnce(leaf, address, tries + 1);
              leaf->BeingTried = false;
            });
 }
--- a/src/leaf/LeafEndings.h
+++ b/src/leaf/LeafEndings.h
@@ -35,8 +35,10 @@
   LeafSign Sign = LeafSign::Pending;
   /// When the process last answered or accepted a connection.
   core::TimePoint AliveAt{};
-  /// Whether connections are being tried to find out if it has ended.
+  /// Whether connections are being tried to find out if it has ended, and when
+  /// the last try is made.
   bool BeingTried = false;
+  core::TimePoint TriedUntil{};
 
   /// @brief Whether the process is known to have ended.
   bool hasEnded() const {
@@ -64,8 +66,8 @@
   suspect(const core::LeafRun &run,
           const boost::asio::ip::tcp::endpoint &address, bool replaced);
 
-  /// @brief Tries connections to a leaf that this host has closed some to;
-  /// nothing if it is being tried. Its sign changes only if it has ended.
+  /// @brief Tries connections to a leaf that this host has closed some to. Its
+  /// sign changes only if it has ended.
   /// @param until when the last try is made; two are made at least
   void check(const std::shared_ptr<SuspectedLeaf> &leaf,
              const boost::asio::ip::tcp::endpoint &address,
@@ -87,8 +89,7 @@
                const boost::asio::ip::tcp::endpoint &address, LeafSign sign,
                bool isFirst);
   void checkOnce(const std::shared_ptr<SuspectedLeaf> &leaf,
-                 const boost::asio::ip::tcp::endpoint &address,
-                 core::TimePoint until, int tries);
+                 const boost::asio::ip::tcp::endpoint &address, int tries);
   /// Tries a connection after a delay.
   template <typename F>
   void tryAfter(std::chrono::milliseconds delay,
