Ask the store and other hosts independently, each within a bound

Cause: the mirror had one call in flight, so the time-outs of sources that don't answer added up. A watch that the silent store never answers was given up after 2 s of wait and 1.5 s; the store was then in a backoff of 50 ms, and a host that stands still was asked in its place for 0.6 s and 0.7 s more. Nothing bounded the sum.

Ruled out: the store answers slowly (it answered within 25 ms of the next call); the version is known and applied late (config_in_force is in the same millisecond as store_regained).

Change: core::FeedSchedule decides the calls. The store and the hosts are called independently, at most one call each. A store that has failed is asked again by its own backoff; other hosts are asked beside it, once it has failed for 300 ms. A watch is given up 0.8 s after its wait instead of 1.5 s. A host that follows another one asks the store as soon as its copy is older than healthy sources ever leave it, whatever they do. All waits are derived from the time for a change and the stability (new setting bounds.stability); FeedTiming::inForceAfterChange and inForceAfterReturn are their sums and within both bounds by construction. Replies of two sources may now cross: older changes are not applied after newer ones.

Why it works: after the store's return at most a lost watch (2.8 s) or a lost retry and a backoff (3 s) pass before the store answers, and no call to a host is part of the sum.

Tests: StoreMirrorTest.ASilentStoreAndAHostThatStandsStillDoNotAddUp failed before (not in force 4 s after the store's return) and takes 2.5 s now.

--- a/include/savorytrestle/core/FeedPolicy.h
+++ b/include/savorytrestle/core/FeedPolicy.h
@@ -4,15 +4,14 @@
 /// @file
 /// @brief Which hosts read changes from the platform's store themselves and
 /// which get them from another host, so that the calls to the store do not grow
-/// in proportion to the number of hosts.
+/// in proportion to the number of hosts. When a host calls which source:
+/// FeedSchedule.h.
 
 #include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "savorytrestle/core/Time.h"
-
 namespace savorytrestle::core {
 
 /// @brief A host and its failure domain.
@@ -44,22 +43,6 @@
                   const std::map<std::string, std::string> &regions,
                   const std::vector<FeedHost> &hosts);
 
-/// @brief Times of the feed between hosts, derived from the time in which a
-/// change must be in force.
-struct FeedTiming {
-  /// Derives the times.
-  /// @param configApply time in which a change must be in force everywhere
-  explicit FeedTiming(Duration configApply);
-
-  /// Longest wait of a long poll for changes, by a host that serves others and
-  /// by the hosts that it serves.
-  Duration ShortPollWait;
-  /// Pause after a change, in which further changes are collected.
-  Duration BatchDelay;
-  /// Age past which an answer of another host is discarded.
-  Duration MaxAge;
-};
-
 /// @brief Selects the hosts that collect the reports on leaves of a failure
 /// domain, the preferred one first: the first two by id.
 /// @param own this host
@@ -69,52 +52,6 @@
 std::vector<std::string> planCollectors(const FeedHost &own,
                                         const std::vector<FeedHost> &hosts);
 
-/// @brief Selects the source to use next: the first one that is not in backoff
-/// after a failure.
-class SourceFailover {
-public:
-  /// @brief Bounds of a source's backoff; it doubles with each failure.
-  struct Backoff {
-    Duration Initial{};
-    Duration Max{};
-  };
-
-  /// @brief The source to use and the time from which to use it.
-  struct Choice {
-    std::size_t Source = 0;
-    TimePoint At{};
-  };
-
-  /// @brief Takes the sources, most preferred first; none of them is in
-  /// backoff.
-  /// @param backoffs bounds of each source's backoff
-  explicit SourceFailover(const std::vector<Backoff> &backoffs = {});
-
-  /// @brief The source to use next; O(sources).
-  Choice next(TimePoint now) const;
-
-  /// @brief A source did not answer, or its answer was too old.
-  void onFailure(std::size_t source, TimePoint now);
-
-  /// @brief A source answered.
-  void onSuccess(std::size_t source);
-
-  /// @brief Keeps a source from being used before a time, unless it is the
-  /// first that may be.
-  void holdBack(std::size_t source, TimePoint until) {
-    Sources[source].RetryAt = std::max(Sources[source].RetryAt, until);
-  }
-
-private:
-  struct State {
-    Backoff Limits;
-    Duration NextBackoff{};
-    TimePoint RetryAt{};
-  };
-
-  std::vector<State> Sources;
-};
-
 } // namespace savorytrestle::core
 
 #endif
--- a/src/core/FeedPolicy.cpp
+++ b/src/core/FeedPolicy.cpp
@@ -18,12 +18,6 @@
 /// Most fallback sources of a host.
 constexpr std::size_t MaxFallbackSources = 3;
 
-/// Ratio of the time in which a change must be in force to a short poll wait.
-/// Three such waits, the batch delay and one transfer between hosts add up to
-/// less than that time.
-constexpr int ApplyTimeDivisor = 5;
-constexpr std::chrono::milliseconds MaxBatchDelay{700};
-
 } // namespace
 
 FeedPlan planFeed(const FeedHost &own,
@@ -80,36 +74,4 @@
   return collectors;
 }
 
-FeedTiming::FeedTiming(Duration configApply)
-    : ShortPollWait(configApply / ApplyTimeDivisor),
-      BatchDelay(std::min<Duration>(MaxBatchDelay, configApply / 4)),
-      MaxAge(2 * ShortPollWait + BatchDelay) {}
-
-SourceFailover::SourceFailover(const std::vector<Backoff> &backoffs) {
-  for (const Backoff &backoff : backoffs)
-    Sources.push_back({backoff, backoff.Initial, TimePoint{}});
-}
-
-SourceFailover::Choice SourceFailover::next(TimePoint now) const {
-  const auto available =
-      std::find_if(Sources.begin(), Sources.end(),
-                   [now](const State &it) { return it.RetryAt <= now; });
-  if (available != Sources.end())
-    return {static_cast<std::size_t>(available - Sources.begin()), now};
-  const auto first = std::min_element(
-      Sources.begin(), Sources.end(),
-      [](const State &a, const State &b) { return a.RetryAt < b.RetryAt; });
-  return {static_cast<std::size_t>(first - Sources.begin()), first->RetryAt};
-}
-
-void SourceFailover::onFailure(std::size_t source, TimePoint now) {
-  State &state = Sources[source];
-  state.RetryAt = now + state.NextBackoff;
-  state.NextBackoff = std::min(state.Limits.Max, 2 * state.NextBackoff);
-}
-
-void SourceFailover::onSuccess(std::size_t source) {
-  Sources[source].NextBackoff = Sources[source].Limits.Initial;
-}
-
 } // namespace savorytrestle::core
--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -13,36 +13,8 @@
 
 namespace {
 
-/// How long the store holds back the reply to a watch without changes, on a
-/// host that serves no other hosts. A longer wait makes fewer calls. But a
-/// watch that the store never answers is detected only after this wait, and
-/// that has to happen before the store counts as stable again (4 s at the
-/// least), as from then on draining leaves must get no requests.
-constexpr milliseconds LongPollWait{2000};
-/// Shortest wait that the store accepts.
-constexpr milliseconds MinPollWait{1};
-/// Time allowed for a reply in addition to the wait that was requested.
-constexpr milliseconds StoreReplyTimeout{1500};
-constexpr milliseconds HostReplyTimeout{700};
-/// Short, so that the store is used again soon after it is reachable.
-constexpr core::SourceFailover::Backoff StoreBackoff{milliseconds(50),
-                                                     milliseconds(400)};
-/// A host that follows another one finds the store back through that one in
-/// most cases: the calls of hundreds of hosts to a store that is away would
-/// otherwise grow with their number.
-constexpr core::SourceFailover::Backoff FollowerStoreBackoff{
-    milliseconds(400), milliseconds(1500)};
-/// Longer, as each call to a host that doesn't answer blocks the mirror for the
-/// whole reply time-out.
-constexpr core::SourceFailover::Backoff HostBackoff{milliseconds(2000),
-                                                    milliseconds(10000)};
-/// Pause before a host that answered without an up-to-date copy is asked again:
-/// it has the store's changes as soon as it reaches the store.
-constexpr milliseconds NotFreshPause{500};
 /// Hosts that start together open their listeners within this time.
 constexpr milliseconds SeedHeadStart{600};
-constexpr core::SourceFailover::Backoff SeedBackoff{milliseconds(150),
-                                                    milliseconds(10000)};
 /// Number of removals that are kept, for hosts that poll again after some
 /// seconds without an answer. Hosts further behind get the full list.
 constexpr std::size_t MaxRemovals = 4096;
@@ -57,6 +29,10 @@
   return matching;
 }
 
+milliseconds toMilliseconds(core::Duration time) {
+  return std::chrono::floor<milliseconds>(time);
+}
+
 std::string addressText(const StoreMirror::Endpoint &address) {
   return address.address().to_string() + ":" + std::to_string(address.port());
 }
@@ -67,7 +43,7 @@
                          const core::FeedTiming &timing,
                          std::shared_ptr<store::EraTracker> eras)
     : Io(io), NextCallTimer(io), Timing(timing), Eras(std::move(eras)),
-      StoreAddress(store) {
+      Schedule(timing), StoreAddress(store) {
   rebuildSources();
 }
 
@@ -80,7 +56,8 @@
     if (const auto self = weak.lock())
       self->onEraRise();
   });
-  callNextSource();
+  Schedule.onUpToDate(SteadyClock::now());
+  makeDueCalls();
 }
 
 void StoreMirror::onEraRise() {
@@ -88,12 +65,25 @@
   for (const auto &[prefix, handlers] : Subscriptions)
     if (handlers.OnEraRise)
       handlers.OnEraRise();
-  if (Stopped || !PendingSource)
-    return;
-  // The call in flight may wait for changes after a position of the older era.
-  PendingSource->Connection->close();
-  PendingSource.reset();
-  scheduleNextCall(core::Duration::zero());
+  // Calls in flight may wait for changes after a position of the older era.
+  const bool abortedStoreCall = abortCall(PendingStoreCall);
+  const bool abortedHostCall = abortCall(PendingHostCall);
+  if (abortedStoreCall || abortedHostCall)
+    scheduleCalls(SteadyClock::now());
+}
+
+bool StoreMirror::abortCall(SourcePtr pending) {
+  if (Stopped || !pending)
+    return false;
+  pending->Connection->close();
+  onCallEnded(pending);
+  return true;
+}
+
+void StoreMirror::onCallEnded(const SourcePtr &source) {
+  const bool toStore = source->IsStore;
+  (toStore ? PendingStoreCall : PendingHostCall).reset();
+  Schedule.onCallEnded(toStore);
 }
 
 bool StoreMirror::behindEra() const { return Known.StoreEra < Eras->current(); }
@@ -122,8 +112,7 @@
       std::move(seeds);
   rebuildSources();
   if (!listsStore && !Plan.PreferredSources.empty())
-    Failover.holdBack(Plan.PreferredSources.size(),
-                      SteadyClock::now() + SeedHeadStart);
+    Schedule.pauseStore(SteadyClock::now() + SeedHeadStart);
 }
 
 void StoreMirror::setPlan(const MirrorPlan &plan) {
@@ -139,28 +128,30 @@
   // The copy isn't confirmed as up to date during a long poll, so the hosts
   // that this host now serves would discard its answers as too old: ends the
   // poll.
-  if (PendingSource && PendingIsLongPoll && storePollWait() != LongPollWait) {
-    PendingSource->Connection->close();
-    callNextSource();
-  }
+  if (PendingIsLongPoll && !Schedule.usesLongPolls())
+    abortCall(PendingStoreCall);
+  makeDueCalls();
 }
 
 void StoreMirror::rebuildSources() {
   Sources.clear();
-  std::vector<core::SourceFailover::Backoff> backoffs;
-  for (const Endpoint &address : Plan.PreferredSources) {
-    Sources.push_back(findOrAddSource(address, false));
-    backoffs.push_back(HasPlan ? HostBackoff : SeedBackoff);
-  }
+  const auto addHosts = [this](const std::vector<Endpoint> &addresses) {
+    for (const Endpoint &address : addresses)
+      Sources.push_back(findOrAddSource(address, false));
+  };
+  addHosts(Plan.PreferredSources);
   Sources.push_back(findOrAddSource(StoreAddress, true));
-  backoffs.push_back(HasPlan && !Plan.PreferredSources.empty()
-                         ? FollowerStoreBackoff
-                         : StoreBackoff);
-  for (const Endpoint &address : Plan.FallbackSources) {
-    Sources.push_back(findOrAddSource(address, false));
-    backoffs.push_back(HostBackoff);
-  }
-  Failover = core::SourceFailover(backoffs);
+  addHosts(Plan.FallbackSources);
+  Schedule.setSources({Plan.PreferredSources.size(),
+                       Plan.FallbackSources.size(), HasPlan,
+                       Plan.ServesOthers});
+}
+
+std::optional<std::size_t> StoreMirror::indexOf(const SourcePtr &source) const {
+  const auto it = std::find(Sources.begin(), Sources.end(), source);
+  if (it == Sources.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(it - Sources.begin());
 }
 
 bool StoreMirror::isFresh() const {
@@ -168,12 +159,6 @@
          SteadyClock::now() - UpToDateAt <= Timing.MaxAge;
 }
 
-bool StoreMirror::storeFailed() const {
-  return std::any_of(Sources.begin(), Sources.end(), [](const SourcePtr &it) {
-    return it->IsStore && it->Unavailable;
-  });
-}
-
 milliseconds StoreMirror::age() const {
   return std::chrono::ceil<milliseconds>(SteadyClock::now() - UpToDateAt);
 }
@@ -210,39 +195,47 @@
   return page;
 }
 
-milliseconds StoreMirror::storePollWait() const {
-  const bool longPoll =
-      HasPlan && Plan.PreferredSources.empty() && !Plan.ServesOthers;
-  return longPoll ? LongPollWait
-                  : std::chrono::floor<milliseconds>(Timing.ShortPollWait);
-}
-
-void StoreMirror::callNextSource() {
+void StoreMirror::makeDueCalls() {
   if (Stopped)
     return;
   const auto now = SteadyClock::now();
-  const auto choice = Failover.next(now);
-  if (choice.At > now)
-    return scheduleNextCall(choice.At - now);
-  PendingSource = Sources[choice.Source];
-  PendingIsLongPoll = false;
-  if (PendingSource->IsStore)
-    callStore(PendingSource);
-  else
-    callHost(PendingSource);
+  while (const auto call = Schedule.startCall(now)) {
+    const SourcePtr &source = Sources[call->Source];
+    (source->IsStore ? PendingStoreCall : PendingHostCall) = source;
+    if (!source->IsStore)
+      callHost(source, *call);
+    else if (NeedsFullList)
+      startList(source);
+    else
+      watchStore(source, *call);
+  }
+  scheduleCalls(Schedule.nextCallAt(now));
 }
 
-void StoreMirror::callStore(const SourcePtr &source) {
-  if (!NeedsFullList)
-    return watchStore(source);
+void StoreMirror::scheduleCalls(core::TimePoint at) {
+  NextCallTimer.cancel();
+  if (Stopped || at == core::TimePoint::max())
+    return;
+  NextCallTimer.expires_at(at);
+  NextCallTimer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code &ec) {
+        if (!ec)
+          self->makeDueCalls();
+      });
+}
+
+void StoreMirror::startList(const SourcePtr &source) {
+  PendingIsLongPoll = false;
   ListedItems.clear();
   ListStart = {};
+  KnownBeforeList = Known;
   listStore(source, "");
 }
 
 void StoreMirror::listStore(const SourcePtr &source, const std::string &after) {
   source->Connection->call(
-      platform::encodeReadRange("", after), StoreReplyTimeout,
+      platform::encodeReadRange("", after),
+      toMilliseconds(Timing.StoreReplyTimeout),
       [self = shared_from_this(), source](const Reply &reply) {
         if (!self->Stopped)
           self->onListReply(source, reply);
@@ -250,11 +243,14 @@
 }
 
 void StoreMirror::onListReply(const SourcePtr &source, const Reply &reply) {
-  if (reply.Status != platform::StatusOk)
-    return onSourceFailure(source, reply.Status, reply.Error);
-  auto page = platform::decodeRange(reply.Body);
-  if (!page)
+  auto page =
+      reply.Status == platform::StatusOk
+          ? platform::decodeRange(reply.Body)
+          : core::makeError(core::ErrorCode::StoreUnavailable, reply.Error);
+  if (!page) {
+    onCallEnded(source);
     return onSourceFailure(source, reply.Status, page.error().Message);
+  }
   // The pages are not a snapshot. A watch from the first page's revision
   // returns the changes made while the other pages were read.
   const auto era = Eras->current();
@@ -262,26 +258,31 @@
     ListStart = {era, page->At};
   // The pages of two eras make no list.
   if (ListStart.StoreEra != era)
-    return callStore(source);
+    return startList(source);
+  // Another host has sent the items or later changes meanwhile.
+  if (!NeedsFullList || KnownBeforeList != Known) {
+    onCallEnded(source);
+    return makeDueCalls();
+  }
   std::move(page->Items.begin(), page->Items.end(),
             std::back_inserter(ListedItems));
   if (page->HasMore && !page->Items.empty())
     return listStore(source, ListedItems.back().Key);
+  onCallEnded(source);
   onSourceSuccess(source, milliseconds(0));
   const bool first = Known.At == 0;
   replaceItems(std::exchange(ListedItems, {}), ListStart);
   if (first && Eras->hasEverRisen())
     askHostsForHeldItems();
-  callNextSource();
+  makeDueCalls();
 }
 
-void StoreMirror::watchStore(const SourcePtr &source) {
-  // After a failure the shortest wait is used, as the reply shows that the
-  // store is reachable again.
-  const auto wait = source->Unavailable ? MinPollWait : storePollWait();
-  PendingIsLongPoll = wait == LongPollWait;
+void StoreMirror::watchStore(const SourcePtr &source,
+                             const core::FeedCall &call) {
+  PendingIsLongPoll = call.Wait == Timing.LongPollWait;
   source->Connection->call(
-      platform::encodeWatch("", Known.At, wait), wait + StoreReplyTimeout,
+      platform::encodeWatch("", Known.At, toMilliseconds(call.Wait)),
+      toMilliseconds(call.Timeout),
       [self = shared_from_this(), source](const Reply &reply) {
         if (!self->Stopped)
           self->onWatchReply(source, reply);
@@ -289,47 +290,56 @@
 }
 
 void StoreMirror::onWatchReply(const SourcePtr &source, const Reply &reply) {
+  onCallEnded(source);
   if (reply.Status == platform::StatusHistoryGone) {
     support::LogLine("store_history_gone").with("after", Known.At);
     NeedsFullList = true;
-    return callNextSource();
+    return makeDueCalls();
   }
   if (reply.Status != platform::StatusOk)
     return onSourceFailure(source, reply.Status, reply.Error);
-  const auto page = platform::decodeWatch(reply.Body);
+  auto page = platform::decodeWatch(reply.Body);
   if (!page)
     return onSourceFailure(source, reply.Status, page.error().Message);
   onSourceSuccess(source, milliseconds(0));
   // The items came from a host that knows no eras.
   if (behindEra()) {
     NeedsFullList = true;
-    return callNextSource();
+    return makeDueCalls();
   }
+  // Another host may have sent some of the changes meanwhile: an older state of
+  // an item must not be applied after a newer one.
+  std::erase_if(page->Items, [this](const StoredItem &item) {
+    return item.ModRevision <= Known.At;
+  });
+  if (!page->Items.empty())
+    Schedule.pauseStore(SteadyClock::now() + Timing.BatchDelay);
   applyChanges(page->Items, page->At);
-  if (page->Items.empty())
-    return callNextSource();
-  scheduleNextCall(Timing.BatchDelay);
+  makeDueCalls();
 }
 
-void StoreMirror::callHost(const SourcePtr &source) {
+void StoreMirror::callHost(const SourcePtr &source,
+                           const core::FeedCall &call) {
   FeedQuery query{NeedsFullList ? store::Position{} : Known};
-  query.Wait = std::chrono::floor<milliseconds>(Timing.ShortPollWait);
+  query.Wait = toMilliseconds(call.Wait);
   // Only when the fleet starts will a seed have its first list soon.
   if (Known.At == 0)
     query.Wait = HasPlan || Plan.PreferredSources.empty()
                      ? milliseconds(0)
                      : std::min(query.Wait, SeedHeadStart);
   source->Connection->call(
-      {"GET", formatFeedTarget(query), ""}, query.Wait + HostReplyTimeout,
-      [self = shared_from_this(), source](const Reply &reply) {
+      {"GET", formatFeedTarget(query), ""},
+      query.Wait + toMilliseconds(call.Timeout - call.Wait),
+      [self = shared_from_this(), source, known = Known](const Reply &reply) {
         if (!self->Stopped)
-          self->onHostReply(source, reply);
+          self->onHostReply(source, known, reply);
       });
 }
 
-void StoreMirror::onHostReply(const SourcePtr &source, const Reply &reply) {
-  // The call has ended: a rise that the page shows must not start another one.
-  PendingSource.reset();
+void StoreMirror::onHostReply(const SourcePtr &source,
+                              store::Position knownBefore, const Reply &reply) {
+  // The call has ended: a rise that the page shows must not abort it.
+  onCallEnded(source);
   if (reply.Status != platform::StatusOk)
     return onSourceFailure(source, reply.Status, reply.Error);
   auto page = decodeFeedPage(reply.Body);
@@ -337,27 +347,29 @@
     return onSourceFailure(source, reply.Status, page.error().Message);
   // A host without any items accepts a page of any age, unless it may get a
   // newer one from the store.
-  if (page->Age > Timing.MaxAge && (Known.At != 0 || !storeFailed()))
+  if (page->Age > Timing.MaxAge && (Known.At != 0 || !Schedule.storeFailed()))
     return onSourceFailure(source, reply.Status, "too old");
   // A host that knows no eras is taken to be in the first one.
   if (!page->At.StoreEra)
     page->At.StoreEra = Eras->first();
-  if (!Eras->observe(page->At.StoreEra) || page->At < Known)
+  if (!Eras->observe(page->At.StoreEra) || page->At < knownBefore)
     return onSourceFailure(source, reply.Status, "behind");
   onSourceSuccess(source, page->Age);
+  // The store may have sent later changes meanwhile.
+  if (page->At < Known)
+    return makeDueCalls();
   if (page->IsFullList)
     replaceItems(std::move(page->Items), page->At);
   else if (page->At.StoreEra == Known.StoreEra)
     applyChanges(page->Items, page->At.At);
-  callNextSource();
+  makeDueCalls();
 }
 
 void StoreMirror::onSourceSuccess(const SourcePtr &source, milliseconds age) {
-  const auto it = std::find(Sources.begin(), Sources.end(), source);
-  if (it != Sources.end())
-    Failover.onSuccess(static_cast<std::size_t>(it - Sources.begin()));
-  PendingSource.reset();
+  if (const auto index = indexOf(source))
+    Schedule.onSuccess(*index);
   UpToDateAt = std::max(UpToDateAt, SteadyClock::now() - age);
+  Schedule.onUpToDate(UpToDateAt);
   const bool regained =
       AllUnavailable || (source->Unavailable && source->IsStore);
   if (source->Unavailable)
@@ -386,20 +398,17 @@
         .with("age", age());
   source->Unavailable = true;
   source->LastFailure = reason;
-  PendingSource.reset();
   AllUnavailable =
       std::all_of(Sources.begin(), Sources.end(),
                   [](const SourcePtr &it) { return it->Unavailable; });
-  if (const auto it = std::find(Sources.begin(), Sources.end(), source);
-      it != Sources.end()) {
-    const auto index = static_cast<std::size_t>(it - Sources.begin());
+  if (const auto index = indexOf(source)) {
     const auto now = SteadyClock::now();
     if (!source->IsStore && status == platform::StatusUnavailable)
-      Failover.holdBack(index, now + NotFreshPause);
+      Schedule.onNotFresh(*index, now);
     else
-      Failover.onFailure(index, now);
+      Schedule.onFailure(*index, now);
   }
-  callNextSource();
+  makeDueCalls();
 }
 
 void StoreMirror::replaceItems(std::vector<StoredItem> items,
@@ -459,7 +468,8 @@
       // A connection of its own, as the source's carries the mirror's calls.
       const auto connection =
           std::make_shared<store::StoreConnection>(Io, address);
-      connection->call({"GET", formatFeedTarget(query), ""}, HostReplyTimeout,
+      connection->call({"GET", formatFeedTarget(query), ""},
+                       toMilliseconds(Timing.HostReplyTimeout),
                        [self = shared_from_this(), connection,
                         asked = query.Prefix](const Reply &reply) {
                          if (!self->Stopped)
@@ -518,13 +528,4 @@
   Removals.pop_front();
 }
 
-void StoreMirror::scheduleNextCall(core::Duration pause) {
-  NextCallTimer.expires_after(pause);
-  NextCallTimer.async_wait(
-      [self = shared_from_this()](const boost::system::error_code &ec) {
-        if (!ec)
-          self->callNextSource();
-      });
-}
-
 } // namespace savorytrestle::registry
--- a/src/registry/StoreMirror.h
+++ b/src/registry/StoreMirror.h
@@ -17,7 +17,7 @@
 #include <vector>
 
 #include "registry/FeedPage.h"
-#include "savorytrestle/core/FeedPolicy.h"
+#include "savorytrestle/core/FeedSchedule.h"
 #include "store/StoreConnection.h"
 
 namespace savorytrestle::registry {
@@ -118,18 +118,25 @@
 
   void rebuildSources();
   SourcePtr findOrAddSource(const Endpoint &address, bool isStore);
-  void callNextSource();
-  void callStore(const SourcePtr &source);
+  std::optional<std::size_t> indexOf(const SourcePtr &source) const;
+  /// Makes the calls that are due and schedules the next ones.
+  void makeDueCalls();
+  void scheduleCalls(core::TimePoint at);
+  /// Closes the connection of a call in flight, if there is one.
+  /// @return whether there was one
+  bool abortCall(SourcePtr pending);
+  void onCallEnded(const SourcePtr &source);
+  void startList(const SourcePtr &source);
   void listStore(const SourcePtr &source, const std::string &after);
-  void watchStore(const SourcePtr &source);
-  void callHost(const SourcePtr &source);
+  void watchStore(const SourcePtr &source, const core::FeedCall &call);
+  void callHost(const SourcePtr &source, const core::FeedCall &call);
   void onListReply(const SourcePtr &source, const Reply &reply);
   void onWatchReply(const SourcePtr &source, const Reply &reply);
-  void onHostReply(const SourcePtr &source, const Reply &reply);
+  /// @param knownBefore position of the copy when the call was made
+  void onHostReply(const SourcePtr &source, store::Position knownBefore,
+                   const Reply &reply);
   void onEraRise();
   bool behindEra() const;
-  /// Whether the last call to the store failed.
-  bool storeFailed() const;
   /// Asks other hosts for items that the store's copy may have lost.
   void askHostsForHeldItems();
   void onHeldItems(const std::string &prefix, const Reply &reply);
@@ -144,9 +151,7 @@
   void applyChanges(const std::vector<store::StoredItem> &items,
                     store::Revision atRevision);
   void applyChange(const store::StoredItem &item);
-  std::chrono::milliseconds storePollWait() const;
   std::chrono::milliseconds age() const;
-  void scheduleNextCall(core::Duration pause);
 
   boost::asio::io_context &Io;
   boost::asio::steady_timer NextCallTimer;
@@ -155,12 +160,14 @@
   std::vector<std::pair<std::string, FeedHandlers>> Subscriptions;
   std::map<Endpoint, SourcePtr> SourcesByAddress;
   std::vector<SourcePtr> Sources;
-  core::SourceFailover Failover;
+  core::FeedSchedule Schedule;
   const Endpoint StoreAddress;
   MirrorPlan Plan;
   bool HasPlan = false;
-  /// The source of the call in flight.
-  SourcePtr PendingSource;
+  /// The sources of the calls in flight, null if there is none.
+  SourcePtr PendingStoreCall;
+  SourcePtr PendingHostCall;
+  /// Whether the call to the store is a watch of the longest wait.
   bool PendingIsLongPoll = false;
 
   std::map<std::string, store::StoredItem> Items;
@@ -179,8 +186,9 @@
   core::TimePoint UpToDateAt{};
   /// Items of the list that is being read page by page.
   std::vector<store::StoredItem> ListedItems;
-  /// Position of that list's first page.
+  /// Position of that list's first page, and of the copy when it was begun.
   store::Position ListStart{};
+  store::Position KnownBeforeList{};
   bool NeedsFullList = true;
   /// Whether the last call to each source failed.
   bool AllUnavailable = false;
--- a/src/serve/PlatformHost.cpp
+++ b/src/serve/PlatformHost.cpp
@@ -165,7 +165,8 @@
 void PlatformHost::startFeeds(const Endpoint &store) {
   Mirror = std::make_shared<registry::StoreMirror>(
       Io, store,
-      core::FeedTiming(std::min(Config.ConfigApplyTime, Config.EvacuationTime)),
+      core::FeedTiming(std::min(Config.ConfigApplyTime, Config.EvacuationTime),
+                       Config.StabilityTime),
       Eras);
   Configs = std::make_shared<registry::ConfigFeed>([this](const auto &config) {
     Leaves.applyConfig(*config);
--- a/src/serve/PlatformHost.h
+++ b/src/serve/PlatformHost.h
@@ -31,6 +31,7 @@
 #include "registry/RateExchange.h"
 #include "registry/RateLimitNotices.h"
 #include "registry/TrialFeed.h"
+#include "savorytrestle/core/FeedPolicy.h"
 #include "serve/PlatformHostConfig.h"
 #include "support/LogRateLimiter.h"
 #include "support/Metrics.h"
--- a/src/serve/PlatformHostConfig.cpp
+++ b/src/serve/PlatformHostConfig.cpp
@@ -33,6 +33,8 @@
                                      milliseconds(100), minutes(10));
   config.ConfigApplyTime = bounds.duration(
       "config_apply", config.ConfigApplyTime, milliseconds(500), minutes(10));
+  config.StabilityTime = bounds.duration("stability", config.StabilityTime,
+                                         milliseconds(500), minutes(10));
   config.RetryRatio = bounds.decimal("retry_ratio", config.RetryRatio, 0, 10);
   config.RetryExtraPerWindow =
       bounds.decimal("retry_extra", config.RetryExtraPerWindow, 0, 1e6);
--- a/src/serve/PlatformHostConfig.h
+++ b/src/serve/PlatformHostConfig.h
@@ -45,6 +45,9 @@
   std::chrono::milliseconds StopGrace{6000};
   /// Time within which an accepted configuration must be in force.
   std::chrono::milliseconds ConfigApplyTime{3000};
+  /// Time after a disruption of the store or of this host within which each
+  /// accepted change must be in force again.
+  std::chrono::milliseconds StabilityTime{4000};
   /// Extra requests (hedges and retries) allowed for each request to a service,
   /// over all hosts.
   double RetryRatio = 0.2;
--- a/tests/unit-evacuation.cpp
+++ b/tests/unit-evacuation.cpp
@@ -129,7 +129,7 @@
             io,
             tcp::endpoint(boost::asio::ip::address_v4::loopback(),
                           static_cast<unsigned short>(storePort)),
-            core::FeedTiming{3s}, Eras)),
+            core::FeedTiming{3s, 4s}, Eras)),
         Feed(std::make_shared<registry::EvacuationFeed>(
             [this](const std::string &domain, bool evacuated) {
               if (evacuated)
--- a/tests/unit-feed-policy.cpp
+++ b/tests/unit-feed-policy.cpp
@@ -6,7 +6,6 @@
 #include <gtest/gtest.h>
 
 using namespace savorytrestle::core;
-using namespace std::chrono_literals;
 
 namespace {
 
@@ -88,55 +87,4 @@
   }
 }
 
-/// A change is in force in time on a host whose source has stopped answering:
-/// its last answer is accepted for MaxAge, and a poll made just before that
-/// ends after the poll wait and the switch to another source.
-TEST(FeedTiming, AStaleSourceIsReplacedInTime) {
-  constexpr auto SwitchTime = 300ms; // one transfer and a listing of the store
-  for (const Duration apply : {Duration(3s), Duration(5s), Duration(8s)}) {
-    const FeedTiming timing(apply);
-    EXPECT_LT(timing.MaxAge + timing.ShortPollWait + SwitchTime, apply);
-    // Answers of a working source never reach MaxAge.
-    EXPECT_LT(timing.ShortPollWait + timing.BatchDelay, timing.MaxAge);
-  }
-}
-
-class SourceFailoverTest : public ::testing::Test {
-protected:
-  std::size_t next() { return Failover.next(Now).Source; }
-
-  TimePoint Now{1h};
-  SourceFailover Failover{{{2s, 10s}, {50ms, 400ms}, {2s, 10s}}};
-};
-
-TEST_F(SourceFailoverTest, TheFirstSourceIsUsedWhileItAnswers) {
-  EXPECT_EQ(next(), 0U);
-  Failover.onSuccess(0);
-  EXPECT_EQ(next(), 0U);
-}
-
-TEST_F(SourceFailoverTest, TheBackoffGrowsWithEachFailure) {
-  Failover.onFailure(0, Now);
-  EXPECT_EQ(next(), 1U);
-  Now += 2s;
-  EXPECT_EQ(next(), 0U);
-  Failover.onFailure(0, Now);
-  Now += 3s;
-  EXPECT_EQ(next(), 1U);
-  Now += 1s;
-  EXPECT_EQ(next(), 0U);
-  Failover.onSuccess(0);
-  Failover.onFailure(0, Now);
-  Now += 2s;
-  EXPECT_EQ(next(), 0U);
-}
-
-TEST_F(SourceFailoverTest, WhileAllAreInBackoffTheFirstToEndItIsChosen) {
-  for (const std::size_t source : {0U, 1U, 2U})
-    Failover.onFailure(source, Now);
-  const auto choice = Failover.next(Now);
-  EXPECT_EQ(choice.Source, 1U);
-  EXPECT_EQ(choice.At, Now + 50ms);
-}
-
 } // namespace
--- a/tests/unit-store-era.cpp
+++ b/tests/unit-store-era.cpp
@@ -93,7 +93,7 @@
             io,
             tcp::endpoint(boost::asio::ip::address_v4::loopback(),
                           static_cast<unsigned short>(storePort)),
-            core::FeedTiming{3s}, Eras)),
+            core::FeedTiming{3s, 4s}, Eras)),
         Leaves(io, {"a", {{"a", "w"}}}, {0.2, 54, 10s}),
         Configs(std::make_shared<registry::ConfigFeed>(
             [this](const auto &now) { Versions.push_back(now->Version); })),
--- a/tests/unit-store-mirror.cpp
+++ b/tests/unit-store-mirror.cpp
@@ -16,7 +16,9 @@
 
 namespace {
 
-const core::FeedTiming Timing{3s};
+/// Time after a disruption of the store in which changes must be in force.
+constexpr std::chrono::milliseconds Stability{4s};
+const core::FeedTiming Timing{3s, Stability};
 
 tcp::endpoint loopback(int port) {
   return {boost::asio::ip::address_v4::loopback(),
@@ -273,6 +275,25 @@
   EXPECT_TRUE(runUntil([&] { return Reader.has("k/3"); }, 7s));
 }
 
+/// Guards against waits that add up: the store falls silent as a watch is sent,
+/// and the host that is asked in its place stands still.
+TEST_F(StoreMirrorTest, ASilentStoreAndAHostThatStandsStillDoNotAddUp) {
+  // Connections to it are accepted, calls never answered.
+  tcp::acceptor standsStill(Io, loopback(0));
+  Reader.Mirror->start();
+  Reader.Mirror->setPlan({{}, {standsStill.local_endpoint()}, false});
+  ASSERT_TRUE(runUntil([&] { return Reader.has("k/1"); }));
+  Store.put("k/2", "two");
+  ASSERT_TRUE(runUntil([&] { return Reader.has("k/2"); }));
+  Store.setFault(StoreFault::Silent);
+  Io.restart();
+  Io.run_for(std::chrono::ceil<std::chrono::milliseconds>(Timing.BatchDelay) +
+             300ms);
+  Store.setFault(StoreFault::None);
+  Store.put("k/3", "three");
+  EXPECT_TRUE(runUntil([&] { return Reader.has("k/3"); }, Stability));
+}
+
 TEST_F(StoreMirrorTest, ListsAllItemsAgainWhenTheHistoryIsGone) {
   Reader.Mirror->start();
   ASSERT_TRUE(runUntil([&] { return Reader.has("k/1"); }));
--- a/tests/unit-trial-feed.cpp
+++ b/tests/unit-trial-feed.cpp
@@ -27,7 +27,7 @@
   FeedHost(boost::asio::io_context &io, const tcp::endpoint &store,
            std::string name)
       : Trials(std::move(name)), Mirror(std::make_shared<registry::StoreMirror>(
-                                     io, store, core::FeedTiming{3s}, Eras)),
+                                     io, store, core::FeedTiming{3s, 4s}, Eras)),
         Runs(std::make_shared<registry::CrashFeed>(
             io, store, Eras, [this](const auto &) { ++RunsKnown; },
             [this](const auto &) { --RunsKnown; },
