Check the store beside the polls of peers, not after them

What operators would have seen (own interface): a host whose peer accepts calls and doesn't answer them looks at the store late. A poll of a peer is up to six calls of 500 ms, and the check came after it, so that the age of the settings could pass 8 s: 6 s, 1.25 s to the next poll and 3 s in it.

Change: the check has a thread of its own. It runs when a poll has ended, since the poll often shows that no call is needed, and after 1.5 s at the latest.

--- a/include/savorytrestle/core/SpreadPolicy.h
+++ b/include/savorytrestle/core/SpreadPolicy.h
@@ -36,10 +36,20 @@
   double FleetChecksPerSecond = 2.0;
   /// Increase of the age past the soft age that doubles the chance of a check.
   std::chrono::milliseconds ChanceDoubling{1000};
+  /// Longest time until it is decided anew whether a check is due.
+  std::chrono::milliseconds MaxCheckInterval{1500};
   /// Longest time between two checks while the store does not answer.
   std::chrono::milliseconds MaxBackoff{10000};
 };
 
+/// @brief Draws the time until the next poll of a peer or check of the store,
+/// so that hosts don't stay in step.
+/// @param interval mean time
+/// @param rng random source
+/// @return three to five quarters of the interval
+std::chrono::milliseconds drawPollInterval(std::chrono::milliseconds interval,
+                                           Rng &rng);
+
 /// @brief Decides whether a host holds a watch on the store.
 /// @param self identity of the host
 /// @param live hosts that it considers live
--- a/src/core/SpreadPolicy.cpp
+++ b/src/core/SpreadPolicy.cpp
@@ -23,6 +23,12 @@
 
 } // namespace
 
+std::chrono::milliseconds drawPollInterval(std::chrono::milliseconds interval,
+                                           Rng &rng) {
+  const auto span = static_cast<std::uint64_t>(interval.count() / 2 + 1);
+  return interval * 3 / 4 + std::chrono::milliseconds(rng() % span);
+}
+
 bool isWatcher(const std::string &self, const std::vector<HostInfo> &live,
                std::uint32_t perRegion) {
   const auto ownEntry =
--- a/src/hosts/PeerNode.cpp
+++ b/src/hosts/PeerNode.cpp
@@ -25,6 +25,21 @@
   return !Wake.wait_for(guard, time, [this] { return Stopping; });
 }
 
+void PeerNode::Impl::notifyPollEnded() {
+  {
+    const std::lock_guard guard(StopLock);
+    PollEnded = true;
+  }
+  Wake.notify_all();
+}
+
+bool PeerNode::Impl::waitForPoll(std::chrono::milliseconds time) {
+  std::unique_lock guard(StopLock);
+  Wake.wait_for(guard, time, [this] { return Stopping || PollEnded; });
+  PollEnded = false;
+  return !Stopping;
+}
+
 core::Result<std::string> PeerNode::Impl::callPeer(PeerClient &client,
                                                    const core::HostInfo &peer,
                                                    const std::string &method,
@@ -158,6 +173,7 @@
   State->Threads.emplace_back([this] { State->watchSlots(); });
   State->Threads.emplace_back([this] { State->runPushes(); });
   State->Threads.emplace_back([this] { State->runPolls(); });
+  State->Threads.emplace_back([this] { State->runStoreChecks(); });
 }
 
 void PeerNode::stop() {
--- a/src/hosts/PeerNode.h
+++ b/src/hosts/PeerNode.h
@@ -63,8 +63,8 @@
 /// @brief Watches the store while this host is one of its region's watchers,
 /// pushes new revisions to peers and polls peers for revisions it lacks.
 ///
-/// Runs four threads: one watches the settings, one watches the slots, one
-/// pushes to peers, and one polls peers and checks the store.
+/// Runs five threads: one watches the settings, one watches the slots, one
+/// pushes to peers, one polls peers and one checks the store.
 class PeerNode {
 public:
   /// @brief Creates a node; starts no thread and makes no call.
--- a/src/hosts/PeerNodeImpl.h
+++ b/src/hosts/PeerNodeImpl.h
@@ -57,6 +57,7 @@
   void watchSlots();
   void runPushes();
   void runPolls();
+  void runStoreChecks();
 
   // Steps of the thread loops.
   bool isWatcher() const;
@@ -96,6 +97,10 @@
       PushQueue.enqueue(job);
   }
   bool waitUnlessStopped(std::chrono::milliseconds time);
+  void notifyPollEnded();
+  // Waits until a poll of a peer has ended, for at most a time; returns false
+  // once the node is being stopped.
+  bool waitForPoll(std::chrono::milliseconds time);
 
   PeerOptions Options;
   PeerCallbacks Callbacks;
@@ -114,6 +119,7 @@
   std::mutex StopLock;
   std::condition_variable Wake;
   bool Stopping = false;
+  bool PollEnded = false;
   std::vector<std::thread> Threads;
 };
 
--- a/src/hosts/PeerNodeThreads.cpp
+++ b/src/hosts/PeerNodeThreads.cpp
@@ -172,22 +172,30 @@
 }
 
 void PeerNode::Impl::runPolls() {
-  const StoreReader reader = Callbacks.MakeStoreReader();
   PeerClient client(Options.CallTimeout);
-  core::StoreCheckTimer timer(Options.Timing);
   core::Rng rng(Options.Seed);
   milliseconds interval{0};
   do {
     pollPeer(client, rng);
-    checkStore(reader, timer, rng);
+    notifyPollEnded();
     const bool hasSettings = Callbacks.CurrentSettings().Revision > 0;
-    const auto base =
-        hasSettings ? Options.Timing.PeerPollInterval : StartupPollInterval;
-    const auto span = static_cast<std::uint64_t>(base.count() / 2 + 1);
-    interval = base * 3 / 4 + milliseconds(rng() % span);
+    interval = core::drawPollInterval(
+        hasSettings ? Options.Timing.PeerPollInterval : StartupPollInterval,
+        rng);
   } while (waitUnlessStopped(interval));
 }
 
+// Checks the store after each poll, which may have shown that no check is
+// needed, but doesn't wait for a poll whose peer doesn't answer: the checks
+// bound the age of the settings whatever the peers do.
+void PeerNode::Impl::runStoreChecks() {
+  const StoreReader reader = Callbacks.MakeStoreReader();
+  core::StoreCheckTimer timer(Options.Timing);
+  core::Rng rng(~Options.Seed);
+  while (waitForPoll(Options.Timing.MaxCheckInterval))
+    checkStore(reader, timer, rng);
+}
+
 std::optional<core::HostInfo> PeerNode::Impl::choosePeer(core::Rng &rng) const {
   const auto &self = Options.Self;
   if (auto found = core::pollTarget(self.Id, self.Region, live(), rng))
--- a/tests/unit-peer-node.cpp
+++ b/tests/unit-peer-node.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <thread>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -38,7 +40,8 @@
 class Node {
 public:
   Node(const standins::FakeKvStore &store, const std::string &id,
-       const std::string &region, std::vector<core::HostInfo> seeds = {})
+       const std::string &region, std::vector<core::HostInfo> seeds = {},
+       std::chrono::milliseconds callTimeout = 500ms)
       : Store(store), SeedHosts(std::move(seeds)) {
     support::HttpServerOptions options;
     options.Listen = "127.0.0.1:0";
@@ -56,6 +59,7 @@
             false};
     hosts::PeerOptions peerOptions;
     peerOptions.Self = Self;
+    peerOptions.CallTimeout = callTimeout;
     peerOptions.Timing.PeerPollInterval = 50ms;
     peerOptions.Timing.WatchWait = 100ms;
     peerOptions.Seed = std::hash<std::string>()(id);
@@ -237,6 +241,24 @@
   EXPECT_TRUE(Nodes.back()->Peer->ready());
 }
 
+/// Guards against a peer that stands still keeping a host from the store.
+TEST_F(PeerNodes, ASilentPeerDoesNotDelayTheCheckOfTheStore) {
+  // Connections to it are accepted, calls never answered.
+  boost::asio::io_context io;
+  const boost::asio::ip::tcp::acceptor silent(
+      io, {boost::asio::ip::address_v4::loopback(), 0});
+  core::HostInfo peer;
+  peer.PeerAddress =
+      "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+  writeManifest(3);
+  Nodes.push_back(std::make_unique<Node>(
+      Store, "h0", "east", std::vector<core::HostInfo>{peer}, 8000ms));
+  const auto start = std::chrono::steady_clock::now();
+  Nodes.back()->Peer->start();
+  EXPECT_TRUE(allReach(3));
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 8s);
+}
+
 TEST_F(PeerNodes, PeersReportAnOutageOnlyIfThereIsOne) {
   writeManifest(1);
   startNodes(3);
