Bound the backoff of the store by the time for a change

What operators would have seen (own interface): after an outage of the store a host whose peers don't answer has the settings only 10.9 s after the store's return, where 8 s are promised.

Cause: the backoff of checks grew to 10 s, longer than the whole time for a change; nothing added it to the other waits.

SpreadTiming::inForceAfterChange and inForceAfterReturn are the sums of all waits, tested against the 8 s.

--- a/include/savorytrestle/core/SpreadPolicy.h
+++ b/include/savorytrestle/core/SpreadPolicy.h
@@ -39,7 +39,20 @@
   /// Longest time until it is decided anew whether a check is due.
   std::chrono::milliseconds MaxCheckInterval{1500};
   /// Longest time between two checks while the store does not answer.
-  std::chrono::milliseconds MaxBackoff{10000};
+  std::chrono::milliseconds MaxBackoff{5000};
+
+  /// @brief Longest time until a host whose peers don't answer has a change.
+  /// @param storeCall longest time of a call that the store answers
+  std::chrono::milliseconds
+  inForceAfterChange(std::chrono::milliseconds storeCall) const;
+
+  /// @brief Longest time from the store's return until such a host has all
+  /// changes.
+  /// @param storeTimeout time after which a call without an answer ends
+  /// @param storeCall longest time of a call that the store answers
+  std::chrono::milliseconds
+  inForceAfterReturn(std::chrono::milliseconds storeTimeout,
+                     std::chrono::milliseconds storeCall) const;
 };
 
 /// @brief Draws the time until the next poll of a peer or check of the store,
--- a/src/core/SpreadPolicy.cpp
+++ b/src/core/SpreadPolicy.cpp
@@ -23,6 +23,18 @@
 
 } // namespace
 
+std::chrono::milliseconds
+SpreadTiming::inForceAfterChange(std::chrono::milliseconds storeCall) const {
+  return HardAge + MaxCheckInterval + storeCall;
+}
+
+// A call made just before the store's return is never answered.
+std::chrono::milliseconds
+SpreadTiming::inForceAfterReturn(std::chrono::milliseconds storeTimeout,
+                                 std::chrono::milliseconds storeCall) const {
+  return storeTimeout + MaxBackoff + MaxCheckInterval + storeCall;
+}
+
 std::chrono::milliseconds drawPollInterval(std::chrono::milliseconds interval,
                                            Rng &rng) {
   const auto span = static_cast<std::uint64_t>(interval.count() / 2 + 1);
@@ -109,11 +121,12 @@
   const Duration most = Timing.MaxBackoff;
   Backoff = reachable ? Duration::zero()
                       : std::min(std::max(2 * Backoff, least), most);
-  // Jitter over the second half of the backoff spreads hosts that failed at the
-  // same time.
-  const auto half = static_cast<std::uint64_t>(Backoff.count() / 2);
-  const auto jitter = half == 0 ? 0 : rng() % half;
-  NotBefore = now + Backoff / 2 + Duration(static_cast<Duration::rep>(jitter));
+  // Jitter over the last quarter of the backoff spreads hosts that failed at
+  // the same time.
+  const auto span = static_cast<std::uint64_t>(Backoff.count() / 4);
+  const auto jitter = span == 0 ? 0 : rng() % span;
+  NotBefore =
+      now + Backoff * 3 / 4 + Duration(static_cast<Duration::rep>(jitter));
 }
 
 } // namespace savorytrestle::core
--- a/tests/SpreadModel.h
+++ b/tests/SpreadModel.h
@@ -35,6 +35,7 @@
   static constexpr milliseconds NearDelay{4};
   static constexpr milliseconds FarDelay{12};
   static constexpr milliseconds CallTimeout{500};
+  static constexpr milliseconds StoreTimeout{1000};
   static constexpr milliseconds WatchSpacing{200};
 
   SpreadModel(int hosts, int domains, std::uint64_t seed) : Random(seed) {
@@ -123,6 +124,8 @@
   std::vector<core::HostInfo> View;
   /// The regions cannot reach each other; the store is in region 0.
   bool RegionsPartitioned = false;
+  /// The store doesn't answer.
+  bool StoreSilent = false;
   std::uint64_t StoreCalls = 0;
   /// Bytes sent or received, summed over all hosts.
   std::uint64_t Bytes = 0;
@@ -154,7 +157,7 @@
            !(RegionsPartitioned && Nodes[a].Region != Nodes[b].Region);
   }
   bool reachesStore(std::size_t n) const {
-    return !(RegionsPartitioned && Nodes[n].Region != 0);
+    return !StoreSilent && !(RegionsPartitioned && Nodes[n].Region != 0);
   }
 
   // A message counts at both of its ends.
@@ -246,6 +249,8 @@
       took = reaches(n, other) ? compare(n, other) : Duration(CallTimeout);
     }
     schedule(took, [this, n] { check(n); });
+    schedule(took + core::drawPollInterval(Timing.PeerPollInterval, node.Rng),
+             [this, n] { poll(n); });
   }
 
   Duration compare(std::size_t n, std::size_t other) {
@@ -269,19 +274,14 @@
 
   void check(std::size_t n) {
     auto &node = Nodes[n];
-    if (!node.Alive)
+    if (!node.Alive ||
+        !node.Timer.due(Now - node.StoreSeenAt, View.size(), Now, node.Rng))
       return;
-    Duration took{};
-    if (node.Timer.due(Now - node.StoreSeenAt, View.size(), Now, node.Rng)) {
-      ++StoreCalls;
-      took = reachesStore(n) ? 2 * delayTo(n) : Duration(CallTimeout);
-      node.Timer.onChecked(reachesStore(n), Now + took, node.Rng);
-      takeFromStore(n, Now);
-    }
-    const auto interval =
-        Timing.PeerPollInterval * 3 / 4 +
-        milliseconds(node.Rng() % (Timing.PeerPollInterval.count() / 2 + 1));
-    schedule(took + interval, [this, n] { poll(n); });
+    ++StoreCalls;
+    const bool reached = reachesStore(n);
+    const auto took = reached ? 2 * delayTo(n) : Duration(StoreTimeout);
+    node.Timer.onChecked(reached, Now + took, node.Rng);
+    takeFromStore(n, Now);
   }
 
   core::Rng Random;
--- a/tests/unit-spread.cpp
+++ b/tests/unit-spread.cpp
@@ -90,6 +90,37 @@
   EXPECT_LE(slowestConvergence("watchers_lost", GetParam(), fault), FaultBound);
 }
 
+/// Guards against waits that add up: the store has just come back, and none of
+/// a host's peers answers.
+TEST(Spread, AHostWhosePeersAreLostHasAChangeInTimeAfterTheStoresReturn) {
+  core::Duration worst{};
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    SpreadModel model(7, 3, seed);
+    model.runUntil(30s);
+    for (auto &node : model.Nodes)
+      node.Alive = !node.Watches;
+    auto &lone = *std::find_if(model.Nodes.begin(), model.Nodes.end(),
+                               [](const auto &node) { return node.Alive; });
+    for (auto &node : model.Nodes)
+      node.Alive = &node == &lone;
+    model.StoreSilent = true;
+    model.runUntil(std::chrono::milliseconds(60000 + seed * 137));
+    model.StoreSilent = false;
+    model.publishChange();
+    worst = std::max(worst, model.convergenceTime(60s));
+  }
+  report("store_back_peers_lost_time_to_all_ms", {7, 3}, millis(worst));
+  EXPECT_LE(worst, FaultBound);
+}
+
+TEST(Spread, TheSumOfAllWaitsStaysWithinTheBound) {
+  constexpr auto StoreCall = 200ms;
+  const core::SpreadTiming timing;
+  EXPECT_LE(timing.inForceAfterChange(StoreCall), FaultBound);
+  EXPECT_LE(timing.inForceAfterReturn(SpreadModel::StoreTimeout, StoreCall),
+            FaultBound);
+}
+
 TEST_P(SpreadOfFleet, AChangeReachesAllHostsAfterAPartitionOfTheRegions) {
   for (const std::uint64_t seed : {1, 2, 3}) {
     SpreadModel model(GetParam().Hosts, GetParam().Domains, seed);
