Read a caller's limits when its request begins

Cause: the parser of the next request was made, with a copy of the limits, when the connection became idle.

Change: it is made with the first byte of the request. The listener for other hosts has the same session.

--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -29,11 +29,13 @@
   if (const auto remote = Socket.remote_endpoint(ec); !ec)
     Remote = remote.address();
   support::setNoDelay(Socket);
-  resetParser();
   read();
 }
 
-void CallerSession::resetParser() {
+void CallerSession::startRequest() {
+  State = Phase::Receiving;
+  TimeoutStart = std::chrono::steady_clock::now();
+  // Limits that changed while the connection was idle count for this request.
   Request.emplace(
       support::MessageLimits{.MaxHead = Context->Limits.MaxHeaderBytes,
                              .MaxBody = Context->Limits.MaxBodyBytes});
@@ -89,10 +91,8 @@
 }
 
 void CallerSession::parse() {
-  if (Buffer.size() > 0 && State == Phase::Idle) {
-    State = Phase::Receiving;
-    TimeoutStart = std::chrono::steady_clock::now();
-  }
+  if (State == Phase::Idle)
+    startRequest();
   const error_code ec = Request->parse(Buffer);
   if (ec == http::error::header_limit)
     return refuse(http::status::request_header_fields_too_large,
@@ -176,9 +176,9 @@
   if (ec || !KeepAlive)
     return close();
   Answer.reset();
+  Request.reset();
   State = Phase::Idle;
   TimeoutStart = std::chrono::steady_clock::now();
-  resetParser();
   if (Buffer.size() > 0)
     parse();
   else
--- a/src/entry/CallerSession.h
+++ b/src/entry/CallerSession.h
@@ -97,7 +97,7 @@
   void read();
   void onRead(boost::system::error_code ec, std::size_t n);
   void parse();
-  void resetParser();
+  void startRequest();
   void sendContinue();
   void dispatch();
   void refuse(boost::beast::http::status status, const std::string &reason);
--- a/tests/unit-caller-session.cpp
+++ b/tests/unit-caller-session.cpp
@@ -70,6 +70,27 @@
   EXPECT_EQ(Requests, 0);
 }
 
+/// Guards against kept connections that go by the limits of an older version.
+TEST_F(CallerSessionTest, LimitsThatChangeWhileAConnectionIsIdleCount) {
+  const std::string request =
+      "POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'x');
+  Context->Limits.MaxBodyBytes = 50;
+  send("GET / HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(receives("fine"));
+  Got.clear();
+  Context->Limits.MaxBodyBytes = 100;
+  send(request);
+  ASSERT_TRUE(runUntil(
+      Io, [&] { return Got.find("fine") != std::string::npos; }, 5s))
+      << Got;
+  Got.clear();
+  Context->Limits.MaxBodyBytes = 99;
+  send(request);
+  EXPECT_TRUE(runUntil(
+      Io, [&] { return Got.find("HTTP/1.1 413 ") != std::string::npos; }, 5s))
+      << Got;
+}
+
 /// Guards against the end of the host by one request.
 TEST_F(CallerSessionTest, ARequestWhoseHandlerThrowsGetsAnError) {
   send("GET /throws HTTP/1.1\r\n\r\n");
