Let followers that have lost their host ask the store less often

Change: it pauses for two short polls, by which its copy gets no older than by the pages that it takes from its host.

--- a/include/savorytrestle/core/FeedSchedule.h
+++ b/include/savorytrestle/core/FeedSchedule.h
@@ -42,8 +42,11 @@
   Duration ShortPollWait;
   /// Longest wait of a watch of the store, by a host that serves no others.
   Duration LongPollWait;
-  /// Pause after a change, in which further changes are collected.
+  /// Pause after a change, in which further changes are collected: on a host
+  /// that reads the store, and on one that asks it while those that it follows
+  /// fail.
   Duration BatchDelay;
+  Duration FollowerBatchDelay;
   /// Age past which an answer of another host is discarded.
   Duration MaxAge;
   /// Age of its copy past which a host that follows another one asks the store.
@@ -168,6 +171,10 @@
   /// @brief A host answered that it has no recent copy.
   void onNotFresh(std::size_t source, TimePoint now);
 
+  /// @brief The store has sent changes: collects further ones before the next
+  /// call.
+  void onChanges(TimePoint now);
+
   /// @brief Keeps the store from being called before a time.
   void pauseStore(TimePoint until) { StorePausedUntil = until; }
 
@@ -178,6 +185,8 @@
   bool usesLongPolls() const;
 
 private:
+  /// Whether this host gets changes from other hosts in place of the store.
+  bool follows() const { return Sources.Planned && Sources.Preferred > 0; }
   FeedCall storeCall() const;
   /// When the copy is too old, or its sources fail, without the store.
   TimePoint storeWantedAt(TimePoint now) const;
--- a/src/core/FeedSchedule.cpp
+++ b/src/core/FeedSchedule.cpp
@@ -47,6 +47,7 @@
           std::max(ShortPollWait,
                    std::min<Duration>(MaxLongPollWait, 7 * stability / 10))),
       BatchDelay(std::min<Duration>(MaxBatchDelay, change / 4)),
+      FollowerBatchDelay(2 * ShortPollWait),
       MaxAge(2 * ShortPollWait + BatchDelay),
       StoreCallAge(MaxAge + change / 12),
       WatchReplyTimeout(
@@ -112,9 +113,8 @@
   Store = sources.Preferred;
   std::vector<Backoff> backoffs(sources.Preferred,
                                 sources.Planned ? HostBackoff : SeedBackoff);
-  const bool follows = sources.Planned && sources.Preferred > 0;
-  backoffs.push_back(follows ? Timing.FollowerStoreBackoff
-                             : Timing.ReaderStoreBackoff);
+  backoffs.push_back(follows() ? Timing.FollowerStoreBackoff
+                               : Timing.ReaderStoreBackoff);
   backoffs.resize(backoffs.size() + sources.Fallback, HostBackoff);
   Failover = SourceFailover(backoffs);
 }
@@ -188,6 +188,12 @@
   return choice && choice->At <= fallback.At ? choice : fallback;
 }
 
+// Many hosts that have lost the one they follow ask the store instead. Their
+// copies get no older than by pages of that host.
+void FeedSchedule::onChanges(TimePoint now) {
+  pauseStore(now + (follows() ? Timing.FollowerBatchDelay : Timing.BatchDelay));
+}
+
 void FeedSchedule::onSuccess(std::size_t source) {
   Failover.onSuccess(source);
   if (source == Store)
--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -313,7 +313,7 @@
     return item.ModRevision <= Known.At;
   });
   if (!page->Items.empty())
-    Schedule.pauseStore(SteadyClock::now() + Timing.BatchDelay);
+    Schedule.onChanges(SteadyClock::now());
   applyChanges(page->Items, page->At);
   makeDueCalls();
 }
--- a/tests/FeedModel.h
+++ b/tests/FeedModel.h
@@ -214,7 +214,7 @@
     Schedule.onSuccess(source);
     Schedule.onUpToDate(Now - (sent - current));
     if (fromStore && known > knownBefore)
-      Schedule.pauseStore(Now + Timing.BatchDelay);
+      Schedule.onChanges(Now);
     for (; Known < known; ++Known)
       InForceAt[Known] = Now;
   }
--- a/tests/unit-feed-schedule.cpp
+++ b/tests/unit-feed-schedule.cpp
@@ -31,6 +31,7 @@
     // Answers of a working source never reach MaxAge.
     EXPECT_LT(timing.ShortPollWait + timing.BatchDelay, timing.MaxAge);
     EXPECT_LT(timing.MaxAge, timing.StoreCallAge);
+    EXPECT_LT(timing.FollowerBatchDelay, timing.MaxAge);
   }
 }
 
@@ -228,4 +229,19 @@
   EXPECT_EQ(follower.storeCalls(), 0U);
 }
 
+/// Load: many hosts that lose the one they follow, while leaves change all the
+/// time. Each asks the store no more often than its copy's age allows.
+TEST(FeedModelTest, HostsThatHaveLostTheOneTheyFollowAskTheStoreSeldom) {
+  const FeedTiming timing(6s, 8s);
+  FeedModel follower(timing, {1, 0, true, false});
+  std::vector<TimePoint> changes;
+  for (TimePoint at{10s}; at < TimePoint{40s}; at += 200ms)
+    changes.push_back(at);
+  const auto inForce = follower.run(
+      changes, {{0, FeedFault::Gone, TimePoint{10s}, TimePoint{40s}}},
+      TimePoint{40s});
+  EXPECT_LE(follower.storeCalls(), 30s / timing.FollowerBatchDelay + 1);
+  EXPECT_LE(inForce.front(), changes.front() + timing.inForceAfterChange());
+}
+
 } // namespace
