Bound the backoff of the store also under a short stability

With bounds.stability below 1.1 s the first backoff of a follower, 0.4 s, and the longest of a reader were longer than their share of it, so that the sum of the waits was not within the bound. Found by reading; FeedTiming.TheSumOfAllWaitsStaysWithinTheBounds now also takes 500 ms and failed with the backoffs as they were.

--- a/src/core/FeedSchedule.cpp
+++ b/src/core/FeedSchedule.cpp
@@ -34,6 +34,12 @@
 /// are: most failures are connections that were cut.
 constexpr milliseconds FallbackDelay{300};
 
+/// A backoff that leaves time for a reply and a call within the stability.
+Backoff within(const Backoff &backoff, Duration stability) {
+  const Duration max = 3 * stability / 8;
+  return {std::min(backoff.Initial, max), std::min(backoff.Max, max)};
+}
+
 } // namespace
 
 // Sums of the fractions: two short polls, the batch delay, the margin of the
@@ -57,10 +63,8 @@
       HostReplyTimeout(std::min<Duration>(MaxHostReplyTimeout, change / 6)),
       StoreCallTime(std::min<Duration>(MaxStoreCallTime,
                                        std::min(change, stability) / 10)),
-      ReaderStoreBackoff(ReaderBackoff),
-      FollowerStoreBackoff{
-          FollowerBackoff.Initial,
-          std::min<Duration>(FollowerBackoff.Max, 3 * stability / 8)} {}
+      ReaderStoreBackoff(within(ReaderBackoff, stability)),
+      FollowerStoreBackoff(within(FollowerBackoff, stability)) {}
 
 // A host that follows another one takes pages of up to MaxAge, and the reply
 // that brought the last one may have been under way for its whole time-out.
--- a/tests/unit-feed-schedule.cpp
+++ b/tests/unit-feed-schedule.cpp
@@ -18,8 +18,9 @@
 };
 
 /// Bounds of deployments, and shorter ones.
-const std::vector<Bounds> AllBounds = {{3s, 4s}, {3s, 5s}, {5s, 6s}, {6s, 8s},
-                                       {1s, 2s}, {5s, 2s}, {30s, 4s}};
+const std::vector<Bounds> AllBounds = {{3s, 4s},  {3s, 5s},      {5s, 6s},
+                                       {6s, 8s},  {1s, 2s},      {5s, 2s},
+                                       {30s, 4s}, {500ms, 500ms}};
 
 /// The waits between a change and its use add up to no more than the time for
 /// it, whatever the bounds are.
@@ -28,6 +29,11 @@
     const FeedTiming timing(change, stability);
     EXPECT_LE(timing.inForceAfterChange(), change);
     EXPECT_LE(timing.inForceAfterReturn(), stability);
+    EXPECT_LE(timing.StoreReplyTimeout + timing.ReaderStoreBackoff.Max +
+                  timing.StoreCallTime,
+              stability);
+    EXPECT_LE(timing.FollowerStoreBackoff.Initial,
+              timing.FollowerStoreBackoff.Max);
     // Answers of a working source never reach MaxAge.
     EXPECT_LT(timing.ShortPollWait + timing.BatchDelay, timing.MaxAge);
     EXPECT_LT(timing.MaxAge, timing.StoreCallAge);
@@ -193,9 +199,9 @@
                 };
                 const std::vector<FeedDisruption> disruptions = {
                     disrupt(first, firstFault), disrupt(second, secondFault)};
-                std::vector<TimePoint> changes;
-                for (int n = 0; n < 3; ++n)
-                  changes.push_back(start + draw(-1s, 9s));
+                std::vector<TimePoint> changes(3);
+                for (TimePoint &change : changes)
+                  change = start + draw(-1s, 9s);
                 std::sort(changes.begin(), changes.end());
                 const auto inForce =
                     model.run(changes, disruptions, start + 60s);
