--- a/src/registry/StoreMirror.cpp
+++ b/src/registry/StoreMirror.cpp
@@ -72,11 +72,12 @@
     scheduleCalls(SteadyClock::now());
 }
 
-bool StoreMirror::abortCall(SourcePtr pending) {
+bool StoreMirror::abortCall(SourcePtr &pending) {
   if (Stopped || !pending)
     return false;
-  pending->Connection->close();
-  onCallEnded(pending);
+  const SourcePtr source = std::exchange(pending, nullptr);
+  source->Connection->close();
+  onCallEnded(source);
   return true;
 }
 
--- a/src/registry/StoreMirror.h
+++ b/src/registry/StoreMirror.h
@@ -124,7 +124,7 @@
   void scheduleCalls(core::TimePoint at);
   /// Closes the connection of a call in flight, if there is one.
   /// @return whether there was one
-  bool abortCall(SourcePtr pending);
+  bool abortCall(SourcePtr &pending);
   void onCallEnded(const SourcePtr &source);
   void startList(const SourcePtr &source);
   void listStore(const SourcePtr &source, const std::string &after);
--- a/tests/unit-trial-feed.cpp
+++ b/tests/unit-trial-feed.cpp
@@ -26,8 +26,9 @@
 public:
   FeedHost(boost::asio::io_context &io, const tcp::endpoint &store,
            std::string name)
-      : Trials(std::move(name)), Mirror(std::make_shared<registry::StoreMirror>(
-                                     io, store, core::FeedTiming{3s, 4s}, Eras)),
+      : Trials(std::move(name)),
+        Mirror(std::make_shared<registry::StoreMirror>(
+            io, store, core::FeedTiming{3s, 4s}, Eras)),
         Runs(std::make_shared<registry::CrashFeed>(
             io, store, Eras, [this](const auto &) { ++RunsKnown; },
             [this](const auto &) { --RunsKnown; },
