--- a/review/standins-3/Kit.h
+++ b/review/standins-3/Kit.h
@@ -865,13 +865,13 @@
   return it == nullptr || std::string(it) != "0";
 }
 
-/// @brief Runs a script's program: its argument is the folder of record.txt.
+/// @brief Runs a script's program: its argument is the path of the record.
 /// @return its exit status
 inline int runScript(int argc, char **argv, Verdict (*play)(Record &)) {
   if (argc != 2)
     return NotRun;
   std::signal(SIGPIPE, SIG_IGN);
-  Record record(std::string(argv[1]) + "/record.txt");
+  Record record(argv[1]);
   const Verdict verdict = play(record);
   record.line(verdict == Held     ? "rule held"
               : verdict == Broken ? "rule broken"
