--- a/review/standins-3/early-request.cpp
+++ b/review/standins-3/early-request.cpp
@@ -79,7 +79,7 @@
   std::string send(const std::string &method, const std::string &path) {
     constexpr long IdsPerCaller = 0x1000;
     constexpr int DeadlineMs = 6000;
-    const std::string id = hexId(Number * IdsPerCaller + ++Count);
+    std::string id = hexId(Number * IdsPerCaller + ++Count);
     if (method == "POST")
       Filings.push_back(id);
     Log.line("caller sends " + method + " id=" + id);
