--- a/review/standins-3/late-refusal.cpp
+++ b/review/standins-3/late-refusal.cpp
@@ -1,5 +1,6 @@
-// A faulty leaf sends second copies of refusals, late. Exits with 1 if a
-// request that may run once runs twice, or is answered as not run and has run.
+// A faulty leaf sends additional bytes after its refusals, late. Exits with 1
+// if a request that may run once runs twice, or is answered as not run and has
+// run.
 
 #include "Kit.h"
 
@@ -7,10 +8,11 @@
 
 namespace {
 
-/// The answer of a leaf that is full, as `fleetbench wire SITE` prints it.
-const std::string Shed = "HTTP/1.1 503 Service Unavailable\r\n"
-                         "Savorytrestle-Not-Executed: 1\r\n"
-                         "Content-Length: 0\r\n\r\n";
+/// Additional bytes after a complete response: a refusal that names no request,
+/// in the form that `fleetbench wire SITE` prints.
+const std::string ExtraBytes = "HTTP/1.1 503 Service Unavailable\r\n"
+                               "Savorytrestle-Not-Executed: 1\r\n"
+                               "Content-Length: 0\r\n\r\n";
 
 /// Runs of all leaves by request.
 struct Runs {
@@ -42,12 +44,15 @@
       const LeafRun run{Id, *it};
       // Where the next response is expected.
       if (std::exchange(extraDue, false)) {
-        Log.line("leaf " + Id + " sends the second copy of a refusal");
-        to->send(Shed);
+        Log.line("leaf " + Id + " sends additional bytes");
+        to->send(ExtraBytes);
       }
       if (Full) {
         Log.line("leaf " + Id + " refuses id=" + run.id());
-        to->send(Shed);
+        to->send(response(503,
+                          {{"Savorytrestle-Not-Executed", "1"},
+                           {"Savorytrestle-Request-Id", run.id()}},
+                          ""));
         extraDue = SendsExtra;
         continue;
       }
